--- /dev/null
+++ b/sardinestair/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: owns jobs from acceptance to answer."""
--- /dev/null
+++ b/sardinestair/entry/dispatcher.py
@@ -0,0 +1,480 @@
+"""The entry's aggregate: jobs, queues and links under one lock."""
+
+import heapq
+import itertools
+import threading
+from collections import defaultdict
+
+import zmq
+from expression import Error, Ok, Result
+
+from sardinestair.clock import Clock
+from sardinestair.entry.service_state import ServiceState
+from sardinestair.ids import Incarnation, JobId, format_incarnation
+from sardinestair.ids import format_job_id as format_job
+from sardinestair.jobs import Job, JobRegistry, JobRequest
+from sardinestair.jobs.job import TaskAnswer
+from sardinestair.jobs.request import ParsedRequest
+from sardinestair.links.entry_link import EntryLink, LinkState
+from sardinestair.links.timing import LinkTiming
+from sardinestair.messages import (
+    Announce,
+    Demand,
+    Outcome,
+    TaskRef,
+    TaskState,
+)
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.settings import SettingsTree
+from sardinestair.settings.tree import effective
+
+__all__ = ["Dispatcher"]
+
+MAX_REASON_CHARACTERS = 200
+
+
+class Dispatcher:
+    """Owns all jobs of an entry from acceptance to answer.
+
+    HTTP threads, link threads and the timer call it; `lock` guards all its
+    state.
+
+    Args:
+        incarnation: The entry's incarnation.
+        zone: The entry's availability zone.
+        clock: The clock.
+        metrics: The process's metrics.
+        context: The ZeroMQ context for links.
+        timing: Time limits of links.
+        retention_s: How long ended jobs are kept, in seconds.
+
+    Attributes:
+        tree: The settings tree in force, or None before the first.
+        services: What is kept for each service.
+        links: Links by sidecar.
+        registry: The known jobs.
+    """
+
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        zone: str,
+        clock: Clock,
+        metrics: Metrics,
+        context: zmq.Context,
+        timing: LinkTiming | None = None,
+        retention_s: float = 300.0,
+    ):
+        self.incarnation = incarnation
+        self.zone = zone
+        self.clock = clock
+        self.metrics = metrics
+        self.context = context
+        self.timing = timing or LinkTiming()
+        self.lock = threading.RLock()
+        self.tree: SettingsTree | None = None
+        self.services: dict[str, ServiceState] = {}
+        self.links: dict[Incarnation, EntryLink] = {}
+        self.registry = JobRegistry(retention_s)
+        self.deadlines: list[tuple[float, int, Job]] = []
+        self.tie = itertools.count()
+        self.epochs = itertools.count(1)
+        self.touched: set[str] = set()
+        self.is_draining = False
+        self.log = EventLog(
+            "entry", entry=format_incarnation(incarnation), zone=zone
+        )
+
+    # Settings and membership.
+
+    def configure(self, tree: SettingsTree) -> None:
+        """Puts a settings tree into force."""
+        with self.lock:
+            self.tree = tree
+            for name, state in self.services.items():
+                state.configure(effective(tree, name, self.zone))
+                self.touched.add(name)
+            self.links_handled()
+
+    def meet(self, announce: Announce) -> EntryLink | None:
+        """Takes a sidecar's announcement.
+
+        Args:
+            announce: How the sidecar describes itself.
+
+        Returns:
+            A link that the caller must run in a thread of its own, or None
+            if nothing is new.
+        """
+        with self.lock:
+            link = self.links.get(announce.sidecar)
+            if link is not None and link.state is not LinkState.CLOSED:
+                self._update_link(link, announce)
+                return None
+            if announce.leaving or not announce.service:
+                return None
+            link = EntryLink(
+                self,
+                self.incarnation,
+                announce,
+                self.timing,
+                self.clock,
+                self.context,
+            )
+            self.links[announce.sidecar] = link
+            self._state(announce.service).links[announce.sidecar] = link
+            return link
+
+    def forget(self, sidecar: Incarnation) -> None:
+        """Drops a sidecar that neither announces itself nor answers."""
+        with self.lock:
+            link = self.links.pop(sidecar, None)
+            if link is None:
+                return
+            link.close()
+            state = self.services[link.candidate.service]
+            state.links.pop(sidecar, None)
+            state.speeds_.pop(sidecar, None)
+            self.links_handled()
+
+    # Callers.
+
+    def submit(self, parsed: ParsedRequest) -> Result[Job, Problem]:
+        """Lets a job in, or attaches to a known one.
+
+        Args:
+            parsed: The checked request.
+
+        Returns:
+            The job, or the problem with which it is refused.
+        """
+        request = parsed.request
+        with self.lock:
+            known = self.registry.find(parsed.job_id)
+            if known is not None:
+                return _attach(known, parsed)
+            refusal = self._refusal(request)
+            if refusal is not None:
+                self._count_refusal(request, refusal)
+                return Error(refusal)
+            job = self._accept(parsed)
+            self.links_handled()
+            return Ok(job)
+
+    def find(self, job_id: JobId) -> Job | None:
+        """Returns a known job, or None."""
+        with self.lock:
+            return self.registry.find(job_id)
+
+    def cancel(self, job_id: JobId) -> Job | None:
+        """Cancels a job at its caller's wish.
+
+        Returns:
+            The job, or None if it is not known. A job that has ended stays
+            as it is.
+        """
+        with self.lock:
+            job = self.registry.find(job_id)
+            if job is not None and job.is_active:
+                problem = Problem(
+                    ProblemKind.CANCELLED,
+                    "the caller cancelled the job",
+                    not_run=job.is_not_run,
+                )
+                job.cancel(problem)
+                self._ended(job)
+                self.links_handled()
+            return job
+
+    def expire(self) -> None:
+        """Fails the jobs whose deadline has passed; called by the timer."""
+        now_s = self.clock.monotonic()
+        with self.lock:
+            while self.deadlines and self.deadlines[0][0] <= now_s:
+                job = heapq.heappop(self.deadlines)[2]
+                if job.is_active:
+                    detail = "the deadline passed before all tasks ended"
+                    self._fail(job, ProblemKind.DEADLINE, detail)
+            self.registry.expire(now_s)
+            for state in self.services.values():
+                self.touched.add(state.name)
+            self.links_handled()
+
+    def active_jobs(self) -> int:
+        """Returns the number of jobs without an answer."""
+        with self.lock:
+            return len(self.registry.jobs) - len(self.registry.ended)
+
+    # Called by links, with the lock held.
+
+    def next_epoch(self) -> int:
+        """Returns a number above those of all earlier connections."""
+        return next(self.epochs)
+
+    def link_finished(self, link: EntryLink, outcome: Outcome) -> None:
+        """Records how a task ended."""
+        state = self.services[link.candidate.service]
+        self._settle(link)
+        job = self.registry.find(outcome.task.job)
+        if job is None:
+            return
+        index = outcome.task.index
+        if outcome.state is TaskState.DONE:
+            state.learn(job, link, outcome.run_s)
+            state.refresh(link)
+            job.record(index, TaskAnswer(outcome.body, outcome.is_json))
+            if not job.is_active and job.job_id not in self.registry.ended:
+                self._ended(job)
+            return
+        job.may_have_run = True
+        job.release(index)
+        reason = outcome.body.decode("utf-8", "replace")
+        reason = reason[:MAX_REASON_CHARACTERS]
+        self._fail(job, ProblemKind.FAILED, f"task {index} failed: {reason}")
+
+    def link_refused(self, link: EntryLink, refs: list[TaskRef]) -> None:
+        """Puts tasks that did not run back to the head of their jobs."""
+        state = self.services[link.candidate.service]
+        self._settle(link)
+        for ref in refs:
+            self.metrics.count("tasks_not_run_total", {"service": state.name})
+            job = self.registry.find(ref.job)
+            if job is None:
+                continue
+            if not job.is_active:
+                job.release(ref.index)
+                continue
+            state.queue.put_back(job, ref.index)
+            if not state.retries.decide():
+                detail = f"task {ref.index} did not run; no retries are left"
+                self._fail(job, ProblemKind.UNAVAILABLE, detail)
+
+    def link_lost(self, link: EntryLink, refs: list[TaskRef]) -> None:
+        """Fails the jobs of tasks whose outcome won't be known."""
+        self._settle(link)
+        for ref in refs:
+            job = self.registry.find(ref.job)
+            if job is None:
+                continue
+            job.may_have_run = True
+            job.release(ref.index)
+            detail = (
+                f"task {ref.index} was lost with its sidecar and may have run"
+            )
+            self._fail(job, ProblemKind.LOST, detail)
+
+    def link_changed(self, link: EntryLink) -> None:
+        """Takes note of changed credits."""
+        self._settle(link)
+
+    def link_demand(self, link: EntryLink) -> Demand:
+        """Returns how much work waits for a link's upstream."""
+        state = self.services[link.candidate.service]
+        head = state.queue.head()
+        if head is None or link.account.available > 0:
+            return Demand(0, 0.0)
+        urgency_s = head.key_s - self.clock.monotonic()
+        return Demand(state.queue.waiting_tasks, urgency_s)
+
+    def links_handled(self) -> None:
+        """Places what can be placed, and wakes the links concerned."""
+        while self.touched:
+            self._place(self.services[self.touched.pop()])
+
+    # Internals.
+
+    def _state(self, service: str) -> ServiceState:
+        state = self.services.get(service)
+        if state is None:
+            tree = self.tree or SettingsTree()
+            settings = effective(tree, service, self.zone)
+            state = self.services[service] = ServiceState(service, settings)
+        return state
+
+    def _update_link(self, link: EntryLink, announce: Announce) -> None:
+        if announce.slots != link.candidate.slots:
+            link.candidate.slots = announce.slots
+            self._settle(link)
+
+    def _refusal(self, request: JobRequest) -> Problem | None:
+        if self.is_draining:
+            return Problem(
+                ProblemKind.DRAINING,
+                "the entry is stopping; submit through another",
+                not_run=True,
+                retry_after_s=0.1,
+            )
+        if self.tree is None:
+            return Problem(
+                ProblemKind.UNAVAILABLE,
+                "the entry has no settings yet",
+                not_run=True,
+                retry_after_s=1.0,
+            )
+        if request.service not in self.tree.services:
+            return Problem(
+                ProblemKind.UNKNOWN_SERVICE,
+                f"service must be one of the configured services, got "
+                f"{request.service!r}",
+                not_run=True,
+                field="service",
+            )
+        return self._limit_refusal(request)
+
+    def _limit_refusal(self, request: JobRequest) -> Problem | None:
+        state = self._state(request.service)
+        settings = self._settings(request)
+        tasks = len(request.tasks)
+        if tasks > settings.max_tasks:
+            return Problem(
+                ProblemKind.TOO_LARGE,
+                f"tasks must number 1 to {settings.max_tasks}, got {tasks}",
+                not_run=True,
+                field="tasks",
+            )
+        deadline_s = request.deadline_s or settings.deadline_s
+        if deadline_s > settings.max_deadline_s:
+            return Problem(
+                ProblemKind.INVALID,
+                f"deadline_s must be in (0, {settings.max_deadline_s}] s, "
+                f"got {deadline_s}",
+                not_run=True,
+                field="deadline_s",
+            )
+        size = sum(len(p) for p in request.payloads)
+        decision = state.admission().decide(
+            state.load(), tasks, size, deadline_s
+        )
+        return decision.error if decision.is_error() else None
+
+    def _settings(self, request: JobRequest):
+        assert self.tree is not None
+        return effective(self.tree, request.service, self.zone, request.kind)
+
+    def _accept(self, parsed: ParsedRequest) -> Job:
+        request = parsed.request
+        now_s = self.clock.monotonic()
+        deadline_s = request.deadline_s or self._settings(request).deadline_s
+        state = self._state(request.service)
+        job = Job(
+            parsed.job_id,
+            request.service,
+            request.team,
+            request.kind,
+            request.payloads,
+            now_s,
+            now_s + deadline_s,
+            state.estimate(request.kind, request.declared_task_s),
+            parsed.digest,
+        )
+        self.registry.add(job)
+        heapq.heappush(self.deadlines, (job.deadline_s, next(self.tie), job))
+        state.queue.add(job, now_s, state.slots)
+        self.touched.add(state.name)
+        return job
+
+    def _place(self, state: ServiceState) -> None:
+        now_s = self.clock.monotonic()
+        used: set[Incarnation] = set()
+        while (placement := state.next_placement()) is not None:
+            job, link = placement
+            payloads = job.payloads
+            index = state.queue.take(job, link.sidecar)
+            if job.attempts[index] == 1:
+                state.retries.observe()
+            remaining_s = job.deadline_s - now_s
+            link.place(job.ref(index), remaining_s, payloads[index])
+            state.refresh(link)
+            used.add(link.sidecar)
+        is_unmet = state.queue.waiting_tasks > 0
+        if is_unmet and not state.has_unmet_demand:
+            used.update(state.links)
+        state.has_unmet_demand = is_unmet
+        for sidecar in used:
+            state.links[sidecar].wakeup.set()
+
+    def _settle(self, link: EntryLink) -> None:
+        state = self.services[link.candidate.service]
+        state.refresh(link)
+        self.touched.add(state.name)
+
+    def _fail(self, job: Job, kind: ProblemKind, detail: str) -> None:
+        if not job.is_active:
+            return
+        problem = Problem(kind, detail, not_run=job.is_not_run)
+        job.fail(problem)
+        self._ended(job)
+
+    def _ended(self, job: Job) -> None:
+        """Does what every end of a job needs."""
+        state = self.services[job.service]
+        state.queue.discard(job)
+        self._cancel_in_flight(job)
+        now_s = self.clock.monotonic()
+        self.registry.end(job, now_s)
+        labels = {"service": job.service, "state": job.state.value}
+        self.metrics.count("jobs_total", labels)
+        self.metrics.count(
+            "tasks_total", {"service": job.service}, job.answered
+        )
+        self.metrics.observe(
+            "job_response_s", {"service": job.service}, now_s - job.accepted_s
+        )
+        self._log_end(job, now_s)
+
+    def _cancel_in_flight(self, job: Job) -> None:
+        by_sidecar: dict[Incarnation, list[TaskRef]] = defaultdict(list)
+        for index, sidecar in job.in_flight.items():
+            by_sidecar[sidecar].append(job.ref(index))
+        for sidecar, refs in by_sidecar.items():
+            link = self.links.get(sidecar)
+            if link is not None and link.state is not LinkState.CLOSED:
+                link.cancel(refs)
+                link.wakeup.set()
+
+    def _log_end(self, job: Job, now_s: float) -> None:
+        answer = job.done.result()
+        if answer.is_ok():
+            write, reason, not_run = self.log.debug, None, False
+        else:
+            write = self.log.info
+            reason, not_run = answer.error.detail, answer.error.not_run
+        write(
+            "job_ended",
+            job=format_job(job.job_id),
+            service=job.service,
+            team=job.team,
+            state=job.state.value,
+            tasks=job.size,
+            response_s=now_s - job.accepted_s,
+            reason=reason,
+            not_run=not_run,
+        )
+
+    def _count_refusal(self, request: JobRequest, refusal: Problem) -> None:
+        labels = {"service": request.service, "kind": refusal.kind.value}
+        if refusal.kind is ProblemKind.UNKNOWN_SERVICE:
+            labels["service"] = "unknown"
+        self.metrics.count("jobs_refused_total", labels)
+        self.log.info(
+            "job_refused",
+            service=request.service,
+            team=request.team,
+            tasks=len(request.tasks),
+            reason=refusal.detail,
+            not_run=refusal.not_run,
+        )
+
+
+def _attach(known: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
+    if known.digest == parsed.digest:
+        return Ok(known)
+    return Error(
+        Problem(
+            ProblemKind.CONFLICT,
+            "id names a job with other content; this request did not run",
+            not_run=True,
+            field="id",
+        )
+    )
--- /dev/null
+++ b/sardinestair/entry/main.py
@@ -0,0 +1,31 @@
+"""Command line of `sardinestair-entry`."""
+
+from sardinestair.cli.service import ServiceCommand, run_command
+from sardinestair.entry.process import EntryProcess
+from sardinestair.settings import EntrySettings
+
+__all__ = ["EntryCommand", "main"]
+
+
+class EntryCommand(ServiceCommand[EntrySettings]):
+    """Serves callers and operators, and places tasks."""
+
+    name = "sardinestair-entry"
+    description = "Accepts jobs and places their tasks on upstreams."
+    help = """\
+Examples:
+  sardinestair-entry --settings entry.yaml
+  sardinestair-entry --settings entry.yaml --check
+
+SIGTERM stops it gracefully: new jobs are refused as not run, known ones are
+answered, then it exits with 0 (1 if the drain time-out cut work off)."""
+    kind = EntrySettings
+
+    def make(self, settings: EntrySettings) -> EntryProcess:
+        """Returns the entry for checked settings."""
+        return EntryProcess(settings)
+
+
+def main() -> None:
+    """Runs the program."""
+    run_command(EntryCommand())
--- /dev/null
+++ b/sardinestair/entry/membership_server.py
@@ -0,0 +1,109 @@
+"""Receives the announcements of sidecars at an entry."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+import zmq
+
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.links.entry_link import EntryLink
+from sardinestair.membership import Roster
+from sardinestair.messages import Announce, AnnounceReply
+from sardinestair.observability import EventLog
+from sardinestair.settings.tree import effective
+from sardinestair.sidecar.policy import SidecarPolicy
+
+__all__ = ["MembershipServer"]
+
+TICK_S = 0.2
+
+
+class MembershipServer:
+    """Answers announcements, and opens and drops links by them.
+
+    Args:
+        endpoint: ZeroMQ endpoint to listen on.
+        dispatcher: The entry's aggregate.
+        roster: Who is known.
+        start_link: Runs a link in a thread of its own.
+        context: The ZeroMQ context.
+
+    Attributes:
+        settings_revision: Revision of the tree in force.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        dispatcher: Dispatcher,
+        roster: Roster,
+        start_link: Callable[[EntryLink], None],
+        context: zmq.Context,
+    ):
+        self.dispatcher = dispatcher
+        self.roster = roster
+        self.start_link = start_link
+        self.settings_revision = 0
+        self.stopping = threading.Event()
+        self.socket = context.socket(zmq.ROUTER)
+        self.socket.bind(endpoint)
+        self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
+        self.decoder = msgspec.msgpack.Decoder(Announce)
+        self.log = EventLog("membership")
+
+    def run(self) -> None:
+        """Serves until `stop`."""
+        while not self.stopping.is_set():
+            if self.socket.poll(int(TICK_S * 1000)):
+                self._receive()
+            self._drop_lapsed()
+        self.socket.close(linger=0)
+
+    def stop(self) -> None:
+        """Ends the server's thread."""
+        self.stopping.set()
+
+    def _receive(self) -> None:
+        route, data = self.socket.recv_multipart()[:2]
+        try:
+            announce = self.decoder.decode(data)
+        except msgspec.DecodeError as error:
+            self.log.warning("announce_undecodable", reason=str(error))
+            return
+        now_s = self.dispatcher.clock.monotonic()
+        self.roster.observe(announce, now_s)
+        link = self.dispatcher.meet(announce)
+        if link is not None:
+            self.start_link(link)
+        reply = msgspec.msgpack.encode(self._reply(announce))
+        self.socket.send_multipart([route, reply])
+
+    def _reply(self, announce: Announce) -> AnnounceReply:
+        settings = b""
+        tree = self.dispatcher.tree
+        is_behind = announce.settings_revision < self.settings_revision
+        if tree is not None and announce.service and is_behind:
+            values = effective(tree, announce.service, announce.zone)
+            policy = SidecarPolicy(values.not_run_statuses, values.read_ahead)
+            settings = msgspec.json.encode(policy)
+        return AnnounceReply(
+            self.dispatcher.incarnation,
+            sorted(self.roster.entries),
+            self.settings_revision,
+            settings,
+        )
+
+    def _drop_lapsed(self) -> None:
+        now_s = self.dispatcher.clock.monotonic()
+        for sidecar in self.roster.lapsed(now_s):
+            link = self.dispatcher.links.get(sidecar)
+            if link is not None and self._is_answering(link, now_s):
+                continue
+            self.roster.forget(sidecar)
+            self.dispatcher.forget(sidecar)
+
+    def _is_answering(self, link: EntryLink, now_s: float) -> bool:
+        """A link that works outweighs an announcement that is late."""
+        silent_s = now_s - link.last_answer_s
+        return silent_s <= self.dispatcher.timing.lost_s
--- /dev/null
+++ b/sardinestair/entry/service_state.py
@@ -0,0 +1,132 @@
+"""What an entry keeps for one service."""
+
+from sardinestair.ids import Incarnation
+from sardinestair.jobs import Job
+from sardinestair.jobs.work import WorkEstimate
+from sardinestair.limits import Admission, Load, RetryBudget
+from sardinestair.links.entry_link import EntryLink, LinkState
+from sardinestair.placement import (
+    ReadyQueue,
+    RunTimeEstimator,
+    SpeedEstimator,
+    make_policy,
+)
+from sardinestair.settings import ServiceSettings
+
+__all__ = ["ServiceState"]
+
+LOOKAHEAD_JOBS = 8
+
+
+class ServiceState:
+    """Queue, upstreams and estimates of one service.
+
+    Args:
+        name: Name of the service.
+        settings: Its effective settings.
+
+    Attributes:
+        queue: The jobs that wait.
+        links: Links to the sidecars of the service's upstreams.
+        policy: Chooses upstreams.
+        retries: Budget for repeats after NOT_RUN.
+        run_times_: Learned run times by kind of job.
+        speeds_: Learned speed factors by sidecar.
+    """
+
+    def __init__(self, name: str, settings: ServiceSettings):
+        self.name = name
+        self.settings = settings
+        self.queue = ReadyQueue(settings.order)
+        self.links: dict[Incarnation, EntryLink] = {}
+        self.policy = make_policy(settings.policy, settings.wait_margin)
+        self.retries = RetryBudget(settings.retry_ratio)
+        self.run_times_: dict[str, RunTimeEstimator] = {}
+        self.speeds_: dict[Incarnation, SpeedEstimator] = {}
+        self.has_unmet_demand = False
+
+    def configure(self, settings: ServiceSettings) -> None:
+        """Adopts changed settings; what has been learned is kept."""
+        old, self.settings = self.settings, settings
+        if settings == old:
+            return
+        self.queue.order = settings.order
+        self.retries.ratio = settings.retry_ratio
+        self.policy = make_policy(settings.policy, settings.wait_margin)
+        for link in self.links.values():
+            self.policy.observe(link.candidate)
+
+    def estimate(self, kind: str, declared_s: float | None) -> WorkEstimate:
+        """Returns the expectation for the tasks of a new job."""
+        run_times = self.run_times_.setdefault(kind, RunTimeEstimator())
+        return WorkEstimate(run_times.predict(declared_s))
+
+    def learn(self, job: Job, link: EntryLink, run_s: float) -> None:
+        """Learns from one answered task."""
+        candidate = link.candidate
+        speed = self.speeds_.setdefault(link.sidecar, SpeedEstimator())
+        speed.observe(run_s, job.work.mean_s_)
+        candidate.speed_ = speed.factor_
+        typical_s = run_s / speed.factor_
+        job.work.observe(typical_s)
+        run_times = self.run_times_.setdefault(job.kind, RunTimeEstimator())
+        run_times.observe(typical_s)
+
+    def refresh(self, link: EntryLink) -> None:
+        """Brings a link's candidate up to date for placement."""
+        candidate = link.candidate
+        is_up = link.state is LinkState.UP
+        candidate.credits = link.account.available if is_up else 0
+        candidate.outstanding = len(link.outstanding)
+        if link.state is LinkState.CLOSED:
+            self.policy.withdraw(candidate)
+        else:
+            self.policy.observe(candidate)
+
+    @property
+    def slots(self) -> int:
+        """Slots of the upstreams that take work."""
+        return sum(
+            link.candidate.slots
+            for link in self.links.values()
+            if link.state is LinkState.UP
+        )
+
+    def throughput(self) -> float:
+        """Returns run time worked off per second, in typical seconds."""
+        return sum(
+            link.candidate.slots / link.candidate.speed_
+            for link in self.links.values()
+            if link.state is LinkState.UP
+        )
+
+    def load(self) -> Load:
+        """Returns what admission looks at."""
+        rate = self.throughput()
+        waiting_s = self.queue.waiting_s
+        expected = waiting_s / rate if rate else float("inf")
+        return Load(
+            self.queue.waiting_tasks, self.queue.waiting_bytes, expected
+        )
+
+    def admission(self) -> Admission:
+        """Returns the rule for letting jobs in."""
+        return Admission(
+            self.settings.max_queued_tasks, self.settings.max_queued_bytes
+        )
+
+    def next_placement(self) -> tuple[Job, EntryLink] | None:
+        """Chooses the next task to start and where.
+
+        A job that should wait for a faster upstream does not hold up those
+        behind it.
+
+        Returns:
+            The job and the link, or None if nothing can or should start.
+        """
+        jobs = self.queue.in_order(LOOKAHEAD_JOBS)
+        for ahead, job in enumerate(jobs):
+            candidate = self.policy.decide(job.work.mean_s_, ahead)
+            if candidate is not None:
+                return job, self.links[candidate.sidecar]
+        return None
--- /dev/null
+++ b/sardinestair/ids.py
@@ -0,0 +1,111 @@
+"""Identifier types shared by all programs."""
+
+import os
+import uuid
+from typing import NewType
+
+import uuid6
+
+__all__ = [
+    "INCARNATION_BYTES",
+    "Incarnation",
+    "JobId",
+    "ServiceName",
+    "TeamName",
+    "ZoneName",
+    "format_incarnation",
+    "format_job_id",
+    "job_id_time_s",
+    "new_incarnation",
+    "new_job_id",
+    "parse_job_id",
+]
+
+INCARNATION_BYTES = 16
+
+Incarnation = NewType("Incarnation", bytes)
+"""Random 128-bit identity of one run of a process."""
+
+JobId = NewType("JobId", bytes)
+"""A UUID of version 7 in its 16-byte form."""
+
+ServiceName = NewType("ServiceName", str)
+TeamName = NewType("TeamName", str)
+ZoneName = NewType("ZoneName", str)
+
+_UUID_VERSION = 7
+_MS_PER_S = 1000.0
+
+
+def new_incarnation() -> Incarnation:
+    """Returns a fresh random incarnation.
+
+    Examples:
+        >>> len(new_incarnation())
+        16
+    """
+    return Incarnation(os.urandom(INCARNATION_BYTES))
+
+
+def format_incarnation(incarnation: Incarnation) -> str:
+    """Returns the first eight hexadecimal digits, for logs and tables.
+
+    Examples:
+        >>> format_incarnation(Incarnation(bytes(16)))
+        '00000000'
+    """
+    return incarnation.hex()[:8]
+
+
+def new_job_id() -> JobId:
+    """Returns a job id that carries the current time.
+
+    Examples:
+        >>> len(new_job_id())
+        16
+    """
+    return JobId(uuid6.uuid7().bytes)
+
+
+def parse_job_id(text: str) -> JobId:
+    """Parses the text form of a job id.
+
+    Args:
+        text: A UUID of version 7, with hyphens.
+
+    Returns:
+        The job id.
+
+    Raises:
+        ValueError: If the text is not a UUID of version 7.
+
+    Examples:
+        >>> parse_job_id("0193f0a2-7c00-7000-8000-000000000001").hex()[:8]
+        '0193f0a2'
+    """
+    value = uuid.UUID(text)
+    if value.version != _UUID_VERSION:
+        raise ValueError(
+            f"id must be a UUID of version {_UUID_VERSION}, got {text!r}"
+        )
+    return JobId(value.bytes)
+
+
+def format_job_id(job_id: JobId) -> str:
+    """Returns the text form of a job id.
+
+    Examples:
+        >>> format_job_id(JobId(bytes(16)))
+        '00000000-0000-0000-0000-000000000000'
+    """
+    return str(uuid.UUID(bytes=job_id))
+
+
+def job_id_time_s(job_id: JobId) -> float:
+    """Returns the creation time inside a job id, in seconds since the epoch.
+
+    Examples:
+        >>> job_id_time_s(JobId(bytes(16)))
+        0.0
+    """
+    return int.from_bytes(job_id[:6], "big") / _MS_PER_S
--- /dev/null
+++ b/sardinestair/jobs/job.py
@@ -0,0 +1,178 @@
+"""The job aggregate."""
+
+import enum
+from collections import deque
+from concurrent.futures import Future
+from typing import TypeAlias
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sardinestair.ids import Incarnation, JobId
+from sardinestair.jobs.work import WorkEstimate
+from sardinestair.messages import TaskRef
+from sardinestair.outcomes import Problem
+
+__all__ = ["Answer", "Job", "JobState", "TaskAnswer"]
+
+
+class JobState(enum.Enum):
+    """State of a job; all but ACTIVE are final."""
+
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class TaskAnswer(msgspec.Struct, frozen=True):
+    """The answer to one task.
+
+    Attributes:
+        body: The upstream's answer.
+        is_json: True if the body is a JSON value.
+    """
+
+    body: bytes
+    is_json: bool
+
+
+Answer: TypeAlias = Result[list[TaskAnswer], Problem]
+
+
+class Job:
+    """A job of one or more tasks.
+
+    Tasks leave `waiting` when they are sent and come back only if they are
+    known not to have run. The job ends once: with the answers of all tasks,
+    or with a problem.
+
+    Args:
+        job_id: The job's id.
+        service: The service that answers it.
+        team: The caller's team.
+        kind: The kind of job.
+        payloads: Request bodies, one a task.
+        accepted_s: When it was accepted, on the entry's clock.
+        deadline_s: When its answer is due, on the entry's clock.
+        work: Expectation of its tasks' run time.
+        digest: Hash of the request, to recognise a resubmission.
+
+    Attributes:
+        waiting: Indices of the tasks that wait, in order.
+        in_flight: For each task that is sent and not settled, by index, the
+            sidecar that holds it.
+        answers: Answers by index.
+        state: State of the job.
+        done: Resolves with the answer.
+        key_s: Order key; smaller goes first.
+
+    Examples:
+        >>> job = Job(
+        ...     JobId(bytes(16)), "quotes", "tills", "", [b"1"], 0.0, 5.0,
+        ...     WorkEstimate(0.1), b"",
+        ... )
+        >>> job.take(Incarnation(bytes(16)))
+        0
+        >>> job.record(0, TaskAnswer(b"2", True))
+        >>> job.state
+        <JobState.COMPLETE: 'complete'>
+    """
+
+    def __init__(
+        self,
+        job_id: JobId,
+        service: str,
+        team: str,
+        kind: str,
+        payloads: list[bytes],
+        accepted_s: float,
+        deadline_s: float,
+        work: WorkEstimate,
+        digest: bytes,
+    ):
+        self.job_id = job_id
+        self.service = service
+        self.team = team
+        self.kind = kind
+        self.payloads = payloads
+        self.accepted_s = accepted_s
+        self.deadline_s = deadline_s
+        self.work = work
+        self.digest = digest
+        self.size = len(payloads)
+        self.waiting: deque[int] = deque(range(self.size))
+        self.in_flight: dict[int, Incarnation] = {}
+        self.attempts = [0] * self.size
+        self.answers: list[TaskAnswer | None] = [None] * self.size
+        self.answered = 0
+        self.may_have_run = False
+        self.state = JobState.ACTIVE
+        self.done: Future[Answer] = Future()
+        self.ended_s = 0.0
+        self.key_s = 0.0
+
+    @property
+    def is_active(self) -> bool:
+        """True until the job has ended."""
+        return self.state is JobState.ACTIVE
+
+    def take(self, sidecar: Incarnation) -> int:
+        """Takes the next waiting task for a start.
+
+        Args:
+            sidecar: Where it is sent.
+
+        Returns:
+            Its index.
+        """
+        index = self.waiting.popleft()
+        self.in_flight[index] = sidecar
+        self.attempts[index] += 1
+        return index
+
+    def ref(self, index: int) -> TaskRef:
+        """Returns the name of a task's current attempt."""
+        return TaskRef(self.job_id, index, self.attempts[index])
+
+    def put_back(self, index: int) -> None:
+        """Returns a task that did not run to the head of the job."""
+        self.in_flight.pop(index, None)
+        self.waiting.appendleft(index)
+
+    def record(self, index: int, answer: TaskAnswer) -> None:
+        """Takes the answer to a task; the last one completes the job."""
+        self.in_flight.pop(index, None)
+        self.may_have_run = True
+        if not self.is_active:
+            return
+        assert self.answers[index] is None, "a task was answered twice"
+        self.answers[index] = answer
+        self.answered += 1
+        if self.answered == self.size:
+            answers = [a for a in self.answers if a is not None]
+            self._end(JobState.COMPLETE, Ok(answers))
+
+    def release(self, index: int) -> None:
+        """Settles a task of a job that has ended."""
+        self.in_flight.pop(index, None)
+
+    def fail(self, problem: Problem) -> None:
+        """Ends the job with a problem; no later task starts."""
+        self._end(JobState.FAILED, Error(problem))
+
+    def cancel(self, problem: Problem) -> None:
+        """Ends the job at its caller's wish."""
+        self._end(JobState.CANCELLED, Error(problem))
+
+    @property
+    def is_not_run(self) -> bool:
+        """True if no task has run, and none is in flight."""
+        return not (self.may_have_run or self.in_flight)
+
+    def _end(self, state: JobState, answer: Answer) -> None:
+        if not self.is_active:
+            return
+        self.state = state
+        self.payloads = [b""] * self.size
+        self.done.set_result(answer)
--- /dev/null
+++ b/sardinestair/jobs/request.py
@@ -0,0 +1,114 @@
+"""The callers' request for a job, checked on input."""
+
+import hashlib
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from sardinestair.ids import JobId, new_job_id, parse_job_id
+from sardinestair.outcomes import Problem, ProblemKind
+
+__all__ = ["MAX_TASKS", "JobRequest", "parse_request"]
+
+MAX_TASKS = 930
+_NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+
+
+class TaskRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """One task.
+
+    Attributes:
+        payload: Any JSON value, passed to the upstream as it is.
+    """
+
+    payload: msgspec.Raw
+
+
+class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """A job as a caller submits it.
+
+    Attributes:
+        service: The service that should answer.
+        team: The caller's team.
+        tasks: The tasks.
+        id: A UUID of version 7 as idempotency key; minted if absent.
+        kind: The kind of job, for settings and estimates.
+        deadline_s: When the answer is due, in seconds from now; the
+            service's default if absent.
+        unrepeatable: True if the job must run at most once whatever fails.
+        declared_task_s: The caller's guess at a task's run time in seconds.
+    """
+
+    service: Annotated[str, Meta(pattern=_NAME)]
+    team: Annotated[str, Meta(pattern=_NAME)]
+    tasks: Annotated[list[TaskRequest], Meta(min_length=1)]
+    id: str | None = None
+    kind: Annotated[str, Meta(pattern=_NAME)] = "default"
+    deadline_s: Annotated[float, Meta(gt=0, le=3600)] | None = None
+    unrepeatable: bool = False
+    declared_task_s: Annotated[float, Meta(gt=0, le=3600)] | None = None
+
+    @property
+    def payloads(self) -> list[bytes]:
+        """The request bodies for the upstream."""
+        return [bytes(task.payload) for task in self.tasks]
+
+
+class ParsedRequest(msgspec.Struct):
+    """A checked request.
+
+    Attributes:
+        job_id: The caller's id or a fresh one.
+        request: The request.
+        digest: Hash of its body.
+    """
+
+    job_id: JobId
+    request: JobRequest
+    digest: bytes
+
+
+_DECODER = msgspec.json.Decoder(JobRequest)
+
+
+def parse_request(body: bytes) -> Result[ParsedRequest, Problem]:
+    """Checks the body of a submission.
+
+    Args:
+        body: JSON text.
+
+    Returns:
+        The request, or a problem that names the field and the rule.
+
+    Examples:
+        >>> parse_request(b'{"service": "quotes"}').error.detail
+        'Object missing required field `team`'
+    """
+    try:
+        request = _DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Error(_invalid(str(error)))
+    if len(request.tasks) > MAX_TASKS:
+        return Error(
+            Problem(
+                ProblemKind.TOO_LARGE,
+                f"tasks must number 1 to {MAX_TASKS}, got {len(request.tasks)}",
+                not_run=True,
+                field="tasks",
+            )
+        )
+    try:
+        job_id = parse_job_id(request.id) if request.id else new_job_id()
+    except ValueError as error:
+        return Error(_invalid(f"{error} - at `$.id`"))
+    digest = hashlib.blake2b(body, digest_size=16).digest()
+    return Ok(ParsedRequest(job_id, request, digest))
+
+
+def _invalid(message: str) -> Problem:
+    field = (
+        message.rpartition("`$.")[2].rstrip("`") if "`$." in message else None
+    )
+    return Problem(ProblemKind.INVALID, message, not_run=True, field=field)
--- /dev/null
+++ b/sardinestair/limits/__init__.py
@@ -0,0 +1,13 @@
+"""Limits: credits, admission, retry budgets and quotas."""
+
+from sardinestair.limits.admission import Admission, Load
+from sardinestair.limits.credits import CreditAccount, CreditLedger
+from sardinestair.limits.retries import RetryBudget
+
+__all__ = [
+    "Admission",
+    "CreditAccount",
+    "CreditLedger",
+    "Load",
+    "RetryBudget",
+]
--- /dev/null
+++ b/sardinestair/links/wakeup.py
@@ -0,0 +1,60 @@
+"""Wakes a thread that waits on sockets."""
+
+import os
+import select
+
+import zmq
+
+__all__ = ["Wakeup", "has_message"]
+
+
+def has_message(socket: zmq.Socket) -> bool:
+    """Returns True if a message can be received without waiting."""
+    return bool(int(socket.get(zmq.EVENTS)) & zmq.POLLIN)
+
+
+class Wakeup:
+    """An event that a ZeroMQ poller can wait for; safe across threads.
+
+    Examples:
+        >>> wakeup = Wakeup()
+        >>> wakeup.set()
+        >>> wakeup.clear()
+        >>> wakeup.close()
+    """
+
+    def __init__(self) -> None:
+        self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+
+    def fileno(self) -> int:
+        """Returns the descriptor to poll."""
+        return self.fd
+
+    def set(self) -> None:
+        """Wakes the waiting thread; does nothing after `close`."""
+        if self.fd >= 0:
+            os.eventfd_write(self.fd, 1)
+
+    def wait(self, timeout_s: float) -> bool:
+        """Waits for `set`.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            True if `set` was called.
+        """
+        return bool(select.select([self.fd], [], [], timeout_s)[0])
+
+    def clear(self) -> None:
+        """Forgets all earlier calls of `set`."""
+        try:
+            os.eventfd_read(self.fd)
+        except BlockingIOError:
+            pass
+
+    def close(self) -> None:
+        """Releases the descriptor."""
+        fd, self.fd = self.fd, -1
+        if fd >= 0:
+            os.close(fd)
--- /dev/null
+++ b/sardinestair/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Membership: which entries and sidecars there are."""
+
+from sardinestair.membership.roster import Roster
+
+__all__ = ["Roster"]
--- /dev/null
+++ b/sardinestair/membership/roster.py
@@ -0,0 +1,55 @@
+"""Who an entry knows, and for how long."""
+
+from sardinestair.ids import Incarnation
+from sardinestair.messages import Announce
+
+__all__ = ["Roster"]
+
+
+class Roster:
+    """Sidecars by their announcements, and entries by their endpoints.
+
+    Args:
+        ttl_s: How long an announcement holds, in seconds.
+
+    Attributes:
+        entries: Membership endpoints of entries, host:port.
+        sidecars: The last announcement of each sidecar.
+        heard_s: When it arrived.
+
+    Examples:
+        >>> roster = Roster(ttl_s=3.0)
+        >>> sidecar = Incarnation(b"s" * 16)
+        >>> roster.observe(
+        ...     Announce(sidecar, "tcp://127.0.0.1:1", "z", "q", 8, False, 0),
+        ...     now_s=0.0,
+        ... )
+        >>> roster.lapsed(now_s=2.0)
+        []
+        >>> roster.lapsed(now_s=4.0) == [sidecar]
+        True
+    """
+
+    def __init__(self, ttl_s: float = 3.0):
+        self.ttl_s = ttl_s
+        self.entries: set[str] = set()
+        self.sidecars: dict[Incarnation, Announce] = {}
+        self.heard_s: dict[Incarnation, float] = {}
+
+    def observe(self, announce: Announce, now_s: float) -> None:
+        """Takes an announcement."""
+        self.sidecars[announce.sidecar] = announce
+        self.heard_s[announce.sidecar] = now_s
+
+    def lapsed(self, now_s: float) -> list[Incarnation]:
+        """Returns the sidecars whose announcement has run out."""
+        return [
+            sidecar
+            for sidecar, heard_s in self.heard_s.items()
+            if now_s - heard_s > self.ttl_s
+        ]
+
+    def forget(self, sidecar: Incarnation) -> None:
+        """Drops a sidecar."""
+        self.sidecars.pop(sidecar, None)
+        self.heard_s.pop(sidecar, None)
--- /dev/null
+++ b/sardinestair/observability/__init__.py
@@ -0,0 +1,6 @@
+"""Logs, metrics and reports."""
+
+from sardinestair.observability.logs import EventLog, configure_logging
+from sardinestair.observability.metrics import Metrics
+
+__all__ = ["EventLog", "Metrics", "configure_logging"]
--- /dev/null
+++ b/sardinestair/observability/metrics.py
@@ -0,0 +1,66 @@
+"""Metrics in the Prometheus text form."""
+
+from typing import Any
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["Metrics"]
+
+RESPONSE_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+)  # fmt: skip
+
+
+class Metrics:
+    """The metrics of one process, in a registry of its own.
+
+    Examples:
+        >>> metrics = Metrics()
+        >>> metrics.count("jobs_total", {"state": "complete"})
+        >>> b"sardinestair_jobs_total" in metrics.render()[0]
+        True
+    """
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+
+    def count(
+        self, name: str, labels: dict[str, str], amount: float = 1
+    ) -> None:
+        """Adds to a counter.
+
+        Args:
+            name: Name without the program's prefix.
+            labels: Label values.
+            amount: How much to add.
+        """
+        collector = self._collector(name, Counter)
+        collector.add(labels, amount)
+
+    def gauge(self, name: str, labels: dict[str, str], value: float) -> None:
+        """Sets a gauge."""
+        self._collector(name, Gauge).set(labels, value)
+
+    def observe(
+        self, name: str, labels: dict[str, str], seconds: float
+    ) -> None:
+        """Adds a duration in seconds to a histogram."""
+        self._collector(name, Histogram).observe(labels, seconds)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Returns the text form and its HTTP headers."""
+        body, headers = render(self.registry, ["text/plain"])
+        return body, dict(headers)
+
+    def _collector(self, name, kind):
+        collector = self.collectors.get(name)
+        if collector is None:
+            options: dict[str, Any] = {"registry": self.registry}
+            if kind is Histogram:
+                options["buckets"] = RESPONSE_BUCKETS_S
+            collector = kind(
+                f"sardinestair_{name}", name.replace("_", " "), **options
+            )
+            self.collectors[name] = collector
+        return collector
--- /dev/null
+++ b/sardinestair/placement/__init__.py
@@ -0,0 +1,29 @@
+"""Placement: which task goes next, and to which upstream."""
+
+from sardinestair.placement.candidate import Candidate
+from sardinestair.placement.estimators import RunTimeEstimator, SpeedEstimator
+from sardinestair.placement.policies import (
+    LeastExpectedFinish,
+    LeastOutstanding,
+    PlacementPolicy,
+    PolicyName,
+    PowerOfTwoChoices,
+    RoundRobin,
+    make_policy,
+)
+from sardinestair.placement.queue import OrderPolicy, ReadyQueue
+
+__all__ = [
+    "Candidate",
+    "LeastExpectedFinish",
+    "LeastOutstanding",
+    "OrderPolicy",
+    "PlacementPolicy",
+    "PolicyName",
+    "PowerOfTwoChoices",
+    "ReadyQueue",
+    "RoundRobin",
+    "RunTimeEstimator",
+    "SpeedEstimator",
+    "make_policy",
+]
--- /dev/null
+++ b/sardinestair/placement/policies.py
@@ -0,0 +1,256 @@
+"""Policies that choose the upstream for a task.
+
+All policies have the same three verbs: `observe` tells that a candidate's
+credits, load or speed changed, `withdraw` that it is gone, and `decide`
+chooses among the candidates that can take a task now.
+"""
+
+import enum
+import itertools
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from sortedcontainers import SortedKeyList
+
+from sardinestair.ids import Incarnation
+from sardinestair.placement.candidate import Candidate
+
+__all__ = [
+    "LeastExpectedFinish",
+    "LeastOutstanding",
+    "PlacementPolicy",
+    "PolicyName",
+    "PowerOfTwoChoices",
+    "RoundRobin",
+    "make_policy",
+]
+
+
+class PolicyName(enum.Enum):
+    """The policies that settings can name."""
+
+    LEAST_EXPECTED_FINISH = "least_expected_finish"
+    LEAST_OUTSTANDING = "least_outstanding"
+    POWER_OF_TWO_CHOICES = "power_of_two_choices"
+    ROUND_ROBIN = "round_robin"
+
+
+class PlacementPolicy(Protocol):
+    """What each policy offers."""
+
+    def observe(self, candidate: Candidate) -> None:
+        """Takes note of a candidate that is new or has changed."""
+
+    def withdraw(self, candidate: Candidate) -> None:
+        """Forgets a candidate."""
+
+    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+        """Chooses a candidate with a credit.
+
+        Args:
+            size_s: Expected run time of the task on a typical upstream.
+            ahead: Waiting tasks that come before this one.
+
+        Returns:
+            The choice, or None if the task should wait.
+        """
+        ...
+
+
+class _Ranked:
+    """Candidates with credits, sorted by a rank that may change.
+
+    Args:
+        rank: Maps a candidate to its rank; smaller is better.
+    """
+
+    def __init__(self, rank):
+        self.rank = rank
+        self.items = SortedKeyList(key=lambda item: item[0])
+        self.known: dict[Incarnation, tuple] = {}
+
+    def set(self, candidate: Candidate, is_member: bool) -> None:
+        old = self.known.pop(candidate.sidecar, None)
+        if old is not None:
+            self.items.remove(old)
+        if is_member:
+            key = (self.rank(candidate), candidate.sidecar)
+            item = (key, candidate)
+            self.known[candidate.sidecar] = item
+            self.items.add(item)
+
+    def best(self) -> Candidate | None:
+        return self.items[0][1] if self.items else None
+
+
+class LeastExpectedFinish:
+    """Chooses the slot on which the task should end first.
+
+    A task starts on the fastest upstream with a credit, unless waiting for a
+    faster one should end in less than `margin` of the time. The wait counts
+    the tasks ahead, and the rate at which this entry's own tasks on faster
+    upstreams end.
+
+    Args:
+        margin: Share of the time below which waiting pays; 0 never waits.
+
+    Examples:
+        >>> policy = LeastExpectedFinish()
+        >>> fast = Candidate(b"f" * 16, "quotes", "leinster", 8)
+        >>> slow = Candidate(b"s" * 16, "quotes", "leinster", 8)
+        >>> fast.credits = slow.credits = 1
+        >>> slow.speed_ = 3.0
+        >>> policy.observe(fast)
+        >>> policy.observe(slow)
+        >>> policy.decide(size_s=0.1, ahead=0) is fast
+        True
+    """
+
+    MAX_FASTER = 16
+
+    def __init__(self, margin: float = 0.6):
+        self.margin = margin
+        self.available = _Ranked(lambda c: c.speed_)
+        self.busy = _Ranked(lambda c: c.speed_)
+
+    def observe(self, candidate: Candidate) -> None:
+        """Takes note of a candidate that is new or has changed."""
+        self.available.set(candidate, candidate.credits > 0)
+        is_busy = candidate.credits == 0 and candidate.outstanding > 0
+        self.busy.set(candidate, is_busy)
+
+    def withdraw(self, candidate: Candidate) -> None:
+        """Forgets a candidate."""
+        self.available.set(candidate, False)
+        self.busy.set(candidate, False)
+
+    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+        """Chooses the fastest candidate, or None if waiting should pay."""
+        best = self.available.best()
+        if best is None or self.margin <= 0:
+            return best
+        if self._finish_after_wait(best, size_s, ahead) < (
+            self.margin * size_s * best.speed_
+        ):
+            return None
+        return best
+
+    def _finish_after_wait(
+        self, best: Candidate, size_s: float, ahead: int
+    ) -> float:
+        """Expected time until the end on a faster upstream, in seconds."""
+        ends_per_s = 0.0
+        speed_sum = 0.0
+        count = 0
+        for _, candidate in itertools.islice(self.busy.items, self.MAX_FASTER):
+            if candidate.speed_ >= best.speed_:
+                break
+            ends_per_s += candidate.outstanding / (size_s * candidate.speed_)
+            speed_sum += candidate.speed_
+            count += 1
+        if count == 0:
+            return float("inf")
+        wait_s = (ahead + 1) / ends_per_s
+        return wait_s + size_s * speed_sum / count
+
+
+class LeastOutstanding:
+    """Chooses the upstream with the fewest tasks of this entry per slot."""
+
+    def __init__(self) -> None:
+        self.available = _Ranked(lambda c: c.outstanding / max(1, c.slots))
+
+    def observe(self, candidate: Candidate) -> None:
+        """Takes note of a candidate that is new or has changed."""
+        self.available.set(candidate, candidate.credits > 0)
+
+    def withdraw(self, candidate: Candidate) -> None:
+        """Forgets a candidate."""
+        self.available.set(candidate, False)
+
+    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+        """Chooses the least loaded candidate."""
+        return self.available.best()
+
+
+class _Listed:
+    """Base of policies that only need a list of available candidates."""
+
+    def __init__(self) -> None:
+        self.available: list[Candidate] = []
+        self.position: dict[Incarnation, int] = {}
+
+    def observe(self, candidate: Candidate) -> None:
+        """Takes note of a candidate that is new or has changed."""
+        listed = candidate.sidecar in self.position
+        if candidate.credits > 0 and not listed:
+            self.position[candidate.sidecar] = len(self.available)
+            self.available.append(candidate)
+        elif candidate.credits <= 0 and listed:
+            self.withdraw(candidate)
+
+    def withdraw(self, candidate: Candidate) -> None:
+        """Forgets a candidate."""
+        position = self.position.pop(candidate.sidecar, None)
+        if position is None:
+            return
+        last = self.available.pop()
+        if last is not candidate:
+            self.available[position] = last
+            self.position[last.sidecar] = position
+
+
+class RoundRobin(_Listed):
+    """Takes the candidates in turn."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.turn = 0
+
+    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+        """Chooses the next candidate in turn."""
+        if not self.available:
+            return None
+        self.turn += 1
+        return self.available[self.turn % len(self.available)]
+
+
+class PowerOfTwoChoices(_Listed):
+    """Draws two candidates and takes the one with fewer tasks per slot.
+
+    Args:
+        seed: Seed of the draw.
+    """
+
+    def __init__(self, seed: int = 0):
+        super().__init__()
+        self.seed = seed
+        self.random = random.Random(seed)
+
+    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+        """Chooses the less loaded one of two."""
+        if not self.available:
+            return None
+        pair = [self.random.choice(self.available) for _ in range(2)]
+        return min(pair, key=lambda c: c.outstanding / max(1, c.slots))
+
+
+def make_policy(name: PolicyName, margin: float) -> PlacementPolicy:
+    """Returns the policy that settings name.
+
+    Args:
+        name: The policy.
+        margin: Share of the time below which waiting pays.
+
+    Examples:
+        >>> type(make_policy(PolicyName.ROUND_ROBIN, 0.6)).__name__
+        'RoundRobin'
+    """
+    factories: dict[PolicyName, Callable[[], PlacementPolicy]] = {
+        PolicyName.LEAST_EXPECTED_FINISH: lambda: LeastExpectedFinish(margin),
+        PolicyName.LEAST_OUTSTANDING: LeastOutstanding,
+        PolicyName.POWER_OF_TWO_CHOICES: PowerOfTwoChoices,
+        PolicyName.ROUND_ROBIN: RoundRobin,
+    }
+    return factories[name]()
--- /dev/null
+++ b/sardinestair/placement/queue.py
@@ -0,0 +1,155 @@
+"""The order in which waiting jobs get slots."""
+
+import enum
+import itertools
+from collections.abc import Iterator
+
+from sortedcontainers import SortedKeyList
+
+from sardinestair.ids import Incarnation
+from sardinestair.jobs.job import Job
+
+__all__ = ["OrderPolicy", "ReadyQueue", "TeamClock"]
+
+WORK_WEIGHT = 0.25
+
+
+class OrderPolicy(enum.Enum):
+    """How waiting jobs are ordered."""
+
+    FIRST_COME = "first_come"
+    SMALL_FIRST = "small_first"
+
+
+class TeamClock:
+    """Virtual time of one team, for fair shares between teams.
+
+    A team that asks for no more than its share has its jobs ordered by
+    arrival. One that asks for more runs ahead of the clock, and its jobs wait
+    behind those of others (start-time fair queueing).
+
+    Attributes:
+        finish_s: When the team's work so far would end at its share.
+
+    Examples:
+        >>> clock = TeamClock()
+        >>> clock.decide(now_s=10.0, work_s=4.0, share_slots=2.0)
+        10.0
+        >>> clock.decide(now_s=10.0, work_s=4.0, share_slots=2.0)
+        12.0
+    """
+
+    def __init__(self) -> None:
+        self.finish_s = 0.0
+
+    def decide(self, now_s: float, work_s: float, share_slots: float) -> float:
+        """Returns the virtual start of a job, and moves the clock past it.
+
+        Args:
+            now_s: The present, in seconds.
+            work_s: Expected slot-seconds of the job.
+            share_slots: Slots that are the team's share.
+        """
+        start_s = max(now_s, self.finish_s)
+        self.finish_s = start_s + work_s / max(share_slots, 1e-9)
+        return start_s
+
+
+class ReadyQueue:
+    """Jobs of one service with tasks that wait, in order.
+
+    With `SMALL_FIRST` the key of a job is its virtual start plus a quarter of
+    its expected slot-seconds: small jobs go first, and a large one waits a
+    bounded time longer.
+
+    Args:
+        order: How jobs are ordered.
+
+    Attributes:
+        waiting_tasks: Tasks that wait.
+        waiting_bytes: Their payloads in bytes.
+        waiting_s: Their expected run time in seconds.
+    """
+
+    def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
+        self.order = order
+        self.jobs = SortedKeyList(key=lambda job: (job.key_s, job.job_id))
+        self.teams: dict[str, TeamClock] = {}
+        self.waiting_tasks = 0
+        self.waiting_bytes = 0
+        self.waiting_s = 0.0
+
+    def add(self, job: Job, now_s: float, slots: float) -> None:
+        """Adds a job with all its tasks.
+
+        Args:
+            job: The job; its `key_s` is set.
+            now_s: The present, in seconds.
+            slots: Slots of the service, to be shared by the active teams.
+        """
+        work_s = job.work.mean_s_ * job.size
+        start_s = self._virtual_start(job, now_s, work_s, slots)
+        weights = {OrderPolicy.FIRST_COME: 0.0}
+        job.key_s = start_s + weights.get(self.order, WORK_WEIGHT) * work_s
+        self._count(job, job.waiting, 1)
+        self.jobs.add(job)
+
+    def take(self, job: Job, sidecar: Incarnation) -> int:
+        """Takes the next task of a job for a start at a sidecar.
+
+        Returns:
+            The task's index.
+        """
+        index = job.take(sidecar)
+        self._count(job, [index], -1)
+        if not job.waiting:
+            self.jobs.remove(job)
+        return index
+
+    def put_back(self, job: Job, index: int) -> None:
+        """Returns a task that did not run to the head of its job."""
+        if not job.waiting:
+            self.jobs.add(job)
+        job.put_back(index)
+        self._count(job, [index], 1)
+
+    def discard(self, job: Job) -> None:
+        """Removes all waiting tasks of a job in one step."""
+        if job.waiting:
+            self.jobs.remove(job)
+        self._count(job, job.waiting, -1)
+        job.waiting.clear()
+
+    def head(self) -> Job | None:
+        """Returns the job whose task is next, if any waits."""
+        return self.jobs[0] if self.jobs else None
+
+    def in_order(self, limit: int) -> Iterator[Job]:
+        """Yields the first jobs in order.
+
+        Args:
+            limit: How many at most.
+        """
+        yield from itertools.islice(self.jobs, limit)
+
+    def _count(self, job: Job, indices, sign: int) -> None:
+        self.waiting_tasks += sign * len(indices)
+        size = sum(len(job.payloads[i]) for i in indices)
+        self.waiting_bytes += sign * size
+        # Counted at the price of admission, so that the sum returns to zero.
+        self.waiting_s += sign * len(indices) * job.work.prior_s
+
+    def _virtual_start(
+        self, job: Job, now_s: float, work_s: float, slots: float
+    ) -> float:
+        if self.order is OrderPolicy.FIRST_COME:
+            return now_s
+        clock = self.teams.setdefault(job.team, TeamClock())
+        active = sum(1 for c in self.teams.values() if c.finish_s > now_s)
+        if len(self.teams) > 2 * active + 64:
+            self._forget_idle_teams(now_s)
+        share = slots / max(1, active)
+        return clock.decide(now_s, work_s, share)
+
+    def _forget_idle_teams(self, now_s: float) -> None:
+        self.teams = {t: c for t, c in self.teams.items() if c.finish_s > now_s}
--- /dev/null
+++ b/sardinestair/settings/files.py
@@ -0,0 +1,142 @@
+"""Reads YAML into checked types, with the place of each error."""
+
+import difflib
+import re
+from typing import Any, TypeVar
+
+import msgspec
+import yaml
+from expression import Error, Ok, Result
+
+__all__ = ["SettingsError", "load_yaml", "parse_yaml"]
+
+T = TypeVar("T")
+_UNKNOWN_FIELD = re.compile(r"unknown field `([^`]*)`")
+_PATH = re.compile(r" - at `(?:key in )?\$([^`]*)`")
+
+
+class SettingsError(msgspec.Struct, frozen=True):
+    """A settings file that can't be used.
+
+    Attributes:
+        file: Name of the file.
+        line: Line of the fault, from 1.
+        path: Path of the fault in the file, such as `.address.host`.
+        rule: What is wrong.
+    """
+
+    file: str
+    line: int
+    path: str
+    rule: str
+
+    def __str__(self) -> str:
+        place = f" at {self.path}" if self.path else ""
+        return f"{self.file}:{self.line}: {self.rule}{place}"
+
+
+def load_yaml(file: str, kind: type[T]) -> Result[T, SettingsError]:
+    """Reads a settings file.
+
+    Args:
+        file: Name of the file.
+        kind: The type to read it into.
+
+    Returns:
+        The settings, or where and why they can't be used.
+    """
+    try:
+        with open(file, encoding="utf-8") as stream:
+            text = stream.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Error(SettingsError(file, 1, "", str(error)))
+    return parse_yaml(text, kind, file)
+
+
+def parse_yaml(
+    text: str, kind: type[T], file: str = "<text>"
+) -> Result[T, SettingsError]:
+    r"""Reads settings from text.
+
+    Args:
+        text: The YAML text.
+        kind: The type to read it into.
+        file: Name for error messages.
+
+    Returns:
+        The settings, or where and why they can't be used.
+
+    Examples:
+        >>> class Size(msgspec.Struct, forbid_unknown_fields=True):
+        ...     width: int = 1
+        >>> str(parse_yaml("a: 1\nwidht: 2", Size).error)
+        '<text>:1: unknown key a'
+        >>> str(parse_yaml("widht: 2", Size).error)
+        '<text>:1: unknown key widht, did you mean width?'
+    """
+    try:
+        data = yaml.safe_load(text)
+        return Ok(msgspec.convert(data or {}, kind))
+    except yaml.MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 1
+        return Error(SettingsError(file, line, "", str(error.problem)))
+    except yaml.YAMLError as error:
+        return Error(SettingsError(file, 1, "", str(error)))
+    except msgspec.ValidationError as error:
+        return Error(_locate(str(error), text, kind, file))
+
+
+def _locate(message: str, text: str, kind: Any, file: str) -> SettingsError:
+    found = _PATH.search(message)
+    path = found.group(1) if found else ""
+    rule = _PATH.sub("", message)
+    unknown = _UNKNOWN_FIELD.search(message)
+    if unknown:
+        name = unknown.group(1)
+        rule = f"unknown key {name}{_suggest(name, kind, path)}"
+        path = path + f".{name}" if path else ""
+        key_path = path or f".{name}"
+    else:
+        key_path = path
+    line = _line_of(yaml.compose(text), key_path)
+    return SettingsError(file, line, path, rule)
+
+
+def _suggest(name: str, kind: Any, path: str) -> str:
+    for key in re.findall(r"\.(\w+)|(\[\.\.\.\])", path):
+        kind = _child_type(kind, key[0])
+    names = getattr(kind, "__struct_fields__", ())
+    close = difflib.get_close_matches(name, names, n=1)
+    return f", did you mean {close[0]}?" if close else ""
+
+
+def _child_type(kind: Any, name: str) -> Any:
+    if not name:
+        arguments = getattr(kind, "__args__", (None,))
+        return arguments[-1]
+    fields = getattr(kind, "__struct_fields__", ())
+    if name not in fields:
+        return None
+    child = msgspec.structs.fields(kind)[fields.index(name)].type
+    options = [a for a in getattr(child, "__args__", ()) if a is not type(None)]
+    is_optional = type(None) in getattr(child, "__args__", ())
+    return options[0] if is_optional and options else child
+
+
+def _line_of(node: yaml.Node | None, path: str) -> int:
+    """Returns the line of the deepest part of a path that the text has."""
+    if node is None:
+        return 1
+    line = node.start_mark.line
+    for name, index in re.findall(r"\.([^.\[]+)|\[(\d+)\]", path):
+        if isinstance(node, yaml.MappingNode) and name:
+            pairs = [(k, v) for k, v in node.value if k.value == name]
+            if not pairs:
+                break
+            line, node = pairs[0][0].start_mark.line, pairs[0][1]
+        elif isinstance(node, yaml.SequenceNode) and index:
+            node = node.value[int(index)]
+            line = node.start_mark.line
+        else:
+            break
+    return line + 1
--- /dev/null
+++ b/sardinestair/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the only process that sends its upstream work."""
--- /dev/null
+++ b/sardinestair/sidecar/api.py
@@ -0,0 +1,72 @@
+"""The sidecar's HTTP API for its upstream."""
+
+import msgspec
+
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.sidecar.link_server import LinkServer
+from sardinestair.upstreams import Announcement
+from sardinestair.web import (
+    Handler,
+    Request,
+    Response,
+    json_response,
+    problem_response,
+)
+
+__all__ = ["UpstreamApi"]
+
+COMMAND_TIMEOUT_S = 2.0
+
+
+class UpstreamApi:
+    """Handlers with which an upstream announces itself and leaves.
+
+    Args:
+        server: The sidecar's aggregate.
+    """
+
+    def __init__(self, server: LinkServer):
+        self.server = server
+        self.decoder = msgspec.json.Decoder(Announcement)
+
+    def rules(self) -> list[tuple[str, list[str], Handler]]:
+        """Returns the routes."""
+        return [
+            ("/v1/upstream", ["PUT"], self.announce),
+            ("/v1/upstream", ["DELETE"], self.leave),
+            ("/v1/upstream", ["GET"], self.show),
+        ]
+
+    def announce(self, request: Request) -> Response:
+        """Takes an announcement; repeated ones keep it in force."""
+        try:
+            announcement = self.decoder.decode(request.get_data())
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            problem = Problem(ProblemKind.INVALID, str(error), not_run=True)
+            return problem_response(problem)
+        command = self.server.submit(lambda: self.server.announce(announcement))
+        if not command.result(COMMAND_TIMEOUT_S):
+            problem = Problem(
+                ProblemKind.DRAINING, "the sidecar is stopping", not_run=True
+            )
+            return problem_response(problem)
+        return self.show(request)
+
+    def leave(self, request: Request) -> Response:
+        """Stops new work; tasks that run are finished."""
+        self.server.submit(self.server.leave).result(COMMAND_TIMEOUT_S)
+        return self.show(request)
+
+    def show(self, _request: Request) -> Response:
+        """Shows the upstream's state and the tasks that run."""
+        upstream = self.server.upstream
+        body = {
+            "state": upstream.state.value,
+            "service": upstream.service,
+            "slots": upstream.slots,
+            "running": self.server.ledger.running,
+            "unsettled": self.server.submit(self.server.unsettled).result(
+                COMMAND_TIMEOUT_S
+            ),
+        }
+        return json_response(body)
--- /dev/null
+++ b/sardinestair/sidecar/link_server.py
@@ -0,0 +1,408 @@
+"""Serves the links of a sidecar, and owns all of its state.
+
+One thread receives frames, starts tasks on free slots and sends outcomes;
+worker threads, one a slot, call the upstream.
+"""
+
+import queue
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+import zmq
+
+from sardinestair.clock import Clock
+from sardinestair.ids import Incarnation, format_incarnation
+from sardinestair.limits.credits import CreditLedger
+from sardinestair.links.fence import FrameVerdict
+from sardinestair.links.session import SidecarSession, StartVerdict
+from sardinestair.links.timing import LinkTiming
+from sardinestair.links.wakeup import Wakeup, has_message
+from sardinestair.messages import (
+    Acknowledge,
+    Announce,
+    Cancel,
+    CreditReturn,
+    Demand,
+    EntryFrame,
+    Grant,
+    Leaving,
+    Outcome,
+    Recall,
+    Resume,
+    Start,
+    TaskRef,
+    TaskState,
+)
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.sidecar.policy import SidecarPolicy
+from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
+from sardinestair.upstreams.upstream import UpstreamState
+
+__all__ = ["LinkServer"]
+
+TICK_S = 0.1
+SESSION_RETENTION_S = 600.0
+MAX_FRAMES_PER_TURN = 64
+
+
+class LinkServer:
+    """The sidecar's aggregate: upstream, slots, credits and sessions.
+
+    Args:
+        endpoint: ZeroMQ endpoint to listen on.
+        zone: The sidecar's availability zone.
+        incarnation: The sidecar's incarnation.
+        clock: The clock.
+        metrics: The process's metrics.
+        context: The ZeroMQ context.
+        timing: Time limits of links.
+
+    Attributes:
+        upstream: The upstream beside the sidecar.
+        ledger: Who may use its slots.
+        sessions: What is kept for each entry.
+        policy: The effective settings.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        zone: str,
+        incarnation: Incarnation,
+        clock: Clock,
+        metrics: Metrics,
+        context: zmq.Context,
+        timing: LinkTiming | None = None,
+    ):
+        self.zone = zone
+        self.incarnation = incarnation
+        self.clock = clock
+        self.metrics = metrics
+        self.timing = timing or LinkTiming()
+        self.upstream = Upstream()
+        self.ledger = CreditLedger(slots=0)
+        self.sessions: dict[Incarnation, SidecarSession] = {}
+        self.policy = SidecarPolicy()
+        self.policy_revision = -1
+        self.is_draining = False
+        self.stopping = False
+        self.commands: queue.SimpleQueue[Callable[[], None]] = (
+            queue.SimpleQueue()
+        )
+        self.wakeup = Wakeup()
+        self.caller: UpstreamCaller | None = None
+        self.workers: ThreadPoolExecutor | None = None
+        self.listeners: list[Callable[[], None]] = []
+        self.socket = context.socket(zmq.ROUTER)
+        self.socket.set(zmq.SNDHWM, 0)
+        self.socket.set(zmq.RCVHWM, 0)
+        self.socket.bind(endpoint)
+        self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
+        self.decoder = msgspec.msgpack.Decoder(EntryFrame)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.next_tick_s = 0.0
+        self.log = EventLog(
+            "sidecar", sidecar=format_incarnation(incarnation), zone=zone
+        )
+
+    # Called by other threads.
+
+    def submit(self, command: Callable[[], Any]) -> Future[Any]:
+        """Runs a command in the server's thread.
+
+        Returns:
+            A future of its result.
+        """
+        result: Future[Any] = Future()
+
+        def run() -> None:
+            result.set_result(command())
+
+        self.commands.put(run)
+        self.wakeup.set()
+        return result
+
+    def description(self) -> Announce:
+        """Returns what the sidecar tells entries of itself."""
+        is_leaving = self.upstream.state is not UpstreamState.SERVING
+        return Announce(
+            self.incarnation,
+            self.endpoint,
+            self.zone,
+            self.upstream.service,
+            self.upstream.slots,
+            is_leaving,
+            self.policy_revision,
+        )
+
+    def stop(self) -> None:
+        """Ends the server's thread."""
+        self.stopping = True
+        self.wakeup.set()
+
+    # Run as commands, in the server's thread.
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Takes the upstream's announcement.
+
+        Returns:
+            False if the sidecar is draining and takes none.
+        """
+        if self.is_draining:
+            return False
+        old = self.upstream.announcement
+        now_s = self.clock.monotonic()
+        if not self.upstream.announce(announcement, now_s):
+            return True
+        if self.workers is None or old != announcement:
+            self._open_slots(announcement)
+        self.log.info(
+            "upstream_serving",
+            service=announcement.service,
+            upstream=announcement.address,
+            slots=self.upstream.slots,
+        )
+        self._notify_listeners()
+        return True
+
+    def leave(self) -> bool:
+        """Stops new work; returns True if the upstream was serving."""
+        if not self.upstream.leave():
+            return False
+        self._close_slots("left")
+        return True
+
+    def drain(self) -> None:
+        """Stops new work for good."""
+        self.is_draining = True
+        self.leave()
+
+    def unsettled(self) -> int:
+        """Returns the number of tasks that run or await acknowledgement.
+
+        Outcomes for an entry that has gone silent are not waited for.
+        """
+        now_s = self.clock.monotonic()
+        kept = sum(
+            len(session.tasks)
+            for session in self.sessions.values()
+            if now_s - session.last_heard_s <= self.timing.lost_s
+        )
+        return max(kept, self.ledger.running)
+
+    def adopt(self, revision: int, policy: SidecarPolicy) -> None:
+        """Takes settings of a higher revision."""
+        if revision <= self.policy_revision:
+            return
+        self.policy_revision = revision
+        old, self.policy = self.policy, policy
+        self.ledger.read_ahead = policy.read_ahead
+        if self.caller is not None and old != policy:
+            self.caller.not_run_statuses = frozenset(policy.not_run_statuses)
+        self.log.info("settings_adopted", revision=revision)
+
+    # The server's task.
+
+    def run(self) -> None:
+        """Serves until `stop`."""
+        poller = zmq.Poller()
+        poller.register(self.socket, zmq.POLLIN)
+        poller.register(self.wakeup, zmq.POLLIN)
+        while not self.stopping:
+            poller.poll(int(TICK_S * 1000))
+            self.wakeup.clear()
+            self._run_commands()
+            self._receive()
+            self._tick()
+            self._share_slots()
+            self._flush()
+        self.socket.close(linger=200)
+        if self.workers is not None:
+            self.workers.shutdown(wait=False, cancel_futures=True)
+
+    def _run_commands(self) -> None:
+        while not self.commands.empty():
+            self.commands.get()()
+
+    def _receive(self) -> None:
+        for _ in range(MAX_FRAMES_PER_TURN):
+            if not has_message(self.socket):
+                return
+            route, data = self.socket.recv_multipart()[:2]
+            try:
+                frame = self.decoder.decode(data)
+            except msgspec.DecodeError as error:
+                self.log.warning("frame_undecodable", reason=str(error))
+                continue
+            self._handle_frame(route, frame)
+        self.wakeup.set()
+
+    def _handle_frame(self, route: bytes, frame: EntryFrame) -> None:
+        session = self.sessions.get(frame.sender)
+        if session is None:
+            session = SidecarSession(frame.sender, self.incarnation)
+            self.sessions[frame.sender] = session
+        first = frame.messages[0] if frame.messages else None
+        is_opening = frame.epoch > session.fence.epoch
+        if is_opening and not isinstance(first, Resume):
+            return
+        verdict = session.fence.check(frame.epoch, frame.sequence)
+        if verdict in (FrameVerdict.STALE, FrameVerdict.GAP):
+            return
+        session.last_heard_s = self.clock.monotonic()
+        if verdict is FrameVerdict.NEW_EPOCH:
+            self._open_session(route, session, frame.messages.pop(0))
+        for message in frame.messages:
+            self._handle(message, session)
+
+    def _open_session(self, route, session: SidecarSession, resume) -> None:
+        is_accepted = session.resume(route, resume)
+        self.log.info(
+            "session_open",
+            entry=format_incarnation(session.entry),
+            epoch=session.fence.epoch,
+            accepted=is_accepted,
+        )
+        if not is_accepted:
+            session.fence.broken = True
+            return
+        self.ledger.open(session.entry)
+        if self.upstream.state is not UpstreamState.SERVING:
+            session.outbox.append(Leaving())
+
+    @singledispatchmethod
+    def _handle(self, message, session: SidecarSession) -> None:
+        self.log.warning("message_unexpected", kind=type(message).__name__)
+
+    @_handle.register
+    def _(self, message: Start, session: SidecarSession) -> None:
+        has_credit = self.ledger.spend(session.entry)
+        is_serving = self.upstream.state is UpstreamState.SERVING
+        if not has_credit or not is_serving:
+            self._refuse(message.task, session, b"no slot")
+            return
+        if session.start(message.task) is StartVerdict.RUN:
+            self._start(message, session)
+
+    @_handle.register
+    def _(self, message: Demand, session: SidecarSession) -> None:
+        urgent_at_s = self.clock.monotonic() + message.urgency_s
+        self.ledger.observe_demand(session.entry, message.count, urgent_at_s)
+
+    @_handle.register
+    def _(self, message: CreditReturn, session: SidecarSession) -> None:
+        self.ledger.observe_return(session.entry, message.total)
+
+    @_handle.register
+    def _(self, message: Acknowledge, session: SidecarSession) -> None:
+        session.acknowledge(message.tasks)
+
+    @_handle.register
+    def _(self, message: Cancel, session: SidecarSession) -> None:
+        session.cancel(message.tasks)
+
+    def _refuse(
+        self, ref: TaskRef, session: SidecarSession, reason: bytes
+    ) -> None:
+        self.metrics.count("starts_refused_total", {})
+        session.outbox.append(
+            Outcome(ref, TaskState.NOT_RUN, reason, False, 0.0)
+        )
+
+    def _start(self, message: Start, session: SidecarSession) -> None:
+        assert self.workers is not None and self.caller is not None
+        self.ledger.running += 1
+        self.metrics.count("starts_total", {})
+        due_s = self.clock.monotonic() + message.remaining_s
+        held = session.tasks[message.task.job, message.task.index]
+        caller = self.caller
+
+        def work() -> None:
+            timeout_s = due_s - self.clock.monotonic()
+            if timeout_s <= 0 or not held.wanted:
+                outcome = Outcome(
+                    message.task, TaskState.NOT_RUN, b"not begun", False, 0.0
+                )
+            else:
+                result = caller.call(message.task, message.payload, timeout_s)
+                outcome = Outcome(
+                    message.task,
+                    result.state,
+                    result.body,
+                    result.is_json,
+                    result.run_s,
+                )
+            self.commands.put(lambda: self._finish(session, outcome))
+            self.wakeup.set()
+
+        self.workers.submit(work)
+
+    def _finish(self, session: SidecarSession, outcome: Outcome) -> None:
+        self.ledger.running -= 1
+        self.metrics.count("outcomes_total", {"state": outcome.state.value})
+        if outcome.state is TaskState.NOT_RUN:
+            session.forget(outcome.task)
+            session.outbox.append(outcome)
+            return
+        session.finish(outcome)
+
+    def _open_slots(self, announcement: Announcement) -> None:
+        if self.workers is not None:
+            self.workers.shutdown(wait=False)
+        self.workers = ThreadPoolExecutor(
+            self.upstream.slots, thread_name_prefix="slot"
+        )
+        self.caller = UpstreamCaller(
+            announcement.address, self.policy.not_run_statuses
+        )
+        self.ledger.slots = self.upstream.slots
+
+    def _close_slots(self, reason: str) -> None:
+        self.ledger.slots = 0
+        self.log.info("upstream_leaving", reason=reason)
+        for session in self.sessions.values():
+            session.outbox.append(Leaving())
+        self._notify_listeners()
+
+    def _tick(self) -> None:
+        now_s = self.clock.monotonic()
+        if now_s < self.next_tick_s:
+            return
+        self.next_tick_s = now_s + TICK_S
+        if self.upstream.expire(now_s):
+            self._close_slots("announcement expired")
+        for session in list(self.sessions.values()):
+            silent_s = now_s - session.last_heard_s
+            if silent_s > SESSION_RETENTION_S and session.drop_outcomes():
+                del self.sessions[session.entry]
+            elif silent_s > self.timing.silence_s:
+                # The entry must open a new epoch before its next start.
+                session.fence.broken = True
+                self.ledger.close(session.entry)
+
+    def _share_slots(self) -> None:
+        if self.upstream.state is not UpstreamState.SERVING:
+            return
+        self.ledger.slots = self.upstream.slots
+        for entry in self.ledger.allocate():
+            total = self.ledger.holders[entry].granted
+            self.sessions[entry].outbox.append(Grant(total))
+        for entry, count in self.ledger.recalls().items():
+            self.sessions[entry].outbox.append(Recall(count))
+
+    def _flush(self) -> None:
+        now_s = self.clock.monotonic()
+        for session in self.sessions.values():
+            due = now_s - session.last_sent_s >= self.timing.heartbeat_s
+            is_open = not session.fence.broken
+            if session.outbox or (due and is_open):
+                session.last_sent_s = now_s
+                data = self.encoder.encode(session.next_frame())
+                self.socket.send_multipart([session.route, data])
+
+    def _notify_listeners(self) -> None:
+        for listener in self.listeners:
+            listener()
--- /dev/null
+++ b/sardinestair/sidecar/process.py
@@ -0,0 +1,153 @@
+"""The sidecar as a whole: wiring, threads and graceful stop."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import zmq
+
+from sardinestair.clock import Clock, SystemClock
+from sardinestair.ids import format_incarnation, new_incarnation
+from sardinestair.messages import AnnounceReply
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.settings import SidecarSettings
+from sardinestair.sidecar.announcer import Announcer
+from sardinestair.sidecar.api import UpstreamApi
+from sardinestair.sidecar.link_server import LinkServer
+from sardinestair.sidecar.policy import SidecarPolicy
+from sardinestair.upstreams import UpstreamState
+from sardinestair.web import HttpServer, WebApp, operations_rules
+
+__all__ = ["SidecarProcess"]
+
+HTTP_THREADS = 3
+MAX_BODY_BYTES = 64 << 10
+MAX_ENTRIES = 16
+DRAIN_POLL_S = 0.02
+
+
+class SidecarProcess:
+    """Runs a sidecar in threads of the current process.
+
+    Args:
+        settings: The process's settings.
+        clock: The clock.
+
+    Attributes:
+        server: Serves links, and owns the state.
+        announcers: One for each known entry, by its endpoint.
+    """
+
+    def __init__(self, settings: SidecarSettings, clock: Clock | None = None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.incarnation = new_incarnation()
+        self.metrics = Metrics()
+        self.context = zmq.Context()
+        self.announcers: dict[str, Announcer] = {}
+        self.lock = threading.Lock()
+        # One thread for the links and one for each entry.
+        self.threads = ThreadPoolExecutor(1 + MAX_ENTRIES)
+        address = settings.address
+        self.server = LinkServer(
+            f"tcp://{address.host}:{address.link_port or '*'}",
+            settings.zone,
+            self.incarnation,
+            self.clock,
+            self.metrics,
+            self.context,
+        )
+        rules = UpstreamApi(self.server).rules()
+        rules += operations_rules(self.metrics, self._readiness)
+        self.log = EventLog(
+            "sidecar",
+            sidecar=format_incarnation(self.incarnation),
+            zone=settings.zone,
+        )
+        self.http = HttpServer(
+            address.host,
+            address.http_port,
+            WebApp(rules, MAX_BODY_BYTES, self.log),
+            HTTP_THREADS,
+        )
+
+    def start(self) -> None:
+        """Starts all threads."""
+        self.server.listeners.append(self._notify_announcers)
+        self.threads.submit(self._guard, self.server.run)
+        self.http.start()
+        self._meet_entries(self.settings.entries)
+        self.log.info(
+            "sidecar_started",
+            http_port=self.http.port,
+            links=self.server.endpoint,
+        )
+
+    def stop(self) -> bool:
+        """Takes no new work, finishes what runs, then ends all threads.
+
+        Returns:
+            True if all work was finished in time.
+        """
+        self.log.info("drain_started")
+        self.server.submit(self.server.drain)
+        deadline_s = self.clock.monotonic() + self.settings.drain_timeout_s
+        while (unsettled := self._unsettled()) > 0:
+            if self.clock.monotonic() >= deadline_s:
+                break
+            time.sleep(DRAIN_POLL_S)
+        for announcer in self.announcers.values():
+            announcer.stop()
+        self.http.stop()
+        self.server.stop()
+        self.threads.shutdown(wait=True)
+        self.context.term()
+        self.log.info("sidecar_stopped", unsettled=unsettled)
+        return unsettled == 0
+
+    def _unsettled(self) -> int:
+        return self.server.submit(self.server.unsettled).result()
+
+    def _guard(self, task) -> None:
+        try:
+            task()
+        except Exception:
+            self.log.logger.exception("task_broken")
+            raise
+
+    def _meet_entries(self, entries: list[str]) -> None:
+        with self.lock:
+            for entry in entries:
+                if entry in self.announcers:
+                    continue
+                if len(self.announcers) >= MAX_ENTRIES:
+                    return
+                announcer = Announcer(
+                    entry,
+                    self.server.description,
+                    self._take_reply,
+                    self.settings.announce_interval_s,
+                    self.context,
+                )
+                self.announcers[entry] = announcer
+                self.threads.submit(self._guard, announcer.run)
+
+    def _take_reply(self, reply: AnnounceReply) -> None:
+        self._meet_entries(reply.entries)
+        if reply.settings:
+            policy = msgspec.json.decode(reply.settings, type=SidecarPolicy)
+            revision = reply.settings_revision
+            self.server.submit(lambda: self.server.adopt(revision, policy))
+
+    def _notify_announcers(self) -> None:
+        for announcer in list(self.announcers.values()):
+            announcer.notify()
+
+    def _readiness(self) -> tuple[bool, str]:
+        reasons = {
+            UpstreamState.ABSENT: "no upstream has announced itself",
+            UpstreamState.LEAVING: "the upstream is leaving",
+        }
+        state = self.server.upstream.state
+        return state is UpstreamState.SERVING, reasons.get(state, "")
--- /dev/null
+++ b/sardinestair/standins/upstream.py
@@ -0,0 +1,152 @@
+"""A stand-in of an upstream: sleeps for the time that a task names.
+
+It announces itself to a sidecar, and writes a line to a log for each task
+that starts, from which tests draw their verdicts.
+"""
+
+import os
+import threading
+import time
+
+import msgspec
+
+from sardinestair.observability import EventLog
+from sardinestair.transfer import Transfer, TransferFailure
+from sardinestair.web import HttpServer, Request, Response, WebApp
+
+__all__ = ["UpstreamStandin"]
+
+MAX_BODY_BYTES = 1 << 20
+ANNOUNCE_TIMEOUT_S = 1.0
+
+
+class StandinTask(msgspec.Struct):
+    """What a payload may ask of the stand-in.
+
+    Attributes:
+        run_s: Run time at a typical upstream, in seconds.
+        fail: True to answer with status 500.
+        echo: Returned in the answer.
+    """
+
+    run_s: float = 0.0
+    fail: bool = False
+    echo: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class UpstreamStandin:
+    """An upstream whose tasks sleep.
+
+    Args:
+        sidecar: Base URL of the sidecar's HTTP API.
+        service: The service that it answers for.
+        slots: Tasks that it runs at a time.
+        speed: Factor of its run times; larger is slower.
+        port: Port to listen on, 0 for any.
+        ttl_s: How long its announcements hold, in seconds.
+        start_log: File for one line per started task, or None.
+        fails_all: True to answer every task with status 500 at once.
+
+    Attributes:
+        running: Tasks that run now.
+        max_running: The most that ever ran at a time.
+    """
+
+    def __init__(
+        self,
+        sidecar: str,
+        service: str,
+        slots: int = 8,
+        speed: float = 1.0,
+        port: int = 0,
+        ttl_s: float = 3.0,
+        start_log: str | None = None,
+        fails_all: bool = False,
+    ):
+        self.sidecar = sidecar
+        self.service = service
+        self.slots = slots
+        self.speed = speed
+        self.ttl_s = ttl_s
+        self.start_log = start_log
+        self.fails_all = fails_all
+        self.running = 0
+        self.max_running = 0
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.log = EventLog("upstream_standin", service=service)
+        rules = [
+            ("/tasks", ["POST"], self._run_task),
+            ("/healthz", ["GET"], self._show_health),
+        ]
+        app = WebApp(rules, MAX_BODY_BYTES, self.log)
+        self.http = HttpServer("127.0.0.1", port, app, threads=slots + 2)
+        self.log_file: int | None = None
+
+    @property
+    def address(self) -> str:
+        """Base URL of the stand-in."""
+        return f"http://127.0.0.1:{self.http.port}"
+
+    def start(self) -> None:
+        """Starts serving and announcing."""
+        if self.start_log is not None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self.log_file = os.open(self.start_log, flags, 0o644)
+        self.http.start()
+        threading.Thread(target=self._announce, daemon=True).start()
+
+    def stop(self) -> None:
+        """Leaves, and stops serving."""
+        self.stopping.set()
+        self._call_sidecar("DELETE", b"")
+        while self.running:
+            time.sleep(0.01)
+        self.http.stop()
+
+    def _announce(self) -> None:
+        body = msgspec.json.encode(
+            {
+                "service": self.service,
+                "address": self.address,
+                "slots": self.slots,
+                "ttl_s": self.ttl_s,
+            }
+        )
+        while not self.stopping.is_set():
+            self._call_sidecar("PUT", body)
+            self.stopping.wait(self.ttl_s / 4)
+
+    def _call_sidecar(self, method: str, body: bytes) -> None:
+        reply = Transfer().perform(
+            method, f"{self.sidecar}/v1/upstream", body, ANNOUNCE_TIMEOUT_S
+        )
+        if isinstance(reply, TransferFailure):
+            self.log.warning("announce_failed", reason=reply.reason)
+
+    def _run_task(self, request: Request) -> Response:
+        task = msgspec.json.decode(request.get_data(), type=StandinTask)
+        self._record(request)
+        with self.lock:
+            self.running += 1
+            self.max_running = max(self.max_running, self.running)
+        try:
+            if not self.fails_all:
+                time.sleep(task.run_s * self.speed)
+        finally:
+            with self.lock:
+                self.running -= 1
+        if task.fail or self.fails_all:
+            return Response(b"told to fail", 500)
+        return Response(bytes(task.echo), mimetype="application/json")
+
+    def _record(self, request: Request) -> None:
+        if self.log_file is None:
+            return
+        job = request.headers.get("Sardinestair-Job", "none")
+        index = request.headers.get("Sardinestair-Task", "none")
+        line = f"{time.time():.6f} {job} {index} {self.http.port}\n"
+        os.write(self.log_file, line.encode())
+
+    def _show_health(self, _request: Request) -> Response:
+        return Response(b"", 500 if self.fails_all else 200)
--- /dev/null
+++ b/sardinestair/transfer.py
@@ -0,0 +1,143 @@
+"""HTTP requests that are sent at most once."""
+
+import io
+import socket
+from collections.abc import Callable, Sequence
+
+import msgspec
+import pycurl
+
+__all__ = ["Reply", "Transfer", "TransferFailure"]
+
+CONNECT_TIMEOUT_MS = 1000
+MAX_REPLY_BYTES = 16 << 20
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A reply over HTTP.
+
+    Attributes:
+        status: The HTTP status.
+        body: The body.
+    """
+
+    status: int
+    body: bytes
+
+
+class TransferFailure(msgspec.Struct, frozen=True):
+    """A request without a reply.
+
+    Attributes:
+        reason: What went wrong.
+        was_sent: True if any of the request may have reached the server.
+    """
+
+    reason: str
+    was_sent: bool
+
+
+class Transfer:
+    """A reusable connection that sends each request at most once.
+
+    libcurl repeats a request by itself when a reused connection closes
+    before the first byte of a reply. The repeat needs a new socket, which is
+    denied here once any of the request has been sent. Not safe across
+    threads.
+
+    Args:
+        max_reply_bytes: Bound on a reply's body.
+
+    Examples:
+        >>> transfer = Transfer()
+        >>> reply = transfer.perform("GET", "http://127.0.0.1:9/", b"", 1.0)
+        >>> reply.was_sent
+        False
+    """
+
+    def __init__(self, max_reply_bytes: int = MAX_REPLY_BYTES):
+        self.max_reply_bytes = max_reply_bytes
+        self.was_sent = False
+        self.body = io.BytesIO()
+        self.curl = pycurl.Curl()
+        self.curl.setopt(pycurl.NOSIGNAL, 1)
+        self.curl.setopt(pycurl.TCP_NODELAY, 1)
+        self.curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        self.curl.setopt(pycurl.VERBOSE, 1)
+        self.curl.setopt(pycurl.DEBUGFUNCTION, self._trace)
+        self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
+
+    def perform(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Sequence[str] = (),
+        on_data: Callable[[bytes], bool] | None = None,
+    ) -> Reply | TransferFailure:
+        """Sends one request and waits for the reply.
+
+        Args:
+            method: The HTTP method.
+            url: The URL.
+            body: The request body; ignored for GET.
+            timeout_s: Longest time for the whole, in seconds.
+            headers: Header lines.
+            on_data: Takes the reply's body as it arrives, in place of
+                collecting it; returns False to end the transfer.
+
+        Returns:
+            The reply, or why there is none.
+        """
+        self.was_sent = False
+        self.body = io.BytesIO()
+        self._set_request(method, url, body, headers)
+        self.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+        self.curl.setopt(pycurl.WRITEFUNCTION, self._writer(on_data))
+        try:
+            self.curl.perform()
+        except pycurl.error as error:
+            reason = str(error.args[1]) or f"transfer error {error.args[0]}"
+            return TransferFailure(reason, self.was_sent)
+        status = self.curl.getinfo(pycurl.RESPONSE_CODE)
+        return Reply(status, self.body.getvalue())
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.curl.close()
+
+    def _set_request(
+        self, method: str, url: str, body: bytes, headers: Sequence[str]
+    ) -> None:
+        self.curl.setopt(pycurl.URL, url)
+        self.curl.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
+        if method == "GET":
+            self.curl.setopt(pycurl.HTTPGET, 1)
+            self.curl.unsetopt(pycurl.CUSTOMREQUEST)
+            return
+        self.curl.setopt(pycurl.POSTFIELDS, body)
+        if method == "POST":
+            self.curl.unsetopt(pycurl.CUSTOMREQUEST)
+        else:
+            self.curl.setopt(pycurl.CUSTOMREQUEST, method)
+
+    def _writer(self, on_data: Callable[[bytes], bool] | None):
+        if on_data is not None:
+            # A count other than the length fails the transfer.
+            return lambda data: len(data) if on_data(data) else 0
+        return self._collect
+
+    def _collect(self, data: bytes) -> int:
+        if self.body.tell() + len(data) > self.max_reply_bytes:
+            return 0
+        return self.body.write(data)
+
+    def _trace(self, kind: int, _data: bytes) -> None:
+        if kind in (pycurl.INFOTYPE_HEADER_OUT, pycurl.INFOTYPE_DATA_OUT):
+            self.was_sent = True
+
+    def _open_socket(self, _purpose: int, address) -> socket.socket | int:
+        if self.was_sent:
+            return pycurl.SOCKET_BAD
+        return socket.socket(address.family, address.socktype, address.protocol)
--- /dev/null
+++ b/sardinestair/upstreams/caller.py
@@ -0,0 +1,128 @@
+"""Calls an upstream over HTTP."""
+
+import threading
+import time
+from collections.abc import Collection
+
+import msgspec
+
+from sardinestair.ids import format_job_id
+from sardinestair.messages import TaskRef, TaskState
+from sardinestair.transfer import Reply, Transfer
+
+__all__ = ["CallResult", "UpstreamCaller"]
+
+MAX_REASON_CHARACTERS = 200
+TASK_PATH = "/tasks"
+
+
+class CallResult(msgspec.Struct, frozen=True):
+    """How a call to the upstream ended.
+
+    Attributes:
+        state: DONE for a 2xx answer, NOT_RUN if the upstream can't have
+            begun, FAILED if it may have.
+        body: The answer, or the reason in UTF-8.
+        is_json: True if the body is a JSON value.
+        run_s: Duration of the call in seconds.
+    """
+
+    state: TaskState
+    body: bytes
+    is_json: bool
+    run_s: float
+
+
+class UpstreamCaller:
+    """Runs tasks at one upstream, with one connection for each thread.
+
+    Args:
+        address: Base URL of the upstream.
+        not_run_statuses: HTTP statuses with which this service says that it
+            has not begun.
+
+    Examples:
+        >>> caller = UpstreamCaller("http://127.0.0.1:9")
+        >>> ref = TaskRef(b"0" * 16, 0, 1)
+        >>> caller.call(ref, b"{}", timeout_s=1.0).state
+        <TaskState.NOT_RUN: 'not_run'>
+    """
+
+    def __init__(self, address: str, not_run_statuses: Collection[int] = ()):
+        self.address = address
+        self.not_run_statuses = frozenset(not_run_statuses)
+        self.local = threading.local()
+
+    def call(
+        self, ref: TaskRef, payload: bytes, timeout_s: float
+    ) -> CallResult:
+        """Runs one task and waits for its answer.
+
+        Args:
+            ref: The attempt.
+            payload: The request body.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            A `CallResult`.
+        """
+        began_s = time.monotonic()
+        reply = self._transfer().perform(
+            "POST",
+            self.address + TASK_PATH,
+            payload,
+            timeout_s,
+            self._headers(ref),
+        )
+        run_s = time.monotonic() - began_s
+        if isinstance(reply, Reply):
+            return self._answered(reply.status, reply.body, run_s)
+        state = TaskState.FAILED if reply.was_sent else TaskState.NOT_RUN
+        return CallResult(state, reply.reason.encode(), False, run_s)
+
+    def check_health(self, path: str, timeout_s: float) -> bool:
+        """Asks the upstream's health path.
+
+        Args:
+            path: The path.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            True if it answered 2xx.
+        """
+        reply = self._transfer().perform(
+            "GET", self.address + path, b"", timeout_s
+        )
+        return isinstance(reply, Reply) and 200 <= reply.status < 300
+
+    def _transfer(self) -> Transfer:
+        transfer = getattr(self.local, "transfer", None)
+        if transfer is None:
+            transfer = self.local.transfer = Transfer()
+        return transfer
+
+    def _headers(self, ref: TaskRef) -> list[str]:
+        return [
+            "Content-Type: application/json",
+            "Expect:",
+            f"Sardinestair-Job: {format_job_id(ref.job)}",
+            f"Sardinestair-Task: {ref.index}",
+        ]
+
+    def _answered(self, status: int, body: bytes, run_s: float) -> CallResult:
+        if 200 <= status < 300:
+            return CallResult(TaskState.DONE, body, _is_json(body), run_s)
+        refused = status in self.not_run_statuses
+        state = TaskState.NOT_RUN if refused else TaskState.FAILED
+        text = body.decode("utf-8", "replace")[:MAX_REASON_CHARACTERS]
+        reason = f"status {status}: {text}"
+        return CallResult(state, reason.encode(), False, run_s)
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
--- /dev/null
+++ b/sardinestair/web.py
@@ -0,0 +1,204 @@
+"""HTTP serving shared by the programs: a WSGI server and replies."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+import msgspec
+from cheroot import wsgi
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.outcomes import Problem, ProblemKind
+
+__all__ = [
+    "HttpServer",
+    "Request",
+    "Response",
+    "WebApp",
+    "json_response",
+    "operations_rules",
+    "problem_response",
+]
+
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
+SOCKET_TIMEOUT_S = 10
+LISTEN_BACKLOG = 1024
+
+Handler = Callable[..., Response]
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Returns a reply with a JSON body.
+
+    Args:
+        value: What to encode.
+        status: The HTTP status.
+    """
+    return Response(msgspec.json.encode(value), status, mimetype=JSON_TYPE)
+
+
+def problem_response(problem: Problem, job: str | None = None) -> Response:
+    """Returns a problem document.
+
+    Args:
+        problem: The problem.
+        job: The text form of the job id, if there is one.
+    """
+    response = Response(
+        msgspec.json.encode(problem.to_document(job)),
+        problem.status,
+        mimetype=PROBLEM_TYPE,
+    )
+    if problem.retry_after_s is not None:
+        # The header has whole seconds only; the document has the exact time.
+        seconds = max(1, -int(-problem.retry_after_s // 1))
+        response.headers["Retry-After"] = str(seconds)
+    return response
+
+
+class WebApp:
+    """A WSGI application with routes.
+
+    Args:
+        rules: Path, methods and handler of each route.
+        max_body_bytes: Bound on a request's body.
+        log: Where unexpected errors go.
+
+    Attributes:
+        active: Requests that are being served.
+    """
+
+    def __init__(
+        self,
+        rules: Iterable[tuple[str, list[str], Handler]],
+        max_body_bytes: int,
+        log: EventLog,
+    ):
+        self.map = Map(
+            [Rule(path, methods=m, endpoint=h) for path, m, h in rules]
+        )
+        self.max_body_bytes = max_body_bytes
+        self.log = log
+        self.active = 0
+        self.lock = threading.Lock()
+
+    def __call__(self, environ, start_response):
+        """Serves one request."""
+        with self.lock:
+            self.active += 1
+        try:
+            response = self._respond(environ)
+            return response(environ, start_response)
+        finally:
+            with self.lock:
+                self.active -= 1
+
+    def _respond(self, environ) -> Response:
+        request = Request(environ)
+        request.max_content_length = self.max_body_bytes
+        try:
+            handler, values = self.map.bind_to_environ(environ).match()
+            return handler(request, **values)
+        except RequestEntityTooLarge:
+            return problem_response(
+                Problem(
+                    ProblemKind.TOO_LARGE,
+                    f"the body must have at most {self.max_body_bytes} bytes",
+                    not_run=True,
+                )
+            )
+        except HTTPException as error:
+            return _http_problem(error)
+
+
+def _http_problem(error: HTTPException) -> Response:
+    document = {
+        "type": "about:blank",
+        "title": error.name,
+        "status": error.code,
+        "detail": error.description,
+        "not_run": True,
+    }
+    body = msgspec.json.encode(document)
+    response = Response(body, error.code, mimetype=PROBLEM_TYPE)
+    for name, value in error.get_headers():
+        if name == "Allow":
+            response.headers[name] = value
+    return response
+
+
+class HttpServer:
+    """Serves a WSGI application from a pool of threads.
+
+    Args:
+        host: IP number to listen on.
+        port: Port, 0 for any.
+        app: The application.
+        threads: Requests that are served at a time.
+
+    Attributes:
+        port: The port that it listens on, after `start`.
+    """
+
+    def __init__(self, host: str, port: int, app: WebApp, threads: int):
+        self.host = host
+        self.port = port
+        self.app = app
+        self.threads = threads
+        self.server: wsgi.Server | None = None
+        self.thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Binds the port and serves in a thread of its own."""
+        self.server = wsgi.Server(
+            (self.host, self.port),
+            self.app,
+            numthreads=self.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=SOCKET_TIMEOUT_S,
+            shutdown_timeout=2,
+        )
+        self.server.max_request_body_size = 4 * self.app.max_body_bytes
+        self.server.prepare()
+        self.port = self.server.bind_addr[1]
+        self.thread = threading.Thread(
+            target=self.server.serve, name="http", daemon=True
+        )
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stops listening, and ends idle connections."""
+        if self.server is not None:
+            self.server.stop()
+
+
+def operations_rules(
+    metrics: Metrics, is_ready: Callable[[], tuple[bool, str]]
+) -> list[tuple[str, list[str], Handler]]:
+    """Returns the routes that each program has for operators.
+
+    Args:
+        metrics: The process's metrics.
+        is_ready: Returns whether work is taken, and the reason if not.
+    """
+
+    def show_health(_request: Request) -> Response:
+        return json_response({"status": "alive"})
+
+    def show_readiness(_request: Request) -> Response:
+        ready, reason = is_ready()
+        status = 200 if ready else 503
+        return json_response({"ready": ready, "reason": reason}, status)
+
+    def show_metrics(_request: Request) -> Response:
+        body, headers = metrics.render()
+        return Response(body, headers=headers)
+
+    return [
+        ("/healthz", ["GET"], show_health),
+        ("/readyz", ["GET"], show_readiness),
+        ("/metrics", ["GET"], show_metrics),
+    ]
