--- /dev/null
+++ b/sardinestair/entry/admin.py
@@ -0,0 +1,180 @@
+"""The administration API of an entry."""
+
+from typing import Any
+
+import msgspec
+from expression import Result
+
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.ids import format_incarnation
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.settings import SettingsTree
+from sardinestair.settings.service import Applied, SettingsWriter
+from sardinestair.settings.tree import ANY, explain
+from sardinestair.web import (
+    Handler,
+    Request,
+    Response,
+    json_response,
+    problem_response,
+)
+
+__all__ = ["AdminApi"]
+
+
+class EditRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """A change of one node; fields as in `SettingsWriter.edit`."""
+
+    path: str
+    set: dict[str, Any] = {}
+    unset: list[str] = []
+    seen: int | None = None
+    author: str = "unknown"
+
+
+class AdminApi:
+    """Handlers for operators.
+
+    Args:
+        dispatcher: The entry's aggregate.
+        writer: Changes settings, or None without a store.
+        revision: Returns the revision of the tree in force.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        writer: SettingsWriter | None,
+        revision,
+    ):
+        self.dispatcher = dispatcher
+        self.writer = writer
+        self.revision = revision
+
+    def rules(self) -> list[tuple[str, list[str], Handler]]:
+        """Returns the routes."""
+        return [
+            ("/admin/v1/settings", ["GET"], self.show_settings),
+            ("/admin/v1/settings", ["PATCH"], self.edit),
+            ("/admin/v1/settings/apply", ["POST"], self.apply),
+            ("/admin/v1/settings/explain", ["GET"], self.explain),
+            ("/admin/v1/settings/history", ["GET"], self.history),
+            ("/admin/v1/status", ["GET"], self.status),
+            ("/admin/v1/upstreams", ["GET"], self.upstreams),
+        ]
+
+    def show_settings(self, _request: Request) -> Response:
+        """Shows the tree that is in force at this entry."""
+        tree = self.dispatcher.tree or SettingsTree()
+        return json_response({"revision": self.revision(), "tree": tree})
+
+    def edit(self, request: Request) -> Response:
+        """Changes one node."""
+        try:
+            edit = msgspec.json.decode(request.get_data(), type=EditRequest)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return problem_response(_invalid(str(error)))
+        if self.writer is None:
+            return problem_response(_no_store())
+        return _show(
+            self.writer.edit(
+                edit.path, edit.set, edit.unset, edit.seen, edit.author
+            )
+        )
+
+    def apply(self, request: Request) -> Response:
+        """Replaces the tree."""
+        try:
+            body = request.get_data()
+            tree = msgspec.json.decode(body, type=SettingsTree)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return problem_response(_invalid(str(error)))
+        if self.writer is None:
+            return problem_response(_no_store())
+        seen = request.args.get("seen", type=int)
+        author = request.args.get("author", "unknown")
+        return _show(self.writer.apply(tree, seen, author))
+
+    def explain(self, request: Request) -> Response:
+        """Shows the effective values at a place, with their sources."""
+        place = [request.args.get(n, ANY) for n in ("service", "zone", "kind")]
+        tree = self.dispatcher.tree or SettingsTree()
+        return json_response(explain(tree, *place))
+
+    def history(self, _request: Request) -> Response:
+        """Shows the latest changes, newest first."""
+        if self.writer is None:
+            return problem_response(_no_store())
+        found = self.writer.read()
+        if found.is_error():
+            return problem_response(found.error)
+        changes = {
+            change.change_id: change
+            for record in found.ok.records.values()
+            for change in record.changes
+        }
+        ordered = sorted(changes.values(), key=lambda c: c.time, reverse=True)
+        return json_response(ordered)
+
+    def status(self, _request: Request) -> Response:
+        """Shows the entry and its queues."""
+        dispatcher = self.dispatcher
+        with dispatcher.lock:
+            services = [
+                {
+                    "service": state.name,
+                    "upstreams": len(state.links),
+                    "slots": state.slots,
+                    "waiting_tasks": state.queue.waiting_tasks,
+                    "expected_wait_s": min(state.load().expected_wait_s, 1e9),
+                    "retries_left": int(state.retries.tokens_),
+                }
+                for state in dispatcher.services.values()
+            ]
+            body = {
+                "entry": format_incarnation(dispatcher.incarnation),
+                "zone": dispatcher.zone,
+                "draining": dispatcher.is_draining,
+                "settings_revision": self.revision(),
+                "active_jobs": dispatcher.active_jobs(),
+                "services": services,
+            }
+        return json_response(body)
+
+    def upstreams(self, _request: Request) -> Response:
+        """Shows the upstreams that this entry knows."""
+        with self.dispatcher.lock:
+            rows = [
+                {
+                    "sidecar": format_incarnation(link.sidecar),
+                    "endpoint": link.endpoint,
+                    "service": link.candidate.service,
+                    "zone": link.candidate.zone,
+                    "state": link.state.value,
+                    "slots": link.candidate.slots,
+                    "credits": link.account.available,
+                    "outstanding": len(link.outstanding),
+                    "speed": round(link.candidate.speed_, 3),
+                    "epoch": link.epoch,
+                }
+                for link in self.dispatcher.links.values()
+            ]
+        return json_response(rows)
+
+
+def _show(result: Result[Applied, Problem]) -> Response:
+    if result.is_error():
+        return problem_response(result.error)
+    return json_response(result.ok)
+
+
+def _invalid(rule: str) -> Problem:
+    return Problem(ProblemKind.INVALID, rule, not_run=True)
+
+
+def _no_store() -> Problem:
+    return Problem(
+        ProblemKind.UNAVAILABLE,
+        "this entry runs without a store; its settings come from tree_file",
+        not_run=True,
+    )
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -1,16 +1,31 @@
 """The callers' HTTP API of an entry."""
 
+from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import msgspec
 
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.ids import JobId, format_job_id, parse_job_id
+from sardinestair.entry.forwarding import (
+    FORWARDED_HEADER,
+    ForwardedReply,
+    Forwarder,
+)
+from sardinestair.ids import (
+    JobId,
+    format_job_id,
+    job_id_time_s,
+    parse_job_id,
+)
 from sardinestair.jobs import Job, JobState, parse_request
 from sardinestair.jobs.job import TaskAnswer
+from sardinestair.jobs.request import ParsedRequest
+from sardinestair.membership import Peer
 from sardinestair.observability import EventLog
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.web import (
+    JSON_TYPE,
+    PROBLEM_TYPE,
     Handler,
     Request,
     Response,
@@ -22,6 +37,9 @@
 
 # The timer ends every job at its deadline; this is only a backstop.
 ANSWER_GRACE_S = 5.0
+MAX_FORWARD_S = 310.0
+# A younger id can't be that of a resubmission after a lost answer.
+RESUBMISSION_AGE_S = 0.25
 
 
 class CallerApi:
@@ -29,10 +47,13 @@
 
     Args:
         dispatcher: The entry's aggregate.
+        peers: Returns the other entries that have answered lately.
     """
 
-    def __init__(self, dispatcher: Dispatcher):
+    def __init__(self, dispatcher: Dispatcher, peers: Callable[[], list[Peer]]):
         self.dispatcher = dispatcher
+        self.peers = peers
+        self.forwarder = Forwarder()
         self.log = EventLog("api")
 
     def rules(self) -> list[tuple[str, list[str], Handler]]:
@@ -45,14 +66,20 @@
 
     def submit(self, request: Request) -> Response:
         """Takes a job, and waits for its answer unless told not to."""
-        parsed = parse_request(request.get_data(cache=False))
+        body = request.get_data(cache=False)
+        parsed = parse_request(body)
         if parsed.is_error():
             return problem_response(parsed.error)
+        elsewhere = self._resubmitted_elsewhere(request, parsed.ok, body)
+        if elsewhere is not None:
+            return elsewhere
         submitted = self.dispatcher.submit(parsed.ok)
         if submitted.is_error():
             job_id = format_job_id(parsed.ok.job_id)
             return problem_response(submitted.error, job_id)
         job = submitted.ok
+        if parsed.ok.request.unrepeatable and not job.claimed.result():
+            return self._refused_claim(request, job, body)
         if "respond-async" in request.headers.get("Prefer", ""):
             response = self._progress(job)
             response.headers["Location"] = f"/v1/jobs/{_text(job)}"
@@ -61,7 +88,7 @@
 
     def fetch(self, request: Request, job_id: str) -> Response:
         """Returns a job's answer, or its progress."""
-        found = self._find(job_id)
+        found = self._find(request, job_id)
         if isinstance(found, Response):
             return found
         if found.is_active and "wait" in request.args:
@@ -70,9 +97,9 @@
             return self._progress(found)
         return self._answer(found)
 
-    def cancel(self, _request: Request, job_id: str) -> Response:
+    def cancel(self, request: Request, job_id: str) -> Response:
         """Cancels a job; one that has ended keeps its answer."""
-        found = self._find(job_id)
+        found = self._find(request, job_id)
         if isinstance(found, Response):
             return found
         self.dispatcher.cancel(found.job_id)
@@ -81,7 +108,7 @@
             return json_response(body)
         return self._answer(found)
 
-    def _find(self, text: str) -> Job | Response:
+    def _find(self, request: Request, text: str) -> Job | Response:
         try:
             job_id: JobId = parse_job_id(text)
         except ValueError as error:
@@ -92,13 +119,67 @@
         job = self.dispatcher.find(job_id)
         if job is not None:
             return job
+        forwarded = self._ask_peers(request, job_id)
+        if forwarded is not None:
+            return forwarded
         problem = Problem(
             ProblemKind.UNKNOWN_JOB,
-            "this entry does not know the job",
+            "no entry that answers knows the job",
             not_run=False,
         )
         return problem_response(problem, text)
 
+    def _ask_peers(self, request: Request, job_id: JobId) -> Response | None:
+        if FORWARDED_HEADER in request.headers:
+            return None
+        owner = self.forwarder.find(job_id, self.peers())
+        if owner is None:
+            return None
+        reply = self.forwarder.call(
+            request.method,
+            owner.http_address,
+            request.full_path,
+            b"",
+            MAX_FORWARD_S,
+        )
+        return _relay(reply) if reply is not None else None
+
+    def _resubmitted_elsewhere(
+        self, request: Request, parsed: ParsedRequest, body: bytes
+    ) -> Response | None:
+        """Passes a resubmission on to the entry that knows the job."""
+        if (
+            parsed.request.id is None
+            or parsed.request.unrepeatable
+            or FORWARDED_HEADER in request.headers
+            or self.dispatcher.find(parsed.job_id) is not None
+        ):
+            return None
+        now_s = self.dispatcher.clock.now().timestamp()
+        if now_s - job_id_time_s(parsed.job_id) < RESUBMISSION_AGE_S:
+            return None
+        owner = self.forwarder.find(parsed.job_id, self.peers())
+        if owner is None:
+            return None
+        reply = self.forwarder.call(
+            "POST", owner.http_address, "/v1/jobs", body, MAX_FORWARD_S
+        )
+        return _relay(reply) if reply is not None else None
+
+    def _refused_claim(
+        self, request: Request, job: Job, body: bytes
+    ) -> Response:
+        """Answers for a job that was not claimed, by its claimant if any."""
+        own = self.dispatcher.incarnation.hex()
+        claim = job.claim
+        is_elsewhere = claim is not None and claim.entry != own
+        if is_elsewhere and FORWARDED_HEADER not in request.headers:
+            assert claim is not None
+            reply = self.forwarder.resubmit(claim, body, MAX_FORWARD_S)
+            if reply is not None:
+                return _relay(reply)
+        return self._answer(job)
+
     def _wait(self, job: Job) -> Response:
         clock = self.dispatcher.clock
         timeout_s = job.deadline_s - clock.monotonic() + ANSWER_GRACE_S
@@ -137,6 +218,12 @@
     return format_job_id(job.job_id)
 
 
+def _relay(reply: ForwardedReply) -> Response:
+    is_problem = reply.status >= 400
+    mimetype = PROBLEM_TYPE if is_problem else JSON_TYPE
+    return Response(reply.body, reply.status, mimetype=mimetype)
+
+
 def _result(answer: TaskAnswer) -> msgspec.Raw | str:
     if answer.is_json:
         return msgspec.Raw(answer.body)
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -10,7 +10,12 @@
 
 from sardinestair.clock import Clock
 from sardinestair.entry.service_state import ServiceState
-from sardinestair.ids import Incarnation, JobId, format_incarnation
+from sardinestair.ids import (
+    Incarnation,
+    JobId,
+    format_incarnation,
+    job_id_time_s,
+)
 from sardinestair.ids import format_job_id as format_job
 from sardinestair.jobs import Job, JobRegistry, JobRequest
 from sardinestair.jobs.job import TaskAnswer
@@ -28,10 +33,12 @@
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.tree import effective
+from sardinestair.store.claims import Claim, ClaimVerdict, ClaimWriter
 
 __all__ = ["Dispatcher"]
 
 MAX_REASON_CHARACTERS = 200
+MAX_ID_SKEW_S = 60.0
 
 
 class Dispatcher:
@@ -48,6 +55,8 @@
         context: The ZeroMQ context for links.
         timing: Time limits of links.
         retention_s: How long ended jobs are kept, in seconds.
+        claims: Claims unrepeatable jobs, or None without a store.
+        claim_retention_s: Age at which an unrepeatable job's id is refused.
 
     Attributes:
         tree: The settings tree in force, or None before the first.
@@ -65,6 +74,8 @@
         context: zmq.Context,
         timing: LinkTiming | None = None,
         retention_s: float = 300.0,
+        claims: ClaimWriter | None = None,
+        claim_retention_s: float = 86400.0,
     ):
         self.incarnation = incarnation
         self.zone = zone
@@ -77,6 +88,8 @@
         self.services: dict[str, ServiceState] = {}
         self.links: dict[Incarnation, EntryLink] = {}
         self.registry = JobRegistry(retention_s)
+        self.claims = claims
+        self.claim_retention_s = claim_retention_s
         self.deadlines: list[tuple[float, int, Job]] = []
         self.tie = itertools.count()
         self.epochs = itertools.count(1)
@@ -152,16 +165,30 @@
         request = parsed.request
         with self.lock:
             known = self.registry.find(parsed.job_id)
-            if known is not None:
+            if known is not None and not known.ended_not_run:
                 return _attach(known, parsed)
-            refusal = self._refusal(request)
+            refusal = self._refusal(parsed)
             if refusal is not None:
                 self._count_refusal(request, refusal)
                 return Error(refusal)
-            job = self._accept(parsed)
+            job = self._accept(parsed, known)
             self.links_handled()
             return Ok(job)
 
+    def claim_ended(
+        self, job: Job, verdict: ClaimVerdict, claim: Claim | None
+    ) -> None:
+        """Takes the verdict on an unrepeatable job's claim."""
+        with self.lock:
+            job.claim = claim
+            if verdict is ClaimVerdict.OWNED:
+                self._start_claimed(job, claim)
+            elif job.is_active:
+                self._refuse_claimed(job, verdict)
+            if not job.claimed.done():
+                job.claimed.set_result(verdict is ClaimVerdict.OWNED)
+            self.links_handled()
+
     def find(self, job_id: JobId) -> Job | None:
         """Returns a known job, or None."""
         with self.lock:
@@ -297,7 +324,8 @@
             link.candidate.slots = announce.slots
             self._settle(link)
 
-    def _refusal(self, request: JobRequest) -> Problem | None:
+    def _refusal(self, parsed: ParsedRequest) -> Problem | None:
+        request = parsed.request
         if self.is_draining:
             return Problem(
                 ProblemKind.DRAINING,
@@ -320,8 +348,51 @@
                 not_run=True,
                 field="service",
             )
+        if request.unrepeatable:
+            refusal = self._claim_refusal(parsed.job_id)
+            if refusal is not None:
+                return refusal
         return self._limit_refusal(request)
 
+    def _claim_refusal(self, job_id: JobId) -> Problem | None:
+        if self.claims is None:
+            return Problem(
+                ProblemKind.UNAVAILABLE,
+                "unrepeatable jobs need a store, and this entry has none",
+                not_run=True,
+            )
+        age_s = self.clock.now().timestamp() - job_id_time_s(job_id)
+        if -MAX_ID_SKEW_S <= age_s <= self.claim_retention_s:
+            return None
+        return Problem(
+            ProblemKind.INVALID,
+            f"the time inside id must be in the last "
+            f"{self.claim_retention_s:.0f} s, got {age_s:.0f} s ago",
+            not_run=True,
+            field="id",
+        )
+
+    def _start_claimed(self, job: Job, claim: Claim | None) -> None:
+        assert self.claims is not None and claim is not None
+        if not job.is_active:
+            # It ended while the claim was written, so it has not run.
+            self.claims.vouch(job.job_id, claim)
+            return
+        self._enqueue(job)
+
+    def _refuse_claimed(self, job: Job, verdict: ClaimVerdict) -> None:
+        if verdict is ClaimVerdict.UNAVAILABLE:
+            detail = "the store gave no answer, so the job was not claimed"
+            self._fail(job, ProblemKind.UNAVAILABLE, detail, 1.0)
+            return
+        job.may_have_run = True
+        detail = (
+            "another submission has claimed the job; it may have run, and it "
+            "will not run again"
+        )
+        self._fail(job, ProblemKind.LOST, detail)
+        self.registry.remove(job.job_id)
+
     def _limit_refusal(self, request: JobRequest) -> Problem | None:
         state = self._state(request.service)
         settings = self._settings(request)
@@ -352,7 +423,7 @@
         assert self.tree is not None
         return effective(self.tree, request.service, self.zone, request.kind)
 
-    def _accept(self, parsed: ParsedRequest) -> Job:
+    def _accept(self, parsed: ParsedRequest, earlier: Job | None) -> Job:
         request = parsed.request
         now_s = self.clock.monotonic()
         deadline_s = request.deadline_s or self._settings(request).deadline_s
@@ -368,11 +439,30 @@
             state.estimate(request.kind, request.declared_task_s),
             parsed.digest,
         )
+        if earlier is not None:
+            job.attempts = earlier.attempts
+            self.registry.remove(job.job_id)
         self.registry.add(job)
         heapq.heappush(self.deadlines, (job.deadline_s, next(self.tie), job))
+        if request.unrepeatable:
+            self._claim(job)
+        else:
+            self._enqueue(job)
+        return job
+
+    def _claim(self, job: Job) -> None:
+        assert self.claims is not None
+
+        def on_verdict(verdict: ClaimVerdict, claim: Claim | None) -> None:
+            self.claim_ended(job, verdict, claim)
+
+        self.claims.submit(job.job_id, on_verdict)
+
+    def _enqueue(self, job: Job) -> None:
+        state = self._state(job.service)
+        now_s = self.clock.monotonic()
         state.queue.add(job, now_s, state.slots)
         self.touched.add(state.name)
-        return job
 
     def _place(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
@@ -399,10 +489,18 @@
         state.refresh(link)
         self.touched.add(state.name)
 
-    def _fail(self, job: Job, kind: ProblemKind, detail: str) -> None:
+    def _fail(
+        self,
+        job: Job,
+        kind: ProblemKind,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         if not job.is_active:
             return
-        problem = Problem(kind, detail, not_run=job.is_not_run)
+        problem = Problem(
+            kind, detail, job.is_not_run, retry_after_s=retry_after_s
+        )
         job.fail(problem)
         self._ended(job)
 
@@ -410,6 +508,8 @@
         """Does what every end of a job needs."""
         state = self.services[job.service]
         state.queue.discard(job)
+        if job.claim is not None and job.ended_not_run and self.claims:
+            self.claims.vouch(job.job_id, job.claim)
         self._cancel_in_flight(job)
         now_s = self.clock.monotonic()
         self.registry.end(job, now_s)
--- /dev/null
+++ b/sardinestair/entry/forwarding.py
@@ -0,0 +1,88 @@
+"""Passes requests about a job on to the entry that owns it."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from sardinestair.ids import JobId, format_job_id
+from sardinestair.membership import Peer
+from sardinestair.store.claims import Claim
+from sardinestair.transfer import Reply, Transfer
+
+__all__ = ["FORWARDED_HEADER", "Forwarder", "ForwardedReply"]
+
+FORWARDED_HEADER = "Sardinestair-Forwarded"
+ENTRY_HEADER = "Sardinestair-Entry"
+LOOKUP_TIMEOUT_S = 0.5
+JSON_HEADERS = ("Content-Type: application/json", f"{FORWARDED_HEADER}: 1")
+
+
+class ForwardedReply(msgspec.Struct, frozen=True):
+    """Another entry's reply.
+
+    Attributes:
+        status: The HTTP status.
+        body: The body.
+    """
+
+    status: int
+    body: bytes
+
+
+class Forwarder:
+    """Asks other entries about jobs.
+
+    A forwarded request is never forwarded again.
+    """
+
+    def find(self, job_id: JobId, peers: Sequence[Peer]) -> Peer | None:
+        """Returns the entry that knows a job.
+
+        Args:
+            job_id: The job.
+            peers: Entries that have answered lately.
+        """
+        path = f"/v1/jobs/{format_job_id(job_id)}"
+        for peer in peers:
+            url = peer.http_address + path
+            reply = Transfer().perform(
+                "GET", url, b"", LOOKUP_TIMEOUT_S, JSON_HEADERS
+            )
+            if isinstance(reply, Reply) and reply.status != 404:
+                return peer
+        return None
+
+    def call(
+        self,
+        method: str,
+        base_url: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> ForwardedReply | None:
+        """Passes a request on.
+
+        Args:
+            method: The HTTP method.
+            base_url: Base URL of the other entry.
+            path: Path and query.
+            body: The request body.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            The reply, or None if the entry gave none.
+        """
+        reply = Transfer().perform(
+            method, base_url + path, body, timeout_s, JSON_HEADERS
+        )
+        if not isinstance(reply, Reply):
+            return None
+        return ForwardedReply(reply.status, reply.body)
+
+    def resubmit(
+        self, claim: Claim, body: bytes, timeout_s: float
+    ) -> ForwardedReply | None:
+        """Passes a submission on to the entry that claimed the job."""
+        return self.call(
+            "POST", claim.http_address, "/v1/jobs", body, timeout_s
+        )
--- /dev/null
+++ b/sardinestair/entry/gossip.py
@@ -0,0 +1,98 @@
+"""Exchanges settings and addresses with the other entries."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from sardinestair.entry.membership_server import MembershipServer
+from sardinestair.membership import Announcer
+from sardinestair.messages import PeerHello, PeerReply
+from sardinestair.settings import SettingsTree
+
+__all__ = ["Gossip"]
+
+INTERVAL_S = 1.0
+
+
+class Gossip:
+    """Talks to each other entry about once a second.
+
+    An entry that the store's watch does not reach, or that starts while the
+    store is down, gets the settings in force from its peers.
+
+    Args:
+        membership: The entry's own membership server.
+        run: Runs a task in a thread of its own.
+        adopt: Takes revision and tree of settings.
+
+    Attributes:
+        announcers: One for each peer, by its endpoint.
+    """
+
+    def __init__(
+        self,
+        membership: MembershipServer,
+        run: Callable[[Callable[[], None]], None],
+        adopt: Callable[[int, SettingsTree], bool],
+    ):
+        self.membership = membership
+        self.run = run
+        self.adopt = adopt
+        self.announcers: dict[str, Announcer[PeerReply]] = {}
+        self.stopping = False
+
+    def start(self) -> None:
+        """Starts to talk to the peers that are known already."""
+        for endpoint in list(self.membership.peers.peers):
+            self._talk_to(endpoint)
+
+    def stop(self) -> None:
+        """Ends all threads."""
+        self.stopping = True
+        for announcer in list(self.announcers.values()):
+            announcer.stop()
+
+    def learn(self, endpoints: list[str]) -> None:
+        """Takes endpoints of entries that others know, or that registered."""
+        membership = self.membership
+        now_s = membership.dispatcher.clock.monotonic()
+        membership.peers.learn(endpoints, now_s)
+        for endpoint in list(membership.peers.peers):
+            if endpoint not in self.announcers:
+                self._talk_to(endpoint)
+        for endpoint in membership.peers.expire(now_s):
+            announcer = self.announcers.pop(endpoint, None)
+            if announcer is not None:
+                announcer.stop()
+
+    def _talk_to(self, endpoint: str) -> None:
+        if self.stopping:
+            return
+        announcer = Announcer(
+            endpoint,
+            self._describe,
+            PeerReply,
+            lambda reply: self._take_reply(endpoint, reply),
+            INTERVAL_S,
+            self.membership.dispatcher.context,
+        )
+        self.announcers[endpoint] = announcer
+        self.run(announcer.run)
+
+    def _describe(self) -> PeerHello:
+        return PeerHello(
+            self.membership.dispatcher.incarnation,
+            self.membership.peers.own_endpoint,
+            self.membership.http_address,
+            self.membership.settings_revision,
+        )
+
+    def _take_reply(self, endpoint: str, reply: PeerReply) -> None:
+        now_s = self.membership.dispatcher.clock.monotonic()
+        self.membership.peers.observe(
+            endpoint, reply.http_address, reply.entry, now_s
+        )
+        if reply.settings:
+            tree = msgspec.json.decode(reply.settings, type=SettingsTree)
+            self.adopt(reply.settings_revision, tree)
+        self.learn(reply.entries)
--- a/sardinestair/entry/main.py
+++ b/sardinestair/entry/main.py
@@ -23,7 +23,12 @@
 
     def make(self, settings: EntrySettings) -> EntryProcess:
         """Returns the entry for checked settings."""
-        return EntryProcess(settings)
+        entry = EntryProcess(settings)
+        if settings.tree_file is not None:
+            loaded = entry.load_tree_file()
+            if loaded.is_error():
+                raise SystemExit(str(loaded.error))
+        return entry
 
 
 def main() -> None:
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -2,14 +2,20 @@
 
 import threading
 from collections.abc import Callable
+from functools import singledispatchmethod
 
 import msgspec
 import zmq
 
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.links.entry_link import EntryLink
-from sardinestair.membership import Roster
-from sardinestair.messages import Announce, AnnounceReply
+from sardinestair.membership import PeerDirectory, Roster
+from sardinestair.messages import (
+    Announce,
+    AnnounceReply,
+    PeerHello,
+    PeerReply,
+)
 from sardinestair.observability import EventLog
 from sardinestair.settings.tree import effective
 from sardinestair.sidecar.policy import SidecarPolicy
@@ -25,7 +31,8 @@
     Args:
         endpoint: ZeroMQ endpoint to listen on.
         dispatcher: The entry's aggregate.
-        roster: Who is known.
+        roster: The sidecars that are known.
+        peers: The entries that are known; its own endpoint is set here.
         start_link: Runs a link in a thread of its own.
         context: The ZeroMQ context.
 
@@ -38,18 +45,22 @@
         endpoint: str,
         dispatcher: Dispatcher,
         roster: Roster,
+        peers: PeerDirectory,
         start_link: Callable[[EntryLink], None],
         context: zmq.Context,
     ):
         self.dispatcher = dispatcher
         self.roster = roster
+        self.peers = peers
+        self.http_address = ""
         self.start_link = start_link
         self.settings_revision = 0
         self.stopping = threading.Event()
         self.socket = context.socket(zmq.ROUTER)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
-        self.decoder = msgspec.msgpack.Decoder(Announce)
+        self.decoder = msgspec.msgpack.Decoder(Announce | PeerHello)
+        self.peers.own_endpoint = self.endpoint.removeprefix("tcp://")
         self.log = EventLog("membership")
 
     def run(self) -> None:
@@ -67,19 +78,42 @@
     def _receive(self) -> None:
         route, data = self.socket.recv_multipart()[:2]
         try:
-            announce = self.decoder.decode(data)
+            message = self.decoder.decode(data)
         except msgspec.DecodeError as error:
             self.log.warning("announce_undecodable", reason=str(error))
             return
+        reply = self._answer(message)
+        self.socket.send_multipart([route, msgspec.msgpack.encode(reply)])
+
+    @singledispatchmethod
+    def _answer(self, message) -> AnnounceReply | PeerReply:
+        raise AssertionError(f"unexpected message {message!r}")
+
+    @_answer.register
+    def _(self, hello: PeerHello) -> PeerReply:
+        now_s = self.dispatcher.clock.monotonic()
+        self.peers.learn([hello.endpoint], now_s)
+        self.peers.observe(
+            hello.endpoint, hello.http_address, hello.entry, now_s
+        )
+        settings = b""
+        if hello.settings_revision < self.settings_revision:
+            settings = msgspec.json.encode(self.dispatcher.tree)
+        return PeerReply(
+            self.dispatcher.incarnation,
+            self.http_address,
+            self.peers.endpoints(),
+            self.settings_revision,
+            settings,
+        )
+
+    @_answer.register
+    def _(self, announce: Announce) -> AnnounceReply:
         now_s = self.dispatcher.clock.monotonic()
         self.roster.observe(announce, now_s)
         link = self.dispatcher.meet(announce)
         if link is not None:
             self.start_link(link)
-        reply = msgspec.msgpack.encode(self._reply(announce))
-        self.socket.send_multipart([route, reply])
-
-    def _reply(self, announce: Announce) -> AnnounceReply:
         settings = b""
         tree = self.dispatcher.tree
         is_behind = announce.settings_revision < self.settings_revision
@@ -89,7 +123,7 @@
             settings = msgspec.json.encode(policy)
         return AnnounceReply(
             self.dispatcher.incarnation,
-            sorted(self.roster.entries),
+            self.peers.endpoints(),
             self.settings_revision,
             settings,
         )
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -2,19 +2,28 @@
 
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import zmq
+from expression import Result
 
 from sardinestair.clock import Clock, SystemClock
+from sardinestair.entry.admin import AdminApi
 from sardinestair.entry.api import CallerApi
 from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.gossip import Gossip
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.links.entry_link import EntryLink
-from sardinestair.membership import Roster
+from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics
-from sardinestair.settings import EntrySettings, SettingsTree
+from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
+from sardinestair.settings.files import SettingsError
+from sardinestair.settings.service import SettingsFollower, SettingsWriter
+from sardinestair.store.claims import ClaimWriter
+from sardinestair.store.etcd import EtcdStore
+from sardinestair.store.registration import EntryRecord, Registration
 from sardinestair.web import HttpServer, WebApp, operations_rules
 
 __all__ = ["EntryProcess"]
@@ -23,6 +32,8 @@
 DRAIN_POLL_S = 0.02
 DRAIN_GRACE_S = 1.0
 MAX_LINKS = 2048
+MAX_PEERS = 64
+PEER_ANSWER_S = 5.0
 
 
 class EntryProcess:
@@ -35,6 +46,7 @@
     Attributes:
         dispatcher: The aggregate that owns all jobs.
         membership: Receives announcements.
+        gossip: Exchanges settings and addresses with other entries.
         http: Serves callers and operators.
     """
 
@@ -46,6 +58,16 @@
         self.context = zmq.Context()
         self.context.set(zmq.MAX_SOCKETS, 4 * MAX_LINKS)
         self.stopping = threading.Event()
+        self.adopting = threading.Lock()
+        self.log = EventLog(
+            "entry",
+            entry=format_incarnation(self.incarnation),
+            zone=settings.zone,
+        )
+        # One thread for each link and each peer, and a few of the entry's.
+        self.threads = ThreadPoolExecutor(MAX_LINKS + MAX_PEERS + 8)
+        self.store = self._make_store()
+        self.claims = self._make_claims()
         self.dispatcher = Dispatcher(
             self.incarnation,
             settings.zone,
@@ -53,58 +75,73 @@
             self.metrics,
             self.context,
             retention_s=settings.retention_s,
+            claims=self.claims,
+            claim_retention_s=settings.claim_retention_s,
         )
-        # One thread for each link, one for membership, one for the timer.
-        self.threads = ThreadPoolExecutor(MAX_LINKS + 8)
         address = settings.address
-        self.roster = Roster()
+        self.peers = PeerDirectory("")
         self.membership = MembershipServer(
             f"tcp://{address.host}:{address.link_port or '*'}",
             self.dispatcher,
-            self.roster,
+            Roster(),
+            self.peers,
             self._start_link,
             self.context,
         )
-        self.log = EventLog(
-            "entry",
-            entry=format_incarnation(self.incarnation),
-            zone=settings.zone,
-        )
-        rules = CallerApi(self.dispatcher).rules()
-        rules += operations_rules(self.metrics, self._readiness)
-        self.app = WebApp(rules, settings.max_body_bytes, self.log)
+        self.gossip = Gossip(self.membership, self._run, self.adopt)
+        self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
             address.host, address.http_port, self.app, settings.http_threads
         )
+        self.followers: list[SettingsFollower | Registration] = []
 
     @property
     def membership_endpoint(self) -> str:
         """Where sidecars announce themselves, as host:port."""
-        return self.membership.endpoint.removeprefix("tcp://")
+        return self.peers.own_endpoint
+
+    @property
+    def http_address(self) -> str:
+        """Base URL of the HTTP API."""
+        return f"http://{self.settings.address.host}:{self.http.port}"
 
     def start(self) -> None:
         """Starts all threads."""
-        self.roster.entries.update(self.settings.peers)
-        self.roster.entries.add(self.membership_endpoint)
-        self.threads.submit(self._guard, self.membership.run)
-        self.threads.submit(self._guard, self._run_timer)
         self.http.start()
+        self.membership.http_address = self.http_address
+        self.peers.add_static(self.settings.peers, self.clock.monotonic())
+        self._run(self.membership.run)
+        self._run(self._run_timer)
+        self.gossip.start()
+        if self.store is not None and self.claims is not None:
+            self._run(self.claims.run)
+            self._follow_store(self.store)
         self.log.info(
             "entry_started",
             http_port=self.http.port,
             membership=self.membership_endpoint,
         )
 
+    def load_tree_file(self) -> Result[None, SettingsError]:
+        """Adopts the settings tree of `tree_file`, as revision 1."""
+        file = self.settings.tree_file or ""
+        with open(file, encoding="utf-8") as stream:
+            parsed = parse_tree(stream.read(), file)
+        return parsed.map(lambda tree: self.adopt(1, tree)).map(
+            lambda _adopted: None
+        )
+
     def adopt(self, revision: int, tree: SettingsTree) -> bool:
         """Puts a settings tree of a higher revision into force.
 
         Returns:
             False if the revision is not above that in force.
         """
-        if revision <= self.membership.settings_revision:
-            return False
-        self.dispatcher.configure(tree)
-        self.membership.settings_revision = revision
+        with self.adopting:
+            if revision <= self.membership.settings_revision:
+                return False
+            self.dispatcher.configure(tree)
+            self.membership.settings_revision = revision
         self.log.info("settings_adopted", revision=revision)
         return True
 
@@ -130,12 +167,60 @@
         self.log.info("entry_stopped", unanswered=unanswered)
         return unanswered == 0
 
+    def _make_store(self) -> EtcdStore | None:
+        store = self.settings.store
+        if store is None:
+            return None
+        return EtcdStore(store.endpoints, store.prefix, store.timeout_s)
+
+    def _make_claims(self) -> ClaimWriter | None:
+        if self.store is None:
+            return None
+        return ClaimWriter(
+            self.store,
+            self.incarnation,
+            lambda: self.http_address,
+            self.clock,
+            self.metrics,
+            self.settings.claim_wait_s,
+        )
+
+    def _rules(self):
+        writer = SettingsWriter(self.store, self.clock) if self.store else None
+        admin = AdminApi(
+            self.dispatcher, writer, lambda: self.membership.settings_revision
+        )
+        rules = CallerApi(self.dispatcher, self._answering_peers).rules()
+        rules += admin.rules()
+        return rules + operations_rules(self.metrics, self._readiness)
+
+    def _follow_store(self, store: EtcdStore) -> None:
+        follower = SettingsFollower(store, self.adopt)
+        record = EntryRecord(
+            self.incarnation.hex(), self.membership_endpoint, self.http_address
+        )
+        registration = Registration(store, record, self._learn_entries)
+        self.followers = [follower, registration]
+        self._run(follower.run)
+        self._run(registration.run)
+
+    def _learn_entries(self, records: list[EntryRecord]) -> None:
+        self.gossip.learn([record.endpoint for record in records])
+
+    def _answering_peers(self):
+        return self.peers.answering(self.clock.monotonic(), PEER_ANSWER_S)
+
     def _is_busy(self) -> bool:
         return self.dispatcher.active_jobs() > 0 or self.app.active > 0
 
     def _stop_threads(self) -> None:
         self.stopping.set()
         self.membership.stop()
+        self.gossip.stop()
+        for follower in self.followers:
+            follower.stop()
+        if self.claims is not None:
+            self.claims.stop()
         with self.dispatcher.lock:
             for link in self.dispatcher.links.values():
                 link.close()
@@ -143,19 +228,22 @@
         self.context.term()
 
     def _start_link(self, link: EntryLink) -> None:
-        self.threads.submit(self._guard, link.run)
+        self._run(link.run)
 
-    def _run_timer(self) -> None:
-        while not self.stopping.wait(TIMER_S):
-            self.dispatcher.expire()
+    def _run(self, task: Callable[[], None]) -> None:
+        self.threads.submit(self._guard, task)
 
-    def _guard(self, task) -> None:
+    def _guard(self, task: Callable[[], None]) -> None:
         try:
             task()
         except Exception:
             self.log.logger.exception("task_broken")
             raise
 
+    def _run_timer(self) -> None:
+        while not self.stopping.wait(TIMER_S):
+            self.dispatcher.expire()
+
     def _readiness(self) -> tuple[bool, str]:
         if self.dispatcher.is_draining:
             return False, "the entry is stopping"
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -12,6 +12,7 @@
 from sardinestair.jobs.work import WorkEstimate
 from sardinestair.messages import TaskRef
 from sardinestair.outcomes import Problem
+from sardinestair.store.claims import Claim
 
 __all__ = ["Answer", "Job", "JobState", "TaskAnswer"]
 
@@ -66,6 +67,9 @@
         state: State of the job.
         done: Resolves with the answer.
         key_s: Order key; smaller goes first.
+        claim: The claim of an unrepeatable job, the own one or the one in
+            the way.
+        claimed: Resolves with True if the job may start.
 
     Examples:
         >>> job = Job(
@@ -111,6 +115,8 @@
         self.done: Future[Answer] = Future()
         self.ended_s = 0.0
         self.key_s = 0.0
+        self.claim: Claim | None = None
+        self.claimed: Future[bool] = Future()
 
     @property
     def is_active(self) -> bool:
@@ -170,6 +176,14 @@
         """True if no task has run, and none is in flight."""
         return not (self.may_have_run or self.in_flight)
 
+    @property
+    def ended_not_run(self) -> bool:
+        """True if the job failed and none of its tasks has run."""
+        if self.state is not JobState.FAILED:
+            return False
+        answer = self.done.result()
+        return answer.is_error() and answer.error.not_run
+
     def _end(self, state: JobState, answer: Answer) -> None:
         if not self.is_active:
             return
--- a/sardinestair/jobs/registry.py
+++ b/sardinestair/jobs/registry.py
@@ -45,8 +45,9 @@
         return self.jobs.get(job_id)
 
     def remove(self, job_id: JobId) -> None:
-        """Forgets a job that never became active."""
+        """Forgets a job."""
         self.jobs.pop(job_id, None)
+        self.ended_bytes -= self.ended.pop(job_id, 0)
 
     def end(self, job: Job, now_s: float) -> None:
         """Takes note that a job has ended."""
--- a/sardinestair/membership/__init__.py
+++ b/sardinestair/membership/__init__.py
@@ -1,5 +1,7 @@
 """Membership: which entries and sidecars there are."""
 
+from sardinestair.membership.announcer import Announcer
+from sardinestair.membership.peers import Peer, PeerDirectory
 from sardinestair.membership.roster import Roster
 
-__all__ = ["Roster"]
+__all__ = ["Announcer", "Peer", "PeerDirectory", "Roster"]
--- a/sardinestair/sidecar/announcer.py
+++ b/sardinestair/membership/announcer.py
@@ -1,25 +1,29 @@
-"""Tells one entry about the sidecar, at intervals and on changes."""
+"""Tells one entry about the own process, at intervals and on changes."""
 
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import msgspec
 import zmq
 
 from sardinestair.links.wakeup import Wakeup, has_message
-from sardinestair.messages import Announce, AnnounceReply
+from sardinestair.messages import Announce, PeerHello
 from sardinestair.observability import EventLog
 
 __all__ = ["Announcer"]
 
 MAX_MISSED = 3
 
+R = TypeVar("R")
 
-class Announcer:
-    """Announces the sidecar to one entry.
+
+class Announcer(Generic[R]):
+    """Announces a sidecar, or another entry, to one entry.
 
     Args:
         entry: Membership endpoint of the entry, host:port.
-        describe: Returns the sidecar's present description.
+        describe: Returns the present description.
+        reply_type: Type of the entry's reply.
         on_reply: Takes the entry's reply.
         interval_s: Time between announcements, in seconds.
         context: The ZeroMQ context.
@@ -28,8 +32,9 @@
     def __init__(
         self,
         entry: str,
-        describe: Callable[[], Announce],
-        on_reply: Callable[[AnnounceReply], None],
+        describe: Callable[[], Announce | PeerHello],
+        reply_type: type[R],
+        on_reply: Callable[[R], None],
         interval_s: float,
         context: zmq.Context,
     ):
@@ -40,7 +45,7 @@
         self.context = context
         self.stopping = False
         self.wakeup = Wakeup()
-        self.decoder = msgspec.msgpack.Decoder(AnnounceReply)
+        self.decoder = msgspec.msgpack.Decoder(reply_type)
         self.log = EventLog("announcer", entry_endpoint=entry)
 
     def notify(self) -> None:
--- /dev/null
+++ b/sardinestair/membership/peers.py
@@ -0,0 +1,109 @@
+"""The entries that a process knows."""
+
+import msgspec
+
+from sardinestair.ids import Incarnation
+
+__all__ = ["Peer", "PeerDirectory"]
+
+
+class Peer(msgspec.Struct):
+    """An entry as another process knows it.
+
+    Attributes:
+        endpoint: Its membership endpoint, host:port.
+        is_static: True if settings name it; it is never forgotten.
+        heard_s: Last evidence that it lives, on the own clock.
+        http_address: Base URL of its HTTP API, empty until it has answered.
+        incarnation: Its incarnation, empty until it has answered.
+    """
+
+    endpoint: str
+    is_static: bool
+    heard_s: float
+    http_address: str = ""
+    incarnation: Incarnation = Incarnation(b"")
+
+
+class PeerDirectory:
+    """Entries by their membership endpoint.
+
+    An entry is forgotten only if for a long time it neither answers nor is
+    registered in the store, so that an outage of the store or a lapsed lease
+    takes nobody out by itself.
+
+    Args:
+        own_endpoint: The process's own endpoint, never listed as a peer.
+        forget_after_s: How long an entry may be without a sign of life.
+
+    Examples:
+        >>> peers = PeerDirectory("127.0.0.1:1", forget_after_s=30.0)
+        >>> peers.learn(["127.0.0.1:1", "127.0.0.1:2"], now_s=0.0)
+        ['127.0.0.1:2']
+        >>> peers.expire(now_s=31.0)
+        ['127.0.0.1:2']
+    """
+
+    def __init__(self, own_endpoint: str, forget_after_s: float = 30.0):
+        self.own_endpoint = own_endpoint
+        self.forget_after_s = forget_after_s
+        self.peers: dict[str, Peer] = {}
+
+    def add_static(self, endpoints: list[str], now_s: float) -> None:
+        """Adds the entries that settings name."""
+        for endpoint in endpoints:
+            if endpoint != self.own_endpoint:
+                self.peers[endpoint] = Peer(endpoint, True, now_s)
+
+    def learn(self, endpoints: list[str], now_s: float) -> list[str]:
+        """Adds entries that others know.
+
+        Returns:
+            The endpoints that are new.
+        """
+        known = {self.own_endpoint, *self.peers}
+        new = [e for e in dict.fromkeys(endpoints) if e not in known]
+        for endpoint in new:
+            self.peers[endpoint] = Peer(endpoint, False, now_s)
+        return new
+
+    def observe(
+        self,
+        endpoint: str,
+        http_address: str,
+        incarnation: Incarnation,
+        now_s: float,
+    ) -> None:
+        """Takes an answer, or the registration, of an entry."""
+        peer = self.peers.get(endpoint)
+        if peer is not None:
+            peer.heard_s = now_s
+            peer.http_address = http_address
+            peer.incarnation = incarnation
+
+    def expire(self, now_s: float) -> list[str]:
+        """Forgets entries without a sign of life.
+
+        Returns:
+            Their endpoints.
+        """
+        gone = [
+            peer.endpoint
+            for peer in self.peers.values()
+            if not peer.is_static and now_s - peer.heard_s > self.forget_after_s
+        ]
+        for endpoint in gone:
+            del self.peers[endpoint]
+        return gone
+
+    def endpoints(self) -> list[str]:
+        """Returns all endpoints, the own one included."""
+        return sorted({self.own_endpoint, *self.peers})
+
+    def answering(self, now_s: float, within_s: float) -> list[Peer]:
+        """Returns the entries that have answered lately."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.http_address and now_s - peer.heard_s <= within_s
+        ]
--- a/sardinestair/membership/roster.py
+++ b/sardinestair/membership/roster.py
@@ -1,4 +1,4 @@
-"""Who an entry knows, and for how long."""
+"""Which sidecars an entry knows, and for how long."""
 
 from sardinestair.ids import Incarnation
 from sardinestair.messages import Announce
@@ -7,13 +7,12 @@
 
 
 class Roster:
-    """Sidecars by their announcements, and entries by their endpoints.
+    """The sidecars that announce themselves to an entry.
 
     Args:
         ttl_s: How long an announcement holds, in seconds.
 
     Attributes:
-        entries: Membership endpoints of entries, host:port.
         sidecars: The last announcement of each sidecar.
         heard_s: When it arrived.
 
@@ -32,7 +31,6 @@
 
     def __init__(self, ttl_s: float = 3.0):
         self.ttl_s = ttl_s
-        self.entries: set[str] = set()
         self.sidecars: dict[Incarnation, Announce] = {}
         self.heard_s: dict[Incarnation, float] = {}
 
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -24,6 +24,8 @@
     "Grant",
     "Leaving",
     "Outcome",
+    "PeerHello",
+    "PeerReply",
     "Recall",
     "Resume",
     "Resumed",
@@ -206,7 +208,7 @@
     messages: list[SidecarMessage]
 
 
-class Announce(msgspec.Struct, array_like=True):
+class Announce(msgspec.Struct, array_like=True, tag="N"):
     """A sidecar tells an entry about itself and its upstream.
 
     Attributes:
@@ -228,6 +230,40 @@
     settings_revision: int
 
 
+class PeerHello(msgspec.Struct, array_like=True, tag="P"):
+    """An entry tells another entry about itself.
+
+    Attributes:
+        entry: The entry's incarnation.
+        endpoint: Its membership endpoint, host:port.
+        http_address: Base URL of its HTTP API.
+        settings_revision: Revision of the settings tree in force.
+    """
+
+    entry: Incarnation
+    endpoint: str
+    http_address: str
+    settings_revision: int
+
+
+class PeerReply(msgspec.Struct, array_like=True):
+    """An entry answers another entry.
+
+    Attributes:
+        entry: The answering entry's incarnation.
+        http_address: Base URL of its HTTP API.
+        entries: Membership endpoints of all entries that it knows.
+        settings_revision: Revision of the settings tree in force.
+        settings: The tree as JSON, or empty if the asker has this revision.
+    """
+
+    entry: Incarnation
+    http_address: str
+    entries: list[str]
+    settings_revision: int
+    settings: bytes
+
+
 class AnnounceReply(msgspec.Struct, array_like=True):
     """An entry answers an announcement.
 
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -115,8 +115,10 @@
 
     def discard(self, job: Job) -> None:
         """Removes all waiting tasks of a job in one step."""
-        if job.waiting:
-            self.jobs.remove(job)
+        if job not in self.jobs:
+            job.waiting.clear()
+            return
+        self.jobs.remove(job)
         self._count(job, job.waiting, -1)
         job.waiting.clear()
 
--- /dev/null
+++ b/sardinestair/settings/edit.py
@@ -0,0 +1,135 @@
+"""Edits nodes of the settings tree, and shows differences between trees."""
+
+import difflib
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.settings.tree import (
+    ROOT,
+    KindNode,
+    Overrides,
+    ServiceNode,
+    SettingsTree,
+    ZoneNode,
+)
+
+__all__ = ["difference", "edit_node", "flatten"]
+
+MAX_DEPTH = 4
+
+
+def flatten(tree: SettingsTree) -> dict[str, Any]:
+    """Returns each stated value by its path.
+
+    Examples:
+        >>> flatten(SettingsTree(set=Overrides(read_ahead=1)))
+        {'root:read_ahead': 1}
+    """
+    flat = _stated(ROOT, tree.set)
+    for service, node in tree.services.items():
+        path = f"{ROOT}/{service}"
+        flat[path] = "present"
+        flat.update(_stated(path, node.set))
+        for zone, zone_node in node.zones.items():
+            flat.update(_stated(f"{path}/{zone}", zone_node.set))
+            for kind, kind_node in zone_node.kinds.items():
+                flat.update(_stated(f"{path}/{zone}/{kind}", kind_node.set))
+    return flat
+
+
+def difference(old: SettingsTree, new: SettingsTree) -> list[str]:
+    """Returns the difference of two trees, a line for each value.
+
+    Examples:
+        >>> difference(
+        ...     SettingsTree(), SettingsTree(set=Overrides(read_ahead=1))
+        ... )
+        ['+ root:read_ahead = 1']
+    """
+    before, after = flatten(old), flatten(new)
+    lines = []
+    for path in sorted({*before, *after}):
+        if path not in after:
+            lines.append(f"- {path} = {before[path]}")
+        elif path not in before:
+            lines.append(f"+ {path} = {after[path]}")
+        elif before[path] != after[path]:
+            lines.append(f"~ {path} = {before[path]} -> {after[path]}")
+    return lines
+
+
+def edit_node(
+    tree: SettingsTree, path: str, values: dict[str, Any], unset: list[str]
+) -> Result[SettingsTree, Problem]:
+    """Returns a copy of the tree with one node changed.
+
+    Args:
+        tree: The tree.
+        path: The node, such as `root/quotes/leinster`; created if absent.
+        values: Values to state.
+        unset: Names that the node should inherit again.
+
+    Returns:
+        The changed copy, or what is wrong with the change.
+
+    Examples:
+        >>> changed = edit_node(
+        ...     SettingsTree(), "root/quotes", {"read_ahead": 1}, []
+        ... )
+        >>> changed.ok.services["quotes"].set.read_ahead
+        1
+    """
+    parts = path.strip("/").split("/")
+    if parts[0] != ROOT or len(parts) > MAX_DEPTH or "" in parts:
+        rule = "path must be root[/service[/zone[/kind]]]"
+        return Error(_invalid(f"{rule}, got {path!r}", "path"))
+    copy = msgspec.json.decode(msgspec.json.encode(tree), type=SettingsTree)
+    node = _find_or_create(copy, parts[1:])
+    return _merge(node.set, values, unset).map(
+        lambda overrides: _with_set(copy, node, overrides)
+    )
+
+
+def _with_set(tree: SettingsTree, node: Any, overrides: Overrides):
+    node.set = overrides
+    return tree
+
+
+def _find_or_create(tree: SettingsTree, parts: list[str]) -> Any:
+    node: Any = tree
+    levels = [("services", ServiceNode), ("zones", ZoneNode)]
+    levels.append(("kinds", KindNode))
+    for name, (field, kind) in zip(parts, levels, strict=False):
+        node = getattr(node, field).setdefault(name, kind())
+    return node
+
+
+def _merge(
+    overrides: Overrides, values: dict[str, Any], unset: list[str]
+) -> Result[Overrides, Problem]:
+    merged = msgspec.to_builtins(overrides)
+    merged.update(values)
+    names = Overrides.__struct_fields__
+    for name in [*values, *unset]:
+        if name not in names:
+            close = difflib.get_close_matches(name, names, n=1)
+            hint = f", did you mean {close[0]}?" if close else ""
+            return Error(_invalid(f"unknown setting {name}{hint}", name))
+    for name in unset:
+        merged.pop(name, None)
+    try:
+        return Ok(msgspec.convert(merged, Overrides))
+    except msgspec.ValidationError as error:
+        return Error(_invalid(str(error), None))
+
+
+def _stated(path: str, overrides: Overrides) -> dict[str, Any]:
+    stated = msgspec.to_builtins(overrides)
+    return {f"{path}:{name}": value for name, value in stated.items()}
+
+
+def _invalid(rule: str, field: str | None) -> Problem:
+    return Problem(ProblemKind.INVALID, rule, not_run=True, field=field)
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -64,6 +64,10 @@
         http_threads: Requests that are served at a time.
         max_body_bytes: Bound on a request's body.
         retention_s: How long ended jobs are kept, in seconds.
+        claim_wait_s: Longest wait for the store before an unrepeatable job
+            is refused, in seconds.
+        claim_retention_s: Age at which an unrepeatable job's id is refused
+            and its claim may be deleted, in seconds.
         drain_timeout_s: Longest graceful stop, in seconds.
         log_level: Lowest level of events that are written.
     """
@@ -76,6 +80,8 @@
     http_threads: Annotated[int, Meta(ge=2, le=1024)] = 128
     max_body_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 8 << 20
     retention_s: Seconds = 300.0
+    claim_wait_s: Annotated[float, Meta(gt=0, le=30)] = 2.0
+    claim_retention_s: Annotated[float, Meta(ge=60, le=864000)] = 86400.0
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
 
--- /dev/null
+++ b/sardinestair/settings/service.py
@@ -0,0 +1,262 @@
+"""Changes the settings tree in the store, and follows its changes."""
+
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sardinestair.clock import Clock
+from sardinestair.observability import EventLog
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.settings.edit import difference, edit_node
+from sardinestair.settings.records import (
+    PREFIX,
+    Change,
+    VersionedTree,
+    read_tree,
+    swaps_between,
+)
+from sardinestair.settings.tree import SettingsTree, check_tree
+from sardinestair.store.port import Store, StoreError, Swap
+
+__all__ = ["Applied", "SettingsFollower", "SettingsWriter"]
+
+WATCH_S = 60.0
+RETRY_S = 0.5
+SETTLE_LIMIT_S = 5.0
+SETTLE_PAUSE_S = 0.1
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """An accepted change.
+
+    Attributes:
+        revision: Revision of the tree with the change.
+        difference: What changed, a line for each value.
+    """
+
+    revision: int
+    difference: list[str]
+
+
+class SettingsWriter:
+    """Applies operators' changes by compare-and-swap.
+
+    Args:
+        store: The platform's service.
+        clock: The clock.
+    """
+
+    def __init__(self, store: Store, clock: Clock):
+        self.store = store
+        self.clock = clock
+
+    def read(self) -> Result[VersionedTree, Problem]:
+        """Reads the tree from the store."""
+        found = self.store.read(PREFIX)
+        return found.map(read_tree).map_error(_unavailable)
+
+    def apply(
+        self, wanted: SettingsTree, seen: int | None, author: str
+    ) -> Result[Applied, Problem]:
+        """Replaces the tree.
+
+        Args:
+            wanted: The new tree.
+            seen: Revision that the operator saw, or None for any.
+            author: Who makes the change.
+
+        Returns:
+            What changed, or the problem. After a race lost to another
+            operator nothing is changed, and the problem shows the difference.
+        """
+        return self.read().bind(
+            lambda current: self._write(current, wanted, seen, author)
+        )
+
+    def edit(
+        self,
+        path: str,
+        values: dict[str, Any],
+        unset: list[str],
+        seen: int | None,
+        author: str,
+    ) -> Result[Applied, Problem]:
+        """Changes values of one node.
+
+        Args:
+            path: The node, such as `root/quotes/leinster`.
+            values: Values to state.
+            unset: Names that the node should inherit again.
+            seen: Revision that the operator saw, or None for any.
+            author: Who makes the change.
+
+        Returns:
+            What changed, or the problem.
+        """
+        return self.read().bind(
+            lambda current: edit_node(current.tree, path, values, unset).bind(
+                lambda wanted: self._write(current, wanted, seen, author)
+            )
+        )
+
+    def _write(
+        self,
+        current: VersionedTree,
+        wanted: SettingsTree,
+        seen: int | None,
+        author: str,
+    ) -> Result[Applied, Problem]:
+        checked = check_tree(wanted)
+        if checked.is_error():
+            return Error(_invalid(str(checked.error)))
+        lines = difference(current.tree, wanted)
+        if seen is not None and seen != current.revision:
+            return Error(_conflict(current.revision, seen, lines))
+        change = Change(uuid.uuid4().hex, author, self.clock.now(), lines)
+        swaps = swaps_between(current, wanted, change)
+        if not swaps:
+            return Ok(Applied(current.revision, []))
+        return self._commit(current, wanted, swaps, change)
+
+    def _commit(
+        self,
+        current: VersionedTree,
+        wanted: SettingsTree,
+        swaps: list[Swap],
+        change: Change,
+    ) -> Result[Applied, Problem]:
+        limit_s = self.clock.monotonic() + SETTLE_LIMIT_S
+        while True:
+            answer = self.store.commit(swaps)
+            if answer.is_ok():
+                break
+            if self.clock.monotonic() > limit_s:
+                return Error(_unsettled(answer.error))
+            # The same swap again: it can take effect only once, and its
+            # change id tells whether an earlier try did.
+            time.sleep(SETTLE_PAUSE_S)
+        if answer.ok.succeeded:
+            return Ok(Applied(answer.ok.revision, change.difference))
+        return self._after_refusal(current, wanted, change)
+
+    def _after_refusal(
+        self, current: VersionedTree, wanted: SettingsTree, change: Change
+    ) -> Result[Applied, Problem]:
+        found = self.read()
+        if found.is_error():
+            return Error(found.error)
+        latest = found.ok
+        known = {
+            c.change_id for r in latest.records.values() for c in r.changes
+        }
+        if change.change_id in known:
+            return Ok(Applied(latest.revision, change.difference))
+        lines = difference(latest.tree, wanted)
+        return Error(_conflict(latest.revision, current.revision, lines))
+
+
+class SettingsFollower:
+    """Follows the tree in the store, and hands on each newer one.
+
+    Args:
+        store: The platform's service.
+        on_tree: Takes revision and tree; older ones are its to refuse.
+
+    Attributes:
+        is_current: True while the watch stands.
+    """
+
+    def __init__(
+        self, store: Store, on_tree: Callable[[int, SettingsTree], Any]
+    ):
+        self.store = store
+        self.on_tree = on_tree
+        self.is_current = False
+        self.stopping = threading.Event()
+        self.log = EventLog("settings")
+
+    def run(self) -> None:
+        """Follows until `stop`."""
+        while not self.stopping.is_set():
+            found = self.refresh()
+            if found.is_error():
+                self.is_current = False
+                self.stopping.wait(RETRY_S)
+                continue
+            self._watch(found.ok + 1)
+
+    def stop(self) -> None:
+        """Ends the follower's thread within about a second."""
+        self.stopping.set()
+
+    def refresh(self) -> Result[int, StoreError]:
+        """Reads the tree, and hands it on.
+
+        Returns:
+            The store's revision.
+        """
+        found = self.store.read(PREFIX)
+        if found.is_error():
+            return Error(found.error)
+        versioned = read_tree(found.ok)
+        if versioned.records:
+            self.on_tree(versioned.revision, versioned.tree)
+        return Ok(found.ok.revision)
+
+    def _watch(self, from_revision: int) -> None:
+        def on_change(revision: int) -> bool:
+            self.is_current = True
+            if revision:
+                self.refresh_in_watch()
+            return not self.stopping.is_set()
+
+        ended = self.store.watch(
+            PREFIX, from_revision, on_change, WATCH_S, self.stopping.is_set
+        )
+        if ended.is_error() and not self.stopping.is_set():
+            self.is_current = False
+            self.log.warning("watch_ended", reason=ended.error.reason)
+
+    def refresh_in_watch(self) -> None:
+        """Reads the tree on a connection apart from that of the watch."""
+        reader = threading.Thread(target=self.refresh, daemon=True)
+        reader.start()
+        reader.join()
+
+
+def _unavailable(error: StoreError) -> Problem:
+    return Problem(
+        ProblemKind.UNAVAILABLE,
+        f"the store gave no answer: {error.reason}",
+        not_run=True,
+        retry_after_s=1.0,
+    )
+
+
+def _unsettled(error: StoreError) -> Problem:
+    return Problem(
+        ProblemKind.UNAVAILABLE,
+        f"the store gave no answer, so the change may take effect or not; "
+        f"read the settings before repeating it: {error.reason}",
+        not_run=False,
+        retry_after_s=1.0,
+    )
+
+
+def _invalid(rule: str) -> Problem:
+    return Problem(ProblemKind.INVALID, rule, not_run=True)
+
+
+def _conflict(latest: int, seen: int, lines: list[str]) -> Problem:
+    shown = "; ".join(lines) or "none"
+    return Problem(
+        ProblemKind.CONFLICT,
+        f"the settings are at revision {latest}, not at {seen}; nothing was "
+        f"changed. Your change against the present settings: {shown}",
+        not_run=True,
+    )
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -21,6 +21,7 @@
     "Overrides",
     "ServiceSettings",
     "SettingsTree",
+    "check_tree",
     "effective",
     "explain",
     "parse_tree",
@@ -157,7 +158,7 @@
     parsed = parse_yaml(text, SettingsTree, file)
     if parsed.is_error():
         return parsed
-    return _check_whole(parsed.ok, file)
+    return check_tree(parsed.ok, file)
 
 
 def effective(
@@ -200,6 +201,32 @@
     ]
 
 
+def check_tree(
+    tree: SettingsTree, file: str = "<tree>"
+) -> Result[SettingsTree, SettingsError]:
+    """Checks the rules that concern more than one value.
+
+    Args:
+        tree: A tree whose values are each in their range.
+        file: Name for error messages.
+
+    Returns:
+        The tree, or the rule that it breaks.
+    """
+    for service, node in tree.services.items():
+        for zone in dict.fromkeys((ANY, *node.zones)):
+            settings = effective(tree, service, zone)
+            if settings.deadline_s > settings.max_deadline_s:
+                rule = (
+                    f"deadline_s must be <= max_deadline_s "
+                    f"({settings.max_deadline_s} s), got "
+                    f"{settings.deadline_s} s"
+                )
+                path = f".services.{service}"
+                return Error(SettingsError(file, 1, path, rule))
+    return Ok(tree)
+
+
 def _chain(
     tree: SettingsTree, service: str, zone: str, kind: str
 ) -> Iterator[tuple[str, Overrides]]:
@@ -223,21 +250,3 @@
 def _stated(overrides: Overrides) -> dict[str, Any]:
     values = {n: getattr(overrides, n) for n in overrides.__struct_fields__}
     return {n: v for n, v in values.items() if v is not UNSET}
-
-
-def _check_whole(
-    tree: SettingsTree, file: str
-) -> Result[SettingsTree, SettingsError]:
-    """Checks the rules that concern more than one value."""
-    for service, node in tree.services.items():
-        for zone in dict.fromkeys((ANY, *node.zones)):
-            settings = effective(tree, service, zone)
-            if settings.deadline_s > settings.max_deadline_s:
-                rule = (
-                    f"deadline_s must be <= max_deadline_s "
-                    f"({settings.max_deadline_s} s), got "
-                    f"{settings.deadline_s} s"
-                )
-                path = f".services.{service}"
-                return Error(SettingsError(file, 1, path, rule))
-    return Ok(tree)
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -9,10 +9,10 @@
 
 from sardinestair.clock import Clock, SystemClock
 from sardinestair.ids import format_incarnation, new_incarnation
+from sardinestair.membership import Announcer
 from sardinestair.messages import AnnounceReply
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.settings import SidecarSettings
-from sardinestair.sidecar.announcer import Announcer
 from sardinestair.sidecar.api import UpstreamApi
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.sidecar.policy import SidecarPolicy
@@ -126,6 +126,7 @@
                 announcer = Announcer(
                     entry,
                     self.server.description,
+                    AnnounceReply,
                     self._take_reply,
                     self.settings.announce_interval_s,
                     self.context,
--- /dev/null
+++ b/sardinestair/store/claims.py
@@ -0,0 +1,228 @@
+"""Claims: an unrepeatable job is claimed in the store before it starts.
+
+A claim is a key that is created once. Claims that wait are written in one
+group, as transactional snapshot writes are committed in groups (see
+docs/DESIGN.md), and filed by the minute inside the job's id, so that old ones
+can be deleted together.
+"""
+
+import enum
+import os
+import threading
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+import msgspec
+
+from sardinestair.clock import Clock
+from sardinestair.ids import Incarnation, JobId, job_id_time_s
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.store.port import (
+    ABSENT,
+    Commit,
+    Store,
+    StoreError,
+    StoreErrorKind,
+    Swap,
+)
+
+__all__ = ["Claim", "ClaimVerdict", "ClaimWriter", "claim_key"]
+
+SECONDS_PER_MINUTE = 60
+MAX_GROUP = 100
+RETRY_PAUSE_S = 0.05
+NONCE_BYTES = 8
+MAX_VOUCHED = 20_000
+PREFIX = "claims/"
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """The value of a claim.
+
+    Attributes:
+        entry: Incarnation of the claimant, in hexadecimal.
+        nonce: Random number of this try, in hexadecimal.
+        http_address: Base URL of the claimant's HTTP API.
+    """
+
+    entry: str
+    nonce: str
+    http_address: str
+
+
+class ClaimVerdict(enum.Enum):
+    """How a claim ended."""
+
+    OWNED = "owned"
+    HELD = "held"
+    UNAVAILABLE = "unavailable"
+
+
+Callback = Callable[[ClaimVerdict, Claim | None], None]
+
+
+class PendingClaim(msgspec.Struct):
+    """A claim that waits to be written.
+
+    Attributes:
+        job_id: The job.
+        claim: What is written.
+        give_up_s: When to give up, on the entry's clock.
+        callback: Told the verdict.
+        in_doubt: True once a write may have taken effect.
+    """
+
+    job_id: JobId
+    claim: Claim
+    give_up_s: float
+    callback: Callback
+    in_doubt: bool = False
+
+
+def claim_key(job_id: JobId) -> str:
+    """Returns the key of a job's claim.
+
+    Examples:
+        >>> claim_key(JobId(bytes(16)))
+        'claims/0000000000/00000000000000000000000000000000'
+    """
+    minute = int(job_id_time_s(job_id)) // SECONDS_PER_MINUTE
+    return f"{PREFIX}{minute:010d}/{job_id.hex()}"
+
+
+class ClaimWriter:
+    """Writes claims in groups, and settles lost answers by writing again.
+
+    A write that is repeated carries the same nonce, so that a claim whose
+    answer was lost is recognised as one's own. If the writer gives up on such
+    a claim, the job is refused as not run, though the claim may stand or
+    still land. The writer remembers the nonce and vouches for the job: as
+    long as it lives, a resubmission takes the same claim.
+
+    Args:
+        store: The platform's service.
+        entry: The entry's incarnation.
+        http_address: Returns the base URL of the entry's HTTP API.
+        clock: The clock.
+        metrics: The process's metrics.
+        wait_s: Longest wait for the store, in seconds.
+        max_group: Claims of one write at most.
+
+    Attributes:
+        vouched: Claims in doubt whose job did not run, by job.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        entry: Incarnation,
+        http_address: Callable[[], str],
+        clock: Clock,
+        metrics: Metrics,
+        wait_s: float = 2.0,
+        max_group: int = MAX_GROUP,
+    ):
+        self.store = store
+        self.entry = entry
+        self.http_address = http_address
+        self.clock = clock
+        self.metrics = metrics
+        self.wait_s = wait_s
+        self.max_group = max_group
+        self.pending: deque[PendingClaim] = deque()
+        self.vouched: OrderedDict[JobId, Claim] = OrderedDict()
+        self.changed = threading.Condition()
+        self.stopping = False
+        self.log = EventLog("claims")
+
+    def submit(self, job_id: JobId, callback: Callback) -> None:
+        """Asks for a claim; the callback runs in the writer's thread."""
+        with self.changed:
+            claim = self.vouched.pop(job_id, None) or self._new_claim()
+            give_up_s = self.clock.monotonic() + self.wait_s
+            self.pending.append(
+                PendingClaim(job_id, claim, give_up_s, callback)
+            )
+            self.changed.notify()
+
+    def vouch(self, job_id: JobId, claim: Claim) -> None:
+        """Remembers that a claimed job has not run and never will as it is."""
+        with self.changed:
+            self.vouched[job_id] = claim
+            while len(self.vouched) > MAX_VOUCHED:
+                self.vouched.popitem(last=False)
+
+    def run(self) -> None:
+        """Writes claims until `stop`."""
+        while not self.stopping:
+            with self.changed:
+                while not self.pending and not self.stopping:
+                    self.changed.wait()
+                count = min(len(self.pending), self.max_group)
+                group = [self.pending.popleft() for _ in range(count)]
+            if group:
+                self.write(group)
+
+    def stop(self) -> None:
+        """Ends the writer's thread."""
+        with self.changed:
+            self.stopping = True
+            self.changed.notify_all()
+
+    def write(self, group: list[PendingClaim]) -> None:
+        """Writes one group of claims, and tells their verdicts.
+
+        Claims without a verdict yet are put back.
+        """
+        swaps = [
+            Swap(claim_key(p.job_id), msgspec.json.encode(p.claim), ABSENT)
+            for p in group
+        ]
+        answer = self.store.commit(swaps)
+        self.metrics.count("claim_writes_total", {})
+        if answer.is_error():
+            self._retry(group, answer.error)
+            return
+        self._settle(group, answer.ok)
+
+    def _settle(self, group: list[PendingClaim], commit: Commit) -> None:
+        held = {
+            item.key: msgspec.json.decode(item.value, type=Claim)
+            for item in commit.current
+        }
+        waiting = []
+        for pending in group:
+            claim = held.get(claim_key(pending.job_id))
+            if commit.succeeded or claim == pending.claim:
+                pending.callback(ClaimVerdict.OWNED, pending.claim)
+            elif claim is not None:
+                pending.callback(ClaimVerdict.HELD, claim)
+            else:
+                # Another claim of the group was held; this one was not tried.
+                waiting.append(pending)
+        self._put_back(waiting)
+
+    def _retry(self, group: list[PendingClaim], error: StoreError) -> None:
+        now_s = self.clock.monotonic()
+        self.log.warning("claims_unanswered", reason=error.reason)
+        waiting = []
+        for pending in group:
+            pending.in_doubt |= error.kind is StoreErrorKind.UNKNOWN
+            if now_s < pending.give_up_s:
+                waiting.append(pending)
+                continue
+            if pending.in_doubt:
+                self.vouch(pending.job_id, pending.claim)
+            pending.callback(ClaimVerdict.UNAVAILABLE, None)
+        self._put_back(waiting)
+        if waiting:
+            time.sleep(RETRY_PAUSE_S)
+
+    def _put_back(self, waiting: list[PendingClaim]) -> None:
+        with self.changed:
+            self.pending.extendleft(reversed(waiting))
+
+    def _new_claim(self) -> Claim:
+        nonce = os.urandom(NONCE_BYTES).hex()
+        return Claim(self.entry.hex(), nonce, self.http_address())
--- /dev/null
+++ b/sardinestair/store/registration.py
@@ -0,0 +1,98 @@
+"""Registers an entry in the store under a lease, and reads the others."""
+
+import threading
+
+import msgspec
+
+from sardinestair.observability import EventLog
+from sardinestair.store.port import ABSENT, Store, Swap
+
+__all__ = ["EntryRecord", "Registration"]
+
+PREFIX = "entries/"
+LEASE_TTL_S = 10
+INTERVAL_S = 3.0
+
+
+class EntryRecord(msgspec.Struct, frozen=True):
+    """What an entry registers of itself.
+
+    Attributes:
+        entry: Incarnation, in hexadecimal.
+        endpoint: Membership endpoint, host:port.
+        http_address: Base URL of its HTTP API.
+    """
+
+    entry: str
+    endpoint: str
+    http_address: str
+
+
+class Registration:
+    """Keeps an entry registered.
+
+    A lapsed lease is replaced by a new one; while the store is down the entry
+    goes on as before.
+
+    Args:
+        store: The platform's service.
+        record: What to register.
+        on_records: Takes the registered entries.
+
+    Attributes:
+        lease: Id of the present lease, 0 if there is none.
+    """
+
+    def __init__(self, store: Store, record: EntryRecord, on_records):
+        self.store = store
+        self.record = record
+        self.on_records = on_records
+        self.lease = 0
+        self.stopping = threading.Event()
+        self.log = EventLog("registration")
+
+    def run(self) -> None:
+        """Keeps the registration until `stop`, then ends it."""
+        while not self.stopping.is_set():
+            self.renew()
+            self.stopping.wait(INTERVAL_S)
+        if self.lease:
+            self.store.revoke_lease(self.lease)
+
+    def stop(self) -> None:
+        """Ends the registration."""
+        self.stopping.set()
+
+    def renew(self) -> None:
+        """Renews the lease or takes a new one, and reads all entries."""
+        if self.lease:
+            kept = self.store.keep_lease(self.lease)
+            if kept.is_ok() and not kept.ok:
+                self.log.warning("lease_lapsed", lease=self.lease)
+                self.lease = 0
+        if not self.lease:
+            self._register()
+        found = self.store.read(PREFIX)
+        if found.is_ok():
+            self.on_records(
+                [
+                    msgspec.json.decode(item.value, type=EntryRecord)
+                    for item in found.ok.items
+                ]
+            )
+
+    def _register(self) -> None:
+        lease = self.store.grant_lease(LEASE_TTL_S)
+        if lease.is_error():
+            self.log.warning("store_unanswered", reason=lease.error.reason)
+            return
+        key = PREFIX + self.record.entry
+        found = self.store.read(key)
+        if found.is_error():
+            return
+        expected = found.ok.items[0].revision if found.ok.items else ABSENT
+        value = msgspec.json.encode(self.record)
+        written = self.store.commit([Swap(key, value, expected, lease.ok)])
+        if written.is_ok() and written.ok.succeeded:
+            self.lease = lease.ok
+            self.log.info("entry_registered", lease=self.lease)
--- a/sardinestair/transfer.py
+++ b/sardinestair/transfer.py
@@ -59,6 +59,7 @@
         self.max_reply_bytes = max_reply_bytes
         self.was_sent = False
         self.body = io.BytesIO()
+        self.should_abort: Callable[[], bool] | None = None
         self.curl = pycurl.Curl()
         self.curl.setopt(pycurl.NOSIGNAL, 1)
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -66,6 +67,7 @@
         self.curl.setopt(pycurl.VERBOSE, 1)
         self.curl.setopt(pycurl.DEBUGFUNCTION, self._trace)
         self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
+        self.curl.setopt(pycurl.XFERINFOFUNCTION, self._check_abort)
 
     def perform(
         self,
@@ -75,6 +77,7 @@
         timeout_s: float,
         headers: Sequence[str] = (),
         on_data: Callable[[bytes], bool] | None = None,
+        should_abort: Callable[[], bool] | None = None,
     ) -> Reply | TransferFailure:
         """Sends one request and waits for the reply.
 
@@ -86,6 +89,8 @@
             headers: Header lines.
             on_data: Takes the reply's body as it arrives, in place of
                 collecting it; returns False to end the transfer.
+            should_abort: Asked about once a second; returns True to end the
+                transfer.
 
         Returns:
             The reply, or why there is none.
@@ -95,6 +100,8 @@
         self._set_request(method, url, body, headers)
         self.curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         self.curl.setopt(pycurl.WRITEFUNCTION, self._writer(on_data))
+        self.should_abort = should_abort
+        self.curl.setopt(pycurl.NOPROGRESS, int(should_abort is None))
         try:
             self.curl.perform()
         except pycurl.error as error:
@@ -137,6 +144,9 @@
         if kind in (pycurl.INFOTYPE_HEADER_OUT, pycurl.INFOTYPE_DATA_OUT):
             self.was_sent = True
 
+    def _check_abort(self, *_progress: int) -> bool:
+        return self.should_abort is not None and self.should_abort()
+
     def _open_socket(self, _purpose: int, address) -> socket.socket | int:
         if self.was_sent:
             return pycurl.SOCKET_BAD
