--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,9 @@
 
 clean:
 	rm -rf .venv
+
+model: .venv/.installed
+	$(BIN)/python -m model.check
+
+faults: .venv/.installed
+	$(BIN)/python -m faults.run
--- /dev/null
+++ b/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests with the real programs as processes on loopback."""
--- /dev/null
+++ b/faults/callers.py
@@ -0,0 +1,133 @@
+"""Callers that submit jobs and keep what they were told."""
+
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from faults.system import System
+from sardinestair.cli.client import ApiClient
+from sardinestair.ids import format_job_id, new_job_id
+
+ANSWER_TIMEOUT_S = 40.0
+MAX_TASKS = 24
+UNREPEATABLE_SHARE = 0.2
+MAX_SUBMISSIONS = 3
+
+
+class Told(msgspec.Struct):
+    """What a caller was told about one job.
+
+    Attributes:
+        job: The job's id.
+        tasks: Number of its tasks.
+        unrepeatable: True if it must run at most once whatever fails.
+        submissions: How often it was submitted.
+        status: HTTP status of the last answer, 0 if there was none.
+        document: The last answer.
+        not_run_at_s: Wall-clock time of the last "not run", 0 if none.
+        cut_off: Answers that broke off after the request was sent.
+        ended_s: Wall-clock time of the last answer.
+    """
+
+    job: str
+    tasks: int
+    unrepeatable: bool
+    submissions: int = 0
+    status: int = 0
+    document: dict | None = None
+    not_run_at_s: float = 0.0
+    cut_off: int = 0
+    ended_s: float = 0.0
+
+
+class Callers:
+    """A bounded number of callers, each with one job at a time.
+
+    Args:
+        system: Where to submit.
+        count: Number of callers.
+        seed: Seed of sizes and run times.
+    """
+
+    def __init__(self, system: System, count: int = 24, seed: int = 0):
+        self.system = system
+        self.count = count
+        self.seed = seed
+        self.told: list[Told] = []
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.pool = ThreadPoolExecutor(count)
+        self.futures = []
+
+    def start(self) -> None:
+        """Starts all callers."""
+        self.futures = [
+            self.pool.submit(self._run, index) for index in range(self.count)
+        ]
+
+    def stop(self) -> list[Told]:
+        """Waits for the last answers.
+
+        Returns:
+            What all callers were told.
+        """
+        self.stopping.set()
+        for future in self.futures:
+            future.result()
+        self.pool.shutdown()
+        return self.told
+
+    def _run(self, index: int) -> None:
+        rng = random.Random(self.seed * 1000 + index)
+        while not self.stopping.is_set():
+            self._submit_one(rng)
+
+    def _submit_one(self, rng: random.Random) -> None:
+        told = Told(
+            format_job_id(new_job_id()),
+            rng.randint(1, MAX_TASKS),
+            rng.random() < UNREPEATABLE_SHARE,
+        )
+        with self.lock:
+            self.told.append(told)
+        body = {
+            "id": told.job,
+            "service": self.system.service,
+            "team": f"team{rng.randint(0, 3)}",
+            "unrepeatable": told.unrepeatable,
+            "tasks": [
+                {
+                    "payload": {
+                        "run_s": rng.uniform(0.002, 0.05),
+                        "echo": f"{told.job}/{index}",
+                    }
+                }
+                for index in range(told.tasks)
+            ],
+        }
+        while told.submissions < MAX_SUBMISSIONS:
+            self._call(told, body, rng)
+            is_refused = told.status in (429, 503)
+            # An unrepeatable job may be sent again after any lost answer.
+            is_lost = told.status == 0 and told.unrepeatable
+            if not (is_refused or is_lost):
+                return
+            time.sleep(0.1)
+
+    def _call(self, told: Told, body: dict, rng: random.Random) -> None:
+        url = rng.choice(self.system.urls)
+        told.submissions += 1
+        client = ApiClient(url, ANSWER_TIMEOUT_S)
+        result = client.call("POST", "/v1/jobs", body)
+        told.ended_s = time.time()
+        if result.is_ok():
+            told.status, told.document = 200, result.ok
+            return
+        told.status = result.error.status
+        told.document = result.error.document
+        is_not_run = told.document.get("not_run") is True
+        told.not_run_at_s = told.ended_s if is_not_run else 0.0
+        told.cut_off += told.status == 0 and not is_not_run
--- /dev/null
+++ b/faults/run.py
@@ -0,0 +1,53 @@
+"""Runs all failure tests and prints one table: `python -m faults.run`."""
+
+import argparse
+import sys
+import time
+
+import msgspec
+
+from faults.scenarios import FAULTS, pairs, run_scenario
+from faults.verdicts import Verdict
+
+MIN_TASKS = 20_000
+DEFAULT_PAIRS = 6
+NAME_WIDTH = 44
+
+
+def main() -> int:
+    """Runs the scenarios; returns 0 if no promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--pairs", type=int, default=DEFAULT_PAIRS)
+    parser.add_argument("--only", help="one fault, or two joined by +")
+    options = parser.parse_args()
+    cases = [(name,) for name in FAULTS] + pairs(options.seed, options.pairs)
+    if options.only:
+        cases = [tuple(options.only.split("+"))]
+    columns = Verdict.__struct_fields__
+    print(f"{'fault':{NAME_WIDTH}}", *columns, "seconds", flush=True)
+    total = Verdict()
+    for names in cases:
+        began_s = time.monotonic()
+        verdict = run_scenario(names, options.seed)
+        _add(total, verdict)
+        _print(" + ".join(names), verdict, time.monotonic() - began_s)
+    _print("total", total, 0.0)
+    enough = bool(options.only) or total.tasks >= MIN_TASKS
+    print("clean" if total.is_clean and enough else "BROKEN")
+    return 0 if total.is_clean and enough else 1
+
+
+def _add(total: Verdict, verdict: Verdict) -> None:
+    for name in Verdict.__struct_fields__:
+        setattr(total, name, getattr(total, name) + getattr(verdict, name))
+
+
+def _print(name: str, verdict: Verdict, seconds: float) -> None:
+    columns = msgspec.structs.asdict(verdict)
+    cells = [f"{value:{len(title)}d}" for title, value in columns.items()]
+    print(f"{name:{NAME_WIDTH}}", *cells, f"{seconds:7.1f}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/faults/scenarios.py
@@ -0,0 +1,339 @@
+"""The faults, each brought about under load."""
+
+import itertools
+import random
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from faults.callers import Callers
+from faults.relay import Relay
+from faults.system import Program, System
+from faults.verdicts import Verdict, judge, read_log, read_starts
+from sardinestair.cli.client import ApiClient
+
+__all__ = ["FAULTS", "pairs", "run_scenario"]
+
+UPSTREAMS = 6
+SETTLE_S = 1.0
+GAP_S = 1.5
+PAUSE_S = 4.0
+LONG_PAUSE_S = 12.0
+LEAVE_LIMIT_S = 3.0
+SETTINGS_LIMIT_S = 5.0
+WATCH_INTERVAL_S = 0.1
+
+
+class Stage(msgspec.Struct):
+    """What a fault acts on.
+
+    Attributes:
+        system: The system.
+        relays: Relays in front of sidecars, by index.
+        verdict: Where a fault counts what it sees itself.
+        random: Draws victims, with a fixed seed.
+    """
+
+    system: System
+    relays: dict[int, Relay]
+    verdict: Verdict
+    random: random.Random
+
+
+def no_fault(stage: Stage) -> None:
+    """Only load."""
+    time.sleep(3.0)
+
+
+def kill_sidecar(stage: Stage) -> None:
+    """Kills two sidecars and starts them again."""
+    for victim in stage.random.sample(stage.system.sidecars, 2):
+        victim.kill()
+        time.sleep(GAP_S)
+        victim.start()
+        time.sleep(GAP_S)
+
+
+def kill_entry(stage: Stage) -> None:
+    """Kills two entries and starts them again."""
+    for victim in stage.random.sample(stage.system.entries, 2):
+        victim.kill()
+        time.sleep(GAP_S)
+        victim.start()
+        time.sleep(GAP_S)
+
+
+def kill_upstream(stage: Stage) -> None:
+    """Kills two upstreams and starts them again."""
+    for victim in stage.random.sample(stage.system.upstreams, 2):
+        victim.kill()
+        time.sleep(GAP_S)
+        victim.start()
+        time.sleep(GAP_S)
+
+
+def pause_sidecar(stage: Stage) -> None:
+    """Stops a sidecar for longer than links wait, then lets it go on."""
+    _pause(stage.random.choice(stage.system.sidecars), PAUSE_S)
+
+
+def pause_entry(stage: Stage) -> None:
+    """Stops an entry past its lease, then lets it go on."""
+    _pause(stage.random.choice(stage.system.entries), LONG_PAUSE_S)
+
+
+def pause_upstream(stage: Stage) -> None:
+    """Stops an upstream past its announcement, then lets it go on."""
+    _pause(stage.random.choice(stage.system.upstreams), PAUSE_S)
+
+
+def silence_connections(stage: Stage) -> None:
+    """Lets all open connections through the relays go silent, twice."""
+    for _ in range(2):
+        for relay in stage.relays.values():
+            relay.silence()
+        time.sleep(PAUSE_S)
+
+
+def store_down(stage: Stage) -> None:
+    """Takes the store down for a while."""
+    stage.system.set_store_faults(down=True)
+    time.sleep(PAUSE_S)
+    stage.system.set_store_faults()
+    time.sleep(GAP_S)
+
+
+def store_slow(stage: Stage) -> None:
+    """Makes the store slower than clients wait, then slow."""
+    for delay_s in (1.0, 0.2):
+        stage.system.set_store_faults(delay_s=delay_s)
+        time.sleep(PAUSE_S / 2)
+    stage.system.set_store_faults()
+    time.sleep(GAP_S)
+
+
+def store_forgets_answers(stage: Stage) -> None:
+    """Loses the answers of writes that took effect."""
+    for _ in range(6):
+        stage.system.set_store_faults(lose_answers=3)
+        time.sleep(0.8)
+    stage.system.set_store_faults()
+    time.sleep(GAP_S)
+
+
+def race_operators(stage: Stage) -> None:
+    """Lets two operators change the settings at the same time."""
+    watcher = SettingsWatcher(stage.system)
+    watcher.start()
+    for number in range(12):
+        writers = [
+            threading.Thread(target=_set_deadline, args=(stage, url, number))
+            for url in stage.system.urls[:2]
+        ]
+        for writer in writers:
+            writer.start()
+        for writer in writers:
+            writer.join()
+    stage.verdict.reverted += watcher.stop()
+    stage.verdict.reverted += not _is_in_force_everywhere(stage.system)
+
+
+def stop_gracefully(stage: Stage) -> None:
+    """Stops an entry and two sidecars gracefully, and starts them again."""
+    victims = [
+        stage.random.choice(stage.system.entries),
+        *stage.random.sample(stage.system.sidecars, 2),
+    ]
+    for victim in victims:
+        _stop_gracefully(stage, victim)
+        victim.start()
+        time.sleep(GAP_S)
+
+
+def leave(stage: Stage) -> None:
+    """Lets an upstream leave while it goes on to answer."""
+    index = stage.random.randrange(len(stage.system.upstreams))
+    upstream = stage.system.upstreams[index]
+    port = stage.system.sidecar_ports[index]
+    upstream.send(signal.SIGSTOP)  # It announces itself no more.
+    ApiClient(f"http://127.0.0.1:{port}").call("DELETE", "/v1/upstream")
+    left_s = time.time()
+    upstream.send(signal.SIGCONT)
+    # Its next announcement would end the leave.
+    stage.system.sidecars[index].send(signal.SIGTERM)
+    time.sleep(LEAVE_LIMIT_S + 2.0)
+    stage.system.sidecars[index].wait()
+    stage.verdict.late_starts += sum(
+        start.time_s > left_s + LEAVE_LIMIT_S
+        for start in read_log(f"{stage.system.start_log}.{index}")
+    )
+    stage.system.sidecars[index].start()
+    time.sleep(GAP_S)
+
+
+def replace_all(stage: Stage) -> None:
+    """Replaces every process but the store in turn, gracefully."""
+    system = stage.system
+    for program in [*system.sidecars, *system.upstreams, *system.entries]:
+        _stop_gracefully(stage, program)
+        program.start()
+        time.sleep(0.7)
+    time.sleep(GAP_S)
+
+
+FAULTS: dict[str, Callable[[Stage], None]] = {
+    "none": no_fault,
+    "kill sidecar": kill_sidecar,
+    "kill entry": kill_entry,
+    "kill upstream": kill_upstream,
+    "pause sidecar": pause_sidecar,
+    "pause entry past its lease": pause_entry,
+    "pause upstream": pause_upstream,
+    "silent connections": silence_connections,
+    "store down": store_down,
+    "store slow": store_slow,
+    "store answers lost": store_forgets_answers,
+    "operators race": race_operators,
+    "graceful stop": stop_gracefully,
+    "upstream leaves": leave,
+    "rolling replacement": replace_all,
+}
+GRACEFUL = {"none", "operators race", "graceful stop", "upstream leaves",
+            "rolling replacement", "store slow", "store down",
+            "store answers lost"}  # fmt: skip
+
+
+def run_scenario(names: tuple[str, ...], seed: int) -> Verdict:
+    """Runs faults at the same time under load, and judges.
+
+    Args:
+        names: Names of the faults.
+        seed: Seed of victims and load.
+
+    Returns:
+        The verdict.
+    """
+    relays: dict[int, Relay] = {}
+    system = System(upstreams=UPSTREAMS, seed=seed)
+    if "silent connections" in names:
+        relays = {i: Relay(p) for i, p in enumerate(system.link_ports)}
+        for index, relay in relays.items():
+            system.advertise(index, relay.endpoint)
+    stage = Stage(system, relays, Verdict(), random.Random(seed))
+    try:
+        system.start()
+        callers = Callers(system, seed=seed)
+        callers.start()
+        time.sleep(SETTLE_S)
+        _run_together([FAULTS[name] for name in names], stage)
+        time.sleep(SETTLE_S)
+        told = callers.stop()
+    finally:
+        system.stop()
+        for relay in relays.values():
+            relay.close()
+    verdict = judge(told, read_starts(system.start_log))
+    if GRACEFUL.issuperset(names):
+        verdict.cut_off += sum(job.cut_off for job in told)
+        verdict.cut_off += verdict.failed
+    verdict.cut_off += stage.verdict.cut_off
+    verdict.late_starts += stage.verdict.late_starts
+    verdict.reverted += stage.verdict.reverted
+    return verdict
+
+
+class SettingsWatcher:
+    """Watches the revision in force at each entry.
+
+    Args:
+        system: The system.
+    """
+
+    def __init__(self, system: System):
+        self.system = system
+        self.stopping = threading.Event()
+        self.reverted = 0
+        self.threads = [
+            threading.Thread(target=self._watch, args=(url,))
+            for url in system.urls
+        ]
+
+    def start(self) -> None:
+        """Starts to watch."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> int:
+        """Returns how often a revision went back."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        return self.reverted
+
+    def _watch(self, url: str) -> None:
+        client = ApiClient(url, 2.0)
+        last = 0
+        while not self.stopping.wait(WATCH_INTERVAL_S):
+            shown = client.call("GET", "/admin/v1/settings")
+            if shown.is_ok():
+                self.reverted += shown.ok["revision"] < last
+                last = shown.ok["revision"]
+
+
+def _pause(program, seconds: float) -> None:
+    program.send(signal.SIGSTOP)
+    time.sleep(seconds)
+    program.send(signal.SIGCONT)
+    time.sleep(GAP_S)
+
+
+def _stop_gracefully(stage: Stage, program: Program) -> None:
+    status = program.stop()
+    if status != 0:
+        print(f"{program.name} stopped with {status}", file=sys.stderr)
+        stage.verdict.cut_off += 1
+
+
+def _set_deadline(stage: Stage, url: str, number: int) -> None:
+    body = {
+        "path": "root/quotes",
+        "set": {"deadline_s": 20 + number},
+        "author": url,
+    }
+    ApiClient(url, 8.0).call("PATCH", "/admin/v1/settings", body)
+
+
+def _is_in_force_everywhere(system: System) -> bool:
+    """True if within the limit all entries have the highest revision."""
+    limit_s = time.monotonic() + SETTINGS_LIMIT_S
+    while time.monotonic() < limit_s:
+        shown = [
+            ApiClient(url, 2.0).call("GET", "/admin/v1/settings")
+            for url in system.urls
+        ]
+        revisions = {s.ok["revision"] for s in shown if s.is_ok()}
+        if len(revisions) == 1 and all(s.is_ok() for s in shown):
+            return True
+        time.sleep(WATCH_INTERVAL_S)
+    return False
+
+
+def _run_together(faults: list[Callable[[Stage], None]], stage: Stage) -> None:
+    threads = [threading.Thread(target=f, args=(stage,)) for f in faults]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def pairs(seed: int, count: int) -> list[tuple[str, str]]:
+    """Returns a seeded draw of two faults at a time."""
+    names = [name for name in FAULTS if name != "none"]
+    drawn = random.Random(seed).sample(
+        list(itertools.combinations(names, 2)), count
+    )
+    return sorted(drawn)
--- /dev/null
+++ b/faults/system.py
@@ -0,0 +1,266 @@
+"""Starts and stops the programs of a small system on loopback."""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import msgspec
+import yaml
+
+from sardinestair.cli.client import ApiClient
+from sardinestair.settings import SettingsTree, parse_tree
+
+SERVICE = "quotes"
+ZONES = ("leinster", "munster", "connacht")
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+SLOTS = 8
+BIN = os.path.dirname(sys.executable)
+
+TREE = """
+set: {deadline_s: 20}
+services:
+  quotes: {}
+"""
+
+
+def free_port() -> int:
+    """Returns a port that nothing listens on at present."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Program:
+    """One process of the system, which can be started again.
+
+    Attributes:
+        name: Name in tables and log files.
+        args: Command line.
+        process: The running process, or None.
+    """
+
+    def __init__(self, name: str, folder: str, args: list[str]):
+        self.name = name
+        self.folder = folder
+        self.args = args
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        command = [os.path.join(BIN, self.args[0]), *self.args[1:]]
+        with open(os.path.join(self.folder, f"{self.name}.log"), "ab") as log:
+            self.process = subprocess.Popen(command, stderr=log, stdout=log)
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        if self.process is not None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process."""
+        self.send(signal.SIGKILL)
+        self.wait()
+
+    def stop(self) -> int:
+        """Stops the process gracefully; returns its exit status."""
+        self.send(signal.SIGTERM)
+        return self.wait()
+
+    def wait(self) -> int:
+        """Waits for the end of the process."""
+        if self.process is None:
+            return 0
+        try:
+            return self.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+        finally:
+            self.process = None
+
+
+class System:
+    """A store stand-in, entries, and sidecars with their upstreams.
+
+    Args:
+        entries: Number of entries.
+        upstreams: Number of sidecars with an upstream each.
+        seed: Seed of the upstreams' speeds.
+        speeds: Factors of the upstreams' run times; drawn if absent.
+        service: Name of the service.
+        tree: Settings tree in YAML.
+        slots: Slots of each upstream.
+        failing: Indices of upstreams that fail every task.
+    """
+
+    def __init__(
+        self,
+        entries: int = 3,
+        upstreams: int = 6,
+        seed: int = 0,
+        speeds: list[float] | None = None,
+        service: str = SERVICE,
+        tree: str = TREE,
+        slots: int = SLOTS,
+        failing: tuple[int, ...] = (),
+    ):
+        self.random = random.Random(seed)
+        self.folder = tempfile.mkdtemp(prefix="sardinestair-")
+        self.service = service
+        self.tree = tree
+        self.slots = slots
+        self.start_log = os.path.join(self.folder, "starts.log")
+        self.store_port = free_port()
+        self.store = Program(
+            "store",
+            self.folder,
+            ["sardinestair-store-standin", "--port", str(self.store_port)],
+        )
+        link_ports = [free_port() for _ in range(entries)]
+        self.entry_ports = [free_port() for _ in range(entries)]
+        self.entries = [
+            self._entry(i, port, link_ports)
+            for i, port in enumerate(self.entry_ports)
+        ]
+        self.sidecar_ports = [free_port() for _ in range(upstreams)]
+        self.link_ports = [free_port() for _ in range(upstreams)]
+        self.entry_link_ports = link_ports
+        self.sidecars = [self._sidecar(i, None) for i in range(upstreams)]
+        self.speeds = speeds or [
+            self.random.choice((1, 1, 2, 3)) for _ in range(upstreams)
+        ]
+        self.failing = failing
+        self.upstreams = [self._upstream(i) for i in range(upstreams)]
+
+    @property
+    def programs(self) -> list[Program]:
+        """All programs in the order in which they start."""
+        return [self.store, *self.entries, *self.sidecars, *self.upstreams]
+
+    @property
+    def urls(self) -> list[str]:
+        """Base URLs of the entries."""
+        return [f"http://127.0.0.1:{port}" for port in self.entry_ports]
+
+    @property
+    def store_url(self) -> str:
+        """Base URL of the store stand-in."""
+        return f"http://127.0.0.1:{self.store_port}"
+
+    def start(self) -> None:
+        """Starts all, applies the settings and waits until all is ready."""
+        for program in self.programs:
+            program.start()
+        self.wait_for_http(self.store_url, "/standin/calls")
+        self.wait_for_http(self.urls[0], "/healthz")
+        parsed = parse_tree(self.tree)
+        assert parsed.is_ok(), parsed.error
+        self.apply(parsed.ok)
+        for url in self.urls:
+            self.wait_for_slots(url, self.slots * len(self.upstreams))
+
+    def apply(self, tree: SettingsTree) -> None:
+        """Applies a settings tree through the first entry."""
+        body = msgspec.to_builtins(tree)
+        applied = ApiClient(self.urls[0]).call(
+            "POST", "/admin/v1/settings/apply", body
+        )
+        assert applied.is_ok(), str(applied.error)
+
+    def wait_for_http(self, url: str, path: str) -> None:
+        """Waits until a server answers."""
+        self.wait_until(lambda: ApiClient(url, 2.0).call("GET", path).is_ok())
+
+    def wait_for_slots(self, url: str, slots: int) -> None:
+        """Waits until an entry knows a number of slots."""
+
+        def has_slots() -> bool:
+            status = ApiClient(url, 2.0).call("GET", "/admin/v1/status")
+            rows = status.ok["services"] if status.is_ok() else []
+            return sum(row["slots"] for row in rows) >= slots
+
+        self.wait_until(has_slots)
+
+    def wait_until(self, condition) -> None:
+        """Waits for a condition.
+
+        Raises:
+            TimeoutError: If it does not come about in time.
+        """
+        limit_s = time.monotonic() + READY_TIMEOUT_S
+        while not condition():
+            if time.monotonic() > limit_s:
+                raise TimeoutError(f"not ready; logs in {self.folder}")
+            time.sleep(0.05)
+
+    def set_store_faults(self, **faults) -> None:
+        """Makes the store stand-in misbehave."""
+        ApiClient(self.store_url, 5.0).call("PUT", "/standin/faults", faults)
+
+    def advertise(self, index: int, endpoint: str) -> None:
+        """Lets a sidecar be reached by another endpoint, before the start."""
+        self.sidecars[index] = self._sidecar(index, endpoint)
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for program in reversed(self.programs):
+            program.send(signal.SIGCONT)
+            program.send(signal.SIGKILL)
+        for program in self.programs:
+            program.wait()
+
+    def _write(self, name: str, settings: dict) -> str:
+        file = os.path.join(self.folder, name)
+        with open(file, "w", encoding="utf-8") as stream:
+            yaml.safe_dump(settings, stream)
+        return file
+
+    def _entry(self, index: int, port: int, link_ports: list[int]) -> Program:
+        settings = {
+            "address": {"http_port": port, "link_port": link_ports[index]},
+            "zone": ZONES[index % len(ZONES)],
+            "store": {"endpoints": [self.store_url], "timeout_s": 0.5},
+            "peers": [f"127.0.0.1:{p}" for p in link_ports],
+            "http_threads": 160,
+        }
+        file = self._write(f"entry{index}.yaml", settings)
+        args = ["sardinestair-entry", "--settings", file]
+        return Program(f"entry{index}", self.folder, args)
+
+    def _sidecar(self, index: int, advertise: str | None) -> Program:
+        settings = {
+            "address": {
+                "http_port": self.sidecar_ports[index],
+                "link_port": self.link_ports[index],
+            },
+            "zone": ZONES[index % len(ZONES)],
+            "entries": [f"127.0.0.1:{p}" for p in self.entry_link_ports],
+            "advertise": advertise,
+        }
+        file = self._write(f"sidecar{index}.yaml", settings)
+        args = ["sardinestair-sidecar", "--settings", file]
+        return Program(f"sidecar{index}", self.folder, args)
+
+    def _upstream(self, index: int) -> Program:
+        args = [
+            "sardinestair-upstream-standin",
+            "--sidecar",
+            f"http://127.0.0.1:{self.sidecar_ports[index]}",
+            "--service",
+            self.service,
+            "--slots",
+            str(self.slots),
+            "--speed",
+            str(self.speeds[index]),
+            "--start-log",
+            f"{self.start_log}.{index}",
+        ]
+        if index in self.failing:
+            args.append("--fails-all")
+        return Program(f"upstream{index}", self.folder, args)
--- /dev/null
+++ b/faults/verdicts.py
@@ -0,0 +1,124 @@
+"""Verdicts drawn from the upstreams' logs and the callers' answers."""
+
+import glob
+from collections import Counter
+
+import msgspec
+
+from faults.callers import Told
+
+__all__ = ["Start", "Verdict", "judge", "read_log", "read_starts"]
+
+
+class Start(msgspec.Struct, frozen=True):
+    """A line of an upstream's log.
+
+    Attributes:
+        time_s: Wall-clock time.
+        job: The job's id.
+        index: The task's index.
+        upstream: Port of the upstream.
+    """
+
+    time_s: float
+    job: str
+    index: int
+    upstream: int
+
+
+class Verdict(msgspec.Struct):
+    """Counts of broken promises; each should be 0.
+
+    Attributes:
+        tasks: Tasks that were submitted.
+        starts: Tasks that were started.
+        complete: Jobs with a whole answer.
+        not_run: Jobs refused as not run.
+        failed: Jobs failed in another way, or without an answer.
+        doubled: Tasks started more often than submitted, or an unrepeatable
+            one more than once.
+        untrue_not_run: Jobs called not run with a start in a log.
+        partial: Complete answers with a wrong, missing or foreign result.
+        late_starts: Starts after a leave took effect.
+        cut_off: Requests that a graceful stop broke off or failed.
+        reverted: Settings that went back, or came too late.
+    """
+
+    tasks: int = 0
+    starts: int = 0
+    complete: int = 0
+    not_run: int = 0
+    failed: int = 0
+    doubled: int = 0
+    untrue_not_run: int = 0
+    partial: int = 0
+    late_starts: int = 0
+    cut_off: int = 0
+    reverted: int = 0
+
+    @property
+    def is_clean(self) -> bool:
+        """True if no promise was broken."""
+        return not any(
+            (
+                self.doubled,
+                self.untrue_not_run,
+                self.partial,
+                self.late_starts,
+                self.cut_off,
+                self.reverted,
+            )
+        )
+
+
+def read_starts(start_log: str) -> list[Start]:
+    """Reads the logs of all upstreams.
+
+    Args:
+        start_log: Common part of their names.
+    """
+    files = glob.glob(f"{start_log}.*")
+    return [start for file in files for start in read_log(file)]
+
+
+def read_log(file: str) -> list[Start]:
+    """Reads the log of one upstream."""
+    starts = []
+    with open(file, encoding="utf-8") as stream:
+        for line in stream:
+            time_s, job, index, port = line.split()
+            starts.append(Start(float(time_s), job, int(index), int(port)))
+    return starts
+
+
+def judge(told: list[Told], starts: list[Start]) -> Verdict:
+    """Compares what callers were told with what was started."""
+    verdict = Verdict(starts=len(starts))
+    counts = Counter((start.job, start.index) for start in starts)
+    started_jobs = {start.job for start in starts}
+    for job in told:
+        verdict.tasks += job.tasks
+        allowed = 1 if job.unrepeatable else job.submissions
+        verdict.doubled += sum(
+            counts[job.job, index] > allowed for index in range(job.tasks)
+        )
+        _judge_answer(job, job.job in started_jobs, counts, verdict)
+    return verdict
+
+
+def _judge_answer(
+    job: Told, has_started: bool, counts: Counter, verdict: Verdict
+) -> None:
+    if job.status == 200:
+        verdict.complete += 1
+        assert job.document is not None
+        expected = [f"{job.job}/{index}" for index in range(job.tasks)]
+        is_whole = job.document["results"] == expected
+        all_started = all(counts[job.job, i] for i in range(job.tasks))
+        verdict.partial += not (is_whole and all_started)
+        return
+    if job.not_run_at_s:
+        verdict.not_run += 1
+        verdict.untrue_not_run += has_started
+        return
+    verdict.failed += 1
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, small enough to check exhaustively."""
--- /dev/null
+++ b/model/start_protocol.py
@@ -0,0 +1,368 @@
+"""Specification of the start protocol: one task, two sidecars, one entry.
+
+The network is a set of all messages ever sent: any of them can arrive at any
+time, in any order, any number of times or never. Connections that go silent
+are the runs in which nothing arrives and the entry opens a new epoch; a crash
+of the entry is the run in which it does nothing more. Epochs are numbered
+across both links, as the entry does. To keep the state space small, the first
+sidecar may restart and the second may leave.
+"""
+
+import enum
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+__all__ = ["StartMutant", "make_start_protocol"]
+
+SIDECARS = (0, 1)
+MAX_EPOCH = 3
+MAX_ATTEMPT = 2
+MAX_INCARNATION = 1
+RESTARTING_SIDECAR = 0
+LEAVING_SIDECAR = 1
+
+
+class StartMutant(enum.Enum):
+    """A rule left out; each must be refuted."""
+
+    NO_EPOCH_CHECK = "no epoch check"
+    NO_INCARNATION_CHECK = "no incarnation check"
+    NO_SEQUENCE_CHECK = "no sequence check"
+    NO_ATTEMPT_CHECK = "no attempt check"
+    TIMEOUT_TAKEN_AS_NOT_RUN = "time-out taken as not run"
+    LEAVE_IGNORED = "leave ignored"
+    OUTCOME_DROPPED_BEFORE_ACK = "outcome dropped before acknowledgement"
+
+
+class Told(enum.Enum):
+    """What the caller was told."""
+
+    NOTHING = "nothing"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    NOT_RUN = "not run"
+
+
+class Held(enum.Enum):
+    """What a sidecar holds of the task."""
+
+    NO = "no"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class Kind(enum.Enum):
+    """Kind of message."""
+
+    RESUME = "resume"
+    START = "start"
+    ACKNOWLEDGE = "acknowledge"
+    NOT_RUN = "not run"
+    HELD = "held"
+    REPLACED = "replaced"
+    OUTCOME = "outcome"
+    REFUSED = "refused"
+
+
+TO_SIDECAR = (Kind.RESUME, Kind.START, Kind.ACKNOWLEDGE)
+
+
+class Message(NamedTuple):
+    """A message; `attempt` is 0 if it names none."""
+
+    kind: Kind
+    sidecar: int
+    incarnation: int
+    epoch: int
+    sequence: int
+    attempt: int
+
+
+class Link(NamedTuple):
+    """The entry's side of a link."""
+
+    incarnation: int = 0
+    epoch: int = 0
+    sequence: int = 0
+
+
+class Sidecar(NamedTuple):
+    """A sidecar."""
+
+    incarnation: int = 0
+    epoch: int = 0
+    sequence: int = 0
+    held: Held = Held.NO
+    held_attempt: int = 0
+    leaving: bool = False
+
+
+class State(NamedTuple):
+    """The whole system.
+
+    `outstanding` is the sidecar that the entry believes to hold the task, or
+    -1 while the task waits.
+    """
+
+    links: tuple[Link, ...] = (Link(), Link())
+    sidecars: tuple[Sidecar, ...] = (Sidecar(), Sidecar())
+    network: frozenset = frozenset()
+    epochs: int = 0
+    attempt: int = 0
+    outstanding: int = -1
+    told: Told = Told.NOTHING
+    starts: int = 0
+    late_starts: int = 0
+
+
+Step = tuple[str, State]
+
+
+def make_start_protocol(mutant: StartMutant | None = None) -> Protocol:
+    """Returns the specification.
+
+    Args:
+        mutant: The rule to leave out, if any.
+    """
+    return Protocol(
+        name=mutant.value if mutant else "start protocol",
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: list(_steps(State(*state), mutant)),
+        invariants={
+            "started at most once": lambda s: s["starts"] <= 1,
+            "not run is true": lambda s: (
+                s["told"] is not Told.NOT_RUN or s["starts"] == 0
+            ),
+            "complete has run": lambda s: (
+                s["told"] is not Told.COMPLETE or s["starts"] == 1
+            ),
+            "no start after a leave": lambda s: s["late_starts"] == 0,
+        },
+    )
+
+
+def _steps(state: State, mutant: StartMutant | None) -> Iterator[Step]:
+    if state.told is Told.NOTHING:
+        yield from _entry_steps(state, mutant)
+    for index in SIDECARS:
+        yield from _sidecar_steps(state, index, mutant)
+    for message in state.network:
+        if message.kind in TO_SIDECAR:
+            yield from _arrive_at_sidecar(state, message, mutant)
+        else:
+            yield from _arrive_at_entry(state, message, mutant)
+
+
+def _entry_steps(state: State, mutant: StartMutant | None) -> Iterator[Step]:
+    waits = state.outstanding < 0
+    if waits:
+        yield "entry gives up", state._replace(told=Told.NOT_RUN)
+    for index, link in enumerate(state.links):
+        if waits and link.epoch and state.attempt < MAX_ATTEMPT:
+            yield f"place at {index}", _place(state, index)
+        if state.epochs < MAX_EPOCH:
+            yield f"open epoch at {index}", _open_epoch(state, index)
+        if link.incarnation < state.sidecars[index].incarnation:
+            yield f"learn new incarnation of {index}", _learn(state, index)
+    if mutant is StartMutant.TIMEOUT_TAKEN_AS_NOT_RUN:
+        yield "time-out", state._replace(outstanding=-1)
+
+
+def _place(state: State, index: int) -> State:
+    link = state.links[index]
+    link = link._replace(sequence=link.sequence + 1)
+    attempt = state.attempt + 1
+    message = Message(
+        Kind.START, index, link.incarnation, link.epoch, link.sequence, attempt
+    )
+    return _send(
+        state._replace(
+            links=_put(state.links, index, link),
+            attempt=attempt,
+            outstanding=index,
+        ),
+        message,
+    )
+
+
+def _open_epoch(state: State, index: int) -> State:
+    link = state.links[index]
+    epoch = state.epochs + 1
+    link = link._replace(epoch=epoch, sequence=1)
+    attempt = state.attempt if state.outstanding == index else 0
+    message = Message(Kind.RESUME, index, link.incarnation, epoch, 1, attempt)
+    links = _put(state.links, index, link)
+    return _send(state._replace(links=links, epochs=epoch), message)
+
+
+def _learn(state: State, index: int) -> State:
+    """A link to the new incarnation replaces the old one."""
+    link = state.links[index]
+    link = link._replace(incarnation=state.sidecars[index].incarnation)
+    state = state._replace(links=_put(state.links, index, link))
+    return _lose(state) if state.outstanding == index else state
+
+
+def _lose(state: State) -> State:
+    told = Told.FAILED if state.told is Told.NOTHING else state.told
+    return state._replace(told=told)
+
+
+def _sidecar_steps(
+    state: State, index: int, mutant: StartMutant | None
+) -> Iterator[Step]:
+    sidecar = state.sidecars[index]
+    if sidecar.held is Held.RUNNING:
+        yield f"task ends at {index}", _finish(state, index, mutant)
+    if index == LEAVING_SIDECAR and not sidecar.leaving:
+        leaving = sidecar._replace(leaving=True)
+        yield f"{index} leaves", _set_sidecar(state, index, leaving)
+    if index == RESTARTING_SIDECAR and sidecar.incarnation < MAX_INCARNATION:
+        fresh = Sidecar(sidecar.incarnation + 1)
+        yield f"{index} restarts", _set_sidecar(state, index, fresh)
+
+
+def _finish(state: State, index: int, mutant: StartMutant | None) -> State:
+    sidecar = state.sidecars[index]
+    message = Message(
+        Kind.OUTCOME,
+        index,
+        sidecar.incarnation,
+        sidecar.epoch,
+        0,
+        sidecar.held_attempt,
+    )
+    dropped = mutant is StartMutant.OUTCOME_DROPPED_BEFORE_ACK
+    held = Held.NO if dropped else Held.DONE
+    state = _set_sidecar(state, index, sidecar._replace(held=held))
+    return _send(state, message)
+
+
+def _arrive_at_sidecar(
+    state: State, message: Message, mutant: StartMutant | None
+) -> Iterator[Step]:
+    index = message.sidecar
+    sidecar = state.sidecars[index]
+    is_foreign = message.incarnation != sidecar.incarnation
+    if mutant is StartMutant.NO_INCARNATION_CHECK:
+        is_foreign = False
+    if message.kind is Kind.RESUME:
+        if is_foreign:
+            reply = message._replace(kind=Kind.REPLACED)
+            yield f"resume meets another {index}", _send(state, reply)
+        elif message.epoch > sidecar.epoch:
+            yield f"resume at {index}", _resume(state, message)
+        return
+    if is_foreign or not _is_current(sidecar, message, mutant):
+        return
+    sidecar = sidecar._replace(sequence=message.sequence)
+    state = _set_sidecar(state, index, sidecar)
+    if message.kind is Kind.START:
+        yield f"start at {index}", _start(state, message, mutant)
+    elif sidecar.held is Held.DONE and sidecar.held_attempt == message.attempt:
+        forgotten = sidecar._replace(held=Held.NO, held_attempt=0)
+        yield f"ack at {index}", _set_sidecar(state, index, forgotten)
+
+
+def _is_current(
+    sidecar: Sidecar, message: Message, mutant: StartMutant | None
+) -> bool:
+    if mutant is StartMutant.NO_EPOCH_CHECK:
+        # Only frames of an unknown later epoch are refused.
+        if message.epoch < sidecar.epoch:
+            return True
+    elif mutant is StartMutant.NO_INCARNATION_CHECK and sidecar.epoch == 0:
+        # A fresh sidecar takes the epoch of the first frame that it sees.
+        return True
+    if message.epoch != sidecar.epoch:
+        return False
+    if mutant is StartMutant.NO_SEQUENCE_CHECK:
+        return True
+    return message.sequence == sidecar.sequence + 1
+
+
+def _resume(state: State, message: Message) -> State:
+    index = message.sidecar
+    sidecar = state.sidecars[index]
+    sidecar = sidecar._replace(epoch=message.epoch, sequence=1)
+    state = _set_sidecar(state, index, sidecar)
+    holds = (
+        sidecar.held is not Held.NO and sidecar.held_attempt == message.attempt
+    )
+    kinds = {
+        Held.NO: Kind.NOT_RUN,
+        Held.RUNNING: Kind.HELD,
+        Held.DONE: Kind.OUTCOME,
+    }
+    kind = kinds[sidecar.held] if holds else Kind.NOT_RUN
+    return _send(state, message._replace(kind=kind, sequence=0))
+
+
+def _start(state: State, message: Message, mutant: StartMutant | None) -> State:
+    index = message.sidecar
+    sidecar = state.sidecars[index]
+    ignores_leave = mutant is StartMutant.LEAVE_IGNORED
+    if sidecar.leaving and not ignores_leave:
+        return _send(state, message._replace(kind=Kind.REFUSED, sequence=0))
+    if sidecar.held is not Held.NO:
+        return state
+    running = sidecar._replace(held=Held.RUNNING, held_attempt=message.attempt)
+    state = _set_sidecar(state, index, running)
+    return state._replace(
+        starts=state.starts + 1,
+        late_starts=state.late_starts + sidecar.leaving,
+    )
+
+
+def _arrive_at_entry(
+    state: State, message: Message, mutant: StartMutant | None
+) -> Iterator[Step]:
+    link = state.links[message.sidecar]
+    is_current = (
+        message.incarnation == link.incarnation and message.epoch == link.epoch
+    )
+    is_asked = state.outstanding == message.sidecar and (
+        message.attempt == state.attempt
+        or mutant is StartMutant.NO_ATTEMPT_CHECK
+    )
+    if not is_current or not is_asked or state.told is not Told.NOTHING:
+        return
+    if message.kind in (Kind.NOT_RUN, Kind.REFUSED) and message.attempt:
+        yield "entry learns not run", state._replace(outstanding=-1)
+    elif message.kind is Kind.REPLACED:
+        yield "entry learns of a restart", _lose(state)
+    elif message.kind is Kind.OUTCOME:
+        yield "entry learns the outcome", _complete(state, message)
+
+
+def _complete(state: State, message: Message) -> State:
+    index = message.sidecar
+    link = state.links[index]
+    link = link._replace(sequence=link.sequence + 1)
+    acknowledge = message._replace(
+        kind=Kind.ACKNOWLEDGE, sequence=link.sequence
+    )
+    return _send(
+        state._replace(
+            told=Told.COMPLETE,
+            outstanding=-1,
+            links=_put(state.links, index, link),
+        ),
+        acknowledge,
+    )
+
+
+def _send(state: State, message: Message) -> State:
+    return state._replace(network=state.network | {message})
+
+
+def _set_sidecar(state: State, index: int, sidecar: Sidecar) -> State:
+    return state._replace(sidecars=_put(state.sidecars, index, sidecar))
+
+
+def _put(items: tuple, index: int, item) -> tuple:
+    return items[:index] + (item,) + items[index + 1 :]
--- /dev/null
+++ b/sardinestair/cli/ctl.py
@@ -0,0 +1,48 @@
+"""Command line of `sardinestairctl`."""
+
+import sys
+
+from cleo.application import Application
+
+from sardinestair import __version__
+from sardinestair.cli.ctl_jobs import (
+    CancelCommand,
+    JobCommand,
+    StatusCommand,
+    SubmitCommand,
+    UpstreamsCommand,
+)
+from sardinestair.cli.ctl_settings import (
+    ApplyCommand,
+    CheckCommand,
+    DiffCommand,
+    ExplainCommand,
+    GetCommand,
+    HistoryCommand,
+    SetCommand,
+)
+
+__all__ = ["main"]
+
+COMMANDS = [
+    SubmitCommand,
+    JobCommand,
+    CancelCommand,
+    StatusCommand,
+    UpstreamsCommand,
+    GetCommand,
+    SetCommand,
+    ApplyCommand,
+    DiffCommand,
+    ExplainCommand,
+    HistoryCommand,
+    CheckCommand,
+]
+
+
+def main() -> None:
+    """Runs the program."""
+    application = Application("sardinestairctl", __version__)
+    for command in COMMANDS:
+        application.add(command())
+    sys.exit(application.run())
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -95,6 +95,7 @@
         self.epochs = itertools.count(1)
         self.touched: set[str] = set()
         self.is_draining = False
+        self.is_closed = False
         self.log = EventLog(
             "entry", entry=format_incarnation(incarnation), zone=zone
         )
@@ -122,10 +123,16 @@
         """
         with self.lock:
             link = self.links.get(announce.sidecar)
+            if self.is_closed:
+                return None
+            is_going = announce.leaving or not announce.service
             if link is not None and link.state is not LinkState.CLOSED:
-                self._update_link(link, announce)
+                if is_going and not link.outstanding:
+                    self.forget(announce.sidecar)
+                else:
+                    self._update_link(link, announce)
                 return None
-            if announce.leaving or not announce.service:
+            if is_going:
                 return None
             link = EntryLink(
                 self,
@@ -228,6 +235,13 @@
                 self.touched.add(state.name)
             self.links_handled()
 
+    def close(self) -> None:
+        """Closes all links; announcements open no more."""
+        with self.lock:
+            self.is_closed = True
+            for link in self.links.values():
+                link.close()
+
     def active_jobs(self) -> int:
         """Returns the number of jobs without an answer."""
         with self.lock:
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -32,7 +32,7 @@
     def __init__(
         self,
         membership: MembershipServer,
-        run: Callable[[Callable[[], None]], None],
+        run: Callable[[Callable[[], None]], object],
         adopt: Callable[[int, SettingsTree], bool],
     ):
         self.membership = membership
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -46,7 +46,7 @@
         dispatcher: Dispatcher,
         roster: Roster,
         peers: PeerDirectory,
-        start_link: Callable[[EntryLink], None],
+        start_link: Callable[[EntryLink], object],
         context: zmq.Context,
     ):
         self.dispatcher = dispatcher
@@ -65,11 +65,13 @@
 
     def run(self) -> None:
         """Serves until `stop`."""
-        while not self.stopping.is_set():
-            if self.socket.poll(int(TICK_S * 1000)):
-                self._receive()
-            self._drop_lapsed()
-        self.socket.close(linger=0)
+        try:
+            while not self.stopping.is_set():
+                if self.socket.poll(int(TICK_S * 1000)):
+                    self._receive()
+                self._drop_lapsed()
+        finally:
+            self.socket.close(linger=0)
 
     def stop(self) -> None:
         """Ends the server's thread."""
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -2,8 +2,6 @@
 
 import threading
 import time
-from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 import zmq
 from expression import Result
@@ -24,6 +22,7 @@
 from sardinestair.store.claims import ClaimWriter
 from sardinestair.store.etcd import EtcdStore
 from sardinestair.store.registration import EntryRecord, Registration
+from sardinestair.tasks import TaskPool
 from sardinestair.web import HttpServer, WebApp, operations_rules
 
 __all__ = ["EntryProcess"]
@@ -31,6 +30,8 @@
 TIMER_S = 0.02
 DRAIN_POLL_S = 0.02
 DRAIN_GRACE_S = 1.0
+BACKLOG_S = 0.2
+CLOSE_LIMIT_S = 2.0
 MAX_LINKS = 2048
 MAX_PEERS = 64
 PEER_ANSWER_S = 5.0
@@ -65,7 +66,7 @@
             zone=settings.zone,
         )
         # One thread for each link and each peer, and a few of the entry's.
-        self.threads = ThreadPoolExecutor(MAX_LINKS + MAX_PEERS + 8)
+        self.tasks = TaskPool(MAX_LINKS + MAX_PEERS + 8, self.log)
         self.store = self._make_store()
         self.claims = self._make_claims()
         self.dispatcher = Dispatcher(
@@ -88,7 +89,7 @@
             self._start_link,
             self.context,
         )
-        self.gossip = Gossip(self.membership, self._run, self.adopt)
+        self.gossip = Gossip(self.membership, self.tasks.run, self.adopt)
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
             address.host, address.http_port, self.app, settings.http_threads
@@ -110,11 +111,11 @@
         self.http.start()
         self.membership.http_address = self.http_address
         self.peers.add_static(self.settings.peers, self.clock.monotonic())
-        self._run(self.membership.run)
-        self._run(self._run_timer)
+        self.tasks.run(self.membership.run)
+        self.tasks.run(self._run_timer)
         self.gossip.start()
         if self.store is not None and self.claims is not None:
-            self._run(self.claims.run)
+            self.tasks.run(self.claims.run)
             self._follow_store(self.store)
         self.log.info(
             "entry_started",
@@ -153,6 +154,7 @@
         """
         self.log.info("drain_started", jobs=self.dispatcher.active_jobs())
         self.dispatcher.is_draining = True
+        self.app.is_closing = True
         began_s = self.clock.monotonic()
         limit_s = began_s + self.settings.drain_timeout_s
         # Callers that have not seen the change yet still get a true refusal.
@@ -162,7 +164,7 @@
                 break
             time.sleep(DRAIN_POLL_S)
         unanswered = self.dispatcher.active_jobs()
-        self.http.stop()
+        self._close_http()
         self._stop_threads()
         self.log.info("entry_stopped", unanswered=unanswered)
         return unanswered == 0
@@ -201,8 +203,8 @@
         )
         registration = Registration(store, record, self._learn_entries)
         self.followers = [follower, registration]
-        self._run(follower.run)
-        self._run(registration.run)
+        self.tasks.run(follower.run)
+        self.tasks.run(registration.run)
 
     def _learn_entries(self, records: list[EntryRecord]) -> None:
         self.gossip.learn([record.endpoint for record in records])
@@ -210,6 +212,14 @@
     def _answering_peers(self):
         return self.peers.answering(self.clock.monotonic(), PEER_ANSWER_S)
 
+    def _close_http(self) -> None:
+        self.http.refuse_connections()
+        limit_s = self.clock.monotonic() + CLOSE_LIMIT_S
+        time.sleep(BACKLOG_S)
+        while self.app.active and self.clock.monotonic() < limit_s:
+            time.sleep(DRAIN_POLL_S)
+        self.http.stop()
+
     def _is_busy(self) -> bool:
         return self.dispatcher.active_jobs() > 0 or self.app.active > 0
 
@@ -221,24 +231,12 @@
             follower.stop()
         if self.claims is not None:
             self.claims.stop()
-        with self.dispatcher.lock:
-            for link in self.dispatcher.links.values():
-                link.close()
-        self.threads.shutdown(wait=True)
+        self.dispatcher.close()
+        self.tasks.close()
         self.context.term()
 
     def _start_link(self, link: EntryLink) -> None:
-        self._run(link.run)
-
-    def _run(self, task: Callable[[], None]) -> None:
-        self.threads.submit(self._guard, task)
-
-    def _guard(self, task: Callable[[], None]) -> None:
-        try:
-            task()
-        except Exception:
-            self.log.logger.exception("task_broken")
-            raise
+        self.tasks.run(link.run)
 
     def _run_timer(self) -> None:
         while not self.stopping.wait(TIMER_S):
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -93,6 +93,8 @@
         address: Where it listens.
         zone: Its availability zone.
         entries: Membership endpoints (host:port) of entries.
+        advertise: Endpoint (host:port) under which entries reach it, if that
+            is not the address it listens on.
         announce_interval_s: Time between announcements, in seconds.
         drain_timeout_s: Longest graceful stop, in seconds.
         log_level: Lowest level of events that are written.
@@ -101,6 +103,7 @@
     entries: Annotated[list[str], Meta(min_length=1)]
     address: Address = msgspec.field(default_factory=Address)
     zone: Annotated[str, Meta(min_length=1, max_length=63)] = "default"
+    advertise: str | None = None
     announce_interval_s: Annotated[float, Meta(ge=0.05, le=10)] = 0.5
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -65,6 +65,7 @@
         ledger: Who may use its slots.
         sessions: What is kept for each entry.
         policy: The effective settings.
+        advertised: Endpoint under which entries reach it.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.socket.set(zmq.RCVHWM, 0)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
+        self.advertised = self.endpoint
         self.decoder = msgspec.msgpack.Decoder(EntryFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.next_tick_s = 0.0
@@ -130,7 +132,7 @@
         is_leaving = self.upstream.state is not UpstreamState.SERVING
         return Announce(
             self.incarnation,
-            self.endpoint,
+            self.advertised,
             self.zone,
             self.upstream.service,
             self.upstream.slots,
@@ -335,11 +337,18 @@
                     result.is_json,
                     result.run_s,
                 )
+                if result.is_unreachable:
+                    self.commands.put(lambda: self._lose_upstream(caller))
             self.commands.put(lambda: self._finish(session, outcome))
             self.wakeup.set()
 
         self.workers.submit(work)
 
+    def _lose_upstream(self, caller: UpstreamCaller) -> None:
+        """Stops new work until the upstream announces itself again."""
+        if caller is self.caller and self.upstream.leave():
+            self._close_slots("unreachable")
+
     def _finish(self, session: SidecarSession, outcome: Outcome) -> None:
         self.ledger.running -= 1
         self.metrics.count("outcomes_total", {"state": outcome.state.value})
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import zmq
@@ -16,6 +15,7 @@
 from sardinestair.sidecar.api import UpstreamApi
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.sidecar.policy import SidecarPolicy
+from sardinestair.tasks import TaskPool
 from sardinestair.upstreams import UpstreamState
 from sardinestair.web import HttpServer, WebApp, operations_rules
 
@@ -47,8 +47,13 @@
         self.context = zmq.Context()
         self.announcers: dict[str, Announcer] = {}
         self.lock = threading.Lock()
+        self.log = EventLog(
+            "sidecar",
+            sidecar=format_incarnation(self.incarnation),
+            zone=settings.zone,
+        )
         # One thread for the links and one for each entry.
-        self.threads = ThreadPoolExecutor(1 + MAX_ENTRIES)
+        self.tasks = TaskPool(1 + MAX_ENTRIES, self.log)
         address = settings.address
         self.server = LinkServer(
             f"tcp://{address.host}:{address.link_port or '*'}",
@@ -58,13 +63,10 @@
             self.metrics,
             self.context,
         )
+        if settings.advertise is not None:
+            self.server.advertised = f"tcp://{settings.advertise}"
         rules = UpstreamApi(self.server).rules()
         rules += operations_rules(self.metrics, self._readiness)
-        self.log = EventLog(
-            "sidecar",
-            sidecar=format_incarnation(self.incarnation),
-            zone=settings.zone,
-        )
         self.http = HttpServer(
             address.host,
             address.http_port,
@@ -75,7 +77,7 @@
     def start(self) -> None:
         """Starts all threads."""
         self.server.listeners.append(self._notify_announcers)
-        self.threads.submit(self._guard, self.server.run)
+        self.tasks.run(self.server.run)
         self.http.start()
         self._meet_entries(self.settings.entries)
         self.log.info(
@@ -101,7 +103,7 @@
             announcer.stop()
         self.http.stop()
         self.server.stop()
-        self.threads.shutdown(wait=True)
+        self.tasks.close()
         self.context.term()
         self.log.info("sidecar_stopped", unsettled=unsettled)
         return unsettled == 0
@@ -109,13 +111,6 @@
     def _unsettled(self) -> int:
         return self.server.submit(self.server.unsettled).result()
 
-    def _guard(self, task) -> None:
-        try:
-            task()
-        except Exception:
-            self.log.logger.exception("task_broken")
-            raise
-
     def _meet_entries(self, entries: list[str]) -> None:
         with self.lock:
             for entry in entries:
@@ -132,7 +127,7 @@
                     self.context,
                 )
                 self.announcers[entry] = announcer
-                self.threads.submit(self._guard, announcer.run)
+                self.tasks.run(announcer.run)
 
     def _take_reply(self, reply: AnnounceReply) -> None:
         self._meet_entries(reply.entries)
--- a/sardinestair/standins/upstream.py
+++ b/sardinestair/standins/upstream.py
@@ -11,13 +11,14 @@
 import msgspec
 
 from sardinestair.observability import EventLog
-from sardinestair.transfer import Transfer, TransferFailure
+from sardinestair.transfer import Reply, Transfer, TransferFailure
 from sardinestair.web import HttpServer, Request, Response, WebApp
 
 __all__ = ["UpstreamStandin"]
 
 MAX_BODY_BYTES = 1 << 20
 ANNOUNCE_TIMEOUT_S = 1.0
+LEAVE_TIMEOUT_S = 30.0
 
 
 class StandinTask(msgspec.Struct):
@@ -100,10 +101,18 @@
         """Leaves, and stops serving."""
         self.stopping.set()
         self._call_sidecar("DELETE", b"")
-        while self.running:
+        limit_s = time.monotonic() + LEAVE_TIMEOUT_S
+        while self._is_in_use() and time.monotonic() < limit_s:
             time.sleep(0.01)
         self.http.stop()
 
+    def _is_in_use(self) -> bool:
+        """True while the sidecar has tasks here, some perhaps on the way."""
+        reply = self._call_sidecar("GET", b"")
+        if reply is None:
+            return self.running > 0
+        return msgspec.json.decode(reply.body)["running"] > 0
+
     def _announce(self) -> None:
         body = msgspec.json.encode(
             {
@@ -117,12 +126,14 @@
             self._call_sidecar("PUT", body)
             self.stopping.wait(self.ttl_s / 4)
 
-    def _call_sidecar(self, method: str, body: bytes) -> None:
+    def _call_sidecar(self, method: str, body: bytes) -> Reply | None:
         reply = Transfer().perform(
             method, f"{self.sidecar}/v1/upstream", body, ANNOUNCE_TIMEOUT_S
         )
         if isinstance(reply, TransferFailure):
             self.log.warning("announce_failed", reason=reply.reason)
+            return None
+        return reply
 
     def _run_task(self, request: Request) -> Response:
         task = msgspec.json.decode(request.get_data(), type=StandinTask)
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -25,12 +25,14 @@
         body: The answer, or the reason in UTF-8.
         is_json: True if the body is a JSON value.
         run_s: Duration of the call in seconds.
+        is_unreachable: True if there was no connection to the upstream.
     """
 
     state: TaskState
     body: bytes
     is_json: bool
     run_s: float
+    is_unreachable: bool = False
 
 
 class UpstreamCaller:
@@ -78,7 +80,8 @@
         if isinstance(reply, Reply):
             return self._answered(reply.status, reply.body, run_s)
         state = TaskState.FAILED if reply.was_sent else TaskState.NOT_RUN
-        return CallResult(state, reply.reason.encode(), False, run_s)
+        reason = reply.reason.encode()
+        return CallResult(state, reason, False, run_s, not reply.was_sent)
 
     def check_health(self, path: str, timeout_s: float) -> bool:
         """Asks the upstream's health path.
--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -1,5 +1,8 @@
 """HTTP serving shared by the programs: a WSGI server and replies."""
 
+import ctypes
+import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable
 
@@ -25,6 +28,9 @@
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
 SOCKET_TIMEOUT_S = 10
+SO_ATTACH_FILTER = 26
+# One classic BPF instruction, `ret #0`: pass no byte of any packet.
+BPF_RETURN_ZERO = struct.pack("HBBI", 0x06, 0, 0, 0)
 LISTEN_BACKLOG = 1024
 
 Handler = Callable[..., Response]
@@ -69,6 +75,8 @@
 
     Attributes:
         active: Requests that are being served.
+        is_closing: True to ask callers to open no further request on their
+            connection.
     """
 
     def __init__(
@@ -83,6 +91,7 @@
         self.max_body_bytes = max_body_bytes
         self.log = log
         self.active = 0
+        self.is_closing = False
         self.lock = threading.Lock()
 
     def __call__(self, environ, start_response):
@@ -91,6 +100,8 @@
             self.active += 1
         try:
             response = self._respond(environ)
+            if self.is_closing:
+                response.headers["Connection"] = "close"
             return response(environ, start_response)
         finally:
             with self.lock:
@@ -169,6 +180,21 @@
         )
         self.thread.start()
 
+    def refuse_connections(self) -> None:
+        """Lets no further connection in, while waiting ones are served.
+
+        Closing the listener at once would reset connections that the kernel
+        has accepted and whose request may have been sent. A filter on the
+        listener drops only the packets that would open new ones; after
+        `stop` those callers get a refusal.
+        """
+        assert self.server is not None and self.server.socket is not None
+        drop_all = ctypes.create_string_buffer(BPF_RETURN_ZERO)
+        program = struct.pack("HxxxxxxP", 1, ctypes.addressof(drop_all))
+        self.server.socket.setsockopt(
+            socket.SOL_SOCKET, SO_ATTACH_FILTER, program
+        )
+
     def stop(self) -> None:
         """Stops listening, and ends idle connections."""
         if self.server is not None:
