Check the protocols exhaustively and the real code by state machines

Cause: the promises need proofs that can fail, not only runs. Found: an ended job dropped its payloads before the queue counted them out, so queued bytes never fell and admission would in time refuse everything; the wave of 2,000 cancellations showed 4,000 bytes left. Mended: payloads are dropped after the queue has let the job go.

--- /dev/null
+++ b/model/check.py
@@ -0,0 +1,128 @@
+"""Checks all specifications and their mutants: `python -m model.check`.
+
+A specification holds only if its whole state space was searched. A mutant
+must be refuted by a trace, or the check of the rule proves nothing.
+"""
+
+import sys
+from collections.abc import Callable
+
+import msgspec
+from minicheck import Protocol, check_safety
+
+from model.answers import AnswerMutant, make_answers
+from model.claims import ClaimMutant, make_claims
+from model.start_protocol import StartMutant, make_start_protocol
+
+__all__ = ["CASES", "Case", "Finding", "check"]
+
+MAX_STATES = 400_000
+MAX_MUTANT_STATES = 60_000
+
+
+class Case(msgspec.Struct, frozen=True):
+    """A specification to check.
+
+    Attributes:
+        make: Builds it, with the mutant if there is one.
+        mutant: The rule left out, or None.
+    """
+
+    make: Callable
+    mutant: StartMutant | ClaimMutant | AnswerMutant | None = None
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """What a check found.
+
+    Attributes:
+        name: Name of the specification or mutant.
+        states: States that were searched.
+        is_exhaustive: True if these are all.
+        traces: The shortest trace to each violated invariant.
+    """
+
+    name: str
+    states: int
+    is_exhaustive: bool
+    traces: dict[str, list]
+
+
+CASES = [
+    Case(make_start_protocol),
+    Case(make_claims),
+    Case(make_answers),
+    *(Case(make_start_protocol, mutant) for mutant in StartMutant),
+    *(Case(make_claims, mutant) for mutant in ClaimMutant),
+    *(Case(make_answers, mutant) for mutant in AnswerMutant),
+]
+
+
+def check(case: Case) -> Finding:
+    """Checks one specification.
+
+    Args:
+        case: The specification.
+
+    Returns:
+        What was found.
+    """
+    protocol: Protocol = case.make(case.mutant)
+    limit = MAX_STATES if case.mutant is None else MAX_MUTANT_STATES
+    result = check_safety(protocol, max_states=limit)
+    traces = {
+        name: found["counterexample"]
+        for name, found in result["properties"].items()
+        if found["holds"] is False
+    }
+    return Finding(
+        protocol.name,
+        result["reachable_states"],
+        result["exhaustive"],
+        traces,
+    )
+
+
+def is_as_expected(case: Case, finding: Finding) -> bool:
+    """True if a specification holds, or a mutant is refuted."""
+    if case.mutant is not None:
+        return bool(finding.traces)
+    return finding.is_exhaustive and not finding.traces
+
+
+def main() -> int:
+    """Checks all; returns 0 if all is as expected."""
+    failures = 0
+    for case in CASES:
+        finding = check(case)
+        expected = is_as_expected(case, finding)
+        failures += not expected
+        print(_verdict(case, finding, expected), flush=True)
+    return 1 if failures else 0
+
+
+def _verdict(case: Case, finding: Finding, expected: bool) -> str:
+    states = f"{finding.states:>7} states"
+    if case.mutant is None:
+        verdict = "holds" if expected else _failure(finding)
+        return f"{finding.name:40} {states}  {verdict}"
+    if not expected:
+        return f"mutant {finding.name:33} {states}  NOT REFUTED"
+    name, trace = min(finding.traces.items(), key=lambda item: len(item[1]))
+    return (
+        f"mutant {finding.name:33} {states}  refuted in {len(trace) - 1} "
+        f"steps: {name}"
+    )
+
+
+def _failure(finding: Finding) -> str:
+    if not finding.traces:
+        return "UNDETERMINED: the search did not finish"
+    lines = [f"VIOLATED: {name}" for name in finding.traces]
+    for trace in finding.traces.values():
+        lines += [f"    {step}" for step in trace]
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/model/claims.py
@@ -0,0 +1,194 @@
+"""Specification of claims: one unrepeatable job, two entries, one store.
+
+A write may be lost, arrive late or lose its answer; entries may crash. The
+caller submits the job again, to either entry, after a refusal or silence.
+"""
+
+import enum
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+__all__ = ["ClaimMutant", "make_claims"]
+
+ENTRIES = (0, 1)
+MAX_SUBMISSIONS = 3
+NOBODY = -1
+
+
+class ClaimMutant(enum.Enum):
+    """A rule left out; each must be refuted."""
+
+    RETRIED_BLINDLY = "claim retried blindly"
+    SILENCE_TAKEN_AS_SUCCESS = "lost answer taken as success"
+    DEAD_CLAIM_TAKEN_OVER = "dead entry's claim taken over"
+    NOT_VOUCHED = "nonce forgotten after giving up"
+
+
+class Phase(enum.Enum):
+    """What an entry does about the job."""
+
+    IDLE = "idle"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    DONE = "done"
+    CRASHED = "crashed"
+
+
+class Entry(NamedTuple):
+    """An entry; `nonce` is that of the claim it makes or vouches for."""
+
+    phase: Phase = Phase.IDLE
+    nonce: int = 0
+
+
+class Write(NamedTuple):
+    """A write of a claim, or its answer."""
+
+    entry: int
+    nonce: int
+
+
+class Answer(NamedTuple):
+    """The store's answer to a write: who holds the claim."""
+
+    entry: int
+    nonce: int
+    holder: int
+    holder_nonce: int
+
+
+class State(NamedTuple):
+    """The whole system; `told_not_run` holds while no submission is open."""
+
+    entries: tuple[Entry, ...] = (Entry(), Entry())
+    store: Write | None = None
+    writes: frozenset = frozenset()
+    answers: frozenset = frozenset()
+    nonces: int = 0
+    submissions: int = 0
+    runs: int = 0
+    told_not_run: bool = False
+
+
+Step = tuple[str, State]
+
+
+def make_claims(mutant: ClaimMutant | None = None) -> Protocol:
+    """Returns the specification.
+
+    Args:
+        mutant: The rule to leave out, if any.
+    """
+    return Protocol(
+        name=mutant.value if mutant else "claims",
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: list(_steps(State(*state), mutant)),
+        invariants={
+            "run at most once": lambda s: s["runs"] <= 1,
+            "not run is true": lambda s: not s["told_not_run"] or not s["runs"],
+            "a resubmission can run": lambda s: _is_recoverable(s, mutant),
+        },
+    )
+
+
+def _is_recoverable(state: dict, mutant: ClaimMutant | None) -> bool:
+    """A live entry that vouches for the standing claim can still use it."""
+    store = state["store"]
+    if store is None or not state["told_not_run"]:
+        return True
+    entry = state["entries"][store.entry]
+    return entry.phase is Phase.CRASHED or entry.nonce == store.nonce
+
+
+def _steps(state: State, mutant: ClaimMutant | None) -> Iterator[Step]:
+    for index in ENTRIES:
+        yield from _entry_steps(state, index, mutant)
+    for write in state.writes:
+        yield "write arrives", _apply(state, write, mutant)
+    for answer in state.answers:
+        yield from _take_answer(state, answer, mutant)
+
+
+def _entry_steps(
+    state: State, index: int, mutant: ClaimMutant | None
+) -> Iterator[Step]:
+    entry = state.entries[index]
+    if entry.phase is Phase.CRASHED:
+        return
+    yield f"{index} crashes", _set(state, index, Entry(Phase.CRASHED))
+    if entry.phase is Phase.IDLE and state.submissions < MAX_SUBMISSIONS:
+        yield f"submit to {index}", _submit(state, index)
+    if entry.phase is Phase.CLAIMING:
+        yield f"{index} gives up", _give_up(state, index, mutant)
+        if mutant is ClaimMutant.RETRIED_BLINDLY:
+            yield f"{index} retries", _submit(state, index)
+        if mutant is ClaimMutant.SILENCE_TAKEN_AS_SUCCESS:
+            yield f"{index} assumes success", _run(state, index)
+
+
+def _submit(state: State, index: int) -> State:
+    entry = state.entries[index]
+    nonce = entry.nonce or state.nonces + 1
+    state = state._replace(
+        nonces=max(state.nonces, nonce),
+        submissions=state.submissions + 1,
+        told_not_run=False,
+        writes=state.writes | {Write(index, nonce)},
+    )
+    return _set(state, index, Entry(Phase.CLAIMING, nonce))
+
+
+def _give_up(state: State, index: int, mutant: ClaimMutant | None) -> State:
+    """The caller is told "not run"; the entry keeps the nonce."""
+    nonce = state.entries[index].nonce
+    if mutant is ClaimMutant.NOT_VOUCHED:
+        nonce = 0
+    others = any(
+        e.phase in (Phase.CLAIMING, Phase.RUNNING)
+        for i, e in enumerate(state.entries)
+        if i != index
+    )
+    state = _set(state, index, Entry(Phase.IDLE, nonce))
+    # With another submission open the "not run" is about this one only.
+    return state if others else state._replace(told_not_run=state.runs == 0)
+
+
+def _apply(state: State, write: Write, mutant: ClaimMutant | None) -> State:
+    is_blind = mutant is ClaimMutant.RETRIED_BLINDLY
+    holder = write if state.store is None or is_blind else state.store
+    answer = Answer(write.entry, write.nonce, holder.entry, holder.nonce)
+    return state._replace(store=holder, answers=state.answers | {answer})
+
+
+def _take_answer(
+    state: State, answer: Answer, mutant: ClaimMutant | None
+) -> Iterator[Step]:
+    entry = state.entries[answer.entry]
+    if entry.phase is not Phase.CLAIMING or entry.nonce != answer.nonce:
+        return
+    is_own = (answer.holder, answer.holder_nonce) == (
+        answer.entry,
+        answer.nonce,
+    )
+    holder = state.entries[answer.holder]
+    is_dead = holder.phase is Phase.CRASHED
+    if is_own or (is_dead and mutant is ClaimMutant.DEAD_CLAIM_TAKEN_OVER):
+        yield f"{answer.entry} owns the claim", _run(state, answer.entry)
+    else:
+        refused = Entry(Phase.IDLE)
+        yield f"{answer.entry} is refused", _set(state, answer.entry, refused)
+
+
+def _run(state: State, index: int) -> State:
+    nonce = state.entries[index].nonce
+    state = _set(state, index, Entry(Phase.DONE, nonce))
+    return state._replace(runs=state.runs + 1)
+
+
+def _set(state: State, index: int, entry: Entry) -> State:
+    entries = state.entries[:index] + (entry,) + state.entries[index + 1 :]
+    return state._replace(entries=entries)
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -522,6 +522,7 @@
         """Does what every end of a job needs."""
         state = self.services[job.service]
         state.queue.discard(job)
+        job.drop_payloads()
         if job.claim is not None and job.ended_not_run and self.claims:
             self.claims.vouch(job.job_id, job.claim)
         self._cancel_in_flight(job)
--- /dev/null
+++ b/sardinestair/entry/tests/test_dispatcher.py
@@ -0,0 +1,143 @@
+"""Rules of the dispatcher that failure tests have brought up."""
+
+import msgspec
+import pytest
+
+from sardinestair.clock import ManualClock
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.ids import Incarnation, new_incarnation, new_job_id
+from sardinestair.jobs import JobState
+from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
+from sardinestair.messages import Announce
+from sardinestair.observability import Metrics
+from sardinestair.outcomes import ProblemKind
+from sardinestair.settings import parse_tree
+from sardinestair.store.claims import Claim, ClaimVerdict
+from sardinestair.tests.fakes import FakeContext
+
+
+class FakeClaims:
+    def __init__(self):
+        self.asked = []
+        self.vouched = {}
+
+    def submit(self, job_id, callback):
+        self.asked.append(callback)
+
+    def vouch(self, job_id, claim):
+        self.vouched[job_id] = claim
+
+
+@pytest.fixture
+def claims():
+    return FakeClaims()
+
+
+@pytest.fixture
+def dispatcher(claims):
+    dispatcher = Dispatcher(
+        new_incarnation(), "z", ManualClock(), Metrics(), FakeContext(),
+        claims=claims,
+    )  # fmt: skip
+    dispatcher.configure(parse_tree("services: {quotes: {}}").ok)
+    # Admission needs an upstream, or it predicts an endless wait.
+    dispatcher.meet(announce())
+    state = dispatcher.services["quotes"]
+    for link in state.links.values():
+        link.state = type(link.state).UP
+    return dispatcher
+
+
+def announce(leaving=False):
+    sidecar = Incarnation(b"s" * 16)
+    return Announce(sidecar, "tcp://127.0.0.1:1", "z", "quotes", 8, leaving, 0)
+
+
+def request(job_id=None, unrepeatable=False, deadline_s=5.0):
+    tasks = [TaskRequest(msgspec.Raw(b"{}"))]
+    body = JobRequest(
+        "quotes", "team", tasks, deadline_s=deadline_s,
+        unrepeatable=unrepeatable,
+    )  # fmt: skip
+    return ParsedRequest(job_id or new_job_id(), body, b"same")
+
+
+def make_id(dispatcher):
+    """Returns an id with the time of the dispatcher's clock."""
+    ms = int(dispatcher.clock.now().timestamp() * 1000)
+    return ms.to_bytes(6, "big") + bytes([0x70]) + new_job_id()[7:]
+
+
+def test_announcement_after_close_opens_no_link(dispatcher):
+    dispatcher.close()
+    assert dispatcher.meet(announce()) is None
+
+
+def test_leaving_sidecar_without_tasks_is_forgotten(dispatcher):
+    dispatcher.meet(announce(leaving=True))
+    assert not dispatcher.links
+
+
+def test_unclaimed_job_does_not_start(dispatcher, claims):
+    job_id = make_id(dispatcher)
+    job = dispatcher.submit(request(job_id, unrepeatable=True)).ok
+    assert dispatcher.services["quotes"].queue.waiting_tasks == 0
+    claims.asked[0](ClaimVerdict.OWNED, Claim("e", "n", "http://e"))
+    assert dispatcher.services["quotes"].queue.waiting_tasks == 1
+    assert job.claimed.result() is True
+
+
+def test_unavailable_store_refuses_as_not_run(dispatcher, claims):
+    job_id = make_id(dispatcher)
+    job = dispatcher.submit(request(job_id, unrepeatable=True)).ok
+    claims.asked[0](ClaimVerdict.UNAVAILABLE, None)
+    problem = job.done.result().error
+    assert problem.kind is ProblemKind.UNAVAILABLE
+    assert problem.not_run
+    again = dispatcher.submit(request(job_id, unrepeatable=True)).ok
+    assert again is not job
+
+
+def test_held_claim_is_never_called_not_run(dispatcher, claims):
+    job = dispatcher.submit(request(make_id(dispatcher), unrepeatable=True)).ok
+    claims.asked[0](ClaimVerdict.HELD, Claim("other", "n", "http://o"))
+    assert not job.done.result().error.not_run
+
+
+def test_claim_that_lands_after_the_deadline_is_vouched_for(dispatcher, claims):
+    job_id = make_id(dispatcher)
+    job = dispatcher.submit(request(job_id, unrepeatable=True)).ok
+    dispatcher.clock.advance(6.0)
+    dispatcher.expire()
+    assert job.done.result().error.not_run
+    claims.asked[0](ClaimVerdict.OWNED, Claim("e", "n", "http://e"))
+    assert job_id in claims.vouched
+    assert dispatcher.services["quotes"].queue.waiting_tasks == 0
+
+
+def test_old_id_of_an_unrepeatable_job_is_refused(dispatcher):
+    old = bytes(6) + bytes([0x70]) + bytes(9)
+    refused = dispatcher.submit(request(old, unrepeatable=True)).error
+    assert refused.kind is ProblemKind.INVALID
+    assert refused.not_run
+
+
+def test_job_that_did_not_run_can_be_submitted_again(dispatcher):
+    job_id = new_job_id()
+    job = dispatcher.submit(request(job_id)).ok
+    dispatcher.clock.advance(6.0)
+    dispatcher.expire()
+    assert job.state is JobState.FAILED
+    again = dispatcher.submit(request(job_id)).ok
+    assert again.state is JobState.ACTIVE
+
+
+def test_cancellation_wave_empties_the_queue(dispatcher):
+    body = {"deadline_s": 300.0}
+    jobs = [dispatcher.submit(request(**body)).ok for _ in range(2000)]
+    for job in jobs:
+        dispatcher.cancel(job.job_id)
+    queue = dispatcher.services["quotes"].queue
+    assert queue.waiting_tasks == queue.waiting_bytes == 0
+    assert abs(queue.waiting_s) < 1e-6
+    assert dispatcher.active_jobs() == 0
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -176,6 +176,10 @@
         """True if no task has run, and none is in flight."""
         return not (self.may_have_run or self.in_flight)
 
+    def drop_payloads(self) -> None:
+        """Frees the request bodies once no task can start any more."""
+        self.payloads = [b""] * self.size
+
     @property
     def ended_not_run(self) -> bool:
         """True if the job failed and none of its tasks has run."""
@@ -188,5 +192,4 @@
         if not self.is_active:
             return
         self.state = state
-        self.payloads = [b""] * self.size
         self.done.set_result(answer)
--- /dev/null
+++ b/sardinestair/limits/tests/test_credits.py
@@ -0,0 +1,90 @@
+"""Credits never exceed slots, and demand is served by urgency."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sardinestair.ids import Incarnation
+from sardinestair.limits.credits import CreditAccount, CreditLedger
+
+A, B, C = (Incarnation(bytes([n]) * 16) for n in range(3))
+
+
+def ledger_of(*entries, slots=4, read_ahead=0):
+    ledger = CreditLedger(slots, read_ahead)
+    for entry in entries:
+        ledger.open(entry)
+    return ledger
+
+
+def test_idle_slots_are_spread_evenly():
+    ledger = ledger_of(A, B)
+    ledger.allocate()
+    assert [h.held for h in ledger.holders.values()] == [2, 2]
+
+
+def test_free_slot_goes_to_the_most_urgent_entry():
+    ledger = ledger_of(A, B, slots=1)
+    ledger.observe_demand(A, 5, urgent_at_s=2.0)
+    ledger.observe_demand(B, 5, urgent_at_s=1.0)
+    assert ledger.allocate() == {B}
+
+
+def test_idle_credits_are_recalled_for_unmet_demand():
+    ledger = ledger_of(A, B)
+    ledger.allocate()
+    ledger.observe_demand(B, 3, urgent_at_s=0.0)
+    assert ledger.recalls() == {A: 2}
+    assert ledger.recalls() == {}  # one call at a time
+    ledger.observe_return(A, 2)
+    assert ledger.allocate() == {B}
+
+
+def test_closed_entry_frees_its_credits():
+    ledger = ledger_of(A, B)
+    ledger.allocate()
+    ledger.close(A)
+    ledger.allocate()
+    assert ledger.holders[B].held == 4
+
+
+def test_start_without_credit_is_refused():
+    ledger = ledger_of(A, slots=0)
+    ledger.allocate()
+    assert not ledger.spend(A)
+    assert not ledger.spend(C)
+
+
+@settings(derandomize=True, database=None, max_examples=200)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["demand", "spend", "return", "finish", "reopen"]),
+            st.sampled_from([A, B, C]),
+            st.integers(0, 5),
+        ),
+        max_size=60,
+    )
+)
+def test_credits_and_running_tasks_never_exceed_the_slots(steps):
+    ledger = ledger_of(A, B, C)
+    accounts = {entry: CreditAccount() for entry in (A, B, C)}
+    for action, entry, number in steps:
+        account = accounts[entry]
+        if action == "demand":
+            ledger.observe_demand(entry, number, float(number))
+        elif action == "spend" and account.available:
+            account.spend()
+            assert ledger.spend(entry)
+            ledger.running += 1
+        elif action == "return":
+            ledger.observe_return(entry, account.give_back(number))
+        elif action == "finish" and ledger.running:
+            ledger.running -= 1
+        elif action == "reopen":
+            account.reset()
+            ledger.open(entry)
+        for granted in ledger.allocate():
+            accounts[granted].grant(ledger.holders[granted].granted)
+        held = sum(a.available for a in accounts.values())
+        assert held + ledger.running <= ledger.slots
+        assert ledger.free == 0
--- /dev/null
+++ b/sardinestair/tests/fakes.py
@@ -0,0 +1,81 @@
+"""Fakes at the interfaces: sockets, workers, upstreams and the store."""
+
+from collections import deque
+
+import zmq
+
+from sardinestair.messages import TaskState
+from sardinestair.upstreams import CallResult
+
+
+class FakeSocket:
+    """Collects what is sent, and hands out what the test puts in."""
+
+    def __init__(self):
+        self.sent = []
+        self.inbox = deque()
+
+    def set(self, *_option):
+        pass
+
+    def get(self, option):
+        if option == zmq.LAST_ENDPOINT:
+            return b"tcp://127.0.0.1:1"
+        return zmq.POLLIN if self.inbox else 0
+
+    def bind(self, _endpoint):
+        pass
+
+    def connect(self, _endpoint):
+        pass
+
+    def close(self, linger=0):
+        pass
+
+    def recv(self):
+        return self.inbox.popleft()
+
+    def send(self, data, _flags=0):
+        self.sent.append(data)
+
+    def send_multipart(self, parts):
+        self.sent.append(parts)
+
+    def take(self):
+        sent, self.sent = self.sent, []
+        return sent
+
+
+class FakeContext:
+    """Makes fake sockets."""
+
+    def socket(self, _kind):
+        return FakeSocket()
+
+
+class FakeWorkers:
+    """Keeps submitted work until the test runs it."""
+
+    def __init__(self):
+        self.work = deque()
+
+    def submit(self, function):
+        self.work.append(function)
+
+    def shutdown(self, **_options):
+        self.work.clear()
+
+
+class FakeUpstream:
+    """Records starts; answers with the name of the task."""
+
+    def __init__(self, starts):
+        self.starts = starts
+        self.state = TaskState.DONE
+
+    def call(self, ref, _payload, timeout_s):
+        assert timeout_s > 0
+        if self.state is not TaskState.NOT_RUN:
+            self.starts.append((ref.job, ref.index))
+        body = f"{ref.job.hex()}/{ref.index}".encode()
+        return CallResult(self.state, body, False, 0.1)
--- /dev/null
+++ b/sardinestair/tests/test_links_machine.py
@@ -0,0 +1,268 @@
+"""State machine over the real entry and sidecar code, with fake sockets.
+
+Connections lose, repeat and delay frames, sidecars restart, upstreams leave;
+the promises must hold in every run.
+"""
+
+from collections import Counter, deque
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sardinestair.clock import ManualClock
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.ids import new_incarnation, new_job_id
+from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
+from sardinestair.links.entry_link import LinkState
+from sardinestair.messages import EntryFrame, TaskState
+from sardinestair.observability import Metrics
+from sardinestair.settings import parse_tree
+from sardinestair.sidecar.link_server import LinkServer
+from sardinestair.tests.fakes import (
+    FakeContext,
+    FakeSocket,
+    FakeUpstream,
+    FakeWorkers,
+)
+from sardinestair.upstreams import Announcement
+
+SIDECARS = 2
+SLOTS = 2
+ANNOUNCEMENT = Announcement("quotes", "http://127.0.0.1:1", SLOTS, ttl_s=300)
+
+
+class Connection:
+    """One connection of a link; frames stay in order but may be lost."""
+
+    def __init__(self, link, place, number):
+        self.link = link
+        self.place = place
+        self.route = bytes([number % 256, number // 256])
+        self.socket = FakeSocket()
+        self.to_sidecar = deque()
+        self.to_entry = deque()
+        self.delivered = []
+
+    def collect(self):
+        self.to_sidecar.extend(self.socket.take())
+
+
+class LinksMachine(RuleBasedStateMachine):
+    @initialize()
+    def start(self):
+        self.clock = ManualClock()
+        self.starts = []
+        self.jobs = {}
+        self.connections = []
+        self.numbers = 0
+        self.dispatcher = Dispatcher(
+            new_incarnation(), "z", self.clock, Metrics(), FakeContext()
+        )
+        self.dispatcher.configure(parse_tree("services: {quotes: {}}").ok)
+        self.servers = [self.make_server() for _ in range(SIDECARS)]
+        for place in range(SIDECARS):
+            self.meet(place)
+
+    def make_server(self):
+        server = LinkServer(
+            "tcp://127.0.0.1:*", "z", new_incarnation(), self.clock,
+            Metrics(), FakeContext(),
+        )  # fmt: skip
+        server.announce(ANNOUNCEMENT)
+        server.workers.shutdown()
+        server.workers = FakeWorkers()
+        server.caller = FakeUpstream(self.starts)
+        return server
+
+    def meet(self, place):
+        link = self.dispatcher.meet(self.servers[place].description())
+        if link is not None:
+            self.open(link, place)
+
+    def open(self, link, place):
+        self.connections = [c for c in self.connections if c.link is not link]
+        self.numbers += 1
+        connection = Connection(link, place, self.numbers)
+        link._open_epoch(connection.socket)
+        link._flush(connection.socket)
+        connection.collect()
+        self.connections.append(connection)
+
+    def flush_server(self, server):
+        server._run_commands()
+        server._share_slots()
+        server._flush()
+        for route, data in server.socket.take():
+            for connection in self.connections:
+                if connection.route == route:
+                    connection.to_entry.append(data)
+
+    def hand_to_sidecar(self, connection, data):
+        server = self.servers[connection.place]
+        frame = msgspec.msgpack.decode(data, type=EntryFrame)
+        server._handle_frame(connection.route, frame)
+        self.flush_server(server)
+
+    # The caller.
+
+    @rule(tasks=st.integers(1, 3))
+    def submit(self, tasks):
+        payloads = [TaskRequest(msgspec.Raw(b"{}")) for _ in range(tasks)]
+        request = JobRequest("quotes", "team", payloads, deadline_s=30.0)
+        parsed = ParsedRequest(new_job_id(), request, b"")
+        submitted = self.dispatcher.submit(parsed)
+        if submitted.is_ok():
+            self.jobs[parsed.job_id] = submitted.ok
+        self.flush_links()
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data())
+    def cancel(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.jobs)))
+        self.dispatcher.cancel(job_id)
+
+    def flush_links(self):
+        for connection in self.connections:
+            if connection.link.state is not LinkState.CLOSED:
+                connection.link._flush(connection.socket)
+                connection.collect()
+
+    # The network.
+
+    @rule(index=st.integers(0, SIDECARS - 1))
+    def deliver_to_sidecar(self, index):
+        connection = self.connection(index)
+        while connection and connection.to_sidecar:
+            data = connection.to_sidecar.popleft()
+            connection.delivered.append(data)
+            self.hand_to_sidecar(connection, data)
+
+    @rule(index=st.integers(0, SIDECARS - 1))
+    def deliver_to_entry(self, index):
+        connection = self.connection(index)
+        if not connection or connection.link.state is LinkState.CLOSED:
+            return
+        connection.socket.inbox.extend(connection.to_entry)
+        connection.to_entry.clear()
+        is_intact = connection.link._receive(connection.socket)
+        self.flush_links()
+        if not is_intact and connection.link.state is not LinkState.CLOSED:
+            self.open(connection.link, connection.place)
+
+    @rule(index=st.integers(0, SIDECARS - 1), data=st.data())
+    def repeat_a_frame(self, index, data):
+        connection = self.connection(index)
+        if connection and connection.delivered:
+            frame = data.draw(st.sampled_from(connection.delivered))
+            self.hand_to_sidecar(connection, frame)
+
+    @rule(index=st.integers(0, SIDECARS - 1))
+    def lose_a_frame(self, index):
+        connection = self.connection(index)
+        if connection and connection.to_sidecar:
+            connection.to_sidecar.popleft()
+        elif connection and connection.to_entry:
+            connection.to_entry.popleft()
+
+    @rule(index=st.integers(0, SIDECARS - 1), late=st.booleans())
+    def go_silent(self, index, late):
+        connection = self.connection(index)
+        if not connection or connection.link.state is LinkState.CLOSED:
+            return
+        old = list(connection.to_sidecar)
+        self.open(connection.link, connection.place)
+        if late:
+            # What was under way arrives after the new epoch has opened.
+            self.deliver_to_sidecar(index)
+            for data in old:
+                self.hand_to_sidecar(connection, data)
+
+    def connection(self, index):
+        if index < len(self.connections):
+            return self.connections[index]
+        return None
+
+    # Sidecars and upstreams.
+
+    @rule(place=st.integers(0, SIDECARS - 1), count=st.integers(1, 4))
+    def run_tasks(self, place, count):
+        server = self.servers[place]
+        for _ in range(min(count, len(server.workers.work))):
+            server.workers.work.popleft()()
+        self.flush_server(server)
+
+    @rule(place=st.integers(0, SIDECARS - 1))
+    def restart(self, place):
+        self.servers[place] = self.make_server()
+        self.meet(place)
+
+    @rule(
+        place=st.integers(0, SIDECARS - 1),
+        state=st.sampled_from(list(TaskState)),
+    )
+    def change_upstream(self, place, state):
+        self.servers[place].caller.state = state
+
+    @rule(place=st.integers(0, SIDECARS - 1))
+    def leave_and_return(self, place):
+        server = self.servers[place]
+        server.leave()
+        self.flush_server(server)
+        server.announce(ANNOUNCEMENT)
+        self.flush_server(server)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 40.0]))
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+        self.dispatcher.expire()
+        self.flush_links()
+
+    # The promises.
+
+    @invariant()
+    def started_at_most_once(self):
+        counts = Counter(getattr(self, "starts", ()))
+        assert all(count == 1 for count in counts.values()), counts
+
+    @invariant()
+    def answers_are_whole_and_true(self):
+        started = {job_id for job_id, _ in getattr(self, "starts", ())}
+        for job_id, job in getattr(self, "jobs", {}).items():
+            if not job.done.done():
+                continue
+            answer = job.done.result()
+            if answer.is_ok():
+                bodies = [a.body.decode() for a in answer.ok]
+                expected = [f"{job_id.hex()}/{i}" for i in range(job.size)]
+                assert bodies == expected
+            elif answer.error.not_run:
+                assert job_id not in started
+
+    @invariant()
+    def slots_are_not_exceeded(self):
+        for server in getattr(self, "servers", ()):
+            assert server.ledger.running <= SLOTS
+
+    def teardown(self):
+        for link in self.dispatcher.links.values():
+            link.wakeup.close()
+        for server in self.servers:
+            server.wakeup.close()
+
+
+TestLinks = LinksMachine.TestCase
+TestLinks.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
