Place by expected finish with an exact wait rule, judge health, measure load

An entry that waits asked for slots it would not use. Upstreams that fail everything fail fast and draw work. The wake-up used select, which breaks above 1,023 descriptors (found when the test process died of it). Change: slots that nobody asks for are kept while any entry has waiting tasks; the wait rule counts the job's own tasks and all slots of faster upstreams; demand only where a waiting task would start; health of upstreams and kinds of jobs; a load tool with open-loop arrivals, and a bench that runs policies side by side on the real programs; poll in place of select.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; speed is given as ratios within one run where it can be."""
--- /dev/null
+++ b/benchmarks/bench_placement.py
@@ -0,0 +1,130 @@
+"""Policies in turn on the real programs, with `python -m`.
+
+Systems that are compared run side by side, with the same jobs.
+"""
+
+import argparse
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import yaml
+
+from faults.system import System
+from sardinestair.load import (
+    Deployment,
+    LoadReport,
+    generate,
+    run_load,
+    summarize,
+)
+from sardinestair.load.scrape import read_wasted
+from sardinestair.settings import load_yaml
+
+# Early binding: tasks are sent at once and wait in front of the upstream.
+EARLY = {"order": "first_come", "wait_margin": 0.0, "read_ahead": 5000}
+VARIANTS = {
+    "round robin": {**EARLY, "policy": "round_robin"},
+    "power of two": {**EARLY, "policy": "power_of_two_choices"},
+    "least outstanding": {**EARLY, "policy": "least_outstanding"},
+    "first come": {"order": "first_come", "wait_margin": 0.0},
+    "small first": {"wait_margin": 0.0},
+    "default": {},
+}
+WARM_UP_S = 12.0
+
+
+def run_variant(
+    deployment: Deployment,
+    settings: dict,
+    load: float,
+    duration_s: float,
+    seed: int,
+) -> LoadReport:
+    """Runs one system under load, after a warm-up that is not counted."""
+    node = {"set": {**deployment.settings, **settings}}
+    tree = {"services": {deployment.service: node}}
+    system = System(
+        entries=deployment.entries,
+        upstreams=len(deployment.speeds),
+        speeds=deployment.speeds,
+        service=deployment.service,
+        tree=yaml.safe_dump(tree),
+        slots=deployment.slots,
+        failing=tuple(deployment.failing),
+    )
+    try:
+        system.start()
+        warm_up = generate(deployment, 0.5, WARM_UP_S, seed + 100)
+        run_load(system.urls, deployment, warm_up)
+        before = read_wasted(system.urls)
+        jobs = generate(deployment, load, duration_s, seed)
+        records = run_load(system.urls, deployment, jobs)
+        after = read_wasted(system.urls)
+    finally:
+        system.stop()
+    wasted = {kind: n - before.get(kind, 0) for kind, n in after.items()}
+    return summarize(records, wasted)
+
+
+def main() -> int:
+    """Runs the chosen variants and prints a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", default="examples/buyback.yaml")
+    parser.add_argument("--load", type=float, default=0.7)
+    parser.add_argument("--duration", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--bursts", type=float, default=1.0)
+    parser.add_argument("--large", type=float, default=0.0)
+    parser.add_argument("--variants", default=",".join(VARIANTS))
+    parser.add_argument(
+        "--set",
+        action="append",
+        default=[],
+        help="another variant, name:key=value,key=value",
+    )
+    options = parser.parse_args()
+    deployment = load_yaml(options.deployment, Deployment).ok
+    workload = msgspec.structs.replace(
+        deployment.workload,
+        burst_factor=options.bursts,
+        large_share=options.large,
+    )
+    deployment = msgspec.structs.replace(deployment, workload=workload)
+    names = [name for name in options.variants.split(",") if name]
+    variants = {name: VARIANTS[name] for name in names}
+    for text in options.set:
+        name, _, pairs = text.partition(":")
+        items = [pair.split("=") for pair in pairs.split(",")]
+        variants[name] = {key: yaml.safe_load(v) for key, v in items}
+
+    def run(settings: dict) -> LoadReport:
+        return run_variant(
+            deployment, settings, options.load, options.duration, options.seed
+        )
+
+    began_s = time.monotonic()
+    with ThreadPoolExecutor(len(variants)) as pool:
+        reports = list(pool.map(run, variants.values()))
+    print(
+        f"load {options.load}, {reports[0].jobs} jobs, "
+        f"{reports[0].tasks} tasks, seed {options.seed}, "
+        f"{time.monotonic() - began_s:.0f} s"
+    )
+    print(
+        f"{'variant':22} {'p50':>7} {'p90':>7} {'p99':>7} {'large99':>8} "
+        f"{'wasted':>7}  statuses"
+    )
+    for name, report in zip(variants, reports, strict=True):
+        s = report.stretch
+        print(
+            f"{name:22} {s.p50:7.2f} {s.p90:7.2f} {s.p99:7.2f} "
+            f"{report.stretch_large.p99:8.2f} {report.wasted_per_task:7.4f}"
+            f"  {report.statuses} {report.wasted}"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/bench_slopes.py
@@ -0,0 +1,203 @@
+"""Slopes for docs/CAPACITY.md: `python -m benchmarks.bench_slopes`."""
+
+import time
+import tracemalloc
+from typing import Any
+
+import msgspec
+
+from benchmarks.measure import Usage, read_usage
+from faults.system import Program, System
+from sardinestair.cli.client import ApiClient
+from sardinestair.clock import SystemClock
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.ids import Incarnation, new_incarnation, new_job_id
+from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
+from sardinestair.messages import Announce
+from sardinestair.observability import Metrics
+from sardinestair.placement import Candidate, LeastExpectedFinish
+from sardinestair.settings import SettingsTree
+from sardinestair.settings.edit import edit_node
+from sardinestair.settings.tree import effective
+from sardinestair.tests.fakes import FakeContext
+
+IDLE_S = 15.0
+PAYLOAD = msgspec.Raw(b'{"isbn": "9780131103627", "condition": "good"}')
+TASKS = 930
+FEW, MANY = 2, 10
+
+
+def main() -> None:
+    """Measures all slopes and prints them."""
+    show("decision, us", {n: decision_us(n) for n in (11, 100, 1000)})
+    show("queued task, bytes", {TASKS * 20: queued_task_bytes(20)})
+    show("submit with other teams, us", {n: submit_us(n) for n in (1, 340)})
+    show("settings node, bytes of tree", {340: tree_bytes(340) / 340})
+    show("effective settings, us", {n: effective_us(n) for n in (10, 340)})
+    few, many = idle_usage(FEW), idle_usage(MANY)
+    show_idle(few, many)
+
+
+def decision_us(upstreams: int, repeats: int = 3000) -> float:
+    """Returns the time of one decision with its updates."""
+    policy = LeastExpectedFinish()
+    candidates = []
+    for number in range(upstreams):
+        sidecar = Incarnation(number.to_bytes(16, "big"))
+        candidate = Candidate(sidecar, "quotes", "z", 8)
+        candidate.speed_ = 1.0 + number % 7 / 2
+        candidate.credits = number % 2
+        candidate.outstanding = 8 - candidate.credits
+        candidates.append(candidate)
+        policy.observe(candidate)
+    began_s = time.perf_counter()
+    for number in range(repeats):
+        chosen = policy.decide(0.3, number % 50)
+        policy.observe(chosen or candidates[number % upstreams])
+    return (time.perf_counter() - began_s) / repeats * 1e6
+
+
+def make_dispatcher(upstreams: int) -> Dispatcher:
+    """Returns a dispatcher whose upstreams have no credits."""
+    context: Any = FakeContext()
+    dispatcher = Dispatcher(
+        new_incarnation(), "z", SystemClock(), Metrics(), context
+    )
+    tree = edit_node(SettingsTree(), "root/quotes", {}, []).ok
+    limits = {"max_queued_tasks": 1_000_000, "max_queued_bytes": 1 << 30}
+    dispatcher.configure(edit_node(tree, "root", limits, []).ok)
+    for number in range(upstreams):
+        sidecar = Incarnation(number.to_bytes(16, "big"))
+        dispatcher.meet(
+            Announce(sidecar, "tcp://127.0.0.1:1", "z", "quotes", 8, False, 0)
+        )
+    return dispatcher
+
+
+def make_request(team: str, tasks: int) -> ParsedRequest:
+    """Returns a job whose tasks are not shared with other jobs."""
+    payloads = [TaskRequest(msgspec.Raw(bytes(PAYLOAD))) for _ in range(tasks)]
+    request = JobRequest("quotes", team, payloads, deadline_s=300.0)
+    request.declared_task_s = 0.001
+    return ParsedRequest(new_job_id(), request, b"")
+
+
+def queued_task_bytes(jobs: int) -> float:
+    """Returns the memory of one task that waits, its payload included."""
+    dispatcher = make_dispatcher(11)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for _ in range(jobs):
+        submitted = dispatcher.submit(make_request("team", TASKS))
+        assert submitted.is_ok(), submitted
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / (jobs * TASKS)
+
+
+def submit_us(teams: int, repeats: int = 1000) -> float:
+    """Returns the time to accept a job of one task."""
+    dispatcher = make_dispatcher(11)
+    requests = [
+        make_request(f"team{number % teams}", 1) for number in range(repeats)
+    ]
+    began_s = time.perf_counter()
+    for request in requests:
+        dispatcher.submit(request)
+    return (time.perf_counter() - began_s) / repeats * 1e6
+
+
+def make_tree(nodes: int) -> SettingsTree:
+    """Returns a tree with a number of service nodes."""
+    tree = SettingsTree()
+    for number in range(nodes):
+        values = {"deadline_s": 5.0, "wait_margin": 0.7}
+        tree = edit_node(tree, f"root/service{number}", values, []).ok
+    return tree
+
+
+def tree_bytes(nodes: int) -> int:
+    """Returns the size of a tree as it travels between entries."""
+    return len(msgspec.json.encode(make_tree(nodes)))
+
+
+def effective_us(nodes: int, repeats: int = 2000) -> float:
+    """Returns the time to find the settings of a place."""
+    tree = make_tree(nodes)
+    began_s = time.perf_counter()
+    for _ in range(repeats):
+        effective(tree, "service1", "leinster", "payout")
+    return (time.perf_counter() - began_s) / repeats * 1e6
+
+
+class Idle(msgspec.Struct, frozen=True):
+    """What an idle system uses per second."""
+
+    entry: Usage
+    sidecar: Usage
+    loopback_bytes: float
+    store_calls: float
+
+
+def idle_usage(sidecars: int) -> Idle:
+    """Returns what one entry and one sidecar of an idle system use."""
+    system = System(entries=3, upstreams=sidecars, speeds=[1.0] * sidecars)
+    try:
+        system.start()
+        time.sleep(5.0)
+        pids = [_pid(system.entries[0]), _pid(system.sidecars[0])]
+        before = [read_usage(pid) for pid in pids]
+        bytes_before, calls_before = _counts(system)
+        time.sleep(IDLE_S)
+        after = [read_usage(pid) for pid in pids]
+        bytes_after, calls_after = _counts(system)
+    finally:
+        system.stop()
+    return Idle(
+        _rate(before[0], after[0]),
+        _rate(before[1], after[1]),
+        (bytes_after - bytes_before) / IDLE_S,
+        (calls_after - calls_before) / IDLE_S,
+    )
+
+
+def _pid(program: Program) -> int:
+    assert program.process is not None
+    return program.process.pid
+
+
+def _rate(before: Usage, after: Usage) -> Usage:
+    core_share = (after.cpu_s - before.cpu_s) / IDLE_S
+    return Usage(core_share, after.resident_mb, after.threads)
+
+
+def _counts(system: System) -> tuple[int, int]:
+    with open("/proc/net/dev", encoding="utf-8") as stream:
+        line = next(x for x in stream if x.strip().startswith("lo:"))
+    calls = ApiClient(system.store_url).call("GET", "/standin/calls").ok
+    return int(line.split()[1]), sum(calls.values())
+
+
+def show(name: str, values: dict[int, float]) -> None:
+    """Prints one slope."""
+    cells = "  ".join(f"{n}: {value:.1f}" for n, value in values.items())
+    print(f"{name:34} {cells}", flush=True)
+
+
+def show_idle(few: Idle, many: Idle) -> None:
+    """Prints what idle processes use, and the slope per sidecar."""
+    step = MANY - FEW
+    for role in ("entry", "sidecar"):
+        a, b = getattr(few, role), getattr(many, role)
+        print(
+            f"idle {role:8} core {a.cpu_s:.4f} -> {b.cpu_s:.4f}, "
+            f"MB {a.resident_mb:.1f} -> {b.resident_mb:.1f}, "
+            f"threads {a.threads} -> {b.threads}"
+        )
+    per_sidecar = (many.loopback_bytes - few.loopback_bytes) / step
+    print(f"loopback bytes/s per sidecar       {per_sidecar:.0f}")
+    print(f"store calls/s, three entries       {many.store_calls:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/faults/callers.py
+++ b/faults/callers.py
@@ -3,7 +3,7 @@
 import random
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 
 import msgspec
 
@@ -60,7 +60,7 @@
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.pool = ThreadPoolExecutor(count)
-        self.futures = []
+        self.futures: list[Future] = []
 
     def start(self) -> None:
         """Starts all callers."""
--- a/faults/system.py
+++ b/faults/system.py
@@ -1,5 +1,6 @@
 """Starts and stops the programs of a small system on loopback."""
 
+import itertools
 import os
 import random
 import signal
@@ -29,11 +30,20 @@
 """
 
 
+# Below the range from which the kernel takes ports for connections.
+_PORTS = itertools.count(20_000 + os.getpid() * 97 % 9_000)
+
+
 def free_port() -> int:
-    """Returns a port that nothing listens on at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that nothing listens on, another one at each call."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("the count of ports does not end")
 
 
 class Program:
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -156,6 +156,7 @@
             state = self.services[link.candidate.service]
             state.links.pop(sidecar, None)
             state.speeds_.pop(sidecar, None)
+            state.health.forget(sidecar)
             self.links_handled()
 
     # Callers.
@@ -232,7 +233,11 @@
                     self._fail(job, ProblemKind.DEADLINE, detail)
             self.registry.expire(now_s)
             for state in self.services.values():
-                self.touched.add(state.name)
+                if state.queue.waiting_tasks:
+                    # An outage may be over, or a wait have become too long.
+                    for link in state.links.values():
+                        state.refresh(link, now_s)
+                    self.touched.add(state.name)
             self.links_handled()
 
     def close(self) -> None:
@@ -263,13 +268,15 @@
         index = outcome.task.index
         if outcome.state is TaskState.DONE:
             state.learn(job, link, outcome.run_s)
-            state.refresh(link)
+            self._judge(state, link, job, True)
+            state.refresh(link, self.clock.monotonic())
             job.record(index, TaskAnswer(outcome.body, outcome.is_json))
             if not job.is_active and job.job_id not in self.registry.ended:
                 self._ended(job)
             return
         job.may_have_run = True
         job.release(index)
+        self._judge(state, link, job, False)
         reason = outcome.body.decode("utf-8", "replace")
         reason = reason[:MAX_REASON_CHARACTERS]
         self._fail(job, ProblemKind.FAILED, f"task {index} failed: {reason}")
@@ -278,8 +285,8 @@
         """Puts tasks that did not run back to the head of their jobs."""
         state = self.services[link.candidate.service]
         self._settle(link)
+        self.count_wasted("start_refused", len(refs))
         for ref in refs:
-            self.metrics.count("tasks_not_run_total", {"service": state.name})
             job = self.registry.find(ref.job)
             if job is None:
                 continue
@@ -312,11 +319,11 @@
     def link_demand(self, link: EntryLink) -> Demand:
         """Returns how much work waits for a link's upstream."""
         state = self.services[link.candidate.service]
-        head = state.queue.head()
-        if head is None or link.account.available > 0:
-            return Demand(0, 0.0)
-        urgency_s = head.key_s - self.clock.monotonic()
-        return Demand(state.queue.waiting_tasks, urgency_s)
+        return state.demand(link, self.clock.monotonic())
+
+    def count_wasted(self, kind: str, count: int = 1) -> None:
+        """Counts messages that moved no work forward."""
+        self.metrics.count("messages_wasted_total", {"kind": kind}, count)
 
     def links_handled(self) -> None:
         """Places what can be placed, and wakes the links concerned."""
@@ -489,7 +496,7 @@
                 state.retries.observe()
             remaining_s = job.deadline_s - now_s
             link.place(job.ref(index), remaining_s, payloads[index])
-            state.refresh(link)
+            state.refresh(link, now_s)
             used.add(link.sidecar)
         is_unmet = state.queue.waiting_tasks > 0
         if is_unmet and not state.has_unmet_demand:
@@ -500,9 +507,24 @@
 
     def _settle(self, link: EntryLink) -> None:
         state = self.services[link.candidate.service]
-        state.refresh(link)
+        state.refresh(link, self.clock.monotonic())
         self.touched.add(state.name)
 
+    def _judge(
+        self, state: ServiceState, link: EntryLink, job: Job, succeeded: bool
+    ) -> None:
+        now_s = self.clock.monotonic()
+        is_out = state.health.observe(
+            link.sidecar, job.job_id, job.kind, succeeded, now_s
+        )
+        if is_out:
+            self.metrics.count("upstreams_out_total", {"service": state.name})
+            self.log.warning(
+                "upstream_out",
+                service=state.name,
+                sidecar=format_incarnation(link.sidecar),
+            )
+
     def _fail(
         self,
         job: Job,
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -5,7 +5,9 @@
 from sardinestair.jobs.work import WorkEstimate
 from sardinestair.limits import Admission, Load, RetryBudget
 from sardinestair.links.entry_link import EntryLink, LinkState
+from sardinestair.messages import Demand
 from sardinestair.placement import (
+    HealthRegistry,
     ReadyQueue,
     RunTimeEstimator,
     SpeedEstimator,
@@ -32,6 +34,7 @@
         retries: Budget for repeats after NOT_RUN.
         run_times_: Learned run times by kind of job.
         speeds_: Learned speed factors by sidecar.
+        health: Which upstreams are trusted with work.
     """
 
     def __init__(self, name: str, settings: ServiceSettings):
@@ -43,6 +46,7 @@
         self.retries = RetryBudget(settings.retry_ratio)
         self.run_times_: dict[str, RunTimeEstimator] = {}
         self.speeds_: dict[Incarnation, SpeedEstimator] = {}
+        self.health = HealthRegistry(settings.max_outage_share)
         self.has_unmet_demand = False
 
     def configure(self, settings: ServiceSettings) -> None:
@@ -52,6 +56,7 @@
             return
         self.queue.order = settings.order
         self.retries.ratio = settings.retry_ratio
+        self.health.max_outage_share = settings.max_outage_share
         self.policy = make_policy(settings.policy, settings.wait_margin)
         for link in self.links.values():
             self.policy.observe(link.candidate)
@@ -67,17 +72,20 @@
         speed = self.speeds_.setdefault(link.sidecar, SpeedEstimator())
         speed.observe(run_s, job.work.mean_s_)
         candidate.speed_ = speed.factor_
+        candidate.observe(run_s)
         typical_s = run_s / speed.factor_
         job.work.observe(typical_s)
         run_times = self.run_times_.setdefault(job.kind, RunTimeEstimator())
         run_times.observe(typical_s)
 
-    def refresh(self, link: EntryLink) -> None:
+    def refresh(self, link: EntryLink, now_s: float) -> None:
         """Brings a link's candidate up to date for placement."""
         candidate = link.candidate
-        is_up = link.state is LinkState.UP
-        candidate.credits = link.account.available if is_up else 0
         candidate.outstanding = len(link.outstanding)
+        is_usable = link.state is LinkState.UP and self.health.decide(
+            link.sidecar, candidate.outstanding, now_s
+        )
+        candidate.credits = link.account.available if is_usable else 0
         if link.state is LinkState.CLOSED:
             self.policy.withdraw(candidate)
         else:
@@ -118,6 +126,23 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
+    def demand(self, link: EntryLink, now_s: float) -> Demand:
+        """Returns how much work waits for a link's upstream.
+
+        There is none if not even the last task that waits would start there.
+        """
+        head = self.queue.head()
+        waiting = self.queue.waiting_tasks
+        if head is None or link.account.available > 0:
+            return Demand(0, 0.0)
+        outstanding = len(link.outstanding)
+        if not self.health.decide(link.sidecar, outstanding, now_s):
+            return Demand(0, 0.0)
+        size_s = head.work.mean_s_
+        if not self.policy.accepts(link.candidate, size_s, waiting - 1):
+            return Demand(0, 0.0)
+        return Demand(waiting, head.key_s - now_s)
+
     def next_placement(self) -> tuple[Job, EntryLink] | None:
         """Chooses the next task to start and where.
 
@@ -127,8 +152,9 @@
         Returns:
             The job and the link, or None if nothing can or should start.
         """
-        jobs = self.queue.in_order(LOOKAHEAD_JOBS)
-        for ahead, job in enumerate(jobs):
+        ahead = -1
+        for job in self.queue.in_order(LOOKAHEAD_JOBS):
+            ahead += len(job.waiting)
             candidate = self.policy.decide(job.work.mean_s_, ahead)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -75,8 +75,8 @@
         granted: Credits granted in this epoch.
         spent: Credits spent on starts, whether accepted or refused.
         returned: Credits given back.
-        demand: Tasks that wait at the entry, as last told, less the credits
-            granted since.
+        demand: Tasks that wait at the entry, as last told.
+        granted_since: Credits granted since then.
         urgent_at_s: Order key of the first of them, on the sidecar's clock.
         recall_pending: True while a `Recall` is unanswered.
     """
@@ -86,9 +86,15 @@
         self.spent = 0
         self.returned = 0
         self.demand = 0
+        self.granted_since = 0
         self.urgent_at_s = 0.0
         self.recall_pending = False
 
+    @property
+    def unmet(self) -> int:
+        """Waiting tasks that no credit has been granted for."""
+        return max(0, self.demand - self.granted_since)
+
     @property
     def held(self) -> int:
         """Credits granted and neither spent nor given back."""
@@ -99,8 +105,10 @@
     """Divides the slots of one upstream among the entries.
 
     A free slot goes to the entry whose first waiting task has the smallest
-    order key; with no demand, idle slots are spread evenly ahead of demand.
-    When demand is unmet, idle credits of other entries are called back.
+    order key. When demand is unmet, idle credits of other entries are called
+    back. While any entry reports waiting tasks, a slot that nobody asks for
+    right now is kept for the next report; with no demand at all, idle slots
+    are spread evenly ahead of demand.
 
     Args:
         slots: Tasks that the upstream runs at a time.
@@ -146,6 +154,7 @@
         """Takes an entry's report of its waiting tasks."""
         holder = self.holders[entry]
         holder.demand = count
+        holder.granted_since = 0
         holder.urgent_at_s = urgent_at_s
 
     def observe_return(self, entry: Incarnation, total: int) -> None:
@@ -179,7 +188,7 @@
                 break
             holder = self.holders[entry]
             holder.granted += 1
-            holder.demand = max(0, holder.demand - 1)
+            holder.granted_since += 1
             granted.add(entry)
         return granted
 
@@ -189,7 +198,7 @@
         Returns:
             For each entry that should give credits back, how many.
         """
-        unmet = sum(holder.demand for holder in self.holders.values())
+        unmet = sum(holder.unmet for holder in self.holders.values())
         calls: dict[Incarnation, int] = {}
         for entry, holder in self.holders.items():
             idle = 0 if holder.demand else holder.held
@@ -201,9 +210,11 @@
         return calls
 
     def _next_entry(self) -> Incarnation | None:
-        asking = [e for e, h in self.holders.items() if h.demand > 0]
+        asking = [e for e, h in self.holders.items() if h.unmet > 0]
         if asking:
             return min(asking, key=lambda e: self.holders[e].urgent_at_s)
+        if any(holder.demand for holder in self.holders.values()):
+            return None
         if not self.holders:
             return None
         return min(self.holders, key=lambda e: self.holders[e].held)
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -80,6 +80,9 @@
         """Returns what the entry wants of this sidecar."""
         ...
 
+    def count_wasted(self, kind: str, count: int = 1) -> None:
+        """Counts messages that moved no work forward."""
+
     def links_handled(self) -> None:
         """All messages at hand have been handled; work can be placed."""
 
@@ -271,6 +274,7 @@
             return
         self.settled.append(ref)
         if self.outstanding.get((ref.job, ref.index)) != ref:
+            self.owner.count_wasted("outcome_repeated")
             return
         del self.outstanding[ref.job, ref.index]
         self.owner.link_finished(self, message)
@@ -284,6 +288,7 @@
 
     @_handle.register
     def _(self, message: Recall) -> None:
+        self.owner.count_wasted("recall")
         idle = self.account.available
         total = self.account.give_back(min(message.count, idle))
         self.outbox.append(CreditReturn(total))
--- a/sardinestair/links/wakeup.py
+++ b/sardinestair/links/wakeup.py
@@ -7,6 +7,8 @@
 
 __all__ = ["Wakeup", "has_message"]
 
+MS_PER_S = 1000
+
 
 def has_message(socket: zmq.Socket) -> bool:
     """Returns True if a message can be received without waiting."""
@@ -44,7 +46,10 @@
         Returns:
             True if `set` was called.
         """
-        return bool(select.select([self.fd], [], [], timeout_s)[0])
+        # select.select fails for descriptors above 1023.
+        poller = select.poll()
+        poller.register(self.fd, select.POLLIN)
+        return bool(poller.poll(timeout_s * MS_PER_S))
 
     def clear(self) -> None:
         """Forgets all earlier calls of `set`."""
--- /dev/null
+++ b/sardinestair/load/runner.py
@@ -0,0 +1,95 @@
+"""Submits jobs at their times, whether or not earlier ones have ended."""
+
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from sardinestair.load.workload import Deployment, LoadJob, ideal_s
+from sardinestair.transfer import Reply, Transfer
+
+__all__ = ["JobRecord", "run_load"]
+
+MAX_CALLERS = 400
+JSON_HEADERS = ("Content-Type: application/json",)
+
+
+class JobRecord(msgspec.Struct, frozen=True):
+    """How a job went.
+
+    Attributes:
+        job: The job.
+        ideal_s: Bound on its response time.
+        response_s: Time from its scheduled arrival to the answer, so that a
+            late submission counts against the system.
+        status: HTTP status, 0 if there was no answer.
+        not_run: True if the answer says that it did not run.
+    """
+
+    job: LoadJob
+    ideal_s: float
+    response_s: float
+    status: int
+    not_run: bool
+
+    @property
+    def stretch(self) -> float:
+        """Response time over the ideal."""
+        return self.response_s / self.ideal_s
+
+
+def run_load(
+    urls: Sequence[str], deployment: Deployment, jobs: Sequence[LoadJob]
+) -> list[JobRecord]:
+    """Runs an open-loop load to its end.
+
+    Args:
+        urls: Base URLs of entries, used in turn.
+        deployment: The system.
+        jobs: The jobs in order of arrival.
+
+    Returns:
+        A record for each job.
+    """
+    start_s = time.monotonic() + 0.1
+    with ThreadPoolExecutor(MAX_CALLERS) as pool:
+        futures = []
+        for number, job in enumerate(jobs):
+            delay_s = start_s + job.at_s - time.monotonic()
+            if delay_s > 0:
+                time.sleep(delay_s)
+            url = urls[number % len(urls)]
+            futures.append(pool.submit(_submit, url, deployment, job, start_s))
+        return [future.result() for future in futures]
+
+
+def _submit(
+    url: str, deployment: Deployment, job: LoadJob, start_s: float
+) -> JobRecord:
+    body = {
+        "service": deployment.service,
+        "team": job.team,
+        "kind": "broken" if job.is_broken else "usual",
+        "deadline_s": deployment.workload.deadline_s,
+        "declared_task_s": job.declared_s,
+        "tasks": [
+            {"payload": {"run_s": run_s, "fail": job.is_broken}}
+            for run_s in job.run_s
+        ],
+    }
+    transfer = Transfer()
+    reply = transfer.perform(
+        "POST",
+        f"{url}/v1/jobs",
+        msgspec.json.encode(body),
+        deployment.workload.deadline_s + 10.0,
+        JSON_HEADERS,
+    )
+    transfer.close()
+    response_s = time.monotonic() - start_s - job.at_s
+    status, not_run = 0, False
+    if isinstance(reply, Reply):
+        status = reply.status
+        not_run = status >= 400 and b'"not_run":true' in reply.body
+    return JobRecord(job, ideal_s(deployment, job), response_s, status, not_run)
--- /dev/null
+++ b/sardinestair/load/workload.py
@@ -0,0 +1,185 @@
+"""Deployments and their workloads, from files, with fixed seeds."""
+
+import random
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+__all__ = ["Deployment", "LoadJob", "Workload", "generate", "ideal_s"]
+
+Share = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+
+
+class Workload(msgspec.Struct, forbid_unknown_fields=True):
+    """What callers ask for.
+
+    Attributes:
+        run_s: Least and greatest run time of an ordinary task, in seconds on
+            the fastest upstream.
+        slow_share: Share of tasks that take several seconds.
+        slow_s: Least and greatest run time of these.
+        single_share: Share of jobs of one task.
+        max_tasks: Greatest size of an ordinary job.
+        large_share: Share of jobs with 300 to 930 tasks.
+        declared_error: Declared run times are off by up to this factor.
+        burst_factor: Rate in bursts over the mean rate; 1 for none.
+        burst_s: Length of a burst, in seconds.
+        burst_interval_s: Time from burst to burst, in seconds.
+        broken_share: Share of jobs of a kind that always fails.
+        teams: Number of teams.
+        deadline_s: Deadline of each job, in seconds.
+    """
+
+    run_s: tuple[Positive, Positive] = (0.05, 1.0)
+    slow_share: Share = 0.02
+    slow_s: tuple[Positive, Positive] = (2.0, 5.0)
+    single_share: Share = 0.5
+    max_tasks: Annotated[int, Meta(ge=2, le=930)] = 60
+    large_share: Share = 0.0
+    declared_error: Annotated[float, Meta(ge=1)] = 10.0
+    burst_factor: Annotated[float, Meta(ge=1)] = 1.0
+    burst_s: Positive = 2.0
+    burst_interval_s: Positive = 10.0
+    broken_share: Share = 0.0
+    teams: Annotated[int, Meta(ge=1)] = 4
+    deadline_s: Positive = 120.0
+
+
+class Deployment(msgspec.Struct, forbid_unknown_fields=True):
+    """A system to measure.
+
+    Attributes:
+        service: Name of the service.
+        entries: Number of entries.
+        slots: Slots of each upstream.
+        speeds: Factor of the run times of each upstream.
+        failing: Indices of upstreams that fail every task.
+        round_trip_s: Part of the ideal that no placement can save.
+        workload: What callers ask for.
+        settings: Settings that the service's node states.
+    """
+
+    service: str
+    speeds: Annotated[list[Positive], Meta(min_length=1)]
+    entries: Annotated[int, Meta(ge=1, le=8)] = 3
+    slots: Annotated[int, Meta(ge=1, le=64)] = 8
+    failing: list[int] = []
+    round_trip_s: float = 0.003
+    workload: Workload = msgspec.field(default_factory=Workload)
+    settings: dict[str, Any] = {}
+
+    @property
+    def throughput(self) -> float:
+        """Seconds of work on the fastest upstream done per second."""
+        return sum(
+            self.slots / speed
+            for index, speed in enumerate(self.speeds)
+            if index not in self.failing
+        )
+
+
+class LoadJob(msgspec.Struct, frozen=True):
+    """A job to submit.
+
+    Attributes:
+        at_s: When, in seconds from the start.
+        run_s: Run times of its tasks on the fastest upstream.
+        declared_s: What the caller declares as run time of a task.
+        team: The caller's team.
+        is_broken: True if all its tasks fail.
+    """
+
+    at_s: float
+    run_s: list[float]
+    declared_s: float
+    team: str
+    is_broken: bool
+
+
+def generate(
+    deployment: Deployment, load: float, duration_s: float, seed: int
+) -> list[LoadJob]:
+    """Returns the jobs of a run, in order of arrival.
+
+    Args:
+        deployment: The system.
+        load: Offered work over the system's throughput.
+        duration_s: Length of the run, in seconds.
+        seed: Seed of all draws.
+
+    Examples:
+        >>> deployment = Deployment("quotes", [1.0, 2.0])
+        >>> jobs = generate(deployment, 0.5, 10.0, seed=1)
+        >>> jobs == generate(deployment, 0.5, 10.0, seed=1)
+        True
+    """
+    rng = random.Random(seed)
+    sizes = random.Random(seed + 1)
+    workload = deployment.workload
+    sample = [sum(_draw_job(sizes, workload)) for _ in range(4000)]
+    rate = load * deployment.throughput / (sum(sample) / len(sample))
+    return [
+        _make_job(rng, workload, at_s)
+        for at_s in _arrivals(rng, workload, rate, duration_s)
+    ]
+
+
+def ideal_s(deployment: Deployment, job: LoadJob) -> float:
+    """Returns a bound that no placement can beat.
+
+    The longest task on the fastest slot, or all work at full throughput,
+    whichever is longer, and one round trip.
+    """
+    fastest = min(deployment.speeds)
+    longest_s = max(job.run_s) * fastest
+    total_s = sum(job.run_s) / deployment.throughput
+    return max(longest_s, total_s) + deployment.round_trip_s
+
+
+def _arrivals(
+    rng: random.Random, workload: Workload, rate: float, duration_s: float
+) -> Iterator[float]:
+    factor = workload.burst_factor
+    share = workload.burst_s / workload.burst_interval_s
+    calm_rate = rate * max(0.0, 1 - factor * share) / (1 - share)
+    at_s = 0.0
+    while True:
+        in_burst = at_s % workload.burst_interval_s < workload.burst_s
+        now_rate = rate if factor == 1 else calm_rate
+        now_rate = rate * factor if factor > 1 and in_burst else now_rate
+        at_s += rng.expovariate(max(now_rate, 1e-6))
+        if at_s >= duration_s:
+            return
+        yield at_s
+
+
+def _make_job(rng: random.Random, workload: Workload, at_s: float) -> LoadJob:
+    run_s = _draw_job(rng, workload)
+    mean_s = sum(run_s) / len(run_s)
+    error = workload.declared_error ** rng.uniform(-1, 1)
+    return LoadJob(
+        at_s,
+        run_s,
+        mean_s * error,
+        f"team{rng.randrange(workload.teams)}",
+        rng.random() < workload.broken_share,
+    )
+
+
+def _draw_job(rng: random.Random, workload: Workload) -> list[float]:
+    if rng.random() < workload.large_share:
+        size = rng.randint(300, 930)
+    elif rng.random() < workload.single_share:
+        size = 1
+    else:
+        size = rng.randint(2, workload.max_tasks)
+    return [_draw_task(rng, workload) for _ in range(size)]
+
+
+def _draw_task(rng: random.Random, workload: Workload) -> float:
+    is_slow = rng.random() < workload.slow_share
+    low, high = workload.slow_s if is_slow else workload.run_s
+    return low * (high / low) ** rng.random()
--- a/sardinestair/placement/__init__.py
+++ b/sardinestair/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinestair.placement.candidate import Candidate
 from sardinestair.placement.estimators import RunTimeEstimator, SpeedEstimator
+from sardinestair.placement.health import HealthRegistry, HealthState
 from sardinestair.placement.policies import (
     LeastExpectedFinish,
     LeastOutstanding,
@@ -15,6 +16,8 @@
 
 __all__ = [
     "Candidate",
+    "HealthRegistry",
+    "HealthState",
     "LeastExpectedFinish",
     "LeastOutstanding",
     "OrderPolicy",
--- a/sardinestair/placement/candidate.py
+++ b/sardinestair/placement/candidate.py
@@ -2,7 +2,10 @@
 
 from sardinestair.ids import Incarnation
 
-__all__ = ["Candidate"]
+__all__ = ["DEFAULT_RUN_S", "Candidate"]
+
+DEFAULT_RUN_S = 0.3
+RUN_DECAY = 0.05
 
 
 class Candidate:
@@ -19,11 +22,13 @@
         outstanding: Tasks that this entry has there.
         speed_: Learned factor of its run times, 1.0 for a typical upstream;
             larger is slower.
+        run_s_: Learned mean run time of the tasks there, in seconds.
     """
 
     __slots__ = (
         "credits",
         "outstanding",
+        "run_s_",
         "service",
         "sidecar",
         "slots",
@@ -41,3 +46,8 @@
         self.credits = 0
         self.outstanding = 0
         self.speed_ = 1.0
+        self.run_s_ = DEFAULT_RUN_S
+
+    def observe(self, run_s: float) -> None:
+        """Learns from one task that ended there."""
+        self.run_s_ += RUN_DECAY * (run_s - self.run_s_)
--- a/sardinestair/placement/estimators.py
+++ b/sardinestair/placement/estimators.py
@@ -2,9 +2,9 @@
 
 import math
 
-__all__ = ["RunTimeEstimator", "SpeedEstimator"]
+from sardinestair.placement.candidate import DEFAULT_RUN_S
 
-DEFAULT_RUN_S = 0.3
+__all__ = ["RunTimeEstimator", "SpeedEstimator"]
 
 
 class RunTimeEstimator:
--- /dev/null
+++ b/sardinestair/placement/health.py
@@ -0,0 +1,201 @@
+"""Tells broken upstreams from broken jobs, and takes the former out.
+
+A failure is evidence against the upstream, or against the kind of job. A kind
+that has failed on several upstreams without a success is blamed itself;
+otherwise an upstream that fails several jobs in a row is taken out. It comes
+back by steps, since a trial costs somebody's job.
+"""
+
+import enum
+
+from sardinestair.ids import Incarnation, JobId
+
+__all__ = ["HealthRegistry", "HealthState", "UpstreamHealth"]
+
+MAX_UNPROVEN_OUTSTANDING = 2
+FAILURES_UNPROVEN = 2
+FAILURES_PROVEN = 3
+UPSTREAMS_TO_BLAME_KIND = 2
+FIRST_OUTAGE_S = 2.0
+MAX_OUTAGE_S = 120.0
+
+
+class HealthState(enum.Enum):
+    """How far an upstream is trusted."""
+
+    UNPROVEN = "unproven"
+    PROVEN = "proven"
+    OUT = "out"
+    TRIAL = "trial"
+
+
+class UpstreamHealth:
+    """Health of one upstream, learned from how tasks end there.
+
+    Attributes:
+        state_: How far it is trusted.
+        failed_jobs_: Jobs that failed there since the last success, with
+            their kind.
+        outages_: Outages since it was last proven.
+        back_s_: When an outage ends, on the entry's clock.
+    """
+
+    def __init__(self) -> None:
+        self.state_ = HealthState.UNPROVEN
+        self.failed_jobs_: dict[JobId, str] = {}
+        self.outages_ = 0
+        self.back_s_ = 0.0
+
+    def decide(self, outstanding: int, now_s: float) -> bool:
+        """Tells whether one more task may start there.
+
+        Args:
+            outstanding: Tasks of this entry that are there already.
+            now_s: The present, in seconds.
+        """
+        if self.state_ is HealthState.OUT and now_s >= self.back_s_:
+            self.state_ = HealthState.TRIAL
+        limits = {
+            HealthState.UNPROVEN: MAX_UNPROVEN_OUTSTANDING,
+            HealthState.OUT: 0,
+            HealthState.TRIAL: 1,
+        }
+        limit = limits.get(self.state_)
+        return limit is None or outstanding < limit
+
+    def succeed(self) -> None:
+        """Takes note of a task that was answered."""
+        self.failed_jobs_.clear()
+        if self.state_ is not HealthState.OUT:
+            self.state_ = HealthState.PROVEN
+            self.outages_ = 0
+
+    def take_out(self, now_s: float) -> None:
+        """Gives it no more work for a time that doubles with each outage."""
+        outage_s = FIRST_OUTAGE_S * 2**self.outages_
+        self.state_ = HealthState.OUT
+        self.outages_ += 1
+        self.back_s_ = now_s + min(outage_s, MAX_OUTAGE_S)
+        self.failed_jobs_.clear()
+
+    @property
+    def failures_allowed(self) -> int:
+        """Failed jobs in a row at which it is taken out."""
+        limits = {
+            HealthState.PROVEN: FAILURES_PROVEN,
+            HealthState.TRIAL: 1,
+        }
+        return limits.get(self.state_, FAILURES_UNPROVEN)
+
+
+class HealthRegistry:
+    """Health of the upstreams of one service.
+
+    Args:
+        max_outage_share: Share of the upstreams that may be out at a time;
+            if all look bad, the cause is elsewhere.
+
+    Attributes:
+        upstreams_: Health by sidecar.
+        suspects_: Upstreams on which each kind of job has failed since its
+            last success.
+
+    Examples:
+        >>> registry = HealthRegistry(max_outage_share=0.5)
+        >>> bad, good = Incarnation(b"b" * 16), Incarnation(b"g" * 16)
+        >>> registry.observe(good, JobId(b"0" * 16), "usual", True, 0.0)
+        False
+        >>> for job in (b"1" * 16, b"2" * 16):
+        ...     out = registry.observe(bad, JobId(job), "usual", False, 0.0)
+        >>> out
+        True
+        >>> registry.decide(bad, outstanding=0, now_s=1.0)
+        False
+    """
+
+    def __init__(self, max_outage_share: float):
+        self.max_outage_share = max_outage_share
+        self.upstreams_: dict[Incarnation, UpstreamHealth] = {}
+        self.suspects_: dict[str, set[Incarnation]] = {}
+
+    def decide(
+        self, sidecar: Incarnation, outstanding: int, now_s: float
+    ) -> bool:
+        """Tells whether one more task may start at an upstream."""
+        return self._upstream(sidecar).decide(outstanding, now_s)
+
+    def observe(
+        self,
+        sidecar: Incarnation,
+        job_id: JobId,
+        kind: str,
+        succeeded: bool,
+        now_s: float,
+    ) -> bool:
+        """Learns from how a task ended.
+
+        Args:
+            sidecar: The sidecar of the upstream.
+            job_id: The job.
+            kind: Its kind.
+            succeeded: True if the task was answered.
+            now_s: The present, in seconds.
+
+        Returns:
+            True if the upstream has just been taken out.
+        """
+        health = self._upstream(sidecar)
+        if succeeded:
+            health.succeed()
+            self.suspects_.pop(kind, None)
+            return False
+        self.suspects_.setdefault(kind, set()).add(sidecar)
+        if self.is_kind_broken(kind):
+            self._acquit(kind)
+            return False
+        health.failed_jobs_[job_id] = kind
+        if len(health.failed_jobs_) < health.failures_allowed:
+            return False
+        return self._take_out(health, now_s)
+
+    def forget(self, sidecar: Incarnation) -> None:
+        """Drops an upstream."""
+        self.upstreams_.pop(sidecar, None)
+        for suspects in self.suspects_.values():
+            suspects.discard(sidecar)
+
+    def is_kind_broken(self, kind: str) -> bool:
+        """Tells whether a kind of job fails wherever it runs."""
+        suspects = self.suspects_.get(kind, set())
+        # Upstreams that are out fail every kind, so they tell nothing.
+        credible = [
+            sidecar
+            for sidecar in suspects
+            if self._upstream(sidecar).state_
+            in (HealthState.PROVEN, HealthState.UNPROVEN)
+        ]
+        return len(credible) >= UPSTREAMS_TO_BLAME_KIND
+
+    def count_out(self) -> int:
+        """Returns how many upstreams are out."""
+        return sum(
+            health.state_ is HealthState.OUT
+            for health in self.upstreams_.values()
+        )
+
+    def _upstream(self, sidecar: Incarnation) -> UpstreamHealth:
+        return self.upstreams_.setdefault(sidecar, UpstreamHealth())
+
+    def _acquit(self, kind: str) -> None:
+        """Takes a broken kind's failures off the upstreams' records."""
+        for health in self.upstreams_.values():
+            health.failed_jobs_ = {
+                job: k for job, k in health.failed_jobs_.items() if k != kind
+            }
+
+    def _take_out(self, health: UpstreamHealth, now_s: float) -> bool:
+        limit = self.max_outage_share * len(self.upstreams_)
+        if self.count_out() + 1 > limit:
+            return False
+        health.take_out(now_s)
+        return True
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -57,6 +57,10 @@
         """
         ...
 
+    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+        """Tells whether a task would start on a candidate with a credit."""
+        ...
+
 
 class _Ranked:
     """Candidates with credits, sorted by a rank that may change.
@@ -89,8 +93,8 @@
 
     A task starts on the fastest upstream with a credit, unless waiting for a
     faster one should end in less than `margin` of the time. The wait counts
-    the tasks ahead, and the rate at which this entry's own tasks on faster
-    upstreams end.
+    the tasks ahead, those of the same job included, and the rate at which
+    slots of faster upstreams become free.
 
     Args:
         margin: Share of the time below which waiting pays; 0 never waits.
@@ -128,14 +132,17 @@
     def decide(self, size_s: float, ahead: int) -> Candidate | None:
         """Chooses the fastest candidate, or None if waiting should pay."""
         best = self.available.best()
-        if best is None or self.margin <= 0:
-            return best
-        if self._finish_after_wait(best, size_s, ahead) < (
-            self.margin * size_s * best.speed_
-        ):
+        if best is None or not self.accepts(best, size_s, ahead):
             return None
         return best
 
+    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+        """Tells whether starting there beats waiting for a faster one."""
+        if self.margin <= 0:
+            return True
+        limit_s = self.margin * size_s * candidate.speed_
+        return self._finish_after_wait(candidate, size_s, ahead) >= limit_s
+
     def _finish_after_wait(
         self, best: Candidate, size_s: float, ahead: int
     ) -> float:
@@ -146,7 +153,7 @@
         for _, candidate in itertools.islice(self.busy.items, self.MAX_FASTER):
             if candidate.speed_ >= best.speed_:
                 break
-            ends_per_s += candidate.outstanding / (size_s * candidate.speed_)
+            ends_per_s += candidate.slots / candidate.run_s_
             speed_sum += candidate.speed_
             count += 1
         if count == 0:
@@ -155,7 +162,15 @@
         return wait_s + size_s * speed_sum / count
 
 
-class LeastOutstanding:
+class _AcceptsAll:
+    """Base of policies that never wait."""
+
+    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+        """Returns True."""
+        return True
+
+
+class LeastOutstanding(_AcceptsAll):
     """Chooses the upstream with the fewest tasks of this entry per slot."""
 
     def __init__(self) -> None:
@@ -174,7 +189,7 @@
         return self.available.best()
 
 
-class _Listed:
+class _Listed(_AcceptsAll):
     """Base of policies that only need a list of available candidates."""
 
     def __init__(self) -> None:
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -5,6 +5,7 @@
 one named exactly.
 """
 
+import enum
 from collections.abc import Iterator
 from typing import Annotated, Any
 
@@ -18,6 +19,7 @@
 
 __all__ = [
     "Explanation",
+    "Favour",
     "Overrides",
     "ServiceSettings",
     "SettingsTree",
@@ -36,6 +38,13 @@
 Status = Annotated[int, Meta(ge=300, le=599)]
 
 
+class Favour(enum.Enum):
+    """Which of the two measures weighs more for a service."""
+
+    RESPONSE = "response"
+    MESSAGES = "messages"
+
+
 class ServiceSettings(msgspec.Struct, frozen=True):
     """Effective settings at one node of the tree.
 
@@ -45,6 +54,7 @@
         max_tasks: Tasks of one job at most.
         max_queued_tasks: Tasks that may wait at one entry.
         max_queued_bytes: Their payloads in bytes.
+        favour: Which of the two measures weighs more.
         policy: How an upstream is chosen.
         order: How waiting jobs are ordered.
         wait_margin: Wait for a faster slot if that ends in less than this
@@ -62,6 +72,7 @@
     max_tasks: int = 930
     max_queued_tasks: int = 50_000
     max_queued_bytes: int = 64 << 20
+    favour: Favour = Favour.RESPONSE
     policy: PolicyName = PolicyName.LEAST_EXPECTED_FINISH
     order: OrderPolicy = OrderPolicy.SMALL_FIRST
     wait_margin: float = 0.6
@@ -80,6 +91,7 @@
     max_tasks: Annotated[int, Meta(ge=1, le=930)] | UnsetType = UNSET
     max_queued_tasks: Count | UnsetType = UNSET
     max_queued_bytes: Annotated[int, Meta(ge=1024)] | UnsetType = UNSET
+    favour: Favour | UnsetType = UNSET
     policy: PolicyName | UnsetType = UNSET
     order: OrderPolicy | UnsetType = UNSET
     wait_margin: Share | UnsetType = UNSET
