--- /dev/null
+++ b/benchmarks/bench_http.py
@@ -0,0 +1,112 @@
+"""The WSGI servers compared: keep-alive calls, and many waiting callers."""
+
+import multiprocessing
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from werkzeug.serving import WSGIRequestHandler, make_server
+
+from benchmarks.measure import percentile, read_usage
+from faults.system import free_port
+from sardinestair.cli.service import tune_interpreter
+from sardinestair.observability import EventLog
+from sardinestair.transfer import Reply, Transfer
+from sardinestair.web import HttpServer, Request, Response, WebApp
+
+WAIT_S = 0.2
+THREADS = 256
+WARM_UP_S = 1.5
+
+
+def make_app() -> WebApp:
+    """Returns an application with a trivial and a waiting path."""
+
+    def trivial(_request: Request) -> Response:
+        return Response(b"{}")
+
+    def waiting(_request: Request) -> Response:
+        time.sleep(WAIT_S)
+        return Response(b"{}")
+
+    rules = [("/trivial", ["GET"], trivial), ("/waiting", ["GET"], waiting)]
+    return WebApp(rules, 1 << 20, EventLog("bench"))
+
+
+def serve_cheroot(port: int) -> None:
+    """Serves by cheroot."""
+    tune_interpreter()
+    server = HttpServer("127.0.0.1", port, make_app(), THREADS)
+    server.start()
+    threading.Event().wait()
+
+
+class KeepAliveHandler(WSGIRequestHandler):
+    """Werkzeug's handler with keep-alive and without a log."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log(self, *_arguments) -> None:
+        """Writes nothing."""
+
+
+def serve_werkzeug(port: int) -> None:
+    """Serves by werkzeug's own threaded server."""
+    tune_interpreter()
+    server = make_server(
+        "127.0.0.1",
+        port,
+        make_app(),
+        threaded=True,
+        request_handler=KeepAliveHandler,
+    )
+    server.serve_forever()
+
+
+def call_all(url: str, callers: int, calls: int) -> list[float]:
+    """Returns the durations of calls by keep-alive callers, in ms."""
+
+    def run(_number: int) -> list[float]:
+        transfer, durations = Transfer(), []
+        for _ in range(calls):
+            began_s = time.perf_counter()
+            reply = transfer.perform("GET", url, b"", 30.0)
+            assert isinstance(reply, Reply) and reply.status == 200, reply
+            durations.append((time.perf_counter() - began_s) * 1000)
+        return durations
+
+    with ThreadPoolExecutor(callers) as pool:
+        return [d for run_ in pool.map(run, range(callers)) for d in run_]
+
+
+def main() -> None:
+    """Compares the servers."""
+    print(f"{'server':10} {'case':26} {'p50 ms':>8} {'p99 ms':>8} {'MB':>6}")
+    for name, serve in (
+        ("cheroot", serve_cheroot),
+        ("werkzeug", serve_werkzeug),
+    ):
+        port = free_port()
+        process = multiprocessing.Process(
+            target=serve, args=(port,), daemon=True
+        )
+        process.start()
+        time.sleep(WARM_UP_S)
+        base = f"http://127.0.0.1:{port}"
+        for case, path, callers, calls in (
+            ("1 caller, trivial", "/trivial", 1, 500),
+            ("8 callers, trivial", "/trivial", 8, 200),
+            ("200 callers, each 0.2 s", "/waiting", 200, 5),
+        ):
+            durations = call_all(base + path, callers, calls)
+            usage = read_usage(process.pid or 0)
+            print(
+                f"{name:10} {case:26} {percentile(durations, 0.5):8.2f} "
+                f"{percentile(durations, 0.99):8.2f} {usage.resident_mb:6.1f}"
+            )
+        process.terminate()
+        process.join()
+
+
+if __name__ == "__main__":
+    main()
--- a/faults/scenarios.py
+++ b/faults/scenarios.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 
@@ -19,6 +20,8 @@
 __all__ = ["FAULTS", "pairs", "run_scenario"]
 
 UPSTREAMS = 6
+WAVE_JOBS = 3000
+WAVE_CALLERS = 16
 SETTLE_S = 1.0
 GAP_S = 1.5
 PAUSE_S = 4.0
@@ -185,6 +188,43 @@
     time.sleep(GAP_S)
 
 
+def join_while_store_down(stage: Stage) -> None:
+    """Replaces an entry while the store is down; peers give it settings."""
+    system = stage.system
+    index = stage.random.randrange(len(system.entries))
+    system.set_store_faults(down=True)
+    _stop_gracefully(stage, system.entries[index])
+    system.entries[index].start()
+    system.wait_for_http(system.urls[index], "/readyz")
+    stage.verdict.reverted += not _is_in_force_everywhere(system)
+    system.set_store_faults()
+    time.sleep(GAP_S)
+
+
+def cancel_in_waves(stage: Stage) -> None:
+    """Cancels thousands of jobs at once, beside the callers' load."""
+    system = stage.system
+    tasks = [{"payload": {"run_s": 0.02}}] * 3
+    body = {"service": system.service, "team": "waves", "tasks": tasks}
+
+    def submit(number: int) -> tuple[str, str]:
+        url = system.urls[number % len(system.urls)]
+        accepted = ApiClient(url, 30.0).call(
+            "POST", "/v1/jobs", body, ("Prefer: respond-async",)
+        )
+        return url, accepted.ok["id"] if accepted.is_ok() else ""
+
+    def cancel(job: tuple[str, str]) -> bool:
+        url, job_id = job
+        path = f"/v1/jobs/{job_id}"
+        return ApiClient(url, 30.0).call("DELETE", path).is_ok()
+
+    with ThreadPoolExecutor(WAVE_CALLERS) as pool:
+        jobs = [j for j in pool.map(submit, range(WAVE_JOBS)) if j[1]]
+        cancelled = sum(pool.map(cancel, jobs))
+    print(f"{cancelled} of {len(jobs)} jobs cancelled", file=sys.stderr)
+
+
 FAULTS: dict[str, Callable[[Stage], None]] = {
     "none": no_fault,
     "kill sidecar": kill_sidecar,
@@ -201,10 +241,13 @@
     "graceful stop": stop_gracefully,
     "upstream leaves": leave,
     "rolling replacement": replace_all,
+    "entry joins, store down": join_while_store_down,
+    "cancellation wave": cancel_in_waves,
 }
 GRACEFUL = {"none", "operators race", "graceful stop", "upstream leaves",
             "rolling replacement", "store slow", "store down",
-            "store answers lost"}  # fmt: skip
+            "store answers lost", "entry joins, store down",
+            "cancellation wave"}  # fmt: skip
 
 
 def run_scenario(names: tuple[str, ...], seed: int) -> Verdict:
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -38,6 +38,8 @@
 __all__ = ["Dispatcher"]
 
 MAX_REASON_CHARACTERS = 200
+BUSY_CHECK_S = 0.02
+IDLE_CHECK_S = 0.25
 MAX_ID_SKEW_S = 60.0
 
 
@@ -240,6 +242,16 @@
                     self.touched.add(state.name)
             self.links_handled()
 
+    def next_check_s(self) -> float:
+        """Returns how long `expire` need not be called, in seconds."""
+        with self.lock:
+            if any(s.queue.waiting_tasks for s in self.services.values()):
+                return BUSY_CHECK_S
+            if not self.deadlines:
+                return IDLE_CHECK_S
+            due_s = self.deadlines[0][0] - self.clock.monotonic()
+        return min(max(due_s, BUSY_CHECK_S), IDLE_CHECK_S)
+
     def close(self) -> None:
         """Closes all links; announcements open no more."""
         with self.lock:
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -19,7 +19,7 @@
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
 from sardinestair.settings.files import SettingsError
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
-from sardinestair.store.claims import ClaimWriter
+from sardinestair.store.claims import ClaimWriter, delete_old_claims
 from sardinestair.store.etcd import EtcdStore
 from sardinestair.store.registration import EntryRecord, Registration
 from sardinestair.tasks import TaskPool
@@ -27,11 +27,11 @@
 
 __all__ = ["EntryProcess"]
 
-TIMER_S = 0.02
 DRAIN_POLL_S = 0.02
 DRAIN_GRACE_S = 1.0
 BACKLOG_S = 0.2
 CLOSE_LIMIT_S = 2.0
+CLAIM_SWEEP_S = 60.0
 MAX_LINKS = 2048
 MAX_PEERS = 64
 PEER_ANSWER_S = 5.0
@@ -205,6 +205,16 @@
         self.followers = [follower, registration]
         self.tasks.run(follower.run)
         self.tasks.run(registration.run)
+        self.tasks.run(self._delete_old_claims)
+
+    def _delete_old_claims(self) -> None:
+        assert self.store is not None
+        while not self.stopping.wait(CLAIM_SWEEP_S):
+            now_s = self.clock.now().timestamp()
+            retention_s = self.settings.claim_retention_s
+            count = delete_old_claims(self.store, now_s, retention_s)
+            if count:
+                self.log.info("claims_deleted", count=count)
 
     def _learn_entries(self, records: list[EntryRecord]) -> None:
         self.gossip.learn([record.endpoint for record in records])
@@ -239,7 +249,7 @@
         self.tasks.run(link.run)
 
     def _run_timer(self) -> None:
-        while not self.stopping.wait(TIMER_S):
+        while not self.stopping.wait(self.dispatcher.next_check_s()):
             self.dispatcher.expire()
 
     def _readiness(self) -> tuple[bool, str]:
--- a/sardinestair/settings/files.py
+++ b/sardinestair/settings/files.py
@@ -127,16 +127,40 @@
     """Returns the line of the deepest part of a path that the text has."""
     if node is None:
         return 1
+    parts = re.findall(r"\.([^.\[]+)|\[(\d+|\.\.\.)\]", path)
+    return _find(node, [name or index for name, index in parts])[1] + 1
+
+
+def _find(node: yaml.Node, parts: list[str]) -> tuple[int, int]:
+    """Returns how many parts of a path were found, and the line of the last.
+
+    A part `...` stands for any key; the one under which most is found counts.
+    """
     line = node.start_mark.line
-    for name, index in re.findall(r"\.([^.\[]+)|\[(\d+)\]", path):
-        if isinstance(node, yaml.MappingNode) and name:
-            pairs = [(k, v) for k, v in node.value if k.value == name]
-            if not pairs:
-                break
-            line, node = pairs[0][0].start_mark.line, pairs[0][1]
-        elif isinstance(node, yaml.SequenceNode) and index:
-            node = node.value[int(index)]
-            line = node.start_mark.line
-        else:
-            break
-    return line + 1
+    if not parts:
+        return 0, line
+    children = _children(node, parts[0])
+    found = [
+        (depth + 1, deepest if depth else child_line)
+        for child_line, child in children
+        for depth, deepest in [_find(child, parts[1:])]
+    ]
+    return max(found, key=lambda item: item[0], default=(0, line))
+
+
+def _children(node: yaml.Node, part: str) -> list[tuple[int, yaml.Node]]:
+    """Returns the children that a part of a path names, with their lines."""
+    if isinstance(node, yaml.MappingNode):
+        return [
+            (key.start_mark.line, value)
+            for key, value in node.value
+            if part in ("...", key.value)
+        ]
+    if isinstance(node, yaml.SequenceNode):
+        numbered = enumerate(node.value)
+        return [
+            (child.start_mark.line, child)
+            for number, child in numbered
+            if part in ("...", str(number))
+        ]
+    return []
--- /dev/null
+++ b/sardinestair/settings/tests/test_files.py
@@ -0,0 +1,47 @@
+"""Errors in settings files name file, line, path and rule."""
+
+import pytest
+
+from sardinestair.settings import EntrySettings, SettingsTree
+from sardinestair.settings.files import parse_yaml
+from sardinestair.settings.process import load_process_settings
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "expected"),
+    [
+        ("zone: a\nzome: b", EntrySettings, "f:2: unknown key zome, did you"),
+        ("address:\n  http_port: x", EntrySettings, "f:2: Expected `int`"),
+        ("address:\n  http_port: 99999", EntrySettings, "f:2: Expected"),
+        ("a: [", EntrySettings, "f:1: "),
+        (
+            "services:\n  q:\n    set:\n      deadline: 1",
+            SettingsTree,
+            "f:4: unknown key deadline, did you mean deadline_s?",
+        ),
+        ("set:\n  policy: best", SettingsTree, "f:2: Invalid enum value"),
+    ],
+)
+def test_error_names_place_and_rule(text, kind, expected):
+    error = parse_yaml(text, kind, "f").error
+    assert str(error).startswith(expected), str(error)
+
+
+def test_environment_overrides_the_address(tmp_path):
+    file = tmp_path / "entry.yaml"
+    file.write_text("zone: munster\n")
+    environment = {
+        "SARDINESTAIR_HOST": "10.0.0.5",
+        "SARDINESTAIR_LINK_PORT": "7001",
+    }
+    loaded = load_process_settings(str(file), EntrySettings, environment).ok
+    assert loaded.address.host == "10.0.0.5"
+    assert loaded.address.link_port == 7001
+
+
+def test_bad_override_is_an_error(tmp_path):
+    file = tmp_path / "entry.yaml"
+    file.write_text("zone: munster\n")
+    environment = {"SARDINESTAIR_LINK_PORT": "70010"}
+    loaded = load_process_settings(str(file), EntrySettings, environment)
+    assert "link_port" in str(loaded.error)
--- /dev/null
+++ b/sardinestair/settings/tests/test_service.py
@@ -0,0 +1,123 @@
+"""Changes of the settings under races and lost answers."""
+
+import threading
+
+import pytest
+
+from sardinestair.clock import ManualClock, SystemClock
+from sardinestair.outcomes import ProblemKind
+from sardinestair.settings import parse_tree
+from sardinestair.settings.service import SettingsFollower, SettingsWriter
+from sardinestair.standins import Faults, StoreStandin
+from sardinestair.store.etcd import EtcdStore
+
+
+@pytest.fixture(scope="module")
+def standin():
+    standin = StoreStandin()
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def store(standin, request):
+    standin.faults = Faults()
+    return EtcdStore([standin.address], f"/{request.node.name}/", 0.5)
+
+
+@pytest.fixture
+def writer(store):
+    writer = SettingsWriter(store, SystemClock())
+    tree = parse_tree("services: {quotes: {}}").ok
+    assert writer.apply(tree, None, "first").is_ok()
+    return writer
+
+
+def test_change_that_saw_an_older_revision_shows_the_difference(writer):
+    seen = writer.read().ok.revision
+    assert writer.edit("root", {"read_ahead": 1}, [], seen, "a").is_ok()
+    lost = writer.edit("root", {"read_ahead": 2}, [], seen, "b").error
+    assert lost.kind is ProblemKind.CONFLICT
+    assert "root:read_ahead = 1 -> 2" in lost.detail
+    assert writer.read().ok.tree.set.read_ahead == 1
+
+
+def test_one_of_two_racing_operators_wins(writer):
+    seen = writer.read().ok.revision
+    results = []
+
+    def change(value):
+        store = EtcdStore(writer.store.endpoints, writer.store.prefix, 5.0)
+        own = SettingsWriter(store, SystemClock())
+        results.append(own.edit("root", {"read_ahead": value}, [], seen, "x"))
+
+    threads = [threading.Thread(target=change, args=(n,)) for n in (1, 2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(result.is_ok() for result in results) == [False, True]
+
+
+def test_lost_answer_is_settled_by_the_change_id(standin, writer):
+    standin.faults = Faults(lose_answers=1)
+    applied = writer.edit("root", {"read_ahead": 3}, [], None, "a").ok
+    assert applied.difference == ["+ root:read_ahead = 3"]
+    history = writer.read().ok.records["settings/root"].changes
+    assert [c.difference for c in history].count(applied.difference) == 1
+
+
+def test_down_store_changes_nothing_and_says_so(standin, writer):
+    standin.faults = Faults(down=True)
+    problem = writer.edit("root", {"read_ahead": 3}, [], None, "a").error
+    assert problem.kind is ProblemKind.UNAVAILABLE
+    assert problem.not_run
+
+
+@pytest.mark.parametrize(
+    ("path", "values", "part"),
+    [
+        ("elsewhere", {}, "path must be"),
+        ("root/a/b/c/d", {}, "path must be"),
+        ("root", {"read_ahaed": 1}, "did you mean read_ahead?"),
+        ("root", {"wait_margin": 2}, "<= 1.0"),
+        ("root", {"deadline_s": 600}, "deadline_s must be <="),
+    ],
+)
+def test_bad_change_names_the_rule(writer, path, values, part):
+    problem = writer.edit(path, values, [], None, "a").error
+    assert problem.kind is ProblemKind.INVALID
+    assert part in problem.detail
+
+
+def test_deleted_service_keeps_the_revision_rising(writer):
+    before = writer.read().ok.revision
+    assert writer.apply(parse_tree("").ok, None, "a").is_ok()
+    after = writer.read().ok
+    assert after.revision > before
+    assert after.tree.services == {}
+
+
+def test_follower_hands_on_changes(writer, store):
+    seen = []
+    changed = threading.Event()
+
+    def take(revision, tree):
+        seen.append((revision, tree))
+        if tree.set.read_ahead == 9:
+            changed.set()
+
+    follower = SettingsFollower(store, take)
+    thread = threading.Thread(target=follower.run, daemon=True)
+    thread.start()
+    writer.edit("root", {"read_ahead": 9}, [], None, "a")
+    assert changed.wait(10.0)
+    revisions = [revision for revision, _ in seen]
+    assert revisions == sorted(revisions)
+    follower.stop()
+    thread.join(5.0)
+
+
+def test_manual_clock_is_enough_to_read(store):
+    assert SettingsWriter(store, ManualClock()).read().ok.revision == 0
--- a/sardinestair/store/claims.py
+++ b/sardinestair/store/claims.py
@@ -27,7 +27,13 @@
     Swap,
 )
 
-__all__ = ["Claim", "ClaimVerdict", "ClaimWriter", "claim_key"]
+__all__ = [
+    "Claim",
+    "ClaimVerdict",
+    "ClaimWriter",
+    "claim_key",
+    "delete_old_claims",
+]
 
 SECONDS_PER_MINUTE = 60
 MAX_GROUP = 100
@@ -91,6 +97,23 @@
     return f"{PREFIX}{minute:010d}/{job_id.hex()}"
 
 
+def delete_old_claims(store: Store, now_s: float, retention_s: float) -> int:
+    """Deletes the claims whose ids are too old to be submitted again.
+
+    Args:
+        store: The platform's service.
+        now_s: Seconds since the epoch.
+        retention_s: Age at which an id is refused, in seconds.
+
+    Returns:
+        How many were deleted; 0 if the store gave no answer.
+    """
+    # A minute more, for clocks that differ.
+    minute = int(now_s - retention_s) // SECONDS_PER_MINUTE - 1
+    deleted = store.delete_before(PREFIX, f"{PREFIX}{minute:010d}/")
+    return deleted.ok if deleted.is_ok() else 0
+
+
 class ClaimWriter:
     """Writes claims in groups, and settles lost answers by writing again.
 
--- a/sardinestair/store/etcd.py
+++ b/sardinestair/store/etcd.py
@@ -76,6 +76,12 @@
         answer = self._call("/v3/kv/deleterange", self._range(prefix))
         return answer.map(lambda body: int(body.get("deleted", 0)))
 
+    def delete_before(self, prefix: str, end: str) -> Result[int, StoreError]:
+        """Deletes the keys with a prefix that sort before another key."""
+        request = {"key": self._encode(prefix), "range_end": self._encode(end)}
+        answer = self._call("/v3/kv/deleterange", request)
+        return answer.map(lambda body: int(body.get("deleted", 0)))
+
     def grant_lease(self, ttl_s: int) -> Result[int, StoreError]:
         """Grants a lease; returns its id."""
         answer = self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
--- a/sardinestair/store/port.py
+++ b/sardinestair/store/port.py
@@ -112,6 +112,10 @@
         """Deletes all keys with a prefix; returns how many."""
         ...
 
+    def delete_before(self, prefix: str, end: str) -> Result[int, StoreError]:
+        """Deletes the keys with a prefix that sort before another key."""
+        ...
+
     def grant_lease(self, ttl_s: int) -> Result[int, StoreError]:
         """Grants a lease; returns its id."""
         ...
--- a/sardinestair/tests/test_whole_path.py
+++ b/sardinestair/tests/test_whole_path.py
@@ -1,7 +1,10 @@
 """The whole path in one process, from a caller to upstreams and back."""
 
+import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 import pytest
 
 from sardinestair.cli.client import ApiClient
@@ -90,3 +93,61 @@
     again = job([{"echo": 7}], id="0193f0a2-7c00-7000-8000-000000000001")
     answers = [client.call("POST", "/v1/jobs", again).ok for _ in range(2)]
     assert answers[0] == answers[1]
+
+
+def raw_request(client, data, half_close=False):
+    """Sends bytes as they are, and returns the first line of the reply."""
+    port = int(client.base_url.rpartition(":")[2])
+    with socket.create_connection(("127.0.0.1", port), 20.0) as connection:
+        connection.sendall(data)
+        if half_close:
+            connection.shutdown(socket.SHUT_WR)
+        return connection.recv(65536).split(b"\r\n")[0]
+
+
+def post(body, length=None):
+    length = len(body) if length is None else length
+    head = f"POST /v1/jobs HTTP/1.1\r\nHost: e\r\nContent-Length: {length}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (post(b"{nope"), b"400"),
+        (post(b"\xff\xfe"), b"400"),
+        (post(b"[" * 100_000), b"400"),
+        (post(b"", length=1 << 30), b"413"),
+        (b"POST /v1/jobs HTTP/1.1\r\nHost: e\r\n\r\n", b"400"),
+        (b"PUT /v1/jobs HTTP/1.1\r\nHost: e\r\n\r\n", b"405"),
+        (b"GET /nothing HTTP/1.1\r\nHost: e\r\n\r\n", b"404"),
+        (b"GET /v1/jobs/12 HTTP/1.1\r\nHost: e\r\n\r\n", b"400"),
+        (b"nonsense\r\n\r\n", b"400"),
+    ],
+)
+def test_bad_request_gets_a_clear_status_and_harms_nobody(client, data, status):
+    assert raw_request(client, data).split()[1] == status
+    assert client.call("POST", "/v1/jobs", job([{"echo": 1}])).is_ok()
+
+
+def test_half_closed_client_gets_its_answer(client):
+    body = msgspec.json.encode(job([{"run_s": 0.05}]))
+    assert b" 200 " in raw_request(client, post(body), half_close=True)
+
+
+def test_slow_client_holds_up_nobody(client):
+    port = int(client.base_url.rpartition(":")[2])
+    with socket.create_connection(("127.0.0.1", port)) as slow:
+        slow.sendall(post(b"{", length=1000))
+        assert client.call("POST", "/v1/jobs", job([{}])).is_ok()
+
+
+def test_answers_reach_the_callers_that_asked(client):
+    def ask(number):
+        payloads = [{"run_s": 0.01 * (number % 4), "echo": number}]
+        own = ApiClient(client.base_url)
+        return own.call("POST", "/v1/jobs", job(payloads)).ok["results"]
+
+    with ThreadPoolExecutor(30) as pool:
+        answers = list(pool.map(ask, range(150)))
+    assert answers == [[number] for number in range(150)]
