Predict a job's end by its place in the queue, and add team quotas

Cause: admission compared the whole queue with the whole capacity, although entries share the upstreams and small jobs go first; teams had no limits. Change: the prediction counts the work ahead of the job, its own work, and the rate this entry gets; token buckets for tasks a second per team, shared by the entries that answer, in the root's record of the tree.

--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -126,7 +126,8 @@
                     "upstreams": len(state.links),
                     "slots": state.slots,
                     "waiting_tasks": state.queue.waiting_tasks,
-                    "expected_wait_s": min(state.load().expected_wait_s, 1e9),
+                    "waiting_s": round(state.queue.waiting_s, 3),
+                    "upstreams_out": state.health.count_out(),
                     "retries_left": int(state.retries.tokens_),
                 }
                 for state in dispatcher.services.values()
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -20,6 +20,7 @@
 from sardinestair.jobs import Job, JobRegistry, JobRequest
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
+from sardinestair.limits import TeamQuota
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -65,6 +66,8 @@
         services: What is kept for each service.
         links: Links by sidecar.
         registry: The known jobs.
+        quotas: Token buckets of the teams that have a quota.
+        entry_count: Entries that share the upstreams and the quotas.
     """
 
     def __init__(
@@ -96,6 +99,8 @@
         self.tie = itertools.count()
         self.epochs = itertools.count(1)
         self.touched: set[str] = set()
+        self.quotas: dict[str, TeamQuota] = {}
+        self.entry_count = 1
         self.is_draining = False
         self.is_closed = False
         self.log = EventLog(
@@ -447,11 +452,28 @@
                 field="deadline_s",
             )
         size = sum(len(p) for p in request.payloads)
-        decision = state.admission().decide(
-            state.load(), tasks, size, deadline_s
+        estimate = state.estimate(request.kind, request.declared_task_s)
+        load = state.load(
+            estimate.mean_s_ * tasks,
+            1 / self.entry_count,
+            self.clock.monotonic(),
         )
+        decision = state.admission().decide(load, tasks, size, deadline_s)
+        if decision.is_ok():
+            decision = self._quota(request.team, tasks)
         return decision.error if decision.is_error() else None
 
+    def _quota(self, team: str, tasks: int) -> Result[None, Problem]:
+        limits = self.tree.teams.get(team) if self.tree else None
+        if limits is None:
+            return Ok(None)
+        quota = self.quotas.get(team)
+        if quota is None:
+            quota = self.quotas[team] = TeamQuota(limits.tasks_per_s)
+        quota.tasks_per_s = limits.tasks_per_s
+        share = 1 / self.entry_count
+        return quota.decide(team, tasks, share, self.clock.monotonic())
+
     def _settings(self, request: JobRequest):
         assert self.tree is not None
         return effective(self.tree, request.service, self.zone, request.kind)
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -12,6 +12,7 @@
 __all__ = ["Gossip"]
 
 INTERVAL_S = 1.0
+PEER_ANSWER_S = 5.0
 
 
 class Gossip:
@@ -96,3 +97,7 @@
             tree = msgspec.json.decode(reply.settings, type=SettingsTree)
             self.adopt(reply.settings_revision, tree)
         self.learn(reply.entries)
+        dispatcher = self.membership.dispatcher
+        dispatcher.entry_count = 1 + len(
+            self.membership.peers.answering(now_s, PEER_ANSWER_S)
+        )
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -10,7 +10,7 @@
 from sardinestair.entry.admin import AdminApi
 from sardinestair.entry.api import CallerApi
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.entry.gossip import Gossip
+from sardinestair.entry.gossip import PEER_ANSWER_S, Gossip
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.links.entry_link import EntryLink
@@ -34,7 +34,6 @@
 CLAIM_SWEEP_S = 60.0
 MAX_LINKS = 2048
 MAX_PEERS = 64
-PEER_ANSWER_S = 5.0
 
 
 class EntryProcess:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -111,11 +111,32 @@
             if link.state in (LinkState.UP, LinkState.CONNECTING)
         )
 
-    def load(self) -> Load:
-        """Returns what admission looks at."""
-        rate = self.throughput()
-        waiting_s = self.queue.waiting_s
-        expected = waiting_s / rate if rate else float("inf")
+    def own_throughput(self, share: float) -> float:
+        """Returns the run time worked off per second for this entry.
+
+        Args:
+            share: This entry's share if all entries ask for slots.
+
+        Returns:
+            The rate of its tasks that run now, or its share if that is more.
+        """
+        running = sum(
+            len(link.outstanding) / link.candidate.speed_
+            for link in self.links.values()
+        )
+        return max(running, share * self.throughput())
+
+    def load(self, work_s: float, share: float, now_s: float) -> Load:
+        """Returns what admission looks at.
+
+        Args:
+            work_s: Expected run time of the new job's tasks, in seconds.
+            share: This entry's share of the upstreams if all ask.
+            now_s: The present, in seconds.
+        """
+        rate = self.own_throughput(share)
+        ahead_s = self.queue.work_ahead_s(work_s, now_s) + work_s
+        expected = ahead_s / rate if rate else float("inf")
         return Load(
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected
         )
--- a/sardinestair/limits/__init__.py
+++ b/sardinestair/limits/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinestair.limits.admission import Admission, Load
 from sardinestair.limits.credits import CreditAccount, CreditLedger
+from sardinestair.limits.quota import TeamQuota
 from sardinestair.limits.retries import RetryBudget
 
 __all__ = [
@@ -10,4 +11,5 @@
     "CreditLedger",
     "Load",
     "RetryBudget",
+    "TeamQuota",
 ]
--- a/sardinestair/limits/admission.py
+++ b/sardinestair/limits/admission.py
@@ -16,8 +16,8 @@
     Attributes:
         queued_tasks: Tasks that wait.
         queued_bytes: Their payloads in bytes.
-        expected_wait_s: Predicted wait of the new job's first task, in
-            seconds; infinite if there is no upstream.
+        expected_wait_s: Predicted time until the new job ends, in seconds;
+            infinite if there is no upstream.
     """
 
     queued_tasks: int
@@ -65,7 +65,7 @@
             return self._refuse("the queue is full by bytes", load)
         if load.expected_wait_s > deadline_s:
             return self._refuse(
-                f"the predicted wait of {load.expected_wait_s:.1f} s exceeds "
+                f"the predicted time of {load.expected_wait_s:.1f} s exceeds "
                 f"the deadline of {deadline_s:.1f} s",
                 load,
             )
--- /dev/null
+++ b/sardinestair/limits/quota.py
@@ -0,0 +1,73 @@
+"""Quotas of teams: tasks a second, shared between the entries."""
+
+from expression import Error, Ok, Result
+
+from sardinestair.outcomes import Problem, ProblemKind
+
+__all__ = ["TeamQuota"]
+
+BURST_S = 1.0
+MIN_BURST_TASKS = 930.0
+
+
+class TeamQuota:
+    """A token bucket for the tasks of one team at one entry.
+
+    A full bucket holds a second's worth of tasks, and at least one job of the
+    greatest size, so that any single job can pass.
+
+    Args:
+        tasks_per_s: The team's quota over all entries.
+
+    Attributes:
+        tokens_: Tasks that the team may submit now.
+        refilled_s_: When the bucket was last refilled.
+
+    Examples:
+        >>> quota = TeamQuota(tasks_per_s=10.0)
+        >>> quota.decide("tills", tasks=930, share=1.0, now_s=0.0).is_ok()
+        True
+        >>> refused = quota.decide("tills", tasks=5, share=1.0, now_s=0.1)
+        >>> refused.error.retry_after_s
+        0.4
+    """
+
+    def __init__(self, tasks_per_s: float):
+        self.tasks_per_s = tasks_per_s
+        self.tokens_ = self._capacity(1.0)
+        self.refilled_s_ = 0.0
+
+    def decide(
+        self, team: str, tasks: int, share: float, now_s: float
+    ) -> Result[None, Problem]:
+        """Takes tokens for a job.
+
+        Args:
+            team: The team's name.
+            tasks: Tasks of the job.
+            share: Part of the quota that this entry hands out.
+            now_s: The present, in seconds.
+
+        Returns:
+            Ok, or the problem with which the job is refused.
+        """
+        rate = max(self.tasks_per_s * share, 1e-9)
+        gained = (now_s - self.refilled_s_) * rate
+        self.tokens_ = min(self.tokens_ + gained, self._capacity(share))
+        self.refilled_s_ = now_s
+        if self.tokens_ >= tasks:
+            self.tokens_ -= tasks
+            return Ok(None)
+        wait_s = (tasks - self.tokens_) / rate
+        return Error(
+            Problem(
+                ProblemKind.QUOTA,
+                f"team {team} has a quota of {self.tasks_per_s:g} tasks/s",
+                not_run=True,
+                field="team",
+                retry_after_s=round(wait_s, 1),
+            )
+        )
+
+    def _capacity(self, share: float) -> float:
+        return max(self.tasks_per_s * share * BURST_S, MIN_BURST_TASKS)
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -122,6 +122,21 @@
         self._count(job, job.waiting, -1)
         job.waiting.clear()
 
+    def work_ahead_s(self, work_s: float, now_s: float) -> float:
+        """Returns the expected run time of what would go before a new job.
+
+        The jobs ahead count by their number, at the mean of all that wait.
+
+        Args:
+            work_s: Expected run time of the new job's tasks, in seconds.
+            now_s: The present, in seconds.
+        """
+        if not self.jobs or self.order is OrderPolicy.FIRST_COME:
+            return self.waiting_s
+        key_s = now_s + WORK_WEIGHT * work_s
+        ahead = self.jobs.bisect_key_right((key_s, b""))
+        return self.waiting_s * ahead / len(self.jobs)
+
     def head(self) -> Job | None:
         """Returns the job whose task is next, if any waits."""
         return self.jobs[0] if self.jobs else None
--- a/sardinestair/settings/edit.py
+++ b/sardinestair/settings/edit.py
@@ -29,6 +29,8 @@
         {'root:read_ahead': 1}
     """
     flat = _stated(ROOT, tree.set)
+    for team, limits in tree.teams.items():
+        flat[f"{ROOT}:teams.{team}.tasks_per_s"] = limits.tasks_per_s
     for service, node in tree.services.items():
         path = f"{ROOT}/{service}"
         flat[path] = "present"
--- a/sardinestair/settings/records.py
+++ b/sardinestair/settings/records.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from sardinestair.settings.tree import Overrides, ServiceNode, SettingsTree
+from sardinestair.settings.tree import (
+    Overrides,
+    ServiceNode,
+    SettingsTree,
+    TeamNode,
+)
 from sardinestair.store.port import ABSENT, Snapshot, Swap
 
 __all__ = ["Change", "Record", "VersionedTree", "read_tree", "swaps_between"]
@@ -39,11 +44,13 @@
         deleted: True once the service is gone; the key stays, so that the
             highest revision of all keys never falls.
         changes: The latest changes, oldest first.
+        teams: The teams' limits, in the root's record.
     """
 
     node: ServiceNode
     deleted: bool
     changes: list[Change]
+    teams: dict[str, TeamNode] = {}
 
 
 class VersionedTree(msgspec.Struct, frozen=True):
@@ -83,7 +90,11 @@
         for key, record in records.items()
         if key.startswith(SERVICE_PREFIX) and not record.deleted
     }
-    tree = SettingsTree(root.node.set if root else Overrides(), services)
+    tree = SettingsTree(
+        root.node.set if root else Overrides(),
+        services,
+        root.teams if root else {},
+    )
     revision = max(revisions.values(), default=0)
     return VersionedTree(tree, revision, revisions, records)
 
@@ -107,16 +118,24 @@
         if key not in nodes and not record.deleted
     ]
     swaps = [
-        _swap(current, key, node, False, change)
+        _swap(current, key, node, False, change, _teams(key, wanted))
         for key, node in nodes.items()
-        if _differs(current.records.get(key), node)
+        if _differs(current.records.get(key), node, _teams(key, wanted))
     ]
     swaps += [_swap(current, key, ServiceNode(), True, change) for key in gone]
     return swaps
 
 
-def _differs(record: Record | None, node: ServiceNode) -> bool:
-    return record is None or record.deleted or record.node != node
+def _teams(key: str, tree: SettingsTree) -> dict[str, TeamNode]:
+    return tree.teams if key == ROOT_KEY else {}
+
+
+def _differs(
+    record: Record | None, node: ServiceNode, teams: dict[str, TeamNode]
+) -> bool:
+    if record is None or record.deleted:
+        return True
+    return record.node != node or record.teams != teams
 
 
 def _swap(
@@ -125,9 +144,10 @@
     node: ServiceNode,
     deleted: bool,
     change: Change,
+    teams: dict[str, TeamNode] | None = None,
 ) -> Swap:
     old = current.records.get(key)
     history = [*old.changes, change] if old else [change]
-    record = Record(node, deleted, history[-MAX_HISTORY:])
+    record = Record(node, deleted, history[-MAX_HISTORY:], teams or {})
     expected = current.revisions.get(key, ABSENT)
     return Swap(key, msgspec.json.encode(record), expected)
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -23,6 +23,7 @@
     "Overrides",
     "ServiceSettings",
     "SettingsTree",
+    "TeamNode",
     "check_tree",
     "effective",
     "explain",
@@ -94,7 +95,7 @@
     favour: Favour | UnsetType = UNSET
     policy: PolicyName | UnsetType = UNSET
     order: OrderPolicy | UnsetType = UNSET
-    wait_margin: Share | UnsetType = UNSET
+    wait_margin: Annotated[float, Meta(ge=0, le=4)] | UnsetType = UNSET
     read_ahead: Annotated[int, Meta(ge=0, le=100_000)] | UnsetType = UNSET
     retry_ratio: Share | UnsetType = UNSET
     not_run_statuses: list[Status] | UnsetType = UNSET
@@ -122,16 +123,28 @@
     zones: dict[str, ZoneNode] = msgspec.field(default_factory=dict)
 
 
+class TeamNode(msgspec.Struct, forbid_unknown_fields=True):
+    """Limits of one team.
+
+    Attributes:
+        tasks_per_s: Tasks that it may submit per second, over all entries.
+    """
+
+    tasks_per_s: Annotated[float, Meta(gt=0, le=1e6)]
+
+
 class SettingsTree(msgspec.Struct, forbid_unknown_fields=True):
     """The whole tree.
 
     Attributes:
         set: What the root overrides.
         services: The services by name; a job for another is refused.
+        teams: The teams that have limits, by name.
     """
 
     set: Overrides = msgspec.field(default_factory=Overrides)
     services: dict[str, ServiceNode] = msgspec.field(default_factory=dict)
+    teams: dict[str, TeamNode] = msgspec.field(default_factory=dict)
 
 
 class Explanation(msgspec.Struct, frozen=True):
