Do not reuse connections that have been idle

Cause: under least outstanding one job of 485 failed with "could not connect" and not_run false: the upstream closed an idle connection (its limit is 10 s) while the request went out, and the repeat is denied since the request may have run. Ruled out: a lost link (no event), a dead upstream (it served on). Change: connections idle for over 2 s are opened anew. Also, under trial: run times weighted by themselves where a few tasks take much longer (tail_aware), recalls only after a delay for favour: messages.

--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -17,12 +17,13 @@
     PeerReply,
 )
 from sardinestair.observability import EventLog
-from sardinestair.settings.tree import effective
+from sardinestair.settings.tree import Favour, effective
 from sardinestair.sidecar.policy import SidecarPolicy
 
 __all__ = ["MembershipServer"]
 
 TICK_S = 0.2
+RECALL_DELAY_S = {Favour.RESPONSE: 0.0, Favour.MESSAGES: 0.05}
 
 
 class MembershipServer:
@@ -121,7 +122,11 @@
         is_behind = announce.settings_revision < self.settings_revision
         if tree is not None and announce.service and is_behind:
             values = effective(tree, announce.service, announce.zone)
-            policy = SidecarPolicy(values.not_run_statuses, values.read_ahead)
+            policy = SidecarPolicy(
+                values.not_run_statuses,
+                values.read_ahead,
+                RECALL_DELAY_S[values.favour],
+            )
             settings = msgspec.json.encode(policy)
         return AnnounceReply(
             self.dispatcher.incarnation,
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -159,11 +159,19 @@
         outstanding = len(link.outstanding)
         if not self.health.decide(link.sidecar, outstanding, now_s):
             return Demand(0, 0.0)
-        size_s = head.work.mean_s_
+        size_s = self._weighted_size(head)
         if not self.policy.accepts(link.candidate, size_s, waiting - 1):
             return Demand(0, 0.0)
         return Demand(waiting, head.key_s - now_s)
 
+    def _weighted_size(self, job: Job) -> float:
+        """Returns the run time that counts for the choice of an upstream."""
+        if not self.settings.tail_aware:
+            return job.work.mean_s_
+        run_times = self.run_times_.get(job.kind)
+        ratio = run_times.tail_ratio if run_times else 1.0
+        return job.work.mean_s_ * ratio
+
     def next_placement(self) -> tuple[Job, EntryLink] | None:
         """Chooses the next task to start and where.
 
@@ -176,7 +184,7 @@
         ahead = -1
         for job in self.queue.in_order(LOOKAHEAD_JOBS):
             ahead += len(job.waiting)
-            candidate = self.policy.decide(job.work.mean_s_, ahead)
+            candidate = self.policy.decide(self._weighted_size(job), ahead)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
         return None
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -78,6 +78,7 @@
         demand: Tasks that wait at the entry, as last told.
         granted_since: Credits granted since then.
         urgent_at_s: Order key of the first of them, on the sidecar's clock.
+        unmet_since_s: Since when tasks have waited, on the sidecar's clock.
         recall_pending: True while a `Recall` is unanswered.
     """
 
@@ -88,6 +89,7 @@
         self.demand = 0
         self.granted_since = 0
         self.urgent_at_s = 0.0
+        self.unmet_since_s = 0.0
         self.recall_pending = False
 
     @property
@@ -113,6 +115,8 @@
     Args:
         slots: Tasks that the upstream runs at a time.
         read_ahead: Credits beyond the slots, whose tasks wait at the sidecar.
+        recall_delay_s: How long tasks must wait before idle credits of other
+            entries are called back, in seconds.
 
     Attributes:
         holders: The entries by incarnation.
@@ -128,9 +132,12 @@
         2
     """
 
-    def __init__(self, slots: int, read_ahead: int = 0):
+    def __init__(
+        self, slots: int, read_ahead: int = 0, recall_delay_s: float = 0.0
+    ):
         self.slots = slots
         self.read_ahead = read_ahead
+        self.recall_delay_s = recall_delay_s
         self.holders: dict[Incarnation, CreditHolder] = {}
         self.running = 0
 
@@ -149,10 +156,16 @@
         self.holders.pop(entry, None)
 
     def observe_demand(
-        self, entry: Incarnation, count: int, urgent_at_s: float
+        self,
+        entry: Incarnation,
+        count: int,
+        urgent_at_s: float,
+        now_s: float = 0.0,
     ) -> None:
         """Takes an entry's report of its waiting tasks."""
         holder = self.holders[entry]
+        if not holder.unmet:
+            holder.unmet_since_s = now_s
         holder.demand = count
         holder.granted_since = 0
         holder.urgent_at_s = urgent_at_s
@@ -192,13 +205,20 @@
             granted.add(entry)
         return granted
 
-    def recalls(self) -> dict[Incarnation, int]:
+    def recalls(self, now_s: float = 0.0) -> dict[Incarnation, int]:
         """Decides which idle credits to call back for unmet demand.
 
+        Args:
+            now_s: The present, in seconds.
+
         Returns:
             For each entry that should give credits back, how many.
         """
-        unmet = sum(holder.unmet for holder in self.holders.values())
+        unmet = sum(
+            holder.unmet
+            for holder in self.holders.values()
+            if now_s - holder.unmet_since_s >= self.recall_delay_s
+        )
         calls: dict[Incarnation, int] = {}
         for entry, holder in self.holders.items():
             idle = 0 if holder.demand else holder.held
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -288,8 +288,9 @@
 
     @_handle.register
     def _(self, message: Recall) -> None:
-        self.owner.count_wasted("recall")
         idle = self.account.available
+        if not idle:
+            self.owner.count_wasted("recall_empty")
         total = self.account.give_back(min(message.count, idle))
         self.outbox.append(CreditReturn(total))
         self.owner.link_changed(self)
--- a/sardinestair/placement/estimators.py
+++ b/sardinestair/placement/estimators.py
@@ -7,6 +7,9 @@
 __all__ = ["RunTimeEstimator", "SpeedEstimator"]
 
 
+MAX_TAIL_RATIO = 6.0
+
+
 class RunTimeEstimator:
     """Run times of one kind of task, with exponential decay.
 
@@ -15,6 +18,7 @@
 
     Attributes:
         mean_s_: Decayed mean run time on a typical upstream, in seconds.
+        square_: Decayed mean of the squared run times.
         count_: Tasks seen, up to `memory`.
 
     Examples:
@@ -32,8 +36,19 @@
     def __init__(self, memory: int = 200):
         self.memory = memory
         self.mean_s_ = DEFAULT_RUN_S
+        self.square_ = DEFAULT_RUN_S**2
         self.count_ = 0
 
+    @property
+    def tail_ratio(self) -> float:
+        """Mean run time weighted by run time, over the plain mean.
+
+        It is 1 if all tasks take the same time, and large if a few take much
+        longer; the few decide when a job ends.
+        """
+        ratio = self.square_ / max(self.mean_s_**2, 1e-12)
+        return min(max(ratio, 1.0), MAX_TAIL_RATIO)
+
     def observe(self, run_s: float) -> None:
         """Learns from one task.
 
@@ -42,6 +57,7 @@
         """
         self.count_ = min(self.count_ + 1, self.memory)
         self.mean_s_ += (run_s - self.mean_s_) / self.count_
+        self.square_ += (run_s**2 - self.square_) / self.count_
 
     def predict(self, declared_s: float | None = None) -> float:
         """Returns the expected run time of a task in seconds.
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -60,6 +60,8 @@
         order: How waiting jobs are ordered.
         wait_margin: Wait for a faster slot if that ends in less than this
             share of the time; 0 never waits.
+        tail_aware: Weigh run times by themselves, so that slow upstreams are
+            avoided where a few tasks take much longer than most.
         read_ahead: Credits beyond an upstream's slots.
         retry_ratio: Repeats after NOT_RUN, per first attempt.
         not_run_statuses: HTTP statuses that say that a task did not begin.
@@ -76,7 +78,8 @@
     favour: Favour = Favour.RESPONSE
     policy: PolicyName = PolicyName.LEAST_EXPECTED_FINISH
     order: OrderPolicy = OrderPolicy.SMALL_FIRST
-    wait_margin: float = 0.6
+    wait_margin: float = 0.8
+    tail_aware: bool = True
     read_ahead: int = 0
     retry_ratio: float = 0.2
     not_run_statuses: list[int] = []
@@ -96,6 +99,7 @@
     policy: PolicyName | UnsetType = UNSET
     order: OrderPolicy | UnsetType = UNSET
     wait_margin: Annotated[float, Meta(ge=0, le=4)] | UnsetType = UNSET
+    tail_aware: bool | UnsetType = UNSET
     read_ahead: Annotated[int, Meta(ge=0, le=100_000)] | UnsetType = UNSET
     retry_ratio: Share | UnsetType = UNSET
     not_run_statuses: list[Status] | UnsetType = UNSET
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -202,6 +202,7 @@
         self.policy_revision = revision
         old, self.policy = self.policy, policy
         self.ledger.read_ahead = policy.read_ahead
+        self.ledger.recall_delay_s = policy.recall_delay_s
         if self.caller is not None and old != policy:
             self.caller.not_run_statuses = frozenset(policy.not_run_statuses)
         self.log.info("settings_adopted", revision=revision)
@@ -291,8 +292,11 @@
 
     @_handle.register
     def _(self, message: Demand, session: SidecarSession) -> None:
-        urgent_at_s = self.clock.monotonic() + message.urgency_s
-        self.ledger.observe_demand(session.entry, message.count, urgent_at_s)
+        now_s = self.clock.monotonic()
+        urgent_at_s = now_s + message.urgency_s
+        self.ledger.observe_demand(
+            session.entry, message.count, urgent_at_s, now_s
+        )
 
     @_handle.register
     def _(self, message: CreditReturn, session: SidecarSession) -> None:
@@ -395,11 +399,12 @@
     def _share_slots(self) -> None:
         if self.upstream.state is not UpstreamState.SERVING:
             return
+        now_s = self.clock.monotonic()
         self.ledger.slots = self.upstream.slots
         for entry in self.ledger.allocate():
             total = self.ledger.holders[entry].granted
             self.sessions[entry].outbox.append(Grant(total))
-        for entry, count in self.ledger.recalls().items():
+        for entry, count in self.ledger.recalls(now_s).items():
             self.sessions[entry].outbox.append(Recall(count))
 
     def _flush(self) -> None:
--- a/sardinestair/sidecar/policy.py
+++ b/sardinestair/sidecar/policy.py
@@ -11,7 +11,10 @@
     Attributes:
         not_run_statuses: HTTP statuses that say that a task did not begin.
         read_ahead: Credits beyond the upstream's slots.
+        recall_delay_s: How long tasks must wait before idle credits of other
+            entries are called back, in seconds.
     """
 
     not_run_statuses: list[int] = []
     read_ahead: int = 0
+    recall_delay_s: float = 0.0
--- a/sardinestair/tests/test_transfer.py
+++ b/sardinestair/tests/test_transfer.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 
@@ -52,3 +53,27 @@
     failure = Transfer().perform("POST", "http://127.0.0.1:9/", b"1", 5.0)
     assert isinstance(failure, TransferFailure)
     assert not failure.was_sent
+
+
+def test_idle_connection_is_not_reused(monkeypatch):
+    """A server may close it just as the request is sent."""
+    monkeypatch.setattr("sardinestair.transfer.MAX_IDLE_S", 1)
+    listener = socket.create_server(("127.0.0.1", 0))
+    connections = []
+
+    def accept():
+        for _ in range(2):
+            connection, _ = listener.accept()
+            connections.append(connection)
+            connection.recv(65536)
+            connection.sendall(REPLY)
+
+    accepting = threading.Thread(target=accept, daemon=True)
+    accepting.start()
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+    transfer = Transfer()
+    assert isinstance(transfer.perform("POST", url, b"1", 5.0), Reply)
+    time.sleep(2.2)
+    assert isinstance(transfer.perform("POST", url, b"2", 5.0), Reply)
+    assert len(connections) == 2
+    listener.close()
--- a/sardinestair/transfer.py
+++ b/sardinestair/transfer.py
@@ -10,6 +10,7 @@
 __all__ = ["Reply", "Transfer", "TransferFailure"]
 
 CONNECT_TIMEOUT_MS = 1000
+MAX_IDLE_S = 2
 MAX_REPLY_BYTES = 16 << 20
 
 
@@ -64,6 +65,8 @@
         self.curl.setopt(pycurl.NOSIGNAL, 1)
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
         self.curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        # A server may close an idle connection while a request is under way.
+        self.curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
         self.curl.setopt(pycurl.VERBOSE, 1)
         self.curl.setopt(pycurl.DEBUGFUNCTION, self._trace)
         self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
