Enforce monthly budgets by slices from the store, and forecast them

Cause: finance must forecast the bill from the settings; nothing was priced or bounded. Change: price per slot-hour in the tree, a longest task time, budgets and expected use of teams; an entry reserves the most that a job can cost from slices reserved by compare-and-swap, and gives back what tasks did not cost; forecast by team from the tree alone, whose upper figure is the budget. The settings page is written from the schemas. A longest task time bounds what one call can cost. Forecasts by service and zone, burn report and the daily review of dropped jobs are left.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 
 faults: .venv/.installed
 	$(BIN)/python -m faults.run
+
+bench: .venv/.installed
+	$(BIN)/python -m benchmarks.bench_suite
+
+slopes: .venv/.installed
+	$(BIN)/python -m benchmarks.bench_slopes
--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -24,7 +24,7 @@
 
 # Early binding: tasks are sent at once and wait in front of the upstream.
 EARLY = {"order": "first_come", "wait_margin": 0.0, "read_ahead": 5000}
-VARIANTS = {
+VARIANTS: dict[str, dict] = {
     "round robin": {**EARLY, "policy": "round_robin"},
     "power of two": {**EARLY, "policy": "power_of_two_choices"},
     "least outstanding": {**EARLY, "policy": "least_outstanding"},
@@ -57,15 +57,42 @@
     try:
         system.start()
         warm_up = generate(deployment, 0.5, WARM_UP_S, seed + 100)
-        run_load(system.urls, deployment, warm_up)
+        warm_records = run_load(system.urls, deployment, warm_up)
         before = read_wasted(system.urls)
         jobs = generate(deployment, load, duration_s, seed)
         records = run_load(system.urls, deployment, jobs)
         after = read_wasted(system.urls)
+        good_out = count_good_out(system, deployment)
     finally:
         system.stop()
     wasted = {kind: n - before.get(kind, 0) for kind, n in after.items()}
-    return summarize(records, wasted)
+    if deployment.failing:
+        # The upstream must be met while it is unknown.
+        records = warm_records + records
+    return summarize(records, wasted, good_out)
+
+
+def count_good_out(system: System, deployment: Deployment) -> int:
+    """Returns how often entries took out upstreams that work.
+
+    Each entry logs the sidecar; that of a failing upstream may go out.
+    """
+    good = 0
+    failing = {read_sidecar_name(system, i) for i in deployment.failing}
+    for program in system.entries:
+        with open(f"{system.folder}/{program.name}.log", encoding="utf-8") as f:
+            out = [line for line in f if "event=upstream_out" in line]
+        names = [line.rpartition("sidecar=")[2].split()[0] for line in out]
+        good += sum(name not in failing for name in names)
+    return good
+
+
+def read_sidecar_name(system: System, index: int) -> str:
+    """Returns the name under which entries log a sidecar."""
+    file = f"{system.folder}/{system.sidecars[index].name}.log"
+    with open(file, encoding="utf-8") as stream:
+        started = next(x for x in stream if "event=sidecar_started" in x)
+    return started.partition("sidecar=")[2].split()[0]
 
 
 def main() -> int:
--- a/sardinestair/cli/ctl.py
+++ b/sardinestair/cli/ctl.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 
 from sardinestair import __version__
+from sardinestair.cli.ctl_finance import ForecastCommand
 from sardinestair.cli.ctl_jobs import (
     CancelCommand,
     JobCommand,
@@ -37,6 +38,7 @@
     ExplainCommand,
     HistoryCommand,
     CheckCommand,
+    ForecastCommand,
 ]
 
 
--- a/sardinestair/cli/ctl_settings.py
+++ b/sardinestair/cli/ctl_settings.py
@@ -23,6 +23,8 @@
     "GetCommand",
     "HistoryCommand",
     "SetCommand",
+    "SettingsCommand",
+    "read_tree_file",
 ]
 
 _SEEN = option(
@@ -34,7 +36,8 @@
 )
 
 
-def _read_file(file: str) -> Result[SettingsTree, SettingsError]:
+def read_tree_file(file: str) -> Result[SettingsTree, SettingsError]:
+    """Reads a settings tree, or says why it can't be used."""
     try:
         with open(file, encoding="utf-8") as stream:
             return parse_tree(stream.read(), file)
@@ -42,7 +45,7 @@
         return Error(SettingsError(file, 1, "", str(error)))
 
 
-class _SettingsCommand(CtlCommand):
+class SettingsCommand(CtlCommand):
     """Base of the commands about settings."""
 
     def author(self) -> str:
@@ -67,7 +70,7 @@
         return EXIT_OK
 
 
-class GetCommand(_SettingsCommand):
+class GetCommand(SettingsCommand):
     """Shows the tree in force."""
 
     name = "settings get"
@@ -88,7 +91,7 @@
         return EXIT_OK
 
 
-class SetCommand(_SettingsCommand):
+class SetCommand(SettingsCommand):
     """Changes one node."""
 
     name = "settings set"
@@ -129,7 +132,7 @@
         return self.show_applied(result.ok)
 
 
-class ApplyCommand(_SettingsCommand):
+class ApplyCommand(SettingsCommand):
     """Replaces the tree."""
 
     name = "settings apply"
@@ -140,7 +143,7 @@
 
     def handle(self) -> int:
         """Replaces the tree."""
-        read = _read_file(self.argument("file"))
+        read = read_tree_file(self.argument("file"))
         if read.is_error():
             self.line_error(str(read.error))
             return EXIT_USAGE
@@ -155,7 +158,7 @@
         return self.show_applied(result.ok)
 
 
-class DiffCommand(_SettingsCommand):
+class DiffCommand(SettingsCommand):
     """Compares a file with the tree in force."""
 
     name = "settings diff"
@@ -165,7 +168,7 @@
 
     def handle(self) -> int:
         """Shows the difference."""
-        read = _read_file(self.argument("file"))
+        read = read_tree_file(self.argument("file"))
         if read.is_error():
             self.line_error(str(read.error))
             return EXIT_USAGE
@@ -180,7 +183,7 @@
         return EXIT_OK
 
 
-class ExplainCommand(_SettingsCommand):
+class ExplainCommand(SettingsCommand):
     """Shows where effective values come from."""
 
     name = "settings explain"
@@ -204,7 +207,7 @@
         return self.show_rows(result.ok)
 
 
-class HistoryCommand(_SettingsCommand):
+class HistoryCommand(SettingsCommand):
     """Shows the latest changes."""
 
     name = "settings history"
@@ -236,7 +239,7 @@
     def handle(self) -> int:
         """Checks the file."""
         file = self.argument("file")
-        read = _read_file(file)
+        read = read_tree_file(file)
         if read.is_error():
             self.line_error(str(read.error))
             return EXIT_FAILURE
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -4,6 +4,7 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import msgspec
+from expression import Error, Result
 
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.entry.forwarding import (
@@ -20,6 +21,8 @@
 from sardinestair.jobs import Job, JobState, parse_request
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
+from sardinestair.limits.budget import BudgetKeeper, JobCharge
+from sardinestair.limits.money import Micros
 from sardinestair.membership import Peer
 from sardinestair.observability import EventLog
 from sardinestair.outcomes import Problem, ProblemKind
@@ -48,9 +51,16 @@
     Args:
         dispatcher: The entry's aggregate.
         peers: Returns the other entries that have answered lately.
+        budgets: Hands out the teams' budgets, or None without a store.
     """
 
-    def __init__(self, dispatcher: Dispatcher, peers: Callable[[], list[Peer]]):
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        peers: Callable[[], list[Peer]],
+        budgets: BudgetKeeper | None = None,
+    ):
+        self.budgets = budgets
         self.dispatcher = dispatcher
         self.peers = peers
         self.forwarder = Forwarder()
@@ -73,7 +83,7 @@
         elsewhere = self._resubmitted_elsewhere(request, parsed.ok, body)
         if elsewhere is not None:
             return elsewhere
-        submitted = self.dispatcher.submit(parsed.ok)
+        submitted = self._submit(parsed.ok)
         if submitted.is_error():
             job_id = format_job_id(parsed.ok.job_id)
             return problem_response(submitted.error, job_id)
@@ -86,6 +96,23 @@
             return response
         return self._wait(job)
 
+    def _submit(self, parsed: ParsedRequest) -> Result[Job, Problem]:
+        """Reserves what the job can cost, and submits it."""
+        dispatcher, request = self.dispatcher, parsed.request
+        if self.budgets is None or dispatcher.budget_of(request.team) is None:
+            return dispatcher.submit(parsed)
+        tasks = len(request.tasks)
+        limit = dispatcher.most_per_task(request)
+        total = Micros(limit * tasks)
+        reserved = self.budgets.decide(request.team, total)
+        if reserved.is_error():
+            return Error(reserved.error)
+        charge = JobCharge(self.budgets, request.team, tasks, limit)
+        submitted = dispatcher.submit(parsed, charge)
+        if submitted.is_error() or submitted.ok.charge is not charge:
+            charge.release(tasks)
+        return submitted
+
     def fetch(self, request: Request, job_id: str) -> Response:
         """Returns a job's answer, or its progress."""
         found = self._find(request, job_id)
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -21,6 +21,9 @@
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits import TeamQuota
+from sardinestair.limits.budget import JobCharge
+from sardinestair.limits.forecast import highest_price
+from sardinestair.limits.money import Micros, slot_cost
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -168,11 +171,30 @@
 
     # Callers.
 
-    def submit(self, parsed: ParsedRequest) -> Result[Job, Problem]:
+    def budget_of(self, team: str) -> int | None:
+        """Returns a team's monthly budget in minor units, if it has one."""
+        limits = self.tree.teams.get(team) if self.tree else None
+        return limits.monthly_budget if limits else None
+
+    def most_per_task(self, request: JobRequest) -> Micros:
+        """Returns the most that one task of a request can cost."""
+        if self.tree is None or request.service not in self.tree.services:
+            return Micros(0)
+        settings = self._settings(request)
+        deadline_s = request.deadline_s or settings.deadline_s
+        longest_s = min(deadline_s, settings.max_task_s)
+        price = highest_price(self.tree, request.service)
+        return slot_cost(longest_s, price)
+
+    def submit(
+        self, parsed: ParsedRequest, charge: JobCharge | None = None
+    ) -> Result[Job, Problem]:
         """Lets a job in, or attaches to a known one.
 
         Args:
             parsed: The checked request.
+            charge: What has been reserved of the team's budget; the caller
+                keeps it unless the returned job carries it.
 
         Returns:
             The job, or the problem with which it is refused.
@@ -187,6 +209,7 @@
                 self._count_refusal(request, refusal)
                 return Error(refusal)
             job = self._accept(parsed, known)
+            job.charge = charge
             self.links_handled()
             return Ok(job)
 
@@ -284,6 +307,7 @@
             return
         index = outcome.task.index
         if outcome.state is TaskState.DONE:
+            self._charge(state, job, link, outcome.run_s)
             state.learn(job, link, outcome.run_s)
             self._judge(state, link, job, True)
             state.refresh(link, self.clock.monotonic())
@@ -293,6 +317,7 @@
             return
         job.may_have_run = True
         job.release(index)
+        self._charge(state, job, link, outcome.run_s)
         self._judge(state, link, job, False)
         reason = outcome.body.decode("utf-8", "replace")
         reason = reason[:MAX_REASON_CHARACTERS]
@@ -309,6 +334,8 @@
                 continue
             if not job.is_active:
                 job.release(ref.index)
+                if job.charge is not None:
+                    job.charge.release(1)
                 continue
             state.queue.put_back(job, ref.index)
             if not state.retries.decide():
@@ -465,7 +492,7 @@
 
     def _quota(self, team: str, tasks: int) -> Result[None, Problem]:
         limits = self.tree.teams.get(team) if self.tree else None
-        if limits is None:
+        if limits is None or limits.tasks_per_s is None:
             return Ok(None)
         quota = self.quotas.get(team)
         if quota is None:
@@ -528,7 +555,7 @@
             index = state.queue.take(job, link.sidecar)
             if job.attempts[index] == 1:
                 state.retries.observe()
-            remaining_s = job.deadline_s - now_s
+            remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
             link.place(job.ref(index), remaining_s, payloads[index])
             state.refresh(link, now_s)
             used.add(link.sidecar)
@@ -544,6 +571,19 @@
         state.refresh(link, self.clock.monotonic())
         self.touched.add(state.name)
 
+    def _charge(
+        self, state: ServiceState, job: Job, link: EntryLink, run_s: float
+    ) -> None:
+        assert self.tree is not None
+        zone = link.candidate.zone
+        price = effective(self.tree, state.name, zone).price_per_slot_hour
+        cost = slot_cost(run_s, price)
+        if cost:
+            labels = {"team": job.team, "service": state.name, "zone": zone}
+            self.metrics.count("spent_micros_total", labels, cost)
+        if job.charge is not None:
+            job.charge.settle(cost)
+
     def _judge(
         self, state: ServiceState, link: EntryLink, job: Job, succeeded: bool
     ) -> None:
@@ -577,6 +617,8 @@
     def _ended(self, job: Job) -> None:
         """Does what every end of a job needs."""
         state = self.services[job.service]
+        if job.charge is not None:
+            job.charge.release(len(job.waiting))
         state.queue.discard(job)
         job.drop_payloads()
         if job.claim is not None and job.ended_not_run and self.claims:
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -13,6 +13,7 @@
 from sardinestair.entry.gossip import PEER_ANSWER_S, Gossip
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.ids import format_incarnation, new_incarnation
+from sardinestair.limits.budget import BudgetKeeper
 from sardinestair.links.entry_link import EntryLink
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics
@@ -89,6 +90,7 @@
             self.context,
         )
         self.gossip = Gossip(self.membership, self.tasks.run, self.adopt)
+        self.budgets = self._make_budgets()
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
             address.host, address.http_port, self.app, settings.http_threads
@@ -164,6 +166,8 @@
             time.sleep(DRAIN_POLL_S)
         unanswered = self.dispatcher.active_jobs()
         self._close_http()
+        if self.budgets is not None:
+            self.budgets.close()
         self._stop_threads()
         self.log.info("entry_stopped", unanswered=unanswered)
         return unanswered == 0
@@ -186,12 +190,20 @@
             self.settings.claim_wait_s,
         )
 
+    def _make_budgets(self) -> BudgetKeeper | None:
+        if self.store is None:
+            return None
+        budget_of = self.dispatcher.budget_of
+        return BudgetKeeper(self.store, self.clock, budget_of)
+
     def _rules(self):
         writer = SettingsWriter(self.store, self.clock) if self.store else None
         admin = AdminApi(
             self.dispatcher, writer, lambda: self.membership.settings_revision
         )
-        rules = CallerApi(self.dispatcher, self._answering_peers).rules()
+        rules = CallerApi(
+            self.dispatcher, self._answering_peers, self.budgets
+        ).rules()
         rules += admin.rules()
         return rules + operations_rules(self.metrics, self._readiness)
 
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -10,6 +10,7 @@
 
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.jobs.work import WorkEstimate
+from sardinestair.limits.budget import JobCharge
 from sardinestair.messages import TaskRef
 from sardinestair.outcomes import Problem
 from sardinestair.store.claims import Claim
@@ -67,6 +68,7 @@
         state: State of the job.
         done: Resolves with the answer.
         key_s: Order key; smaller goes first.
+        charge: What it has reserved of its team's budget, if that has one.
         claim: The claim of an unrepeatable job, the own one or the one in
             the way.
         claimed: Resolves with True if the job may start.
@@ -115,6 +117,7 @@
         self.done: Future[Answer] = Future()
         self.ended_s = 0.0
         self.key_s = 0.0
+        self.charge: JobCharge | None = None
         self.claim: Claim | None = None
         self.claimed: Future[bool] = Future()
 
--- a/sardinestair/load/report.py
+++ b/sardinestair/load/report.py
@@ -44,6 +44,10 @@
         stretch_large: The same of jobs of 300 tasks and more.
         response_s: Response time of complete jobs, in seconds.
         refusal_s: Response time of refused jobs, in seconds.
+        failed_usual: Jobs that failed although they could run.
+        goodput: Seconds of work of complete jobs per second of arrivals.
+        good_upstreams_out: Times that an upstream was taken out which does
+            not fail everything.
         wasted: Wasted messages by kind.
         wasted_per_task: Wasted messages per task.
     """
@@ -56,18 +60,24 @@
     stretch_large: Quantiles
     response_s: Quantiles
     refusal_s: Quantiles
+    failed_usual: int
+    goodput: float
+    good_upstreams_out: int
     wasted: dict[str, float]
     wasted_per_task: float
 
 
 def summarize(
-    records: Sequence[JobRecord], wasted: dict[str, float]
+    records: Sequence[JobRecord],
+    wasted: dict[str, float],
+    good_upstreams_out: int = 0,
 ) -> LoadReport:
     """Summarizes a run.
 
     Args:
         records: What `run_load` returned.
         wasted: Wasted messages by kind, from the entries' metrics.
+        good_upstreams_out: Good upstreams that were taken out.
 
     Examples:
         >>> summarize([], {}).jobs
@@ -86,11 +96,18 @@
         _quantiles(large, lambda r: r.stretch),
         _quantiles(complete, lambda r: r.response_s),
         _quantiles(refused, lambda r: r.response_s),
+        sum(r.status == 502 and not r.job.is_broken for r in records),
+        sum(sum(r.job.run_s) for r in complete) / _duration_s(records),
+        good_upstreams_out,
         wasted,
         sum(wasted.values()) / max(1, tasks),
     )
 
 
+def _duration_s(records: Sequence[JobRecord]) -> float:
+    return max((r.job.at_s for r in records), default=1.0)
+
+
 def _quantiles(
     records: Sequence[JobRecord], figure: Callable[[JobRecord], float]
 ) -> Quantiles:
--- a/sardinestair/settings/edit.py
+++ b/sardinestair/settings/edit.py
@@ -30,7 +30,8 @@
     """
     flat = _stated(ROOT, tree.set)
     for team, limits in tree.teams.items():
-        flat[f"{ROOT}:teams.{team}.tasks_per_s"] = limits.tasks_per_s
+        for name, value in msgspec.to_builtins(limits).items():
+            flat[f"{ROOT}:teams.{team}.{name}"] = value
     for service, node in tree.services.items():
         path = f"{ROOT}/{service}"
         flat[path] = "present"
--- /dev/null
+++ b/sardinestair/settings/tests/test_reference.py
@@ -0,0 +1,11 @@
+"""The page about settings is up to date with the schemas."""
+
+from pathlib import Path
+
+from sardinestair.settings.reference import make_reference
+
+PAGE = Path(__file__).parents[3] / "docs" / "SETTINGS.md"
+
+
+def test_page_is_up_to_date():
+    assert PAGE.read_text(encoding="utf-8") == make_reference()
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -18,6 +18,7 @@
 from sardinestair.settings.files import SettingsError, parse_yaml
 
 __all__ = [
+    "ExpectedUse",
     "Explanation",
     "Favour",
     "Overrides",
@@ -52,6 +53,8 @@
     Attributes:
         deadline_s: When an answer is due if the caller names no deadline.
         max_deadline_s: Longest deadline that a caller may name.
+        max_task_s: Longest time that one task may take at an upstream; the
+            most that it can cost follows from it.
         max_tasks: Tasks of one job at most.
         max_queued_tasks: Tasks that may wait at one entry.
         max_queued_bytes: Their payloads in bytes.
@@ -72,6 +75,7 @@
 
     deadline_s: float = 30.0
     max_deadline_s: float = 300.0
+    max_task_s: float = 60.0
     max_tasks: int = 930
     max_queued_tasks: int = 50_000
     max_queued_bytes: int = 64 << 20
@@ -92,6 +96,7 @@
 
     deadline_s: Seconds | UnsetType = UNSET
     max_deadline_s: Seconds | UnsetType = UNSET
+    max_task_s: Seconds | UnsetType = UNSET
     max_tasks: Annotated[int, Meta(ge=1, le=930)] | UnsetType = UNSET
     max_queued_tasks: Count | UnsetType = UNSET
     max_queued_bytes: Annotated[int, Meta(ge=1024)] | UnsetType = UNSET
@@ -127,14 +132,31 @@
     zones: dict[str, ZoneNode] = msgspec.field(default_factory=dict)
 
 
+class ExpectedUse(msgspec.Struct, forbid_unknown_fields=True):
+    """What a team is expected to use of one service.
+
+    Attributes:
+        tasks_per_day: Tasks in a day.
+        task_s: Run time of a task, in seconds.
+    """
+
+    tasks_per_day: Annotated[float, Meta(ge=0)]
+    task_s: Annotated[float, Meta(gt=0, le=3600)]
+
+
 class TeamNode(msgspec.Struct, forbid_unknown_fields=True):
     """Limits of one team.
 
     Attributes:
         tasks_per_s: Tasks that it may submit per second, over all entries.
+        monthly_budget: What it may spend in a month, in minor units of money.
+        expected: What it is expected to use of each service; for forecasts
+            only.
     """
 
-    tasks_per_s: Annotated[float, Meta(gt=0, le=1e6)]
+    tasks_per_s: Annotated[float, Meta(gt=0, le=1e6)] | None = None
+    monthly_budget: Annotated[int, Meta(ge=0)] | None = None
+    expected: dict[str, ExpectedUse] = msgspec.field(default_factory=dict)
 
 
 class SettingsTree(msgspec.Struct, forbid_unknown_fields=True):
