--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -135,7 +135,7 @@
             body = {
                 "entry": format_incarnation(dispatcher.incarnation),
                 "zone": dispatcher.zone,
-                "draining": dispatcher.is_draining,
+                "draining": dispatcher.gate.is_draining,
                 "settings_revision": self.revision(),
                 "active_jobs": dispatcher.active_jobs(),
                 "services": services,
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -99,10 +99,13 @@
     def _submit(self, parsed: ParsedRequest) -> Result[Job, Problem]:
         """Reserves what the job can cost, and submits it."""
         dispatcher, request = self.dispatcher, parsed.request
-        if self.budgets is None or dispatcher.budget_of(request.team) is None:
+        if (
+            self.budgets is None
+            or dispatcher.gate.budget_of(request.team) is None
+        ):
             return dispatcher.submit(parsed)
         tasks = len(request.tasks)
-        limit = dispatcher.most_per_task(request)
+        limit = dispatcher.gate.most_per_task(request)
         total = Micros(limit * tasks)
         reserved = self.budgets.decide(request.team, total)
         if reserved.is_error():
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -9,21 +9,19 @@
 from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
+from sardinestair.entry.gate import Gate
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import (
     Incarnation,
     JobId,
     format_incarnation,
-    job_id_time_s,
 )
 from sardinestair.ids import format_job_id as format_job
 from sardinestair.jobs import Job, JobRegistry, JobRequest
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
-from sardinestair.limits import TeamQuota
 from sardinestair.limits.budget import JobCharge
-from sardinestair.limits.forecast import highest_price
-from sardinestair.limits.money import Micros, slot_cost
+from sardinestair.limits.money import slot_cost
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -44,7 +42,6 @@
 MAX_REASON_CHARACTERS = 200
 BUSY_CHECK_S = 0.02
 IDLE_CHECK_S = 0.25
-MAX_ID_SKEW_S = 60.0
 
 
 class Dispatcher:
@@ -65,12 +62,10 @@
         claim_retention_s: Age at which an unrepeatable job's id is refused.
 
     Attributes:
-        tree: The settings tree in force, or None before the first.
+        gate: Decides which jobs are let in.
         services: What is kept for each service.
         links: Links by sidecar.
         registry: The known jobs.
-        quotas: Token buckets of the teams that have a quota.
-        entry_count: Entries that share the upstreams and the quotas.
     """
 
     def __init__(
@@ -92,30 +87,31 @@
         self.context = context
         self.timing = timing or LinkTiming()
         self.lock = threading.RLock()
-        self.tree: SettingsTree | None = None
+        self.gate = Gate(zone, clock, claims is not None, claim_retention_s)
         self.services: dict[str, ServiceState] = {}
         self.links: dict[Incarnation, EntryLink] = {}
         self.registry = JobRegistry(retention_s)
         self.claims = claims
-        self.claim_retention_s = claim_retention_s
         self.deadlines: list[tuple[float, int, Job]] = []
         self.tie = itertools.count()
         self.epochs = itertools.count(1)
         self.touched: set[str] = set()
-        self.quotas: dict[str, TeamQuota] = {}
-        self.entry_count = 1
-        self.is_draining = False
         self.is_closed = False
         self.log = EventLog(
             "entry", entry=format_incarnation(incarnation), zone=zone
         )
 
+    @property
+    def tree(self) -> SettingsTree | None:
+        """The settings tree in force, or None before the first."""
+        return self.gate.tree
+
     # Settings and membership.
 
     def configure(self, tree: SettingsTree) -> None:
         """Puts a settings tree into force."""
         with self.lock:
-            self.tree = tree
+            self.gate.tree = tree
             for name, state in self.services.items():
                 state.configure(effective(tree, name, self.zone))
                 self.touched.add(name)
@@ -171,21 +167,6 @@
 
     # Callers.
 
-    def budget_of(self, team: str) -> int | None:
-        """Returns a team's monthly budget in minor units, if it has one."""
-        limits = self.tree.teams.get(team) if self.tree else None
-        return limits.monthly_budget if limits else None
-
-    def most_per_task(self, request: JobRequest) -> Micros:
-        """Returns the most that one task of a request can cost."""
-        if self.tree is None or request.service not in self.tree.services:
-            return Micros(0)
-        settings = self._settings(request)
-        deadline_s = request.deadline_s or settings.deadline_s
-        longest_s = min(deadline_s, settings.max_task_s)
-        price = highest_price(self.tree, request.service)
-        return slot_cost(longest_s, price)
-
     def submit(
         self, parsed: ParsedRequest, charge: JobCharge | None = None
     ) -> Result[Job, Problem]:
@@ -204,7 +185,7 @@
             known = self.registry.find(parsed.job_id)
             if known is not None and not known.ended_not_run:
                 return _attach(known, parsed)
-            refusal = self._refusal(parsed)
+            refusal = self.gate.decide(parsed, self._state)
             if refusal is not None:
                 self._count_refusal(request, refusal)
                 return Error(refusal)
@@ -389,54 +370,6 @@
             link.candidate.slots = announce.slots
             self._settle(link)
 
-    def _refusal(self, parsed: ParsedRequest) -> Problem | None:
-        request = parsed.request
-        if self.is_draining:
-            return Problem(
-                ProblemKind.DRAINING,
-                "the entry is stopping; submit through another",
-                not_run=True,
-                retry_after_s=0.1,
-            )
-        if self.tree is None:
-            return Problem(
-                ProblemKind.UNAVAILABLE,
-                "the entry has no settings yet",
-                not_run=True,
-                retry_after_s=1.0,
-            )
-        if request.service not in self.tree.services:
-            return Problem(
-                ProblemKind.UNKNOWN_SERVICE,
-                f"service must be one of the configured services, got "
-                f"{request.service!r}",
-                not_run=True,
-                field="service",
-            )
-        if request.unrepeatable:
-            refusal = self._claim_refusal(parsed.job_id)
-            if refusal is not None:
-                return refusal
-        return self._limit_refusal(request)
-
-    def _claim_refusal(self, job_id: JobId) -> Problem | None:
-        if self.claims is None:
-            return Problem(
-                ProblemKind.UNAVAILABLE,
-                "unrepeatable jobs need a store, and this entry has none",
-                not_run=True,
-            )
-        age_s = self.clock.now().timestamp() - job_id_time_s(job_id)
-        if -MAX_ID_SKEW_S <= age_s <= self.claim_retention_s:
-            return None
-        return Problem(
-            ProblemKind.INVALID,
-            f"the time inside id must be in the last "
-            f"{self.claim_retention_s:.0f} s, got {age_s:.0f} s ago",
-            not_run=True,
-            field="id",
-        )
-
     def _start_claimed(self, job: Job, claim: Claim | None) -> None:
         assert self.claims is not None and claim is not None
         if not job.is_active:
@@ -458,57 +391,12 @@
         self._fail(job, ProblemKind.LOST, detail)
         self.registry.remove(job.job_id)
 
-    def _limit_refusal(self, request: JobRequest) -> Problem | None:
-        state = self._state(request.service)
-        settings = self._settings(request)
-        tasks = len(request.tasks)
-        if tasks > settings.max_tasks:
-            return Problem(
-                ProblemKind.TOO_LARGE,
-                f"tasks must number 1 to {settings.max_tasks}, got {tasks}",
-                not_run=True,
-                field="tasks",
-            )
-        deadline_s = request.deadline_s or settings.deadline_s
-        if deadline_s > settings.max_deadline_s:
-            return Problem(
-                ProblemKind.INVALID,
-                f"deadline_s must be in (0, {settings.max_deadline_s}] s, "
-                f"got {deadline_s}",
-                not_run=True,
-                field="deadline_s",
-            )
-        size = sum(len(p) for p in request.payloads)
-        estimate = state.estimate(request.kind, request.declared_task_s)
-        load = state.load(
-            estimate.mean_s_ * tasks,
-            1 / self.entry_count,
-            self.clock.monotonic(),
-        )
-        decision = state.admission().decide(load, tasks, size, deadline_s)
-        if decision.is_ok():
-            decision = self._quota(request.team, tasks)
-        return decision.error if decision.is_error() else None
-
-    def _quota(self, team: str, tasks: int) -> Result[None, Problem]:
-        limits = self.tree.teams.get(team) if self.tree else None
-        if limits is None or limits.tasks_per_s is None:
-            return Ok(None)
-        quota = self.quotas.get(team)
-        if quota is None:
-            quota = self.quotas[team] = TeamQuota(limits.tasks_per_s)
-        quota.tasks_per_s = limits.tasks_per_s
-        share = 1 / self.entry_count
-        return quota.decide(team, tasks, share, self.clock.monotonic())
-
-    def _settings(self, request: JobRequest):
-        assert self.tree is not None
-        return effective(self.tree, request.service, self.zone, request.kind)
-
     def _accept(self, parsed: ParsedRequest, earlier: Job | None) -> Job:
         request = parsed.request
         now_s = self.clock.monotonic()
-        deadline_s = request.deadline_s or self._settings(request).deadline_s
+        deadline_s = (
+            request.deadline_s or self.gate.settings_of(request).deadline_s
+        )
         state = self._state(request.service)
         job = Job(
             parsed.job_id,
--- /dev/null
+++ b/sardinestair/entry/gate.py
@@ -0,0 +1,177 @@
+"""Decides which jobs an entry lets in."""
+
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from sardinestair.clock import Clock
+from sardinestair.entry.service_state import ServiceState
+from sardinestair.ids import JobId, job_id_time_s
+from sardinestair.jobs import JobRequest
+from sardinestair.jobs.request import ParsedRequest
+from sardinestair.limits import TeamQuota
+from sardinestair.limits.forecast import highest_price
+from sardinestair.limits.money import Micros, slot_cost
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.settings import ServiceSettings, SettingsTree
+from sardinestair.settings.tree import effective
+
+__all__ = ["Gate"]
+
+MAX_ID_SKEW_S = 60.0
+
+
+class Gate:
+    """The rules for letting jobs in.
+
+    Args:
+        zone: The entry's availability zone.
+        clock: The clock.
+        can_claim: True if there is a store for claims.
+        claim_retention_s: Age at which an unrepeatable job's id is refused.
+
+    Attributes:
+        tree: The settings tree in force, or None before the first.
+        quotas: Token buckets of the teams that have a quota.
+        entry_count: Entries that share the upstreams and the quotas.
+        is_draining: True once the entry stops.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        clock: Clock,
+        can_claim: bool,
+        claim_retention_s: float,
+    ):
+        self.zone = zone
+        self.clock = clock
+        self.can_claim = can_claim
+        self.claim_retention_s = claim_retention_s
+        self.tree: SettingsTree | None = None
+        self.quotas: dict[str, TeamQuota] = {}
+        self.entry_count = 1
+        self.is_draining = False
+
+    def decide(
+        self, parsed: ParsedRequest, state_of: Callable[[str], ServiceState]
+    ) -> Problem | None:
+        """Decides whether a job is let in.
+
+        Args:
+            parsed: The checked request.
+            state_of: Returns what is kept for a service.
+
+        Returns:
+            The problem with which it is refused, or None.
+        """
+        request = parsed.request
+        if self.is_draining:
+            return Problem(
+                ProblemKind.DRAINING,
+                "the entry is stopping; submit through another",
+                not_run=True,
+                retry_after_s=0.1,
+            )
+        if self.tree is None:
+            return Problem(
+                ProblemKind.UNAVAILABLE,
+                "the entry has no settings yet",
+                not_run=True,
+                retry_after_s=1.0,
+            )
+        if request.service not in self.tree.services:
+            return Problem(
+                ProblemKind.UNKNOWN_SERVICE,
+                f"service must be one of the configured services, got "
+                f"{request.service!r}",
+                not_run=True,
+                field="service",
+            )
+        if request.unrepeatable:
+            refusal = self._claim_refusal(parsed.job_id)
+            if refusal is not None:
+                return refusal
+        return self._limit_refusal(request, state_of(request.service))
+
+    def _claim_refusal(self, job_id: JobId) -> Problem | None:
+        if not self.can_claim:
+            return Problem(
+                ProblemKind.UNAVAILABLE,
+                "unrepeatable jobs need a store, and this entry has none",
+                not_run=True,
+            )
+        age_s = self.clock.now().timestamp() - job_id_time_s(job_id)
+        if -MAX_ID_SKEW_S <= age_s <= self.claim_retention_s:
+            return None
+        return Problem(
+            ProblemKind.INVALID,
+            f"the time inside id must be in the last "
+            f"{self.claim_retention_s:.0f} s, got {age_s:.0f} s ago",
+            not_run=True,
+            field="id",
+        )
+
+    def budget_of(self, team: str) -> int | None:
+        """Returns a team's monthly budget in minor units, if it has one."""
+        limits = self.tree.teams.get(team) if self.tree else None
+        return limits.monthly_budget if limits else None
+
+    def most_per_task(self, request: JobRequest) -> Micros:
+        """Returns the most that one task of a request can cost."""
+        if self.tree is None or request.service not in self.tree.services:
+            return Micros(0)
+        settings = self.settings_of(request)
+        deadline_s = request.deadline_s or settings.deadline_s
+        longest_s = min(deadline_s, settings.max_task_s)
+        price = highest_price(self.tree, request.service)
+        return slot_cost(longest_s, price)
+
+    def settings_of(self, request: JobRequest) -> ServiceSettings:
+        """Returns the settings that apply to a request."""
+        assert self.tree is not None
+        return effective(self.tree, request.service, self.zone, request.kind)
+
+    def _limit_refusal(
+        self, request: JobRequest, state: ServiceState
+    ) -> Problem | None:
+        settings = self.settings_of(request)
+        tasks = len(request.tasks)
+        if tasks > settings.max_tasks:
+            return Problem(
+                ProblemKind.TOO_LARGE,
+                f"tasks must number 1 to {settings.max_tasks}, got {tasks}",
+                not_run=True,
+                field="tasks",
+            )
+        deadline_s = request.deadline_s or settings.deadline_s
+        if deadline_s > settings.max_deadline_s:
+            return Problem(
+                ProblemKind.INVALID,
+                f"deadline_s must be in (0, {settings.max_deadline_s}] s, "
+                f"got {deadline_s}",
+                not_run=True,
+                field="deadline_s",
+            )
+        size = sum(len(p) for p in request.payloads)
+        estimate = state.estimate(request.kind, request.declared_task_s)
+        load = state.load(
+            estimate.mean_s_ * tasks,
+            1 / self.entry_count,
+            self.clock.monotonic(),
+        )
+        decision = state.admission().decide(load, tasks, size, deadline_s)
+        if decision.is_ok():
+            decision = self._quota(request.team, tasks)
+        return decision.error if decision.is_error() else None
+
+    def _quota(self, team: str, tasks: int) -> Result[None, Problem]:
+        limits = self.tree.teams.get(team) if self.tree else None
+        if limits is None or limits.tasks_per_s is None:
+            return Ok(None)
+        quota = self.quotas.get(team)
+        if quota is None:
+            quota = self.quotas[team] = TeamQuota(limits.tasks_per_s)
+        quota.tasks_per_s = limits.tasks_per_s
+        share = 1 / self.entry_count
+        return quota.decide(team, tasks, share, self.clock.monotonic())
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -98,6 +98,6 @@
             self.adopt(reply.settings_revision, tree)
         self.learn(reply.entries)
         dispatcher = self.membership.dispatcher
-        dispatcher.entry_count = 1 + len(
+        dispatcher.gate.entry_count = 1 + len(
             self.membership.peers.answering(now_s, PEER_ANSWER_S)
         )
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -154,7 +154,7 @@
             True if all jobs were answered in time.
         """
         self.log.info("drain_started", jobs=self.dispatcher.active_jobs())
-        self.dispatcher.is_draining = True
+        self.dispatcher.gate.is_draining = True
         self.app.is_closing = True
         began_s = self.clock.monotonic()
         limit_s = began_s + self.settings.drain_timeout_s
@@ -193,7 +193,7 @@
     def _make_budgets(self) -> BudgetKeeper | None:
         if self.store is None:
             return None
-        budget_of = self.dispatcher.budget_of
+        budget_of = self.dispatcher.gate.budget_of
         return BudgetKeeper(self.store, self.clock, budget_of)
 
     def _rules(self):
@@ -264,7 +264,7 @@
             self.dispatcher.expire()
 
     def _readiness(self) -> tuple[bool, str]:
-        if self.dispatcher.is_draining:
+        if self.dispatcher.gate.is_draining:
             return False, "the entry is stopping"
         if self.dispatcher.tree is None:
             return False, "no settings have been read yet"
