Keep dropped jobs for the daily review

Change: each entry keeps its latest 20,000 jobs that were refused, failed, cancelled or lost; sardinestairctl dropped lists them from several entries and from log files of replaced ones; log times are in UTC.

--- a/sardinestair/cli/ctl.py
+++ b/sardinestair/cli/ctl.py
@@ -13,6 +13,7 @@
     SubmitCommand,
     UpstreamsCommand,
 )
+from sardinestair.cli.ctl_review import DroppedCommand
 from sardinestair.cli.ctl_settings import (
     ApplyCommand,
     CheckCommand,
@@ -39,6 +40,7 @@
     HistoryCommand,
     CheckCommand,
     ForecastCommand,
+    DroppedCommand,
 ]
 
 
--- a/sardinestair/cli/ctl_command.py
+++ b/sardinestair/cli/ctl_command.py
@@ -35,8 +35,12 @@
     @property
     def client(self) -> ApiClient:
         """A client of the chosen entry."""
+        return self.client_of(None)
+
+    def client_of(self, url: str | None) -> ApiClient:
+        """Returns a client of an entry, the chosen one if none is named."""
         default = os.environ.get(ENTRY_VARIABLE, DEFAULT_ENTRY)
-        return ApiClient(self.option("entry") or default)
+        return ApiClient(url or self.option("entry") or default)
 
     def show_json(self, value: Any) -> int:
         """Writes a value as JSON."""
--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -7,6 +7,7 @@
 
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.ids import format_incarnation
+from sardinestair.observability.dropped import parse_since
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.service import Applied, SettingsWriter
@@ -61,6 +62,7 @@
             ("/admin/v1/settings/history", ["GET"], self.history),
             ("/admin/v1/status", ["GET"], self.status),
             ("/admin/v1/upstreams", ["GET"], self.upstreams),
+            ("/admin/v1/dropped", ["GET"], self.dropped),
         ]
 
     def show_settings(self, _request: Request) -> Response:
@@ -142,6 +144,15 @@
             }
         return json_response(body)
 
+    def dropped(self, request: Request) -> Response:
+        """Shows the jobs without a complete answer, oldest first."""
+        try:
+            span = parse_since(request.args.get("since", "24h"))
+        except ValueError as error:
+            return problem_response(_invalid(str(error)))
+        start = self.dispatcher.clock.now() - span
+        return json_response(self.dispatcher.dropped.since(start))
+
     def upstreams(self, _request: Request) -> Response:
         """Shows the upstreams that this entry knows."""
         with self.dispatcher.lock:
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -109,6 +109,8 @@
         total = Micros(limit * tasks)
         reserved = self.budgets.decide(request.team, total)
         if reserved.is_error():
+            with dispatcher.lock:
+                dispatcher.record_refusal(parsed, reserved.error)
             return Error(reserved.error)
         charge = JobCharge(self.budgets, request.team, tasks, limit)
         submitted = dispatcher.submit(parsed, charge)
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -17,7 +17,7 @@
     format_incarnation,
 )
 from sardinestair.ids import format_job_id as format_job
-from sardinestair.jobs import Job, JobRegistry, JobRequest
+from sardinestair.jobs import Job, JobRegistry
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.budget import JobCharge
@@ -32,6 +32,7 @@
     TaskState,
 )
 from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability.dropped import DroppedJob, DroppedLog
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.tree import effective
@@ -66,6 +67,7 @@
         services: What is kept for each service.
         links: Links by sidecar.
         registry: The known jobs.
+        dropped: The latest jobs without a complete answer.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.links: dict[Incarnation, EntryLink] = {}
         self.registry = JobRegistry(retention_s)
         self.claims = claims
+        self.dropped = DroppedLog()
         self.deadlines: list[tuple[float, int, Job]] = []
         self.tie = itertools.count()
         self.epochs = itertools.count(1)
@@ -180,14 +183,13 @@
         Returns:
             The job, or the problem with which it is refused.
         """
-        request = parsed.request
         with self.lock:
             known = self.registry.find(parsed.job_id)
             if known is not None and not known.ended_not_run:
                 return _attach(known, parsed)
             refusal = self.gate.decide(parsed, self._state)
             if refusal is not None:
-                self._count_refusal(request, refusal)
+                self.record_refusal(parsed, refusal)
                 return Error(refusal)
             job = self._accept(parsed, known)
             job.charge = charge
@@ -534,6 +536,28 @@
                 link.cancel(refs)
                 link.wakeup.set()
 
+    def _record_dropped(
+        self,
+        job_id: JobId,
+        service: str,
+        team: str,
+        tasks: int,
+        state: str,
+        problem: Problem,
+    ) -> None:
+        self.dropped.add(
+            DroppedJob(
+                self.clock.now(),
+                format_job(job_id),
+                service,
+                team,
+                tasks,
+                state,
+                problem.detail,
+                problem.not_run,
+            )
+        )
+
     def _log_end(self, job: Job, now_s: float) -> None:
         answer = job.done.result()
         if answer.is_ok():
@@ -541,6 +565,14 @@
         else:
             write = self.log.info
             reason, not_run = answer.error.detail, answer.error.not_run
+            self._record_dropped(
+                job.job_id,
+                job.service,
+                job.team,
+                job.size,
+                job.state.value,
+                answer.error,
+            )
         write(
             "job_ended",
             job=format_job(job.job_id),
@@ -554,13 +586,24 @@
             not_run=not_run,
         )
 
-    def _count_refusal(self, request: JobRequest, refusal: Problem) -> None:
+    def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
+        """Takes note of a job that was not let in."""
+        request = parsed.request
         labels = {"service": request.service, "kind": refusal.kind.value}
         if refusal.kind is ProblemKind.UNKNOWN_SERVICE:
             labels["service"] = "unknown"
         self.metrics.count("jobs_refused_total", labels)
+        self._record_dropped(
+            parsed.job_id,
+            request.service,
+            request.team,
+            len(request.tasks),
+            "refused",
+            refusal,
+        )
         self.log.info(
             "job_refused",
+            job=format_job(parsed.job_id),
             service=request.service,
             team=request.team,
             tasks=len(request.tasks),
--- a/sardinestair/observability/logs.py
+++ b/sardinestair/observability/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import time
 from collections.abc import Mapping
 from typing import Any, TextIO
 
@@ -67,6 +68,7 @@
         reserved_attrs=[*RESERVED_ATTRS, "taskName"],
     )
     formatter.default_msec_format = "%s.%03d"
+    formatter.converter = time.gmtime
     handler.setFormatter(formatter)
     logger = logging.getLogger("sardinestair")
     logger.handlers[:] = [handler]
--- /dev/null
+++ b/sardinestair/observability/tests/test_dropped.py
@@ -0,0 +1,43 @@
+"""Dropped jobs are the same from records and from log files."""
+
+import datetime
+import io
+
+import pytest
+
+from sardinestair.observability import EventLog, configure_logging
+from sardinestair.observability.dropped import parse_log, parse_since
+
+
+@pytest.fixture
+def stream():
+    stream = io.StringIO()
+    configure_logging("DEBUG", stream)
+    yield stream
+    configure_logging("CRITICAL")
+
+
+def test_log_lines_are_read_back(stream):
+    log = EventLog("entry", entry="ab", zone="z")
+    log.info(
+        "job_refused", job="j1", service="q", team="t", tasks=3,
+        reason='queue "full" by count', not_run=True,
+    )  # fmt: skip
+    log.debug("job_ended", job="j2", service="q", team="t", tasks=1,
+              state="complete", reason=None, not_run=False)  # fmt: skip
+    log.info("job_ended", job="j3", service="q", team="t", tasks=1,
+             state="failed", reason="lost", not_run=False)  # fmt: skip
+    log.info("settings_adopted", revision=1)
+    found = list(parse_log(stream.getvalue().splitlines()))
+    assert [(d.job, d.state, d.not_run) for d in found] == [
+        ("j1", "refused", True),
+        ("j3", "failed", False),
+    ]
+    age = datetime.datetime.now(datetime.UTC) - found[0].time
+    assert abs(age) < datetime.timedelta(minutes=1)
+
+
+@pytest.mark.parametrize("text", ["", "24", "h", "-1h", "1w"])
+def test_bad_span_names_the_rule(text):
+    with pytest.raises(ValueError, match="number with a unit"):
+        parse_since(text)
