Report the burn of service-level objectives

Change: objectives in the tree, counts by the minute at each entry, and sardinestair-burn with text, JSON and a self-contained page with plots. Faults of callers (bad input, quota, budget, cancellation) do not count.

--- /dev/null
+++ b/sardinestair/cli/burn.py
@@ -0,0 +1,92 @@
+"""Command line of `sardinestair-burn`."""
+
+import datetime
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from sardinestair.cli.client import ApiClient
+from sardinestair.cli.service import EXIT_FAILURE, EXIT_OK, run_command
+from sardinestair.observability.burn import (
+    SECONDS_PER_MINUTE,
+    WINDOWS_MIN,
+    ServiceBurn,
+    burn_rate,
+    merge,
+)
+from sardinestair.observability.burn_page import make_page
+
+__all__ = ["BurnCommand", "main"]
+
+DEFAULT_ENTRY = "http://127.0.0.1:8080"
+
+
+class BurnCommand(Command):
+    """Reports how fast the error budgets burn."""
+
+    name = "sardinestair-burn"
+    description = "Reports the burn of service-level error budgets."
+    options = [
+        option("entry", "e", "URL of an entry; name all of them.", flag=False,
+               multiple=True),
+        option("json", None, "Write JSON for programs."),
+        option("html", None, "Write a page to a file.", flag=False),
+    ]  # fmt: skip
+    help = """\
+Examples:
+  sardinestair-burn -e http://10.0.0.5:8080 -e http://10.0.0.6:8080
+  sardinestair-burn --html burn.html
+
+Objectives are `objective_share` and `objective_s` in the settings tree. Each
+entry counts its own jobs and forgets them when it is replaced."""
+
+    def handle(self) -> int:
+        """Shows the report."""
+        reports: list[ServiceBurn] = []
+        for url in self.option("entry") or [DEFAULT_ENTRY]:
+            found = ApiClient(url, 10.0).call("GET", "/admin/v1/burn")
+            if found.is_error():
+                self.line_error(f"error: {found.error}")
+                return EXIT_FAILURE
+            reports += msgspec.convert(found.ok, list[ServiceBurn])
+        merged = merge(reports)
+        now = datetime.datetime.now(datetime.UTC)
+        if self.option("html"):
+            with open(self.option("html"), "w", encoding="utf-8") as stream:
+                stream.write(make_page(merged, now))
+            self.line(f"wrote {self.option('html')}")
+            return EXIT_OK
+        self._show(merged, int(now.timestamp()) // SECONDS_PER_MINUTE)
+        return EXIT_OK
+
+    def _show(self, reports: list[ServiceBurn], now_minute: int) -> None:
+        rows = [
+            {
+                "service": report.service,
+                "objective": report.objective_share,
+                "within_s": report.objective_s or "deadline",
+                "window": name,
+                "jobs": count.total,
+                "missed": count.bad,
+                "burn_rate": burn_rate(count, report.objective_share),
+            }
+            for report in reports
+            for name, minutes in WINDOWS_MIN.items()
+            for count in [report.window(minutes, now_minute)]
+        ]
+        if self.option("json"):
+            text = msgspec.json.format(msgspec.json.encode(rows), indent=2)
+            self.line(text.decode())
+        elif not rows:
+            self.line("no service has had a job yet")
+        else:
+            table = self.table()
+            table.set_headers(list(rows[0]))
+            table.set_rows([[str(v) for v in row.values()] for row in rows])
+            table.render()
+
+
+def main() -> None:
+    """Runs the program."""
+    run_command(BurnCommand())
--- a/sardinestair/cli/demo.py
+++ b/sardinestair/cli/demo.py
@@ -213,7 +213,8 @@
     if result.is_error():
         state = result.error.document.get("title", "error")
         return DemoRow(job.title, state, response_ms, str(result.error))
-    detail = f"{len(result.ok['results'])} answers"
+    count = len(result.ok["results"])
+    detail = "1 answer" if count == 1 else f"{count} answers"
     if job.resubmit:
         again = client.call("POST", "/v1/jobs", body)
         is_same = again.is_ok() and again.ok == result.ok
--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -7,6 +7,7 @@
 
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.ids import format_incarnation
+from sardinestair.observability.burn import ServiceBurn
 from sardinestair.observability.dropped import parse_since
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
@@ -63,6 +64,7 @@
             ("/admin/v1/status", ["GET"], self.status),
             ("/admin/v1/upstreams", ["GET"], self.upstreams),
             ("/admin/v1/dropped", ["GET"], self.dropped),
+            ("/admin/v1/burn", ["GET"], self.burn),
         ]
 
     def show_settings(self, _request: Request) -> Response:
@@ -144,6 +146,20 @@
             }
         return json_response(body)
 
+    def burn(self, _request: Request) -> Response:
+        """Shows the jobs counted against each service's objective."""
+        with self.dispatcher.lock:
+            reports = [
+                ServiceBurn(
+                    state.name,
+                    state.settings.objective_share,
+                    state.settings.objective_s,
+                    list(state.burn.minutes),
+                )
+                for state in self.dispatcher.services.values()
+            ]
+            return json_response(reports)
+
     def dropped(self, request: Request) -> Response:
         """Shows the jobs without a complete answer, oldest first."""
         try:
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -32,6 +32,7 @@
     TaskState,
 )
 from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability.burn import is_system_fault
 from sardinestair.observability.dropped import DroppedJob, DroppedLog
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
@@ -524,6 +525,7 @@
         self.metrics.observe(
             "job_response_s", {"service": job.service}, now_s - job.accepted_s
         )
+        self._count_objective(job, now_s)
         self._log_end(job, now_s)
 
     def _cancel_in_flight(self, job: Job) -> None:
@@ -536,6 +538,17 @@
                 link.cancel(refs)
                 link.wakeup.set()
 
+    def _count_objective(self, job: Job, now_s: float) -> None:
+        state = self.services[job.service]
+        answer = job.done.result()
+        if answer.is_ok():
+            is_good = state.judge_answer(now_s - job.accepted_s)
+        elif is_system_fault(answer.error.kind):
+            is_good = False
+        else:
+            return
+        state.burn.observe(is_good, self.clock.now().timestamp())
+
     def _record_dropped(
         self,
         job_id: JobId,
@@ -589,6 +602,10 @@
     def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
         """Takes note of a job that was not let in."""
         request = parsed.request
+        is_known = request.service in self.services
+        if is_known and is_system_fault(refusal.kind):
+            burn = self.services[request.service].burn
+            burn.observe(False, self.clock.now().timestamp())
         labels = {"service": request.service, "kind": refusal.kind.value}
         if refusal.kind is ProblemKind.UNKNOWN_SERVICE:
             labels["service"] = "unknown"
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -6,6 +6,7 @@
 from sardinestair.limits import Admission, Load, RetryBudget
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import Demand
+from sardinestair.observability.burn import BurnRecorder
 from sardinestair.placement import (
     HealthRegistry,
     ReadyQueue,
@@ -35,6 +36,7 @@
         run_times_: Learned run times by kind of job.
         speeds_: Learned speed factors by sidecar.
         health: Which upstreams are trusted with work.
+        burn: Counts jobs against the service's objective.
     """
 
     def __init__(self, name: str, settings: ServiceSettings):
@@ -47,6 +49,7 @@
         self.run_times_: dict[str, RunTimeEstimator] = {}
         self.speeds_: dict[Incarnation, SpeedEstimator] = {}
         self.health = HealthRegistry(settings.max_outage_share)
+        self.burn = BurnRecorder()
         self.has_unmet_demand = False
 
     def configure(self, settings: ServiceSettings) -> None:
@@ -61,6 +64,11 @@
         for link in self.links.values():
             self.policy.observe(link.candidate)
 
+    def judge_answer(self, response_s: float) -> bool:
+        """Tells whether a complete answer met the objective."""
+        limit_s = self.settings.objective_s
+        return limit_s <= 0 or response_s <= limit_s
+
     def estimate(self, kind: str, declared_s: float | None) -> WorkEstimate:
         """Returns the expectation for the tasks of a new job."""
         run_times = self.run_times_.setdefault(kind, RunTimeEstimator())
--- /dev/null
+++ b/sardinestair/observability/burn.py
@@ -0,0 +1,145 @@
+"""Service-level objectives, and how fast their error budgets burn.
+
+A job counts against a service's objective if it got no complete answer for a
+reason that lies with the system, or got it too late. The burn rate is the
+share of such jobs over the share that the objective allows: at 1 the error
+budget is used up just at the end of the period.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from sardinestair.outcomes import ProblemKind
+
+__all__ = [
+    "WINDOWS_MIN",
+    "BurnRecorder",
+    "MinuteCount",
+    "ServiceBurn",
+    "burn_rate",
+    "is_system_fault",
+    "merge",
+]
+
+SECONDS_PER_MINUTE = 60
+WINDOWS_MIN = {"5m": 5, "1h": 60, "6h": 360, "3d": 4320}
+MAX_MINUTES = max(WINDOWS_MIN.values())
+_CALLERS_FAULT = frozenset(
+    {
+        ProblemKind.INVALID,
+        ProblemKind.UNKNOWN_SERVICE,
+        ProblemKind.UNKNOWN_JOB,
+        ProblemKind.TOO_LARGE,
+        ProblemKind.CONFLICT,
+        ProblemKind.QUOTA,
+        ProblemKind.BUDGET,
+        ProblemKind.CANCELLED,
+    }
+)
+
+
+class MinuteCount(msgspec.Struct):
+    """Jobs that ended in one minute.
+
+    Attributes:
+        minute: Minutes since the epoch.
+        total: Jobs that count.
+        bad: Those of them that miss the objective.
+    """
+
+    minute: int
+    total: int = 0
+    bad: int = 0
+
+
+class ServiceBurn(msgspec.Struct):
+    """What an entry, or all of them, know of one service.
+
+    Attributes:
+        service: The service.
+        objective_share: Share of jobs that must be answered in time.
+        objective_s: When an answer is in time, in seconds; 0 for any time
+            within the job's own deadline.
+        minutes: Counts by minute, oldest first.
+    """
+
+    service: str
+    objective_share: float
+    objective_s: float
+    minutes: list[MinuteCount]
+
+    def window(self, minutes: int, now_minute: int) -> MinuteCount:
+        """Returns the counts of the last minutes together."""
+        first = now_minute - minutes + 1
+        recent = [m for m in self.minutes if m.minute >= first]
+        return MinuteCount(
+            first, sum(m.total for m in recent), sum(m.bad for m in recent)
+        )
+
+
+def is_system_fault(kind: ProblemKind) -> bool:
+    """Tells whether a problem counts against the objective."""
+    return kind not in _CALLERS_FAULT
+
+
+def burn_rate(count: MinuteCount, objective_share: float) -> float:
+    """Returns the burn rate of an error budget.
+
+    Examples:
+        >>> burn_rate(MinuteCount(0, total=100, bad=2), 0.99)
+        2.0
+    """
+    if not count.total:
+        return 0.0
+    allowed = max(1.0 - objective_share, 1e-9)
+    return round(count.bad / count.total / allowed, 6)
+
+
+class BurnRecorder:
+    """Counts the jobs of one service by the minute.
+
+    Attributes:
+        minutes: The latest minutes with jobs, oldest first.
+
+    Examples:
+        >>> recorder = BurnRecorder()
+        >>> recorder.observe(True, now_s=30.0)
+        >>> recorder.observe(False, now_s=31.0)
+        >>> [(m.total, m.bad) for m in recorder.minutes]
+        [(2, 1)]
+    """
+
+    def __init__(self) -> None:
+        self.minutes: deque[MinuteCount] = deque(maxlen=MAX_MINUTES)
+
+    def observe(self, is_good: bool, now_s: float) -> None:
+        """Counts a job.
+
+        Args:
+            is_good: True if it met the objective.
+            now_s: Seconds since the epoch.
+        """
+        minute = int(now_s) // SECONDS_PER_MINUTE
+        if not self.minutes or self.minutes[-1].minute < minute:
+            self.minutes.append(MinuteCount(minute))
+        self.minutes[-1].total += 1
+        self.minutes[-1].bad += not is_good
+
+
+def merge(reports: Iterable[ServiceBurn]) -> list[ServiceBurn]:
+    """Adds up what several entries know, by service."""
+    merged: dict[str, ServiceBurn] = {}
+    counts: dict[str, dict[int, MinuteCount]] = {}
+    for report in reports:
+        merged.setdefault(report.service, report)
+        by_minute = counts.setdefault(report.service, {})
+        for count in report.minutes:
+            sums = by_minute.setdefault(count.minute, MinuteCount(count.minute))
+            sums.total += count.total
+            sums.bad += count.bad
+    for service, report in merged.items():
+        by_minute = counts[service]
+        report.minutes = [by_minute[m] for m in sorted(by_minute)]
+    return [merged[service] for service in sorted(merged)]
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -71,6 +71,9 @@
         max_outage_share: Share of a service's upstreams that may be out for
             failing.
         price_per_slot_hour: Price in minor units of money.
+        objective_share: Share of jobs that must be answered in time.
+        objective_s: When an answer is in time, in seconds; 0 for any time
+            within the job's deadline.
     """
 
     deadline_s: float = 30.0
@@ -89,6 +92,8 @@
     not_run_statuses: list[int] = []
     max_outage_share: float = 0.34
     price_per_slot_hour: int = 0
+    objective_share: float = 0.99
+    objective_s: float = 0.0
 
 
 class Overrides(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
@@ -110,6 +115,8 @@
     not_run_statuses: list[Status] | UnsetType = UNSET
     max_outage_share: Share | UnsetType = UNSET
     price_per_slot_hour: Annotated[int, Meta(ge=0)] | UnsetType = UNSET
+    objective_share: Annotated[float, Meta(ge=0, lt=1)] | UnsetType = UNSET
+    objective_s: Annotated[float, Meta(ge=0, le=3600)] | UnsetType = UNSET
 
 
 class KindNode(msgspec.Struct, forbid_unknown_fields=True):
