Let every program take its arguments, and test each help text

Change: the program's name stands for its one command; braces are escaped; tests call every program and the help of every command.

--- a/sardinestair/cli/ctl_jobs.py
+++ b/sardinestair/cli/ctl_jobs.py
@@ -41,8 +41,8 @@
     ]  # fmt: skip
     help = """\
 Examples:
-  sardinestairctl submit -s quotes '{"isbn": "9780131103627"}'
-  sardinestairctl submit -s quotes --unrepeatable '{"pay": 1250}'
+  sardinestairctl submit -s quotes '{{"isbn": "9780131103627"}}'
+  sardinestairctl submit -s quotes --unrepeatable '{{"pay": 1250}}'
   sardinestairctl submit -s quotes -f payloads.jsonl --async
 
 Exits with 0 for a complete answer, 1 for a failure, 2 for a wrong call."""
--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -9,6 +9,7 @@
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
+from cleo.io.inputs.argv_input import ArgvInput
 
 from sardinestair import __version__
 from sardinestair.observability import configure_logging
@@ -103,8 +104,8 @@
 
 def run_command(command: Command) -> None:
     """Runs a program that consists of one command, and exits."""
-    application = Application(command.name or "", __version__)
+    name = command.name or ""
+    application = Application(name, __version__)
     application.add(command)
-    application._default_command = command.name or ""
-    application._single_command = True
-    sys.exit(application.run())
+    # The program's own name stands for the command's.
+    sys.exit(application.run(ArgvInput([name, name, *sys.argv[1:]])))
--- /dev/null
+++ b/sardinestair/cli/tests/test_programs.py
@@ -0,0 +1,68 @@
+"""Every program answers --help, and wrong calls get status 2 or 1."""
+
+import subprocess
+import sys
+
+import pytest
+
+from sardinestair.cli.ctl import COMMANDS
+
+PROGRAMS = {
+    "sardinestair-entry": "sardinestair.entry.main",
+    "sardinestair-sidecar": "sardinestair.sidecar.main",
+    "sardinestair-demo": "sardinestair.cli.demo",
+    "sardinestair-load": "sardinestair.cli.load",
+    "sardinestair-burn": "sardinestair.cli.burn",
+    "sardinestairctl": "sardinestair.cli.ctl",
+    "sardinestair-store-standin": "sardinestair.standins.store_main",
+    "sardinestair-upstream-standin": "sardinestair.standins.upstream_main",
+}
+
+
+def run(program, *arguments):
+    code = f"from {PROGRAMS[program]} import main; main()"
+    return subprocess.run(
+        [sys.executable, "-c", code, *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_help_works(program):
+    done = run(program, "--help")
+    assert done.returncode == 0, done.stderr
+    assert "Usage" in done.stdout
+
+
+def test_load_takes_its_deployment_file(tmp_path):
+    file = tmp_path / "bad.yaml"
+    file.write_text("service: quotes\nspeed: [1]\n")
+    done = run("sardinestair-load", str(file))
+    assert done.returncode == 2
+    assert "unknown key speed, did you mean speeds?" in done.stderr
+
+
+def test_settings_are_checked(tmp_path):
+    file = tmp_path / "entry.yaml"
+    file.write_text("zone: leinster\n")
+    assert run("sardinestair-entry", "-s", str(file), "--check").returncode == 0
+    file.write_text("zone: leinster\nadress: {}\n")
+    done = run("sardinestair-entry", "-s", str(file), "--check")
+    assert done.returncode == 2
+    assert f"{file}:2: unknown key adress, did you mean address?" in done.stderr
+
+
+def test_unreachable_entry_is_a_failure():
+    done = run("sardinestairctl", "status", "-e", "http://127.0.0.1:9")
+    assert done.returncode == 1
+    assert "gave no answer" in done.stderr
+
+
+def test_help_of_each_command_has_an_example():
+    for command in COMMANDS:
+        done = run("sardinestairctl", *command.name.split(), "--help")
+        assert done.returncode == 0, (command.name, done.stderr)
+        assert f"sardinestairctl {command.name}" in done.stdout
--- a/sardinestair/standins/store_main.py
+++ b/sardinestair/standins/store_main.py
@@ -25,7 +25,7 @@
     help = """\
 Examples:
   sardinestair-store-standin --port 2379
-  curl -X PUT http://127.0.0.1:2379/standin/faults -d '{"down": true}'"""
+  curl -X PUT http://127.0.0.1:2379/standin/faults -d '{{"down": true}}'"""
     options = [
         option("port", "p", "Port.", flag=False, default=DEFAULT_PORT),
     ]
