Let no two faults act on the same victim

The trace: no sidecar logged a leave, since both faults drew the same sidecar, the leave was asked of a dead process and its refusal ignored, and the killed sidecar came back and served, as it may. Change: faults draw victims that no other fault has; the leave must be accepted, or the run stops with an error, so the check got stricter. Conclusion: a fault of the scaffolding; the check stands.

--- a/faults/scenarios.py
+++ b/faults/scenarios.py
@@ -31,6 +31,9 @@
 WATCH_INTERVAL_S = 0.1
 
 
+_DRAWING = threading.Lock()
+
+
 class Stage(msgspec.Struct):
     """What a fault acts on.
 
@@ -39,12 +42,45 @@
         relays: Relays in front of sidecars, by index.
         verdict: Where a fault counts what it sees itself.
         random: Draws victims, with a fixed seed.
+        taken: Numbers of the entries and places that a fault acts on, so
+            that no other fault brings them back meanwhile.
     """
 
     system: System
     relays: dict[int, Relay]
     verdict: Verdict
     random: random.Random
+    taken: set[str] = msgspec.field(default_factory=set)
+
+    def draw(self, kind: str, count: int) -> list[int]:
+        """Draws numbers of entries, or of places with sidecar and upstream.
+
+        Args:
+            kind: `entry` or `place`.
+            count: How many.
+        """
+        groups = {"entry": self.system.entries, "place": self.system.sidecars}
+        with _DRAWING:
+            free = [
+                number
+                for number in range(len(groups[kind]))
+                if f"{kind}{number}" not in self.taken
+            ]
+            drawn = self.random.sample(free, min(count, len(free)))
+            self.taken.update(f"{kind}{number}" for number in drawn)
+        return drawn
+
+    def draw_entries(self, count: int) -> list[Program]:
+        """Draws entries."""
+        return [self.system.entries[i] for i in self.draw("entry", count)]
+
+    def draw_sidecars(self, count: int) -> list[Program]:
+        """Draws sidecars."""
+        return [self.system.sidecars[i] for i in self.draw("place", count)]
+
+    def draw_upstreams(self, count: int) -> list[Program]:
+        """Draws upstreams."""
+        return [self.system.upstreams[i] for i in self.draw("place", count)]
 
 
 def no_fault(stage: Stage) -> None:
@@ -54,7 +90,7 @@
 
 def kill_sidecar(stage: Stage) -> None:
     """Kills two sidecars and starts them again."""
-    for victim in stage.random.sample(stage.system.sidecars, 2):
+    for victim in stage.draw_sidecars(2):
         victim.kill()
         time.sleep(GAP_S)
         victim.start()
@@ -63,7 +99,7 @@
 
 def kill_entry(stage: Stage) -> None:
     """Kills two entries and starts them again."""
-    for victim in stage.random.sample(stage.system.entries, 2):
+    for victim in stage.draw_entries(2):
         victim.kill()
         time.sleep(GAP_S)
         victim.start()
@@ -72,7 +108,7 @@
 
 def kill_upstream(stage: Stage) -> None:
     """Kills two upstreams and starts them again."""
-    for victim in stage.random.sample(stage.system.upstreams, 2):
+    for victim in stage.draw_upstreams(2):
         victim.kill()
         time.sleep(GAP_S)
         victim.start()
@@ -81,17 +117,17 @@
 
 def pause_sidecar(stage: Stage) -> None:
     """Stops a sidecar for longer than links wait, then lets it go on."""
-    _pause(stage.random.choice(stage.system.sidecars), PAUSE_S)
+    _pause(stage.draw_sidecars(1)[0], PAUSE_S)
 
 
 def pause_entry(stage: Stage) -> None:
     """Stops an entry past its lease, then lets it go on."""
-    _pause(stage.random.choice(stage.system.entries), LONG_PAUSE_S)
+    _pause(stage.draw_entries(1)[0], LONG_PAUSE_S)
 
 
 def pause_upstream(stage: Stage) -> None:
     """Stops an upstream past its announcement, then lets it go on."""
-    _pause(stage.random.choice(stage.system.upstreams), PAUSE_S)
+    _pause(stage.draw_upstreams(1)[0], PAUSE_S)
 
 
 def silence_connections(stage: Stage) -> None:
@@ -147,11 +183,7 @@
 
 def stop_gracefully(stage: Stage) -> None:
     """Stops an entry and two sidecars gracefully, and starts them again."""
-    victims = [
-        stage.random.choice(stage.system.entries),
-        *stage.random.sample(stage.system.sidecars, 2),
-    ]
-    for victim in victims:
+    for victim in [*stage.draw_entries(1), *stage.draw_sidecars(2)]:
         _stop_gracefully(stage, victim)
         victim.start()
         time.sleep(GAP_S)
@@ -159,11 +191,13 @@
 
 def leave(stage: Stage) -> None:
     """Lets an upstream leave while it goes on to answer."""
-    index = stage.random.randrange(len(stage.system.upstreams))
+    (index,) = stage.draw("place", 1)
     upstream = stage.system.upstreams[index]
     port = stage.system.sidecar_ports[index]
     upstream.send(signal.SIGSTOP)  # It announces itself no more.
-    ApiClient(f"http://127.0.0.1:{port}").call("DELETE", "/v1/upstream")
+    url = f"http://127.0.0.1:{port}"
+    left = ApiClient(url).call("DELETE", "/v1/upstream")
+    assert left.is_ok(), f"the leave was not taken: {left}"
     left_s = time.time()
     upstream.send(signal.SIGCONT)
     # Its next announcement would end the leave.
@@ -181,7 +215,11 @@
 def replace_all(stage: Stage) -> None:
     """Replaces every process but the store in turn, gracefully."""
     system = stage.system
-    for program in [*system.sidecars, *system.upstreams, *system.entries]:
+    places = stage.draw("place", len(system.sidecars))
+    programs = [system.sidecars[i] for i in places]
+    programs += [system.upstreams[i] for i in places]
+    programs += stage.draw_entries(len(system.entries))
+    for program in programs:
         _stop_gracefully(stage, program)
         program.start()
         time.sleep(0.7)
@@ -191,7 +229,7 @@
 def join_while_store_down(stage: Stage) -> None:
     """Replaces an entry while the store is down; peers give it settings."""
     system = stage.system
-    index = stage.random.randrange(len(system.entries))
+    (index,) = stage.draw("entry", 1)
     system.set_store_faults(down=True)
     _stop_gracefully(stage, system.entries[index])
     system.entries[index].start()
