Move the records of how jobs end out of the dispatcher

Cause: the dispatcher still had a third subject: metrics, objectives, dropped jobs and events. Change: JobRecorder.

--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -167,7 +167,7 @@
         except ValueError as error:
             return problem_response(_invalid(str(error)))
         start = self.dispatcher.clock.now() - span
-        return json_response(self.dispatcher.dropped.since(start))
+        return json_response(self.dispatcher.recorder.dropped.since(start))
 
     def upstreams(self, _request: Request) -> Response:
         """Shows the upstreams that this entry knows."""
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -10,13 +10,13 @@
 
 from sardinestair.clock import Clock
 from sardinestair.entry.gate import Gate
+from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import (
     Incarnation,
     JobId,
     format_incarnation,
 )
-from sardinestair.ids import format_job_id as format_job
 from sardinestair.jobs import Job, JobRegistry
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
@@ -32,8 +32,6 @@
     TaskState,
 )
 from sardinestair.observability import EventLog, Metrics
-from sardinestair.observability.burn import is_system_fault
-from sardinestair.observability.dropped import DroppedJob, DroppedLog
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.tree import effective
@@ -68,7 +66,7 @@
         services: What is kept for each service.
         links: Links by sidecar.
         registry: The known jobs.
-        dropped: The latest jobs without a complete answer.
+        recorder: Records how jobs end.
     """
 
     def __init__(
@@ -95,7 +93,6 @@
         self.links: dict[Incarnation, EntryLink] = {}
         self.registry = JobRegistry(retention_s)
         self.claims = claims
-        self.dropped = DroppedLog()
         self.deadlines: list[tuple[float, int, Job]] = []
         self.tie = itertools.count()
         self.epochs = itertools.count(1)
@@ -104,6 +101,7 @@
         self.log = EventLog(
             "entry", entry=format_incarnation(incarnation), zone=zone
         )
+        self.recorder = JobRecorder(clock, metrics, self.log)
 
     @property
     def tree(self) -> SettingsTree | None:
@@ -517,16 +515,7 @@
         self._cancel_in_flight(job)
         now_s = self.clock.monotonic()
         self.registry.end(job, now_s)
-        labels = {"service": job.service, "state": job.state.value}
-        self.metrics.count("jobs_total", labels)
-        self.metrics.count(
-            "tasks_total", {"service": job.service}, job.answered
-        )
-        self.metrics.observe(
-            "job_response_s", {"service": job.service}, now_s - job.accepted_s
-        )
-        self._count_objective(job, now_s)
-        self._log_end(job, now_s)
+        self.recorder.record_end(job, state, now_s)
 
     def _cancel_in_flight(self, job: Job) -> None:
         by_sidecar: dict[Incarnation, list[TaskRef]] = defaultdict(list)
@@ -538,95 +527,10 @@
                 link.cancel(refs)
                 link.wakeup.set()
 
-    def _count_objective(self, job: Job, now_s: float) -> None:
-        state = self.services[job.service]
-        answer = job.done.result()
-        if answer.is_ok():
-            is_good = state.judge_answer(now_s - job.accepted_s)
-        elif is_system_fault(answer.error.kind):
-            is_good = False
-        else:
-            return
-        state.burn.observe(is_good, self.clock.now().timestamp())
-
-    def _record_dropped(
-        self,
-        job_id: JobId,
-        service: str,
-        team: str,
-        tasks: int,
-        state: str,
-        problem: Problem,
-    ) -> None:
-        self.dropped.add(
-            DroppedJob(
-                self.clock.now(),
-                format_job(job_id),
-                service,
-                team,
-                tasks,
-                state,
-                problem.detail,
-                problem.not_run,
-            )
-        )
-
-    def _log_end(self, job: Job, now_s: float) -> None:
-        answer = job.done.result()
-        if answer.is_ok():
-            write, reason, not_run = self.log.debug, None, False
-        else:
-            write = self.log.info
-            reason, not_run = answer.error.detail, answer.error.not_run
-            self._record_dropped(
-                job.job_id,
-                job.service,
-                job.team,
-                job.size,
-                job.state.value,
-                answer.error,
-            )
-        write(
-            "job_ended",
-            job=format_job(job.job_id),
-            service=job.service,
-            team=job.team,
-            kind=job.kind,
-            state=job.state.value,
-            tasks=job.size,
-            response_s=now_s - job.accepted_s,
-            reason=reason,
-            not_run=not_run,
-        )
-
     def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
         """Takes note of a job that was not let in."""
-        request = parsed.request
-        is_known = request.service in self.services
-        if is_known and is_system_fault(refusal.kind):
-            burn = self.services[request.service].burn
-            burn.observe(False, self.clock.now().timestamp())
-        labels = {"service": request.service, "kind": refusal.kind.value}
-        if refusal.kind is ProblemKind.UNKNOWN_SERVICE:
-            labels["service"] = "unknown"
-        self.metrics.count("jobs_refused_total", labels)
-        self._record_dropped(
-            parsed.job_id,
-            request.service,
-            request.team,
-            len(request.tasks),
-            "refused",
-            refusal,
-        )
-        self.log.info(
-            "job_refused",
-            job=format_job(parsed.job_id),
-            service=request.service,
-            team=request.team,
-            tasks=len(request.tasks),
-            reason=refusal.detail,
-            not_run=refusal.not_run,
-        )
+        state = self.services.get(parsed.request.service)
+        self.recorder.record_refusal(parsed, refusal, state)
 
 
 def _attach(known: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
--- /dev/null
+++ b/sardinestair/entry/recorder.py
@@ -0,0 +1,136 @@
+"""Records how jobs end: metrics, objectives, dropped jobs and events."""
+
+from sardinestair.clock import Clock
+from sardinestair.entry.service_state import ServiceState
+from sardinestair.ids import format_job_id
+from sardinestair.jobs import Job
+from sardinestair.jobs.request import ParsedRequest
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability.burn import is_system_fault
+from sardinestair.observability.dropped import DroppedJob, DroppedLog
+from sardinestair.outcomes import Problem, ProblemKind
+
+__all__ = ["JobRecorder"]
+
+
+class JobRecorder:
+    """Keeps the records of one entry's jobs.
+
+    Args:
+        clock: The clock.
+        metrics: The process's metrics.
+        log: Where events are written.
+
+    Attributes:
+        dropped: The latest jobs without a complete answer.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics, log: EventLog):
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.dropped = DroppedLog()
+
+    def record_end(self, job: Job, state: ServiceState, now_s: float) -> None:
+        """Takes note that a job has ended.
+
+        Args:
+            job: The job.
+            state: What is kept for its service.
+            now_s: The present, on the entry's clock.
+        """
+        response_s = now_s - job.accepted_s
+        service = {"service": job.service}
+        self.metrics.count("jobs_total", {**service, "state": job.state.value})
+        self.metrics.count("tasks_total", service, job.answered)
+        self.metrics.observe("job_response_s", service, response_s)
+        self._count_objective(job, state, response_s)
+        self._log_end(job, response_s)
+
+    def record_refusal(
+        self,
+        parsed: ParsedRequest,
+        refusal: Problem,
+        state: ServiceState | None,
+    ) -> None:
+        """Takes note of a job that was not let in.
+
+        Args:
+            parsed: The request.
+            refusal: Why it was refused.
+            state: What is kept for its service, or None if that is unknown.
+        """
+        request = parsed.request
+        if state is not None and is_system_fault(refusal.kind):
+            state.burn.observe(False, self.clock.now().timestamp())
+        is_unknown = refusal.kind is ProblemKind.UNKNOWN_SERVICE
+        service = "unknown" if is_unknown else request.service
+        labels = {"service": service, "kind": refusal.kind.value}
+        self.metrics.count("jobs_refused_total", labels)
+        dropped = DroppedJob(
+            self.clock.now(),
+            format_job_id(parsed.job_id),
+            request.service,
+            request.team,
+            len(request.tasks),
+            "refused",
+            refusal.detail,
+            refusal.not_run,
+        )
+        self.dropped.add(dropped)
+        self.log.info(
+            "job_refused",
+            job=dropped.job,
+            service=dropped.service,
+            team=dropped.team,
+            kind=request.kind,
+            tasks=dropped.tasks,
+            reason=dropped.reason,
+            not_run=dropped.not_run,
+        )
+
+    def _count_objective(
+        self, job: Job, state: ServiceState, response_s: float
+    ) -> None:
+        answer = job.done.result()
+        if answer.is_ok():
+            is_good = state.judge_answer(response_s)
+        elif is_system_fault(answer.error.kind):
+            is_good = False
+        else:
+            return
+        state.burn.observe(is_good, self.clock.now().timestamp())
+
+    def _log_end(self, job: Job, response_s: float) -> None:
+        answer = job.done.result()
+        write, reason, not_run = self.log.debug, None, False
+        if answer.is_error():
+            write = self.log.info
+            reason, not_run = answer.error.detail, answer.error.not_run
+            self._keep(job, answer.error)
+        write(
+            "job_ended",
+            job=format_job_id(job.job_id),
+            service=job.service,
+            team=job.team,
+            kind=job.kind,
+            state=job.state.value,
+            tasks=job.size,
+            response_s=response_s,
+            reason=reason,
+            not_run=not_run,
+        )
+
+    def _keep(self, job: Job, problem: Problem) -> None:
+        self.dropped.add(
+            DroppedJob(
+                self.clock.now(),
+                format_job_id(job.job_id),
+                job.service,
+                job.team,
+                job.size,
+                job.state.value,
+                problem.detail,
+                problem.not_run,
+            )
+        )
