--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -33,6 +33,7 @@
     "default": {},
 }
 WARM_UP_S = 12.0
+FLOOD_TEAM = "flood"
 
 
 def run_variant(
@@ -41,8 +42,19 @@
     load: float,
     duration_s: float,
     seed: int,
+    flood: float = 0.0,
 ) -> LoadReport:
-    """Runs one system under load, after a warm-up that is not counted."""
+    """Runs one system under load, after a warm-up that is not counted.
+
+    Args:
+        deployment: The system.
+        settings: What differs from its settings.
+        load: Offered work over capacity.
+        duration_s: Length of the run, in seconds.
+        seed: Seed of the jobs.
+        flood: Work over capacity that one more team offers, whose jobs are
+            not in the report.
+    """
     node = {"set": {**deployment.settings, **settings}}
     tree = {"services": {deployment.service: node}}
     system = System(
@@ -60,7 +72,13 @@
         run_load(system.urls, deployment, warm_up)
         before = read_wasted(system.urls)
         jobs = generate(deployment, load, duration_s, seed)
+        flooding = [
+            msgspec.structs.replace(job, team=FLOOD_TEAM)
+            for job in generate(deployment, flood, duration_s, seed + 200)
+        ]
+        jobs = sorted([*jobs, *flooding], key=lambda job: job.at_s)
         records = run_load(system.urls, deployment, jobs)
+        records = [r for r in records if r.job.team != FLOOD_TEAM]
         after = read_wasted(system.urls)
         good_out = count_good_out(system, deployment)
         lost = max(map(count_lost, read_entry_logs(system)))
--- a/benchmarks/bench_suite.py
+++ b/benchmarks/bench_suite.py
@@ -56,11 +56,13 @@
         deployment: The system.
         settings: What differs from the defaults.
         load: Offered work over capacity.
+        flood: Work over capacity that one more team offers.
     """
 
     deployment: Deployment
     settings: dict
     load: float
+    flood: float = 0.0
 
 
 def deployment_of(file: str, **workload) -> Deployment:
@@ -80,6 +82,7 @@
             one.load,
             options.duration_s,
             options.seed,
+            one.flood,
         )
 
     with ThreadPoolExecutor(len(runs)) as pool:
@@ -190,6 +193,17 @@
     ]  # fmt: skip
 
 
+def flood(options: Options) -> list[Bound]:
+    """A team offers 120% of capacity beside others that offer 30%."""
+    deployment = deployment_of(BUYBACK, deadline_s=15.0)
+    alone, flooded = run_together(
+        [Run(deployment, {}, 0.3), Run(deployment, {}, 0.3, flood=1.2)],
+        options,
+    )
+    ratio = flooded.stretch.p99 / alone.stretch.p99
+    return [Bound("another team floods, p99 over alone", ratio, 1.5)]
+
+
 CASES: dict[str, Callable[[Options], list[Bound]]] = {
     "light": light_load,
     "steady": steady_load,
@@ -198,6 +212,7 @@
     "messages": few_messages,
     "broken": broken_parts,
     "overload": overload,
+    "flood": flood,
 }
 
 
