Let the clocks of teams go by the throughput that an entry gets

The virtual clock of a team advanced by all slots of the service at each of three entries, 264 slots in sum for 54.7 seconds of work per second, so a flood at 120% was hardly put behind. Ruled out: the order between entries (sidecars serve the most urgent key).

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -432,7 +432,8 @@
     def _enqueue(self, job: Job) -> None:
         state = self._state(job.service)
         now_s = self.clock.monotonic()
-        state.queue.add(job, now_s, state.slots)
+        rate = state.throughput() / self.gate.entry_count
+        state.queue.add(job, now_s, rate)
         self.touched.add(state.name)
 
     def _place(self, state: ServiceState) -> None:
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -156,6 +156,7 @@
         size = sum(len(p) for p in request.payloads)
         estimate = state.estimate(request.kind, request.declared_task_s)
         load = state.load(
+            request.team,
             estimate.mean_s_ * tasks,
             1 / self.entry_count,
             self.clock.monotonic(),
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -135,16 +135,19 @@
         )
         return max(running, share * self.throughput())
 
-    def load(self, work_s: float, share: float, now_s: float) -> Load:
+    def load(
+        self, team: str, work_s: float, share: float, now_s: float
+    ) -> Load:
         """Returns what admission looks at.
 
         Args:
+            team: The caller's team.
             work_s: Expected run time of the new job's tasks, in seconds.
             share: This entry's share of the upstreams if all ask.
             now_s: The present, in seconds.
         """
         rate = self.own_throughput(share)
-        ahead_s = self.queue.work_ahead_s(work_s, now_s) + work_s
+        ahead_s = self.queue.work_ahead_s(team, work_s, now_s) + work_s
         expected = ahead_s / rate if rate else float("inf")
         return Load(
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -33,25 +33,25 @@
 
     Examples:
         >>> clock = TeamClock()
-        >>> clock.decide(now_s=10.0, work_s=4.0, share_slots=2.0)
+        >>> clock.decide(now_s=10.0, work_s=4.0, share=2.0)
         10.0
-        >>> clock.decide(now_s=10.0, work_s=4.0, share_slots=2.0)
+        >>> clock.decide(now_s=10.0, work_s=4.0, share=2.0)
         12.0
     """
 
     def __init__(self) -> None:
         self.finish_s = 0.0
 
-    def decide(self, now_s: float, work_s: float, share_slots: float) -> float:
+    def decide(self, now_s: float, work_s: float, share: float) -> float:
         """Returns the virtual start of a job, and moves the clock past it.
 
         Args:
             now_s: The present, in seconds.
-            work_s: Expected slot-seconds of the job.
-            share_slots: Slots that are the team's share.
+            work_s: Expected run time of the job's tasks, in seconds.
+            share: Run time per second that is the team's share.
         """
         start_s = max(now_s, self.finish_s)
-        self.finish_s = start_s + work_s / max(share_slots, 1e-9)
+        self.finish_s = start_s + work_s / max(share, 1e-9)
         return start_s
 
 
@@ -79,16 +79,17 @@
         self.waiting_bytes = 0
         self.waiting_s = 0.0
 
-    def add(self, job: Job, now_s: float, slots: float) -> None:
+    def add(self, job: Job, now_s: float, rate: float) -> None:
         """Adds a job with all its tasks.
 
         Args:
             job: The job; its `key_s` is set.
             now_s: The present, in seconds.
-            slots: Slots of the service, to be shared by the active teams.
+            rate: Run time that this entry gets worked off per second, to be
+                shared by the active teams.
         """
         work_s = job.work.mean_s_ * job.size
-        start_s = self._virtual_start(job, now_s, work_s, slots)
+        start_s = self._virtual_start(job, now_s, work_s, rate)
         weights = {OrderPolicy.FIRST_COME: 0.0}
         job.key_s = start_s + weights.get(self.order, WORK_WEIGHT) * work_s
         self._count(job, job.waiting, 1)
@@ -122,18 +123,21 @@
         self._count(job, job.waiting, -1)
         job.waiting.clear()
 
-    def work_ahead_s(self, work_s: float, now_s: float) -> float:
+    def work_ahead_s(self, team: str, work_s: float, now_s: float) -> float:
         """Returns the expected run time of what would go before a new job.
 
         The jobs ahead count by their number, at the mean of all that wait.
 
         Args:
+            team: The caller's team.
             work_s: Expected run time of the new job's tasks, in seconds.
             now_s: The present, in seconds.
         """
         if not self.jobs or self.order is OrderPolicy.FIRST_COME:
             return self.waiting_s
-        key_s = now_s + WORK_WEIGHT * work_s
+        clock = self.teams.get(team)
+        start_s = max(now_s, clock.finish_s) if clock else now_s
+        key_s = start_s + WORK_WEIGHT * work_s
         ahead = self.jobs.bisect_key_right((key_s, b""))
         return self.waiting_s * ahead / len(self.jobs)
 
@@ -157,7 +161,7 @@
         self.waiting_s += sign * len(indices) * job.work.prior_s
 
     def _virtual_start(
-        self, job: Job, now_s: float, work_s: float, slots: float
+        self, job: Job, now_s: float, work_s: float, rate: float
     ) -> float:
         if self.order is OrderPolicy.FIRST_COME:
             return now_s
@@ -165,7 +169,7 @@
         active = sum(1 for c in self.teams.values() if c.finish_s > now_s)
         if len(self.teams) > 2 * active + 64:
             self._forget_idle_teams(now_s)
-        share = slots / max(1, active)
+        share = rate / max(1, active)
         return clock.decide(now_s, work_s, share)
 
     def _forget_idle_teams(self, now_s: float) -> None:
