Remove code that nothing calls

Cause: reading the whole change once more showed a verdict that is never given, a health call that nobody makes, and a store call that delete_before replaced.

--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -22,7 +22,6 @@
     """What a sidecar does with a `Start`."""
 
     RUN = "run"
-    REFUSE = "refuse"
     IGNORE = "ignore"
 
 
--- a/sardinestair/store/etcd.py
+++ b/sardinestair/store/etcd.py
@@ -71,11 +71,6 @@
         answer = self._call("/v3/kv/txn", request)
         return answer.map(self._to_commit)
 
-    def delete(self, prefix: str) -> Result[int, StoreError]:
-        """Deletes all keys with a prefix; returns how many."""
-        answer = self._call("/v3/kv/deleterange", self._range(prefix))
-        return answer.map(lambda body: int(body.get("deleted", 0)))
-
     def delete_before(self, prefix: str, end: str) -> Result[int, StoreError]:
         """Deletes the keys with a prefix that sort before another key."""
         request = {"key": self._encode(prefix), "range_end": self._encode(end)}
--- a/sardinestair/store/port.py
+++ b/sardinestair/store/port.py
@@ -108,10 +108,6 @@
         """Writes a group of keys if none of them has changed."""
         ...
 
-    def delete(self, prefix: str) -> Result[int, StoreError]:
-        """Deletes all keys with a prefix; returns how many."""
-        ...
-
     def delete_before(self, prefix: str, end: str) -> Result[int, StoreError]:
         """Deletes the keys with a prefix that sort before another key."""
         ...
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -83,21 +83,6 @@
         reason = reply.reason.encode()
         return CallResult(state, reason, False, run_s, not reply.was_sent)
 
-    def check_health(self, path: str, timeout_s: float) -> bool:
-        """Asks the upstream's health path.
-
-        Args:
-            path: The path.
-            timeout_s: Longest time to wait, in seconds.
-
-        Returns:
-            True if it answered 2xx.
-        """
-        reply = self._transfer().perform(
-            "GET", self.address + path, b"", timeout_s
-        )
-        return isinstance(reply, Reply) and 200 <= reply.status < 300
-
     def _transfer(self) -> Transfer:
         transfer = getattr(self.local, "transfer", None)
         if transfer is None:
