--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -1,8 +1,10 @@
 """What the command lines of all long-running programs share."""
 
+import os
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
@@ -12,7 +14,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from sardinestair import __version__
-from sardinestair.observability import configure_logging
+from sardinestair.observability import EventLog, configure_logging
 from sardinestair.settings.process import load_process_settings
 
 __all__ = [
@@ -31,11 +33,14 @@
 # The interpreter's default of 5 ms would be paid at each hand-over of a task.
 SWITCH_INTERVAL_S = 0.0005
 THREAD_STACK_BYTES = 512 << 10
+SETTINGS_CHECK_S = 1.0
+SETTINGS_VARIABLE = "SARDINESTAIR_SETTINGS"
 
 S = TypeVar("S", bound=msgspec.Struct)
+T_contra = TypeVar("T_contra", contravariant=True)
 
 
-class Service(Protocol):
+class Service(Protocol[T_contra]):
     """A program that runs until it is told to stop."""
 
     def start(self) -> None:
@@ -45,13 +50,32 @@
         """Stops gracefully; returns True if nothing was cut off."""
         ...
 
+    def reload(self, settings: T_contra) -> None:
+        """Takes changed settings, as far as they can change."""
 
-def wait_for_stop() -> None:
-    """Waits for SIGTERM or SIGINT."""
+
+def wait_for_stop(on_change: Callable[[], object] | None = None) -> None:
+    """Waits for SIGTERM or SIGINT.
+
+    Args:
+        on_change: Called on SIGHUP and now and then, to look whether the
+            settings have changed.
+    """
     stopping = threading.Event()
+    waking = threading.Event()
+
+    def stop(*_signal: object) -> None:
+        stopping.set()
+        waking.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
-    stopping.wait()
+        signal.signal(number, stop)
+    signal.signal(signal.SIGHUP, lambda *_: waking.set())
+    while not stopping.is_set():
+        waking.wait(SETTINGS_CHECK_S)
+        waking.clear()
+        if on_change is not None and not stopping.is_set():
+            on_change()
 
 
 def tune_interpreter() -> None:
@@ -60,11 +84,72 @@
     threading.stack_size(THREAD_STACK_BYTES)
 
 
+class SettingsWatcher(Generic[S]):
+    """Hands on settings that have changed, and keeps those in force if not.
+
+    Args:
+        file: Name of the settings file.
+        kind: Type of the settings.
+        settings: The settings in force.
+        on_change: Takes changed settings.
+    """
+
+    def __init__(
+        self,
+        file: str,
+        kind: type[S],
+        settings: S,
+        on_change: Callable[[S], None],
+    ):
+        self.file = file
+        self.kind = kind
+        self.settings = settings
+        self.on_change = on_change
+        self.text = self._read()
+        self.log = EventLog("settings", file=file)
+
+    def check(self) -> bool:
+        """Looks at the file; returns True if changed settings were taken."""
+        text = self._read()
+        if text == self.text:
+            return False
+        self.text = text
+        loaded = load_process_settings(self.file, self.kind)
+        if loaded.is_error():
+            self.log.error("settings_refused", reason=str(loaded.error))
+            return False
+        changed = [
+            name
+            for name in self.kind.__struct_fields__
+            if getattr(loaded.ok, name) != getattr(self.settings, name)
+        ]
+        self.log.info("settings_reloaded", changed=",".join(changed))
+        self.settings = loaded.ok
+        self.on_change(loaded.ok)
+        return True
+
+    def _read(self) -> bytes:
+        try:
+            with open(self.file, "rb") as stream:
+                return stream.read()
+        except OSError as error:
+            # It is being replaced, or gone; the settings stay in force.
+            EventLog("settings").warning(
+                "settings_unreadable", file=self.file, reason=str(error)
+            )
+            return b""
+
+
 class ServiceCommand(Command, Generic[S]):
     """Runs a service from a settings file until SIGTERM."""
 
     options = [
-        option("settings", "s", "Settings file in YAML.", flag=False),
+        option(
+            "settings",
+            "s",
+            "Settings file in YAML; $SARDINESTAIR_SETTINGS by default.",
+            flag=False,
+        ),
         option("check", None, "Check the settings and exit."),
     ]
     kind: type[S]
@@ -80,7 +165,7 @@
             0 after a graceful stop, 1 if work was cut off, 2 if the settings
             can't be used.
         """
-        file = self.option("settings")
+        file = self.option("settings") or os.environ.get(SETTINGS_VARIABLE)
         if not file:
             self.line_error("<error>--settings FILE is required</error>")
             return EXIT_USAGE
@@ -91,14 +176,15 @@
         if self.option("check"):
             self.line(f"{file}: settings are valid")
             return EXIT_OK
-        return self._serve(loaded.ok)
+        return self._serve(file, loaded.ok)
 
-    def _serve(self, settings) -> int:
+    def _serve(self, file: str, settings) -> int:
         tune_interpreter()
-        configure_logging(settings.log_level)
+        configure_logging(settings.log_level, sys.stdout)
         service = self.make(settings)
         service.start()
-        wait_for_stop()
+        watcher = SettingsWatcher(file, self.kind, settings, service.reload)
+        wait_for_stop(watcher.check)
         return EXIT_OK if service.stop() else EXIT_FAILURE
 
 
--- a/sardinestair/clock.py
+++ b/sardinestair/clock.py
@@ -26,6 +26,9 @@
 class SystemClock:
     """The clock of the machine.
 
+    Its monotonic time counts the time for which the machine is suspended, so
+    that a lease runs out during a suspension as it does elsewhere.
+
     Examples:
         >>> clock = SystemClock()
         >>> clock.monotonic() <= clock.monotonic()
@@ -34,7 +37,7 @@
 
     def monotonic(self) -> float:
         """Returns the machine's monotonic time in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime.datetime:
         """Returns the machine's time in UTC."""
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -16,8 +16,9 @@
     Incarnation,
     JobId,
     format_incarnation,
+    format_job_id,
 )
-from sardinestair.jobs import Job, JobRegistry
+from sardinestair.jobs import Job, JobRegistry, JobState
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.budget import JobCharge
@@ -36,6 +37,7 @@
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.tree import effective
 from sardinestair.store.claims import Claim, ClaimVerdict, ClaimWriter
+from sardinestair.upstreams.leased import STALLED
 
 __all__ = ["Dispatcher"]
 
@@ -184,7 +186,8 @@
         """
         with self.lock:
             known = self.registry.find(parsed.job_id)
-            if known is not None and not known.ended_not_run:
+            if known is not None and not _can_run_again(known, parsed):
+                known.waiters += 1
                 return _attach(known, parsed)
             refusal = self.gate.decide(parsed, self._state)
             if refusal is not None:
@@ -234,6 +237,16 @@
                 self.links_handled()
             return job
 
+    def caller_left(self, job: Job) -> None:
+        """Cancels a job whose caller waits no longer.
+
+        A later submission of the job keeps it if it waits still.
+        """
+        with self.lock:
+            job.waiters -= 1
+            if job.waiters <= 0:
+                self.cancel(job.job_id)
+
     def expire(self) -> None:
         """Fails the jobs whose deadline has passed; called by the timer."""
         now_s = self.clock.monotonic()
@@ -252,6 +265,20 @@
                     self.touched.add(state.name)
             self.links_handled()
 
+    def give_up(self, reason: str) -> None:
+        """Answers all jobs that are left with a failure."""
+        with self.lock:
+            for job in list(self.registry.jobs.values()):
+                self._fail(job, ProblemKind.DRAINING, reason, 1.0)
+            self.links_handled()
+
+    def has_upstreams(self) -> bool:
+        """Tells whether any upstream takes work."""
+        with self.lock:
+            return any(
+                link.state is LinkState.UP for link in self.links.values()
+            )
+
     def next_check_s(self) -> float:
         """Returns how long `expire` need not be called, in seconds."""
         with self.lock:
@@ -298,11 +325,38 @@
                 self._ended(job)
             return
         job.may_have_run = True
-        job.release(index)
         self._charge(state, job, link, outcome.run_s)
-        self._judge(state, link, job, False)
+        if outcome.state is TaskState.FAILED or outcome.body == STALLED:
+            job.failed_at.add(link.sidecar)
+            self._judge(state, link, job, False)
         reason = outcome.body.decode("utf-8", "replace")
+        self._repeat_or_fail(state, job, index, outcome.state, reason)
+
+    def _repeat_or_fail(
+        self,
+        state: ServiceState,
+        job: Job,
+        index: int,
+        how: TaskState,
+        reason: str,
+    ) -> None:
+        """Decides about a task whose run has surely ended without success."""
         reason = reason[:MAX_REASON_CHARACTERS]
+        is_repeated = job.may_repeat(index, how)
+        self.log.info(
+            "run_ended",
+            job=format_job_id(job.job_id),
+            task=index,
+            run=job.attempts[index],
+            how=how.value,
+            reason=reason,
+            failures=job.failures[index],
+            repeated=is_repeated,
+        )
+        if is_repeated:
+            state.queue.put_back(job, index)
+            return
+        job.release(index)
         self._fail(job, ProblemKind.FAILED, f"task {index} failed: {reason}")
 
     def link_refused(self, link: EntryLink, refs: list[TaskRef]) -> None:
@@ -332,6 +386,15 @@
             if job is None:
                 continue
             job.may_have_run = True
+            if link.is_leased:
+                self._repeat_or_fail(
+                    self.services[link.candidate.service],
+                    job,
+                    ref.index,
+                    TaskState.INTERRUPTED,
+                    "lost with its sidecar",
+                )
+                continue
             job.release(ref.index)
             detail = (
                 f"task {ref.index} was lost with its sidecar and may have run"
@@ -367,8 +430,10 @@
         return state
 
     def _update_link(self, link: EntryLink, announce: Announce) -> None:
-        if announce.slots != link.candidate.slots:
-            link.candidate.slots = announce.slots
+        candidate = link.candidate
+        if announce.slots != candidate.slots:
+            candidate.slots = announce.slots
+            candidate.capacity = announce.capacity
             self._settle(link)
 
     def _start_claimed(self, job: Job, claim: Claim | None) -> None:
@@ -395,9 +460,8 @@
     def _accept(self, parsed: ParsedRequest, earlier: Job | None) -> Job:
         request = parsed.request
         now_s = self.clock.monotonic()
-        deadline_s = (
-            request.deadline_s or self.gate.settings_of(request).deadline_s
-        )
+        settings = self.gate.settings_of(request)
+        deadline_s = request.deadline_s or settings.deadline_s
         state = self._state(request.service)
         job = Job(
             parsed.job_id,
@@ -409,6 +473,8 @@
             now_s + deadline_s,
             state.estimate(request.kind, request.declared_task_s),
             parsed.digest,
+            settings.max_attempts,
+            request.need,
         )
         if earlier is not None:
             job.attempts = earlier.attempts
@@ -446,7 +512,7 @@
             if job.attempts[index] == 1:
                 state.retries.observe()
             remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
-            link.place(job.ref(index), remaining_s, payloads[index])
+            link.place(job.ref(index), remaining_s, payloads[index], job.need)
             state.refresh(link, now_s)
             used.add(link.sidecar)
         is_unmet = state.queue.waiting_tasks > 0
@@ -534,6 +600,14 @@
         self.recorder.record_refusal(parsed, refusal, state)
 
 
+def _can_run_again(known: Job, parsed: ParsedRequest) -> bool:
+    """Tells whether a resubmission runs, rather than getting the answer."""
+    if known.ended_not_run:
+        return True
+    has_failed = known.state in (JobState.FAILED, JobState.CANCELLED)
+    return parsed.request.best_effort and has_failed and not known.in_flight
+
+
 def _attach(known: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
     if known.digest == parsed.digest:
         return Ok(known)
--- a/sardinestair/entry/main.py
+++ b/sardinestair/entry/main.py
@@ -1,6 +1,7 @@
 """Command line of `sardinestair-entry`."""
 
 from sardinestair.cli.service import ServiceCommand, run_command
+from sardinestair.entry.platform_process import PlatformEntryProcess
 from sardinestair.entry.process import EntryProcess
 from sardinestair.settings import EntrySettings
 
@@ -23,7 +24,12 @@
 
     def make(self, settings: EntrySettings) -> EntryProcess:
         """Returns the entry for checked settings."""
-        entry = EntryProcess(settings)
+        kind = (
+            EntryProcess
+            if settings.platform is None
+            else (PlatformEntryProcess)
+        )
+        entry = kind(settings)
         if settings.tree_file is not None:
             loaded = entry.load_tree_file()
             if loaded.is_error():
@@ -34,3 +40,7 @@
 def main() -> None:
     """Runs the program."""
     run_command(EntryCommand())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sardinestair/entry/platform_process.py
@@ -0,0 +1,126 @@
+"""An entry on the users' platform: its wiring around the same aggregate."""
+
+import time
+
+from sardinestair.clock import Clock
+from sardinestair.entry.departures import DepartureWatcher
+from sardinestair.entry.process import EntryProcess
+from sardinestair.platform.callers import ClientApi
+from sardinestair.platform.names import link_endpoints
+from sardinestair.platform.operator import (
+    CONFIGURATION_KEY,
+    read_configuration,
+)
+from sardinestair.platform.store import PlatformStore
+from sardinestair.settings import EntrySettings
+from sardinestair.settings.process import EntryPlatform, split_address
+from sardinestair.settings.service import SettingsFollower
+from sardinestair.web import HttpServer, WebApp, operations_rules
+
+__all__ = ["PlatformEntryProcess"]
+
+READINESS_THREADS = 2
+# A change must be in force within 2 s (platform figure): a watch hears of it
+# at once, and a read this often finds what a watch has missed.
+CONFIRM_S = 1.0
+# Entries that lapsed are back within 2 s of the store's return.
+REGISTRATION_INTERVAL_S = 1.0
+
+
+class PlatformEntryProcess(EntryProcess):
+    """Serves the platform's clients beside the product's own interface.
+
+    Args:
+        settings: The process's settings; `platform` must be there.
+        clock: The clock.
+
+    Attributes:
+        clients: Serves the clients.
+        readiness: Tells the balancer whether new connections are wanted.
+        is_leaving: True once it has been told to stop.
+    """
+
+    def __init__(self, settings: EntrySettings, clock: Clock | None = None):
+        assert settings.platform is not None
+        self.platform: EntryPlatform = settings.platform
+        self.is_leaving = False
+        super().__init__(settings, clock)
+        self.departures = DepartureWatcher()
+        api = ClientApi(self.dispatcher, self.departures)
+        self.client_app = WebApp(api.rules(), settings.max_body_bytes, self.log)
+        host, port = split_address(self.platform.client_address)
+        self.clients = HttpServer(
+            host, port, self.client_app, self.platform.client_threads
+        )
+        host, port = split_address(self.platform.readiness_address)
+        readiness_app = WebApp(
+            operations_rules(self.metrics, self._readiness), 1024, self.log
+        )
+        self.readiness = HttpServer(
+            host, port, readiness_app, READINESS_THREADS
+        )
+
+    def start(self) -> None:
+        """Starts all threads."""
+        super().start()
+        self.tasks.run(self.departures.run)
+        self.clients.start()
+        self.readiness.start()
+
+    def stop(self) -> bool:
+        """Serves on until the balancer has noticed, then stops as ever.
+
+        Returns:
+            True if all jobs were answered in time.
+        """
+        self.is_leaving = True
+        self.client_app.is_closing = True
+        self.log.info(
+            "leaving_balancer",
+            jobs=self.dispatcher.active_jobs(),
+            serves_on_s=self.platform.leave_s,
+        )
+        time.sleep(self.platform.leave_s)
+        return super().stop()
+
+    def reload(self, settings: EntrySettings) -> None:
+        """Takes changed settings, as far as they can change."""
+        assert settings.platform is not None
+        seeds = settings.platform.seeds
+        self.gossip.learn(link_endpoints(seeds, settings.address.link_port))
+
+    def _make_store(self) -> PlatformStore:
+        return PlatformStore(self.platform.store_address)
+
+    def _peer_endpoints(self) -> list[str]:
+        link_port = self.settings.address.link_port
+        return link_endpoints(self.platform.seeds, link_port)
+
+    def _make_follower(self) -> SettingsFollower:
+        assert self.store is not None
+        return SettingsFollower(
+            self.store,
+            self.adopt,
+            CONFIGURATION_KEY,
+            read_configuration,
+            CONFIRM_S,
+        )
+
+    def _registration_interval_s(self) -> float:
+        return REGISTRATION_INTERVAL_S
+
+    def _close_http(self) -> None:
+        self.clients.refuse_connections()
+        super()._close_http()
+        self._await_answers(self.client_app)
+        self.clients.stop()
+        self.readiness.stop()
+        self.departures.stop()
+
+    def _readiness(self) -> tuple[bool, str]:
+        if self.is_leaving:
+            return False, "the entry is leaving"
+        ready, reason = super()._readiness()
+        if ready and not self.dispatcher.has_upstreams():
+            return False, "no upstream is known yet"
+        return ready, reason
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -22,7 +22,12 @@
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
 from sardinestair.store.claims import ClaimWriter, delete_old_claims
 from sardinestair.store.etcd import EtcdStore
-from sardinestair.store.registration import EntryRecord, Registration
+from sardinestair.store.port import Store
+from sardinestair.store.registration import (
+    INTERVAL_S,
+    EntryRecord,
+    Registration,
+)
 from sardinestair.tasks import TaskPool
 from sardinestair.web import HttpServer, WebApp, operations_rules
 
@@ -75,6 +80,7 @@
             self.clock,
             self.metrics,
             self.context,
+            settings.link,
             retention_s=settings.retention_s,
             claims=self.claims,
             claim_retention_s=settings.claim_retention_s,
@@ -111,7 +117,7 @@
         """Starts all threads."""
         self.http.start()
         self.membership.http_address = self.http_address
-        self.peers.add_static(self.settings.peers, self.clock.monotonic())
+        self.peers.add_static(self._peer_endpoints(), self.clock.monotonic())
         self.tasks.run(self.membership.run)
         self.tasks.run(self._run_timer)
         self.gossip.start()
@@ -165,6 +171,7 @@
                 break
             time.sleep(DRAIN_POLL_S)
         unanswered = self.dispatcher.active_jobs()
+        self.dispatcher.give_up("the entry is stopping")
         self._close_http()
         if self.budgets is not None:
             self.budgets.close()
@@ -172,7 +179,10 @@
         self.log.info("entry_stopped", unanswered=unanswered)
         return unanswered == 0
 
-    def _make_store(self) -> EtcdStore | None:
+    def _peer_endpoints(self) -> list[str]:
+        return self.settings.peers
+
+    def _make_store(self) -> Store | None:
         store = self.settings.store
         if store is None:
             return None
@@ -207,12 +217,24 @@
         rules += admin.rules()
         return rules + operations_rules(self.metrics, self._readiness)
 
-    def _follow_store(self, store: EtcdStore) -> None:
-        follower = SettingsFollower(store, self.adopt)
+    def _make_follower(self) -> SettingsFollower:
+        assert self.store is not None
+        return SettingsFollower(self.store, self.adopt)
+
+    def _registration_interval_s(self) -> float:
+        return INTERVAL_S
+
+    def _follow_store(self, store: Store) -> None:
+        follower = self._make_follower()
         record = EntryRecord(
             self.incarnation.hex(), self.membership_endpoint, self.http_address
         )
-        registration = Registration(store, record, self._learn_entries)
+        registration = Registration(
+            store,
+            record,
+            self._learn_entries,
+            self._registration_interval_s(),
+        )
         self.followers = [follower, registration]
         self.tasks.run(follower.run)
         self.tasks.run(registration.run)
@@ -235,11 +257,14 @@
 
     def _close_http(self) -> None:
         self.http.refuse_connections()
+        self._await_answers(self.app)
+        self.http.stop()
+
+    def _await_answers(self, app: WebApp) -> None:
         limit_s = self.clock.monotonic() + CLOSE_LIMIT_S
         time.sleep(BACKLOG_S)
-        while self.app.active and self.clock.monotonic() < limit_s:
+        while app.active and self.clock.monotonic() < limit_s:
             time.sleep(DRAIN_POLL_S)
-        self.http.stop()
 
     def _is_busy(self) -> bool:
         return self.dispatcher.active_jobs() > 0 or self.app.active > 0
@@ -263,6 +288,10 @@
         while not self.stopping.wait(self.dispatcher.next_check_s()):
             self.dispatcher.expire()
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Takes changed settings; new peers are met, the rest at a restart."""
+        self.gossip.learn(settings.peers)
+
     def _readiness(self) -> tuple[bool, str]:
         if self.dispatcher.gate.is_draining:
             return False, "the entry is stopping"
--- /dev/null
+++ b/sardinestair/entry/routing.py
@@ -0,0 +1,34 @@
+"""Finds the route of a request by its host and path."""
+
+from collections.abc import Iterable
+
+from sardinestair.settings.tree import RouteNode
+
+__all__ = ["find_route"]
+
+
+def find_route(
+    routes: Iterable[RouteNode], host: str, path: str
+) -> RouteNode | None:
+    """Returns the route with the longest prefix of a path.
+
+    Args:
+        routes: All routes.
+        host: Host that the request names; a port is ignored.
+        path: Its path.
+
+    Examples:
+        >>> quotes = RouteNode("a.example", "/q/", "quotes", "usual")
+        >>> urgent = RouteNode("a.example", "/q/urgent/", "quotes", "urgent")
+        >>> find_route([quotes, urgent], "a.example:80", "/q/urgent/1").kind
+        'urgent'
+        >>> find_route([quotes], "b.example", "/q/1") is None
+        True
+    """
+    name = host.partition(":")[0]
+    fitting = [
+        route
+        for route in routes
+        if route.host == name and path.startswith(route.prefix)
+    ]
+    return max(fitting, key=lambda r: len(r.prefix), default=None)
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -104,7 +104,7 @@
     def slots(self) -> int:
         """Slots of the upstreams that take work."""
         return sum(
-            link.candidate.slots
+            round(link.candidate.tasks_at_a_time)
             for link in self.links.values()
             if link.state is LinkState.UP
         )
@@ -115,7 +115,7 @@
         A link that opens a new connection counts, since it is soon back.
         """
         return sum(
-            link.candidate.slots / link.candidate.speed_
+            link.candidate.tasks_at_a_time / link.candidate.speed_
             for link in self.links.values()
             if link.state in (LinkState.UP, LinkState.CONNECTING)
         )
@@ -166,7 +166,10 @@
         """
         head = self.queue.head()
         waiting = self.queue.waiting_tasks
-        if head is None or link.account.available > 0:
+        if head is None:
+            return Demand(0, 0.0)
+        units = link.candidate.units(head.need)
+        if units is None or link.account.available >= units:
             return Demand(0, 0.0)
         outstanding = len(link.outstanding)
         if not self.health.decide(link.sidecar, outstanding, now_s):
@@ -174,7 +177,8 @@
         size_s = self._weighted_size(head)
         if not self.policy.accepts(link.candidate, size_s, waiting - 1):
             return Demand(0, 0.0)
-        return Demand(waiting, head.key_s - now_s)
+        wanted = round(max(units, waiting * link.candidate.task_units_))
+        return Demand(wanted, head.key_s - now_s, units)
 
     def _weighted_size(self, job: Job) -> float:
         """Returns the run time that counts for the choice of an upstream."""
@@ -184,6 +188,15 @@
         ratio = run_times.tail_ratio if run_times else 1.0
         return job.work.mean_s_ * ratio
 
+    def _avoided(self, job: Job) -> set[Incarnation]:
+        """Returns the upstreams that a job should not go back to."""
+        usable = {
+            sidecar
+            for sidecar, link in self.links.items()
+            if link.candidate.is_usable
+        }
+        return job.failed_at if usable - job.failed_at else set()
+
     def next_placement(self) -> tuple[Job, EntryLink] | None:
         """Chooses the next task to start and where.
 
@@ -196,7 +209,9 @@
         ahead = -1
         for job in self.queue.in_order(LOOKAHEAD_JOBS):
             ahead += len(job.waiting)
-            candidate = self.policy.decide(self._weighted_size(job), ahead)
+            candidate = self.policy.decide(
+                self._weighted_size(job), ahead, job.need, self._avoided(job)
+            )
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
         return None
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -11,7 +11,8 @@
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.jobs.work import WorkEstimate
 from sardinestair.limits.budget import JobCharge
-from sardinestair.messages import TaskRef
+from sardinestair.limits.resources import Resources
+from sardinestair.messages import TaskRef, TaskState
 from sardinestair.outcomes import Problem
 from sardinestair.store.claims import Claim
 
@@ -59,6 +60,9 @@
         deadline_s: When its answer is due, on the entry's clock.
         work: Expectation of its tasks' run time.
         digest: Hash of the request, to recognise a resubmission.
+        max_attempts: Runs that may fail before a task has failed. With 1, a
+            task that has started is never started again.
+        need: What each task needs of an upstream that has a capacity.
 
     Attributes:
         waiting: Indices of the tasks that wait, in order.
@@ -72,6 +76,10 @@
         claim: The claim of an unrepeatable job, the own one or the one in
             the way.
         claimed: Resolves with True if the job may start.
+        attempts: Starts of each task, by index.
+        failures: Runs of each task that have failed, by index.
+        waiters: Submissions that wait for the answer.
+        failed_at: Upstreams on which a task has failed or stood still.
 
     Examples:
         >>> job = Job(
@@ -96,6 +104,8 @@
         deadline_s: float,
         work: WorkEstimate,
         digest: bytes,
+        max_attempts: int = 1,
+        need: Resources | None = None,
     ):
         self.job_id = job_id
         self.service = service
@@ -106,10 +116,15 @@
         self.deadline_s = deadline_s
         self.work = work
         self.digest = digest
+        self.max_attempts = max_attempts
+        self.need = need
         self.size = len(payloads)
         self.waiting: deque[int] = deque(range(self.size))
         self.in_flight: dict[int, Incarnation] = {}
         self.attempts = [0] * self.size
+        self.waiters = 1
+        self.failures = [0] * self.size
+        self.failed_at: set[Incarnation] = set()
         self.answers: list[TaskAnswer | None] = [None] * self.size
         self.answered = 0
         self.may_have_run = False
@@ -162,6 +177,22 @@
             answers = [a for a in self.answers if a is not None]
             self._end(JobState.COMPLETE, Ok(answers))
 
+    def may_repeat(self, index: int, state: TaskState) -> bool:
+        """Decides whether a task whose run has ended gets another one.
+
+        Args:
+            index: The task.
+            state: How its run has ended.
+
+        Returns:
+            True if the job is active and attempts are left. Runs that were
+            interrupted count as no failure of the task.
+        """
+        if state is TaskState.FAILED:
+            self.failures[index] += 1
+        has_attempts = self.failures[index] < self.max_attempts
+        return self.is_active and self.max_attempts > 1 and has_attempts
+
     def release(self, index: int) -> None:
         """Settles a task of a job that has ended."""
         self.in_flight.pop(index, None)
--- a/sardinestair/jobs/request.py
+++ b/sardinestair/jobs/request.py
@@ -8,9 +8,17 @@
 from msgspec import Meta
 
 from sardinestair.ids import JobId, new_job_id, parse_job_id
+from sardinestair.limits.resources import Resources
 from sardinestair.outcomes import Problem, ProblemKind
 
-__all__ = ["MAX_TASKS", "JobRequest", "parse_request"]
+__all__ = [
+    "MAX_TASKS",
+    "JobRequest",
+    "ParsedRequest",
+    "digest_of",
+    "make_tasks",
+    "parse_request",
+]
 
 MAX_TASKS = 930
 _NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
@@ -39,6 +47,10 @@
             service's default if absent.
         unrepeatable: True if the job must run at most once whatever fails.
         declared_task_s: The caller's guess at a task's run time in seconds.
+        need: What each task needs of an upstream that has a capacity.
+        best_effort: True if nothing of the job need outlive its answer; one
+            that ended without success may be submitted again under its id,
+            and then runs again from the start.
     """
 
     service: Annotated[str, Meta(pattern=_NAME)]
@@ -49,6 +61,8 @@
     deadline_s: Annotated[float, Meta(gt=0, le=3600)] | None = None
     unrepeatable: bool = False
     declared_task_s: Annotated[float, Meta(gt=0, le=3600)] | None = None
+    need: Resources | None = None
+    best_effort: bool = False
 
     @property
     def payloads(self) -> list[bytes]:
@@ -103,8 +117,17 @@
         job_id = parse_job_id(request.id) if request.id else new_job_id()
     except ValueError as error:
         return Error(_invalid(f"{error} - at `$.id`"))
-    digest = hashlib.blake2b(body, digest_size=16).digest()
-    return Ok(ParsedRequest(job_id, request, digest))
+    return Ok(ParsedRequest(job_id, request, digest_of(body)))
+
+
+def digest_of(body: bytes) -> bytes:
+    """Returns the hash by which a resubmission is recognised."""
+    return hashlib.blake2b(body, digest_size=16).digest()
+
+
+def make_tasks(payload: bytes, count: int) -> list[TaskRequest]:
+    """Returns tasks that all have the same payload."""
+    return [TaskRequest(msgspec.Raw(payload))] * count
 
 
 def _invalid(message: str) -> Problem:
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -1,14 +1,20 @@
-"""Credits: the right to start one task on an upstream.
+"""Credits: the right to start tasks on an upstream.
 
-A sidecar hands the free slots of its upstream to the entries as credits, so
-that a task is sent only when a slot is there for it. The counters of an
-account are cumulative within one epoch of a link.
+A sidecar hands the free capacity of its upstream to the entries as credits,
+so that a task is sent only when there is room for it. A credit is one slot,
+or one unit of an upstream that has a capacity; a task then spends as many as
+its share of that capacity. The counters of an account are cumulative within
+one epoch of a link.
 """
 
 from sardinestair.ids import Incarnation
 
 __all__ = ["CreditAccount", "CreditHolder", "CreditLedger"]
 
+# Idle capacity is spread in this many parts, so that each entry's share is
+# even to within a few hundredths.
+IDLE_STEPS = 64
+
 
 class CreditAccount:
     """An entry's view of the credits that one sidecar has granted it.
@@ -46,14 +52,14 @@
         """Takes the sidecar's cumulative count of granted credits."""
         self.granted = max(self.granted, total)
 
-    def spend(self) -> None:
-        """Spends one credit.
+    def spend(self, units: int = 1) -> None:
+        """Spends the credits of one task.
 
         Raises:
-            AssertionError: If there is none, which is a broken invariant.
+            AssertionError: If there are too few, a broken invariant.
         """
-        assert self.available > 0, "a task was placed without a credit"
-        self.spent += 1
+        assert self.available >= units, "a task was placed without credits"
+        self.spent += units
 
     def give_back(self, count: int) -> int:
         """Gives unused credits back.
@@ -75,7 +81,8 @@
         granted: Credits granted in this epoch.
         spent: Credits spent on starts, whether accepted or refused.
         returned: Credits given back.
-        demand: Tasks that wait at the entry, as last told.
+        demand: Credits that the entry wants, as last told.
+        head_units: Credits that its first waiting task needs.
         granted_since: Credits granted since then.
         urgent_at_s: Order key of the first of them, on the sidecar's clock.
         unmet_since_s: Since when tasks have waited, on the sidecar's clock.
@@ -87,6 +94,7 @@
         self.spent = 0
         self.returned = 0
         self.demand = 0
+        self.head_units = 1
         self.granted_since = 0
         self.urgent_at_s = 0.0
         self.unmet_since_s = 0.0
@@ -94,7 +102,7 @@
 
     @property
     def unmet(self) -> int:
-        """Waiting tasks that no credit has been granted for."""
+        """Credits that are wanted and have not been granted."""
         return max(0, self.demand - self.granted_since)
 
     @property
@@ -104,23 +112,25 @@
 
 
 class CreditLedger:
-    """Divides the slots of one upstream among the entries.
+    """Divides the slots or units of one upstream among the entries.
 
-    A free slot goes to the entry whose first waiting task has the smallest
-    order key. When demand is unmet, idle credits of other entries are called
-    back. While any entry reports waiting tasks, a slot that nobody asks for
-    right now is kept for the next report; with no demand at all, idle slots
-    are spread evenly ahead of demand.
+    Free units go to the entry whose first waiting task has the smallest order
+    key, as many as that task needs at a time; units too few for it are kept
+    until more are free. When demand is unmet, idle credits of other entries
+    are called back. While any entry reports waiting tasks, units that nobody
+    asks for right now are kept for the next report; with no demand at all,
+    idle ones are spread evenly ahead of demand.
 
     Args:
-        slots: Tasks that the upstream runs at a time.
+        slots: Units of the upstream; tasks that it runs at a time if it
+            counts slots.
         read_ahead: Credits beyond the slots, whose tasks wait at the sidecar.
         recall_delay_s: How long tasks must wait before idle credits of other
             entries are called back, in seconds.
 
     Attributes:
         holders: The entries by incarnation.
-        running: Tasks that occupy a slot.
+        running: Units that tasks occupy.
 
     Examples:
         >>> ledger = CreditLedger(slots=2)
@@ -161,12 +171,22 @@
         count: int,
         urgent_at_s: float,
         now_s: float = 0.0,
+        head_units: int = 1,
     ) -> None:
-        """Takes an entry's report of its waiting tasks."""
+        """Takes an entry's report of its waiting tasks.
+
+        Args:
+            entry: The entry.
+            count: Credits that it wants.
+            urgent_at_s: Order key of its first waiting task.
+            now_s: The present, in seconds.
+            head_units: Credits that this task needs.
+        """
         holder = self.holders[entry]
         if not holder.unmet:
             holder.unmet_since_s = now_s
         holder.demand = count
+        holder.head_units = max(1, head_units)
         holder.granted_since = 0
         holder.urgent_at_s = urgent_at_s
 
@@ -176,35 +196,46 @@
         holder.returned = max(holder.returned, total)
         holder.recall_pending = False
 
-    def spend(self, entry: Incarnation) -> bool:
-        """Spends a credit for a start.
+    def spend(self, entry: Incarnation, units: int = 1) -> bool:
+        """Spends the credits of a start.
 
         Returns:
-            True if the entry held one.
+            True if the entry held as many.
         """
         holder = self.holders.get(entry)
-        if holder is None or holder.held <= 0:
+        if holder is None or holder.held < units:
             return False
-        holder.spent += 1
+        holder.spent += units
         return True
 
     def allocate(self) -> set[Incarnation]:
-        """Grants the free slots.
+        """Grants what is free.
 
         Returns:
             The entries whose cumulative grant has changed.
         """
         granted: set[Incarnation] = set()
-        for _ in range(max(self.free, 0)):
+        free = self.free
+        while free > 0:
             entry = self._next_entry()
             if entry is None:
                 break
+            units = self._next_units(self.holders[entry])
+            if units > free:
+                break
             holder = self.holders[entry]
-            holder.granted += 1
-            holder.granted_since += 1
+            holder.granted += units
+            holder.granted_since += units
+            free -= units
             granted.add(entry)
         return granted
 
+    def _next_units(self, holder: CreditHolder) -> int:
+        """Returns how many credits an entry gets in one step."""
+        if holder.unmet > 0:
+            return min(holder.unmet, holder.head_units)
+        return max(1, self.slots // IDLE_STEPS)
+
     def recalls(self, now_s: float = 0.0) -> dict[Incarnation, int]:
         """Decides which idle credits to call back for unmet demand.
 
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -16,6 +16,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, JobId, format_incarnation
 from sardinestair.limits.credits import CreditAccount
+from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameVerdict
 from sardinestair.links.timing import LinkTiming
 from sardinestair.links.wakeup import Wakeup, has_message
@@ -44,6 +45,8 @@
 __all__ = ["EntryLink", "LinkOwner", "LinkState"]
 
 RECONNECT_DELAY_S = 0.1
+# Adds this much at most to the time until a lost task is repeated.
+SESSION_CHECK_S = 0.02
 
 
 class LinkState(enum.Enum):
@@ -59,6 +62,7 @@
     """What a link tells the entry; called with `lock` held."""
 
     lock: threading.RLock
+    is_closed: bool
 
     def next_epoch(self) -> int:
         """Returns a number above those of all earlier connections."""
@@ -106,6 +110,11 @@
         epoch: Number of the current connection.
         asked_s: When the sidecar was first asked after its last answer, or
             None if it has answered since.
+        is_leased: True if the sidecar ends this entry's tasks when it no
+            longer hears from it.
+        echo_s: When the sidecar sent the latest frame that has arrived, on
+            its clock.
+        echo_at_s: When that frame arrived, on the entry's clock.
     """
 
     def __init__(
@@ -127,8 +136,13 @@
         self.state = LinkState.CONNECTING
         self.account = CreditAccount()
         self.outstanding: dict[tuple[JobId, int], TaskRef] = {}
+        self.is_leased = announce.is_leased
         self.candidate = Candidate(
-            announce.sidecar, announce.service, announce.zone, announce.slots
+            announce.sidecar,
+            announce.service,
+            announce.zone,
+            announce.slots,
+            announce.capacity,
         )
         self.epoch = 0
         self.sent = 0
@@ -140,6 +154,8 @@
         self.last_sent_s = 0.0
         self.last_answer_s = clock.monotonic()
         self.asked_s: float | None = None
+        self.echo_s = 0.0
+        self.echo_at_s = clock.monotonic()
         self.wakeup = Wakeup()
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
@@ -152,29 +168,44 @@
 
     # Called by the entry, with its lock held.
 
-    def place(self, ref: TaskRef, remaining_s: float, payload: bytes) -> None:
-        """Queues the start of a task, spending one credit."""
-        self.account.spend()
+    def place(
+        self,
+        ref: TaskRef,
+        remaining_s: float,
+        payload: bytes,
+        need: Resources | None = None,
+    ) -> None:
+        """Queues the start of a task, spending its credits."""
+        units = self.candidate.units(need)
+        assert units is not None, "a task was placed where it never fits"
+        self.account.spend(units)
+        self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
-        self.outbox.append(Start(ref, remaining_s, payload))
+        self.outbox.append(Start(ref, remaining_s, payload, need))
 
     def cancel(self, refs: list[TaskRef]) -> None:
         """Queues the cancellation of started tasks in one message."""
         self.outbox.append(Cancel(refs))
 
     def close(self) -> None:
-        """Ends the link; its tasks, if any are left, are lost."""
+        """Ends the link.
+
+        Its tasks, if any are left, are lost; those of a leased upstream once
+        their session has surely ended, or `release` says so before.
+        """
         if self.state is LinkState.CLOSED:
             return
         self.state = LinkState.CLOSED
-        lost = list(self.outstanding.values())
-        self.outstanding.clear()
         self.account.reset()
         self.owner.link_changed(self)
-        if lost:
-            self.owner.link_lost(self, lost)
+        if not self.is_leased:
+            self._lose_tasks()
         self.wakeup.set()
 
+    def release(self) -> None:
+        """Takes note that nothing of a closed link can be running."""
+        self._lose_tasks()
+
     # The task of the link.
 
     def run(self) -> None:
@@ -188,9 +219,20 @@
                 socket.close(linger=0)
             if self.state is not LinkState.CLOSED:
                 time.sleep(RECONNECT_DELAY_S)
+        self._await_session_end()
         self.wakeup.close()
         self.log.info("link_closed", epoch=self.epoch)
 
+    def _await_session_end(self) -> None:
+        """Waits until the tasks of a closed link have surely ended."""
+        while self.outstanding and not self.owner.is_closed:
+            if self._are_tasks_lost(self.clock.monotonic()):
+                self._lose_tasks()
+                with self.owner.lock:
+                    self.owner.links_handled()
+            else:
+                time.sleep(SESSION_CHECK_S)
+
     def _open_epoch(self, socket: zmq.Socket) -> None:
         socket.set(zmq.SNDHWM, 0)
         socket.set(zmq.RCVHWM, 0)
@@ -253,6 +295,8 @@
             self.log.warning("frames_missing", epoch=self.epoch)
             return False
         self.last_heard_s = self.last_answer_s = self.clock.monotonic()
+        if frame.sent_s > self.echo_s:
+            self.echo_s, self.echo_at_s = frame.sent_s, self.last_heard_s
         self.asked_s = None
         for message in frame.messages:
             if self.state is not LinkState.CLOSED:
@@ -320,18 +364,25 @@
 
     def _is_silent(self) -> bool:
         now_s = self.clock.monotonic()
-        # Time without a question, as while this entry itself was paused,
-        # says nothing about the sidecar.
-        if self.asked_s is not None:
-            waited_s = now_s - self.asked_s
-            if waited_s > self.timing.lost_s - self.timing.silence_s:
-                self._lose_tasks()
+        if self._are_tasks_lost(now_s):
+            self._lose_tasks()
         silent_s = now_s - self.last_heard_s
         if silent_s <= self.timing.silence_s:
             return False
         self.log.warning("link_silent", epoch=self.epoch, silent_s=silent_s)
         return True
 
+    def _are_tasks_lost(self, now_s: float) -> bool:
+        if self.is_leased:
+            # The session has ended, whoever was paused or cut off.
+            return now_s - self.echo_at_s > self.timing.lost_s
+        # Time without a question, as while this entry itself was paused,
+        # says nothing about the sidecar.
+        if self.asked_s is None:
+            return False
+        waited_s = now_s - self.asked_s
+        return waited_s > self.timing.lost_s - self.timing.silence_s
+
     def _lose_tasks(self) -> None:
         with self.owner.lock:
             lost = list(self.outstanding.values())
@@ -349,7 +400,7 @@
                 return True
             self.sent += 1
             frame = EntryFrame(
-                self.incarnation, self.epoch, self.sent, messages
+                self.incarnation, self.epoch, self.sent, messages, self.echo_s
             )
             self.last_sent_s = now_s
         try:
--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -57,6 +57,9 @@
         outbox: Messages for the next frame.
         sent: Sequence number of the last frame sent in this epoch.
         last_heard_s: When the last current frame arrived.
+        echo_s: When the latest frame that the entry has echoed was sent; the
+            session's lease counts from it.
+        is_over: True once its tasks have been stopped for want of an echo.
         last_sent_s: When the last frame was sent.
     """
 
@@ -69,6 +72,8 @@
         self.outbox: list[SidecarMessage] = []
         self.sent = 0
         self.last_heard_s = 0.0
+        self.echo_s = 0.0
+        self.is_over = False
         self.last_sent_s = 0.0
 
     def resume(self, route: bytes, message: Resume) -> bool:
@@ -152,11 +157,17 @@
         self.tasks = {k: t for k, t in self.tasks.items() if not t.outcome}
         return not self.tasks
 
-    def next_frame(self) -> SidecarFrame:
+    def running(self) -> list[TaskRef]:
+        """Returns the attempts that are running."""
+        return [t.ref for t in self.tasks.values() if t.outcome is None]
+
+    def next_frame(self, now_s: float) -> SidecarFrame:
         """Returns a frame with all queued messages, and empties the queue."""
         self.sent += 1
         messages, self.outbox = self.outbox, []
-        return SidecarFrame(self.sidecar, self.fence.epoch, self.sent, messages)
+        return SidecarFrame(
+            self.sidecar, self.fence.epoch, self.sent, messages, now_s
+        )
 
     def _holds(self, ref: TaskRef) -> bool:
         task = self.tasks.get((ref.job, ref.index))
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sardinestair.ids import Incarnation, JobId
+from sardinestair.limits.resources import Resources
 
 __all__ = [
     "Acknowledge",
@@ -38,10 +39,15 @@
 
 
 class TaskState(enum.Enum):
-    """State of a task as a sidecar reports it."""
+    """State of a task as a sidecar reports it.
+
+    INTERRUPTED says that a task began and was ended without a result by other
+    than itself: it was stopped, its lease lapsed, or its upstream restarted.
+    """
 
     DONE = "done"
     FAILED = "failed"
+    INTERRUPTED = "interrupted"
     NOT_RUN = "not_run"
 
 
@@ -72,17 +78,19 @@
 
 
 class Start(msgspec.Struct, array_like=True, tag="S"):
-    """Asks the sidecar to start a task, spending one credit.
+    """Asks the sidecar to start a task, spending its credits.
 
     Attributes:
         task: The attempt.
         remaining_s: Time left until the job's deadline, in seconds.
         payload: The request body for the upstream.
+        need: What the task needs, or None if it was not said.
     """
 
     task: TaskRef
     remaining_s: float
     payload: bytes
+    need: Resources | None = None
 
 
 class Cancel(msgspec.Struct, array_like=True, tag="C"):
@@ -95,13 +103,15 @@
     """Tells how much work waits at the entry.
 
     Attributes:
-        count: Tasks that could start now, beyond the credits held.
+        count: Credits with which all waiting tasks could start.
         urgency_s: Order key of the first task relative to now, in seconds;
             smaller is more urgent.
+        head_units: Credits that the first task needs.
     """
 
     count: int
     urgency_s: float
+    head_units: int = 1
 
 
 class CreditReturn(msgspec.Struct, array_like=True, tag="B"):
@@ -191,21 +201,29 @@
         epoch: Epoch of the link.
         sequence: Number of the frame within the epoch, from 1.
         messages: The messages; none makes a heartbeat.
+        echo_s: `sent_s` of the latest frame that arrived from this sidecar,
+            on the sidecar's clock; the session's lease counts from it.
     """
 
     sender: Incarnation
     epoch: int
     sequence: int
     messages: list[EntryMessage]
+    echo_s: float = 0.0
 
 
 class SidecarFrame(msgspec.Struct, array_like=True):
-    """A frame from a sidecar to an entry; fields as in `EntryFrame`."""
+    """A frame from a sidecar to an entry; fields as in `EntryFrame`.
+
+    Attributes:
+        sent_s: When it was sent, on the sidecar's clock.
+    """
 
     sender: Incarnation
     epoch: int
     sequence: int
     messages: list[SidecarMessage]
+    sent_s: float = 0.0
 
 
 class Announce(msgspec.Struct, array_like=True, tag="N"):
@@ -216,9 +234,12 @@
         endpoint: ZeroMQ endpoint of its links.
         zone: Its availability zone.
         service: Service of the upstream, or empty if there is none.
-        slots: Tasks that the upstream runs at a time.
+        slots: Credit units of the upstream; tasks that it runs at a time if
+            it has no capacity.
         leaving: True if no new work is taken.
         settings_revision: Revision of the settings that it has adopted.
+        capacity: Resources of the upstream, or None if it only counts slots.
+        is_leased: True if the upstream's tasks end with the link's session.
     """
 
     sidecar: Incarnation
@@ -228,6 +249,8 @@
     slots: int
     leaving: bool
     settings_revision: int
+    capacity: Resources | None = None
+    is_leased: bool = False
 
 
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -8,12 +8,13 @@
 import enum
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Protocol
 
 from sortedcontainers import SortedKeyList
 
 from sardinestair.ids import Incarnation
+from sardinestair.limits.resources import Resources
 from sardinestair.placement.candidate import Candidate
 
 __all__ = [
@@ -45,12 +46,20 @@
     def withdraw(self, candidate: Candidate) -> None:
         """Forgets a candidate."""
 
-    def decide(self, size_s: float, ahead: int) -> Candidate | None:
-        """Chooses a candidate with a credit.
+    def decide(
+        self,
+        size_s: float,
+        ahead: int,
+        need: Resources | None = None,
+        avoid: Container[Incarnation] = (),
+    ) -> Candidate | None:
+        """Chooses a candidate whose credits cover the task.
 
         Args:
             size_s: Expected run time of the task on a typical upstream.
             ahead: Waiting tasks that come before this one.
+            need: What the task needs, or None if it was not said.
+            avoid: Candidates that must not be chosen.
 
         Returns:
             The choice, or None if the task should wait.
@@ -84,8 +93,17 @@
             self.known[candidate.sidecar] = item
             self.items.add(item)
 
-    def best(self) -> Candidate | None:
-        return self.items[0][1] if self.items else None
+    def best(
+        self, need: Resources | None, avoid: Container[Incarnation]
+    ) -> Candidate | None:
+        return next(
+            (
+                candidate
+                for _, candidate in self.items
+                if candidate.sidecar not in avoid and candidate.has_room(need)
+            ),
+            None,
+        )
 
 
 class LeastExpectedFinish:
@@ -121,7 +139,9 @@
     def observe(self, candidate: Candidate) -> None:
         """Takes note of a candidate that is new or has changed."""
         self.available.set(candidate, candidate.credits > 0)
-        is_busy = candidate.credits == 0 and candidate.is_usable
+        is_busy = (
+            candidate.credits < candidate.task_units_ and candidate.is_usable
+        )
         self.busy.set(candidate, is_busy)
 
     def withdraw(self, candidate: Candidate) -> None:
@@ -129,9 +149,15 @@
         self.available.set(candidate, False)
         self.busy.set(candidate, False)
 
-    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+    def decide(
+        self,
+        size_s: float,
+        ahead: int,
+        need: Resources | None = None,
+        avoid: Container[Incarnation] = (),
+    ) -> Candidate | None:
         """Chooses the fastest candidate, or None if waiting should pay."""
-        best = self.available.best()
+        best = self.available.best(need, avoid)
         if best is None or not self.accepts(best, size_s, ahead):
             return None
         return best
@@ -153,7 +179,7 @@
         for _, candidate in itertools.islice(self.busy.items, self.MAX_FASTER):
             if candidate.speed_ >= best.speed_:
                 break
-            ends_per_s += candidate.slots / candidate.run_s_
+            ends_per_s += candidate.tasks_at_a_time / candidate.run_s_
             speed_sum += candidate.speed_
             count += 1
         if count == 0:
@@ -174,7 +200,7 @@
     """Chooses the upstream with the fewest tasks of this entry per slot."""
 
     def __init__(self) -> None:
-        self.available = _Ranked(lambda c: c.outstanding / max(1, c.slots))
+        self.available = _Ranked(_load)
 
     def observe(self, candidate: Candidate) -> None:
         """Takes note of a candidate that is new or has changed."""
@@ -184,9 +210,15 @@
         """Forgets a candidate."""
         self.available.set(candidate, False)
 
-    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+    def decide(
+        self,
+        size_s: float,
+        ahead: int,
+        need: Resources | None = None,
+        avoid: Container[Incarnation] = (),
+    ) -> Candidate | None:
         """Chooses the least loaded candidate."""
-        return self.available.best()
+        return self.available.best(need, avoid)
 
 
 class _Listed(_AcceptsAll):
@@ -215,6 +247,16 @@
             self.available[position] = last
             self.position[last.sidecar] = position
 
+    def fitting(
+        self, need: Resources | None, avoid: Container[Incarnation]
+    ) -> list[Candidate]:
+        """Returns the candidates that can take a task."""
+        return [
+            candidate
+            for candidate in self.available
+            if candidate.sidecar not in avoid and candidate.has_room(need)
+        ]
+
 
 class RoundRobin(_Listed):
     """Takes the candidates in turn."""
@@ -223,12 +265,19 @@
         super().__init__()
         self.turn = 0
 
-    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+    def decide(
+        self,
+        size_s: float,
+        ahead: int,
+        need: Resources | None = None,
+        avoid: Container[Incarnation] = (),
+    ) -> Candidate | None:
         """Chooses the next candidate in turn."""
-        if not self.available:
+        fitting = self.fitting(need, avoid)
+        if not fitting:
             return None
         self.turn += 1
-        return self.available[self.turn % len(self.available)]
+        return fitting[self.turn % len(fitting)]
 
 
 class PowerOfTwoChoices(_Listed):
@@ -243,12 +292,24 @@
         self.seed = seed
         self.random = random.Random(seed)
 
-    def decide(self, size_s: float, ahead: int) -> Candidate | None:
+    def decide(
+        self,
+        size_s: float,
+        ahead: int,
+        need: Resources | None = None,
+        avoid: Container[Incarnation] = (),
+    ) -> Candidate | None:
         """Chooses the less loaded one of two."""
-        if not self.available:
+        fitting = self.fitting(need, avoid)
+        if not fitting:
             return None
-        pair = [self.random.choice(self.available) for _ in range(2)]
-        return min(pair, key=lambda c: c.outstanding / max(1, c.slots))
+        pair = [self.random.choice(fitting) for _ in range(2)]
+        return min(pair, key=_load)
+
+
+def _load(candidate: Candidate) -> float:
+    """Returns this entry's tasks there against what the upstream can run."""
+    return candidate.outstanding / max(1.0, candidate.tasks_at_a_time)
 
 
 def make_policy(name: PolicyName, margin: float) -> PlacementPolicy:
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -141,6 +141,10 @@
         ahead = self.jobs.bisect_key_right((key_s, b""))
         return self.waiting_s * ahead / len(self.jobs)
 
+    def count_jobs(self, kind: str) -> int:
+        """Returns the jobs of a kind of which no task has started."""
+        return sum(job.kind == kind and job.is_not_run for job in self.jobs)
+
     def head(self) -> Job | None:
         """Returns the job whose task is next, if any waits."""
         return self.jobs[0] if self.jobs else None
--- /dev/null
+++ b/sardinestair/platform/operator.py
@@ -0,0 +1,90 @@
+"""The operator's configuration, as a settings tree."""
+
+import msgspec
+
+from sardinestair.observability import EventLog
+from sardinestair.platform.wire import (
+    Configuration,
+    ConfiguredRoute,
+)
+from sardinestair.settings.records import VersionedTree
+from sardinestair.settings.tree import (
+    ANY,
+    KindNode,
+    Overrides,
+    RouteNode,
+    ServiceNode,
+    SettingsTree,
+    ZoneNode,
+)
+from sardinestair.store.port import Snapshot
+
+__all__ = ["CONFIGURATION_KEY", "read_configuration", "to_tree"]
+
+CONFIGURATION_KEY = "op/config"
+MS_PER_S = 1000.0
+
+_log = EventLog("operator")
+
+
+def read_configuration(snapshot: Snapshot) -> VersionedTree | None:
+    """Decodes the configuration among items of the store.
+
+    Args:
+        snapshot: The items below `CONFIGURATION_KEY`.
+
+    Returns:
+        The tree with the configuration's version, or None if there is none
+        that can be read.
+    """
+    for item in snapshot.items:
+        if item.key != CONFIGURATION_KEY:
+            continue
+        try:
+            found = msgspec.json.decode(item.value, type=Configuration)
+        except msgspec.DecodeError as error:
+            _log.error(
+                "configuration_unreadable",
+                revision=item.revision,
+                reason=str(error),
+            )
+            return None
+        return VersionedTree(to_tree(found), found.version, {}, {})
+    return None
+
+
+def to_tree(configuration: Configuration) -> SettingsTree:
+    """Returns the configuration in the product's terms.
+
+    A queue becomes a kind of job of its service.
+    """
+    services = {
+        service.name: ServiceNode(zones={ANY: ZoneNode()})
+        for service in configuration.services
+    }
+    routes = {}
+    for route in configuration.routes:
+        node = services.get(route.service)
+        if node is None:
+            _log.warning(
+                "route_without_service",
+                route=route.name,
+                service=route.service,
+                version=configuration.version,
+            )
+            continue
+        node.zones[ANY].kinds[route.name] = KindNode(_overrides(route))
+        routes[route.name] = RouteNode(
+            route.host, route.prefix, route.service, route.name
+        )
+    return SettingsTree(services=services, routes=routes)
+
+
+def _overrides(route: ConfiguredRoute) -> Overrides:
+    return Overrides(
+        deadline_s=route.timeout_ms / MS_PER_S,
+        max_attempts=route.max_attempts,
+        priority=route.priority,
+        objective_stretch=route.objective_stretch,
+        objective_s=route.objective_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/sardinestair/platform/orders.py
@@ -0,0 +1,184 @@
+"""Orders to the runner on the same machine."""
+
+import threading
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sardinestair.messages import TaskRef
+from sardinestair.observability import EventLog
+from sardinestair.platform.names import job_name
+from sardinestair.platform.wire import (
+    HoldReply,
+    HoldRequest,
+    RefusedOrder,
+    RunStart,
+    RunStop,
+)
+from sardinestair.transfer import Reply, Transfer, TransferFailure
+from sardinestair.upstreams.orders import (
+    EndKind,
+    OrderError,
+    Refusal,
+    RunEnd,
+    RunName,
+    RunReport,
+    RunState,
+    StartReply,
+)
+
+__all__ = ["RunnerOrders"]
+
+MS_PER_S = 1000
+JSON_HEADERS = ("Content-Type: application/json",)
+
+# Jobs have one occurrence and one step so far.
+ONLY_OCCURRENCE = 0
+ONLY_STEP = 0
+
+_ENDS = {
+    "done": EndKind.DONE,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LAPSED,
+}
+
+_REASONS = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.OLD_RUN,
+    "late": Refusal.TOO_LATE,
+    "room": Refusal.NO_ROOM,
+}
+
+_STATUSES = {
+    400: Refusal.INVALID,
+    421: Refusal.OTHER_INCARNATION,
+    429: Refusal.UNHEALTHY,
+    503: Refusal.UNHEALTHY,
+}
+
+
+class RunnerOrders:
+    """Speaks to a runner; safe across threads.
+
+    Connections are kept and handed out last in, first out, so that few are
+    opened and those in use stay warm.
+
+    Args:
+        address: Where the runner takes orders, host:port.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self.lock = threading.Lock()
+        self.idle: list[Transfer] = []
+        self.hold_decoder = msgspec.json.Decoder(HoldReply)
+        self.log = EventLog("runner")
+
+    def name_of(self, ref: TaskRef) -> RunName:
+        """Returns the name under which the runner knows an attempt."""
+        return RunName(job_name(ref.job), ref.index, ref.attempt)
+
+    def start(
+        self, run: RunName, payload: bytes, until_s: float, timeout_s: float
+    ) -> Result[StartReply, OrderError]:
+        """Starts a run; see `Orders.start`."""
+        body = RunStart(
+            _task_name(run),
+            run.number,
+            msgspec.json.decode(payload, type=str),
+            int(until_s * MS_PER_S),
+        )
+        reply = self._send("/run-start", body, timeout_s)
+        if isinstance(reply, TransferFailure):
+            return Error(OrderError(reply.reason, reply.was_sent))
+        if reply.status == 200:
+            return Ok(StartReply())
+        if reply.status in _STATUSES:
+            return Ok(StartReply(_STATUSES[reply.status]))
+        if reply.status == 409:
+            return Ok(StartReply(self._refusal(reply.body)))
+        return Error(OrderError(f"status {reply.status}", True))
+
+    def stop(self, run: RunName, timeout_s: float) -> Result[None, OrderError]:
+        """Stops a run; see `Orders.stop`."""
+        body = RunStop(_task_name(run), run.number)
+        reply = self._send("/run-stop", body, timeout_s)
+        if isinstance(reply, TransferFailure):
+            return Error(OrderError(reply.reason, reply.was_sent))
+        if reply.status != 200:
+            return Error(OrderError(f"status {reply.status}", True))
+        return Ok(None)
+
+    def report(
+        self,
+        until_s: float | None,
+        acknowledged: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> Result[RunReport, OrderError]:
+        """Renews the lease and returns the runs; see `Orders.report`."""
+        until_ms = None if until_s is None else int(until_s * MS_PER_S)
+        body = HoldRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
+        reply = self._send("/hold", body, timeout_s)
+        if isinstance(reply, TransferFailure):
+            return Error(OrderError(reply.reason, reply.was_sent))
+        if reply.status != 200:
+            return Error(OrderError(f"status {reply.status}", True))
+        try:
+            return Ok(_to_report(self.hold_decoder.decode(reply.body)))
+        except (msgspec.DecodeError, ValueError, IndexError) as error:
+            return Error(OrderError(f"unreadable report: {error}", True))
+
+    def _refusal(self, body: bytes) -> Refusal:
+        try:
+            reason = msgspec.json.decode(body, type=RefusedOrder).reason
+        except msgspec.DecodeError as error:
+            self.log.warning("refusal_unreadable", reason=str(error))
+            return Refusal.INVALID
+        return _REASONS.get(reason, Refusal.INVALID)
+
+    def _send(
+        self, path: str, body: msgspec.Struct, timeout_s: float
+    ) -> Reply | TransferFailure:
+        with self.lock:
+            transfer = self.idle.pop() if self.idle else Transfer()
+        try:
+            return transfer.perform(
+                "POST",
+                f"http://{self.address}{path}",
+                msgspec.json.encode(body),
+                timeout_s,
+                JSON_HEADERS,
+            )
+        finally:
+            with self.lock:
+                self.idle.append(transfer)
+
+
+def _task_name(run: RunName) -> str:
+    return f"{run.job}.{ONLY_OCCURRENCE}.{ONLY_STEP}.{run.index}"
+
+
+def _to_run(task: str, number: int) -> RunName:
+    """Returns a run's name; tasks of other steps keep theirs apart."""
+    job, occurrence, step, index = task.split(".")
+    if (int(occurrence), int(step)) != (ONLY_OCCURRENCE, ONLY_STEP):
+        job = f"{job}.{occurrence}.{step}"
+    return RunName(job, int(index), number)
+
+
+def _to_report(reply: HoldReply) -> RunReport:
+    active = [
+        RunState(_to_run(str(row[0]), int(row[1])), int(row[3]))
+        for row in reply.active
+    ]
+    ends = [
+        RunEnd(
+            int(row[0]),
+            _to_run(str(row[1]), int(row[2])),
+            _ENDS.get(str(row[3]), EndKind.OTHER),
+        )
+        for row in reply.finished
+    ]
+    return RunReport(reply.clock_ms / MS_PER_S, reply.born, active, ends)
--- /dev/null
+++ b/sardinestair/platform/store.py
@@ -0,0 +1,232 @@
+"""Adapter to the platform's metadata store."""
+
+import base64
+import threading
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sardinestair.platform.wire import (
+    ExpectedRow,
+    ItemRow,
+    LeaseReply,
+    LeaseRequest,
+    PutRow,
+    RangeReply,
+    TransactionReply,
+    TransactionRequest,
+    WatchReply,
+)
+from sardinestair.store.port import (
+    Commit,
+    KeyValue,
+    Snapshot,
+    StoreError,
+    StoreErrorKind,
+    Swap,
+)
+from sardinestair.transfer import Reply, Transfer, TransferFailure
+
+__all__ = ["PlatformStore"]
+
+T = TypeVar("T")
+
+JSON_HEADERS = ("Content-Type: application/json",)
+MS_PER_S = 1000
+# Entries of one transaction at most (platform figure).
+MAX_ENTRIES = 32
+# A watch that was cut without a word is noticed after this and a time-out.
+WATCH_WAIT_S = 0.5
+# Statuses with which the store says that it has done nothing.
+NOT_DONE_STATUSES = frozenset({400, 403, 429, 503})
+
+
+class PlatformStore:
+    """The platform's store behind the product's port.
+
+    Safe across threads; each thread has a connection of its own.
+
+    Args:
+        address: Address of the store, host:port.
+        timeout_s: Longest time for one call, in seconds.
+
+    Examples:
+        >>> store = PlatformStore("127.0.0.1:9")
+        >>> store.read("entries/").error.kind
+        <StoreErrorKind.NOT_DONE: 'not_done'>
+    """
+
+    def __init__(self, address: str, timeout_s: float = 1.0):
+        self.address = address
+        self.timeout_s = timeout_s
+        self.local = threading.local()
+
+    def read(
+        self, prefix: str, may_be_stale: bool = False
+    ) -> Result[Snapshot, StoreError]:
+        """Reads all keys with a prefix, page by page."""
+        items: list[KeyValue] = []
+        query = {"prefix": prefix}
+        if may_be_stale:
+            query["stale_ok"] = "1"
+        while True:
+            reply = self._call("GET", "/kv-range?" + urlencode(query))
+            page = _decoded(reply, RangeReply)
+            if page.is_error():
+                return Error(page.error)
+            items += [_to_key_value(item) for item in page.ok.items]
+            if not page.ok.more_pages or not page.ok.items:
+                return Ok(Snapshot(page.ok.store_revision, items))
+            query["after"] = page.ok.items[-1].key
+
+    def commit(self, swaps: Sequence[Swap]) -> Result[Commit, StoreError]:
+        """Writes a group of keys if none of them has changed."""
+        if len(swaps) > MAX_ENTRIES:
+            return Error(
+                StoreError(
+                    StoreErrorKind.NOT_DONE,
+                    f"swaps must number 1 to {MAX_ENTRIES}, got {len(swaps)}",
+                )
+            )
+        request = TransactionRequest(
+            [ExpectedRow(swap.key, swap.expected) for swap in swaps],
+            [
+                PutRow(swap.key, _encode(swap.value), swap.lease)
+                for swap in swaps
+                if swap.value is not None
+            ],
+            [swap.key for swap in swaps if swap.value is None],
+        )
+        reply = self._call("POST", "/kv-txn", request)
+        if isinstance(reply, Reply) and reply.status == 412:
+            return _parse(reply, TransactionReply).map(
+                lambda body: Commit(
+                    False, 0, [_to_key_value(i) for i in body.items]
+                )
+            )
+        return _decoded(reply, TransactionReply).map(
+            lambda body: Commit(True, body.revision, [])
+        )
+
+    def delete_before(self, prefix: str, end: str) -> Result[int, StoreError]:
+        """Deletes the keys with a prefix that sort before another key."""
+        found = self.read(prefix)
+        if found.is_error():
+            return Error(found.error)
+        old = [item for item in found.ok.items if item.key < end]
+        for first in range(0, len(old), MAX_ENTRIES):
+            group = old[first : first + MAX_ENTRIES]
+            swaps = [Swap(item.key, None, item.revision) for item in group]
+            committed = self.commit(swaps)
+            if committed.is_error():
+                return Error(committed.error)
+        return Ok(len(old))
+
+    def grant_lease(self, ttl_s: float) -> Result[int, StoreError]:
+        """Grants a lease; returns its id."""
+        request = LeaseRequest(int(ttl_s * MS_PER_S))
+        reply = self._call("POST", "/kv-lease", request)
+        return _decoded(reply, LeaseReply).map(lambda body: body.lease)
+
+    def keep_lease(self, lease: int) -> Result[bool, StoreError]:
+        """Renews a lease; returns False if it has lapsed."""
+        reply = self._call("POST", f"/kv-keep/{lease}")
+        if isinstance(reply, Reply) and reply.status in (200, 404):
+            return Ok(reply.status == 200)
+        return Error(_to_error(reply))
+
+    def revoke_lease(self, lease: int) -> Result[None, StoreError]:
+        """Ends a lease and its keys."""
+        reply = self._call("DELETE", f"/kv-lease-end/{lease}")
+        if isinstance(reply, Reply) and reply.status in (200, 404):
+            return Ok(None)
+        return Error(_to_error(reply))
+
+    def watch(
+        self,
+        prefix: str,
+        from_revision: int,
+        on_change: Callable[[int], bool],
+        timeout_s: float,
+        should_abort: Callable[[], bool],
+    ) -> Result[None, StoreError]:
+        """Waits for changes of keys with a prefix; see `Store.watch`."""
+        after = from_revision - 1
+        rounds = max(1, round(timeout_s / WATCH_WAIT_S))
+        for _ in range(rounds):
+            if should_abort():
+                break
+            query = urlencode(
+                {
+                    "prefix": prefix,
+                    "after": after,
+                    "wait_ms": int(WATCH_WAIT_S * MS_PER_S),
+                }
+            )
+            timeout = WATCH_WAIT_S + self.timeout_s
+            reply = self._call("GET", "/kv-watch?" + query, None, timeout)
+            found = _decoded(reply, WatchReply)
+            if found.is_error():
+                return Error(found.error)
+            revisions = [event.revision for event in found.ok.events]
+            if not on_change(max(revisions, default=0)):
+                break
+            after = max(after, found.ok.store_revision)
+        return Ok(None)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        request: msgspec.Struct | None = None,
+        timeout_s: float | None = None,
+    ) -> Reply | TransferFailure:
+        transfer = getattr(self.local, "transfer", None)
+        if transfer is None:
+            transfer = self.local.transfer = Transfer()
+        body = b"" if request is None else msgspec.json.encode(request)
+        return transfer.perform(
+            method,
+            f"http://{self.address}{path}",
+            body,
+            timeout_s or self.timeout_s,
+            JSON_HEADERS,
+        )
+
+
+def _decoded(
+    reply: Reply | TransferFailure, kind: type[T]
+) -> Result[T, StoreError]:
+    if not isinstance(reply, Reply) or reply.status != 200:
+        return Error(_to_error(reply))
+    return _parse(reply, kind)
+
+
+def _parse(reply: Reply, kind: type[T]) -> Result[T, StoreError]:
+    try:
+        return Ok(msgspec.json.decode(reply.body, type=kind))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
+
+
+def _to_key_value(item: ItemRow) -> KeyValue:
+    return KeyValue(item.key, base64.b64decode(item.value), item.revision)
+
+
+def _encode(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _to_error(reply: Reply | TransferFailure) -> StoreError:
+    if isinstance(reply, TransferFailure):
+        kinds = {
+            True: StoreErrorKind.UNKNOWN,
+            False: StoreErrorKind.NOT_DONE,
+        }
+        return StoreError(kinds[reply.was_sent], reply.reason)
+    is_done = reply.status not in NOT_DONE_STATUSES
+    kind = StoreErrorKind.UNKNOWN if is_done else StoreErrorKind.NOT_DONE
+    return StoreError(kind, f"status {reply.status}")
--- a/sardinestair/settings/edit.py
+++ b/sardinestair/settings/edit.py
@@ -32,6 +32,9 @@
     for team, limits in tree.teams.items():
         for name, value in msgspec.to_builtins(limits).items():
             flat[f"{ROOT}:teams.{team}.{name}"] = value
+    for route, target in tree.routes.items():
+        for name, value in msgspec.to_builtins(target).items():
+            flat[f"{ROOT}:routes.{route}.{name}"] = value
     for service, node in tree.services.items():
         path = f"{ROOT}/{service}"
         flat[path] = "present"
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -8,19 +8,24 @@
 from expression import Error, Ok, Result
 from msgspec import Meta
 
+from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.files import SettingsError, load_yaml
 
 __all__ = [
     "Address",
+    "EntryPlatform",
     "EntrySettings",
+    "SidecarPlatform",
     "SidecarSettings",
     "StoreSettings",
     "load_process_settings",
+    "split_address",
 ]
 
 T = TypeVar("T", bound=msgspec.Struct)
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:[0-9]+$")]
 ENVIRONMENT_PREFIX = "SARDINESTAIR_"
 
 
@@ -52,6 +57,47 @@
     timeout_s: Seconds = 1.0
 
 
+class EntryPlatform(msgspec.Struct, forbid_unknown_fields=True):
+    """What an entry needs to know of the users' platform.
+
+    Attributes:
+        store_address: The platform's store, host:port.
+        client_address: Where clients are served, host:port.
+        readiness_address: Where the balancer asks for readiness, host:port.
+        seeds: Addresses (host:port) on the machines of other entries; only
+            the hosts count.
+        client_threads: Clients that can wait for an answer at a time.
+        leave_s: How long clients are served on after readiness is off, since
+            the balancer needs to miss it twice, in seconds.
+    """
+
+    store_address: HostPort
+    client_address: HostPort
+    readiness_address: HostPort
+    seeds: list[HostPort] = msgspec.field(default_factory=list)
+    client_threads: Annotated[int, Meta(ge=2, le=1024)] = 400
+    leave_s: Annotated[float, Meta(ge=0, le=60)] = 2.5
+
+
+class SidecarPlatform(msgspec.Struct, forbid_unknown_fields=True):
+    """What a sidecar needs to know of the users' platform.
+
+    Attributes:
+        store_address: The platform's store, host:port.
+        runner_address: Where the runner takes orders, host:port.
+        heartbeat_address: Where the runner sends its heartbeats, host:port.
+        seeds: Addresses (host:port) on the machines of entries; only the
+            hosts count.
+        heartbeat_ttl_s: How long a heartbeat holds, in seconds.
+    """
+
+    store_address: HostPort
+    runner_address: HostPort
+    heartbeat_address: HostPort
+    seeds: list[HostPort] = msgspec.field(default_factory=list)
+    heartbeat_ttl_s: Seconds = 6.0
+
+
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True):
     """Settings of an entry.
 
@@ -70,6 +116,8 @@
             and its claim may be deleted, in seconds.
         drain_timeout_s: Longest graceful stop, in seconds.
         log_level: Lowest level of events that are written.
+        link: Time limits of links with sidecars.
+        platform: The users' platform, if the entry runs there.
     """
 
     address: Address = msgspec.field(default_factory=Address)
@@ -84,6 +132,8 @@
     claim_retention_s: Annotated[float, Meta(ge=60, le=864000)] = 86400.0
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
+    link: LinkTiming = msgspec.field(default_factory=LinkTiming)
+    platform: EntryPlatform | None = None
 
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -100,9 +150,11 @@
         announce_interval_s: Time between announcements, in seconds.
         drain_timeout_s: Longest graceful stop, in seconds.
         log_level: Lowest level of events that are written.
+        link: Time limits of links; as those of the entries.
+        platform: The users' platform, if the sidecar runs there.
     """
 
-    entries: Annotated[list[str], Meta(min_length=1)]
+    entries: list[str]
     address: Address = msgspec.field(default_factory=Address)
     zone: Annotated[str, Meta(min_length=1, max_length=63)] = "default"
     advertise: str | None = None
@@ -110,6 +162,28 @@
     announce_interval_s: Annotated[float, Meta(ge=0.05, le=10)] = 0.5
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
+    link: LinkTiming = msgspec.field(default_factory=LinkTiming)
+    platform: SidecarPlatform | None = None
+
+    def __post_init__(self) -> None:
+        """Checks that entries can be found.
+
+        Raises:
+            ValueError: If there is no way to find any.
+        """
+        if not self.entries and self.platform is None:
+            raise ValueError("entries must name at least one, got none")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of an address.
+
+    Examples:
+        >>> split_address("10.1.0.13:8161")
+        ('10.1.0.13', 8161)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
 
 
 _OVERRIDES = {
--- a/sardinestair/settings/records.py
+++ b/sardinestair/settings/records.py
@@ -6,6 +6,7 @@
 
 from sardinestair.settings.tree import (
     Overrides,
+    RouteNode,
     ServiceNode,
     SettingsTree,
     TeamNode,
@@ -45,12 +46,14 @@
             highest revision of all keys never falls.
         changes: The latest changes, oldest first.
         teams: The teams' limits, in the root's record.
+        routes: The routes, in the root's record.
     """
 
     node: ServiceNode
     deleted: bool
     changes: list[Change]
     teams: dict[str, TeamNode] = {}
+    routes: dict[str, RouteNode] = {}
 
 
 class VersionedTree(msgspec.Struct, frozen=True):
@@ -94,6 +97,7 @@
         root.node.set if root else Overrides(),
         services,
         root.teams if root else {},
+        root.routes if root else {},
     )
     revision = max(revisions.values(), default=0)
     return VersionedTree(tree, revision, revisions, records)
@@ -109,45 +113,31 @@
         wanted: The tree that the operator wants.
         change: Goes into the history of each changed record.
     """
-    nodes = {ROOT_KEY: ServiceNode(set=wanted.set)}
+    root = Record(
+        ServiceNode(set=wanted.set), False, [], wanted.teams, wanted.routes
+    )
+    records = {ROOT_KEY: root}
     for service, node in wanted.services.items():
-        nodes[SERVICE_PREFIX + service] = node
-    gone = [
-        key
-        for key, record in current.records.items()
-        if key not in nodes and not record.deleted
-    ]
-    swaps = [
-        _swap(current, key, node, False, change, _teams(key, wanted))
-        for key, node in nodes.items()
-        if _differs(current.records.get(key), node, _teams(key, wanted))
+        records[SERVICE_PREFIX + service] = Record(node, False, [])
+    for key, record in current.records.items():
+        if key not in records and not record.deleted:
+            records[key] = Record(ServiceNode(), True, [])
+    return [
+        _swap(current, key, record, change)
+        for key, record in records.items()
+        if _differs(current.records.get(key), record)
     ]
-    swaps += [_swap(current, key, ServiceNode(), True, change) for key in gone]
-    return swaps
-
-
-def _teams(key: str, tree: SettingsTree) -> dict[str, TeamNode]:
-    return tree.teams if key == ROOT_KEY else {}
 
 
-def _differs(
-    record: Record | None, node: ServiceNode, teams: dict[str, TeamNode]
-) -> bool:
-    if record is None or record.deleted:
-        return True
-    return record.node != node or record.teams != teams
+def _differs(old: Record | None, new: Record) -> bool:
+    return old is None or msgspec.structs.replace(old, changes=[]) != new
 
 
 def _swap(
-    current: VersionedTree,
-    key: str,
-    node: ServiceNode,
-    deleted: bool,
-    change: Change,
-    teams: dict[str, TeamNode] | None = None,
+    current: VersionedTree, key: str, record: Record, change: Change
 ) -> Swap:
     old = current.records.get(key)
     history = [*old.changes, change] if old else [change]
-    record = Record(node, deleted, history[-MAX_HISTORY:], teams or {})
+    record = msgspec.structs.replace(record, changes=history[-MAX_HISTORY:])
     expected = current.revisions.get(key, ABSENT)
     return Swap(key, msgspec.json.encode(record), expected)
--- a/sardinestair/settings/service.py
+++ b/sardinestair/settings/service.py
@@ -21,7 +21,7 @@
     swaps_between,
 )
 from sardinestair.settings.tree import SettingsTree, check_tree
-from sardinestair.store.port import Store, StoreError, Swap
+from sardinestair.store.port import Snapshot, Store, StoreError, Swap
 
 __all__ = ["Applied", "SettingsFollower", "SettingsWriter"]
 
@@ -160,22 +160,38 @@
         return Error(_conflict(latest.revision, current.revision, lines))
 
 
+def read_stored_tree(snapshot: Snapshot) -> VersionedTree | None:
+    """Assembles the tree from its records, if there are any."""
+    return read_tree(snapshot) if snapshot.items else None
+
+
 class SettingsFollower:
     """Follows the tree in the store, and hands on each newer one.
 
     Args:
         store: The platform's service.
         on_tree: Takes revision and tree; older ones are its to refuse.
+        prefix: Prefix of the keys that hold the tree.
+        read: Decodes them; returns None if there is no tree yet.
+        watch_s: Time after which a watch is renewed and all is read again.
 
     Attributes:
         is_current: True while the watch stands.
     """
 
     def __init__(
-        self, store: Store, on_tree: Callable[[int, SettingsTree], Any]
+        self,
+        store: Store,
+        on_tree: Callable[[int, SettingsTree], Any],
+        prefix: str = PREFIX,
+        read: Callable[[Snapshot], VersionedTree | None] = read_stored_tree,
+        watch_s: float = WATCH_S,
     ):
         self.store = store
         self.on_tree = on_tree
+        self.prefix = prefix
+        self.read = read
+        self.watch_s = watch_s
         self.is_current = False
         self.stopping = threading.Event()
         self.log = EventLog("settings")
@@ -200,11 +216,11 @@
         Returns:
             The store's revision.
         """
-        found = self.store.read(PREFIX)
+        found = self.store.read(self.prefix)
         if found.is_error():
             return Error(found.error)
-        versioned = read_tree(found.ok)
-        if versioned.records:
+        versioned = self.read(found.ok)
+        if versioned is not None:
             self.on_tree(versioned.revision, versioned.tree)
         return Ok(found.ok.revision)
 
@@ -216,7 +232,11 @@
             return not self.stopping.is_set()
 
         ended = self.store.watch(
-            PREFIX, from_revision, on_change, WATCH_S, self.stopping.is_set
+            self.prefix,
+            from_revision,
+            on_change,
+            self.watch_s,
+            self.stopping.is_set,
         )
         if ended.is_error() and not self.stopping.is_set():
             self.is_current = False
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -22,6 +22,7 @@
     "Explanation",
     "Favour",
     "Overrides",
+    "RouteNode",
     "ServiceSettings",
     "SettingsTree",
     "TeamNode",
@@ -74,6 +75,11 @@
         objective_share: Share of jobs that must be answered in time.
         objective_s: When an answer is in time, in seconds; 0 for any time
             within the job's deadline.
+        max_attempts: Runs of a task that may fail before the task has failed;
+            with 1, a task that has started is never started again.
+        priority: Which jobs come first when slots are short; 0 before 1.
+        objective_stretch: An answer is in time up to this many times the
+            expected run time of a task, plus `objective_s`.
     """
 
     deadline_s: float = 30.0
@@ -94,6 +100,9 @@
     price_per_slot_hour: int = 0
     objective_share: float = 0.99
     objective_s: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    objective_stretch: float = 0.0
 
 
 class Overrides(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
@@ -117,6 +126,9 @@
     price_per_slot_hour: Annotated[int, Meta(ge=0)] | UnsetType = UNSET
     objective_share: Annotated[float, Meta(ge=0, lt=1)] | UnsetType = UNSET
     objective_s: Annotated[float, Meta(ge=0, le=3600)] | UnsetType = UNSET
+    max_attempts: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
+    priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
+    objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
 
 
 class KindNode(msgspec.Struct, forbid_unknown_fields=True):
@@ -166,6 +178,22 @@
     expected: dict[str, ExpectedUse] = msgspec.field(default_factory=dict)
 
 
+class RouteNode(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Where callers hand jobs in by host and path.
+
+    Attributes:
+        host: Host that requests name.
+        prefix: Path that theirs begins with; the longest that fits counts.
+        service: The service that answers the jobs.
+        kind: Their kind.
+    """
+
+    host: str
+    prefix: str
+    service: str
+    kind: str
+
+
 class SettingsTree(msgspec.Struct, forbid_unknown_fields=True):
     """The whole tree.
 
@@ -173,11 +201,13 @@
         set: What the root overrides.
         services: The services by name; a job for another is refused.
         teams: The teams that have limits, by name.
+        routes: The routes by name.
     """
 
     set: Overrides = msgspec.field(default_factory=Overrides)
     services: dict[str, ServiceNode] = msgspec.field(default_factory=dict)
     teams: dict[str, TeamNode] = msgspec.field(default_factory=dict)
+    routes: dict[str, RouteNode] = msgspec.field(default_factory=dict)
 
 
 class Explanation(msgspec.Struct, frozen=True):
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -16,6 +16,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, format_incarnation
 from sardinestair.limits.credits import CreditLedger
+from sardinestair.limits.resources import units_needed
 from sardinestair.links.fence import FrameVerdict
 from sardinestair.links.session import SidecarSession, StartVerdict
 from sardinestair.links.timing import LinkTiming
@@ -39,13 +40,17 @@
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
+from sardinestair.upstreams.caller import TaskCaller
 from sardinestair.upstreams.upstream import UpstreamState
 
 __all__ = ["LinkServer"]
 
-TICK_S = 0.1
 SESSION_RETENTION_S = 600.0
 MAX_FRAMES_PER_TURN = 64
+# Workers of an upstream with a capacity; tasks beyond them are refused.
+MAX_WORKERS = 64
+
+MakeCaller = Callable[[Announcement, Callable[[], None]], TaskCaller]
 
 
 class LinkServer:
@@ -59,6 +64,9 @@
         metrics: The process's metrics.
         context: The ZeroMQ context.
         timing: Time limits of links.
+        make_caller: Returns what runs the tasks of an announced upstream,
+            which calls its second argument when it has lost that; one that
+            sends it requests if not given.
 
     Attributes:
         upstream: The upstream beside the sidecar.
@@ -77,7 +85,9 @@
         metrics: Metrics,
         context: zmq.Context,
         timing: LinkTiming | None = None,
+        make_caller: MakeCaller | None = None,
     ):
+        self.make_caller = make_caller or self._make_http_caller
         self.zone = zone
         self.incarnation = incarnation
         self.clock = clock
@@ -94,7 +104,7 @@
             queue.SimpleQueue()
         )
         self.wakeup = Wakeup()
-        self.caller: UpstreamCaller | None = None
+        self.caller: TaskCaller | None = None
         self.workers: ThreadPoolExecutor | None = None
         self.listeners: list[Callable[[], None]] = []
         self.socket = context.socket(zmq.ROUTER)
@@ -138,8 +148,17 @@
             self.upstream.slots,
             is_leaving,
             self.policy_revision,
+            self.upstream.capacity,
+            self.caller is not None and self.caller.is_leased,
         )
 
+    def report_lost(self) -> None:
+        """Takes the word of a caller that it has no contact."""
+        caller = self.caller
+        if caller is not None:
+            self.commands.put(lambda: self._lose_upstream(caller))
+            self.wakeup.set()
+
     def stop(self) -> None:
         """Ends the server's thread."""
         self.stopping = True
@@ -203,7 +222,7 @@
         old, self.policy = self.policy, policy
         self.ledger.read_ahead = policy.read_ahead
         self.ledger.recall_delay_s = policy.recall_delay_s
-        if self.caller is not None and old != policy:
+        if isinstance(self.caller, UpstreamCaller) and old != policy:
             self.caller.not_run_statuses = frozenset(policy.not_run_statuses)
         self.log.info("settings_adopted", revision=revision)
 
@@ -215,7 +234,7 @@
         poller.register(self.socket, zmq.POLLIN)
         poller.register(self.wakeup, zmq.POLLIN)
         while not self.stopping:
-            poller.poll(int(TICK_S * 1000))
+            poller.poll(int(self.timing.tick_s * 1000))
             self.wakeup.clear()
             self._run_commands()
             self._receive()
@@ -256,6 +275,7 @@
         if verdict in (FrameVerdict.STALE, FrameVerdict.GAP):
             return
         session.last_heard_s = self.clock.monotonic()
+        session.echo_s = max(session.echo_s, frame.echo_s)
         if verdict is FrameVerdict.NEW_EPOCH:
             self._open_session(route, session, frame.messages.pop(0))
         for message in frame.messages:
@@ -282,11 +302,16 @@
 
     @_handle.register
     def _(self, message: Start, session: SidecarSession) -> None:
-        has_credit = self.ledger.spend(session.entry)
+        units = self._units(message)
+        has_credit = self.ledger.spend(session.entry, units)
         is_serving = self.upstream.state is UpstreamState.SERVING
         if not has_credit or not is_serving:
             self._refuse(message.task, session, b"no slot")
             return
+        if self._has_lapsed(session):
+            # It was sent before the session ended, and held up since.
+            self._refuse(message.task, session, b"session over")
+            return
         if session.start(message.task) is StartVerdict.RUN:
             self._start(message, session)
 
@@ -295,7 +320,11 @@
         now_s = self.clock.monotonic()
         urgent_at_s = now_s + message.urgency_s
         self.ledger.observe_demand(
-            session.entry, message.count, urgent_at_s, now_s
+            session.entry,
+            message.count,
+            urgent_at_s,
+            now_s,
+            message.head_units,
         )
 
     @_handle.register
@@ -309,6 +338,9 @@
     @_handle.register
     def _(self, message: Cancel, session: SidecarSession) -> None:
         session.cancel(message.tasks)
+        if self.caller is not None:
+            for ref in message.tasks:
+                self.caller.stop(ref)
 
     def _refuse(
         self, ref: TaskRef, session: SidecarSession, reason: bytes
@@ -320,7 +352,8 @@
 
     def _start(self, message: Start, session: SidecarSession) -> None:
         assert self.workers is not None and self.caller is not None
-        self.ledger.running += 1
+        units = self._units(message)
+        self.ledger.running += units
         self.metrics.count("starts_total", {})
         due_s = self.clock.monotonic() + message.remaining_s
         held = session.tasks[message.task.job, message.task.index]
@@ -328,7 +361,8 @@
 
         def work() -> None:
             timeout_s = due_s - self.clock.monotonic()
-            if timeout_s <= 0 or not held.wanted:
+            is_over = self._has_lapsed(session)
+            if timeout_s <= 0 or not held.wanted or is_over:
                 outcome = Outcome(
                     message.task, TaskState.NOT_RUN, b"not begun", False, 0.0
                 )
@@ -343,18 +377,20 @@
                 )
                 if result.is_unreachable:
                     self.commands.put(lambda: self._lose_upstream(caller))
-            self.commands.put(lambda: self._finish(session, outcome))
+            self.commands.put(lambda: self._finish(session, outcome, units))
             self.wakeup.set()
 
         self.workers.submit(work)
 
-    def _lose_upstream(self, caller: UpstreamCaller) -> None:
+    def _lose_upstream(self, caller: TaskCaller) -> None:
         """Stops new work until the upstream announces itself again."""
         if caller is self.caller and self.upstream.leave():
             self._close_slots("unreachable")
 
-    def _finish(self, session: SidecarSession, outcome: Outcome) -> None:
-        self.ledger.running -= 1
+    def _finish(
+        self, session: SidecarSession, outcome: Outcome, units: int
+    ) -> None:
+        self.ledger.running -= units
         self.metrics.count("outcomes_total", {"state": outcome.state.value})
         if outcome.state is TaskState.NOT_RUN:
             session.forget(outcome.task)
@@ -365,13 +401,53 @@
     def _open_slots(self, announcement: Announcement) -> None:
         if self.workers is not None:
             self.workers.shutdown(wait=False)
-        self.workers = ThreadPoolExecutor(
-            self.upstream.slots, thread_name_prefix="slot"
-        )
-        self.caller = UpstreamCaller(
+        workers = min(self.upstream.slots, MAX_WORKERS)
+        self.workers = ThreadPoolExecutor(workers, thread_name_prefix="slot")
+        earlier = self.caller
+        self.caller = self.make_caller(announcement, self.report_lost)
+        if earlier is not None and earlier is not self.caller:
+            earlier.close()
+        self.ledger.slots = self.upstream.slots
+
+    def _make_http_caller(
+        self, announcement: Announcement, _on_lost: Callable[[], None]
+    ) -> TaskCaller:
+        return UpstreamCaller(
             announcement.address, self.policy.not_run_statuses
         )
-        self.ledger.slots = self.upstream.slots
+
+    def _units(self, message: Start) -> int:
+        """Returns the credits of a task, all of them if it never fits."""
+        capacity, slots = self.upstream.capacity, self.upstream.slots
+        units = units_needed(message.need, capacity, slots)
+        return max(slots, 1) if units is None else units
+
+    def _has_lapsed(self, session: SidecarSession) -> bool:
+        """Tells whether the entry's session at a leased upstream is over."""
+        if self.caller is None or not self.caller.is_leased:
+            return False
+        held_s = self.clock.monotonic() - session.echo_s
+        return held_s > self.timing.session_s
+
+    def _stop_lapsed(self, session: SidecarSession) -> None:
+        """Stops the tasks of an entry that may have given them up."""
+        if not self._has_lapsed(session):
+            session.is_over = False
+            return
+        running = session.running()
+        if session.is_over or not running:
+            return
+        assert self.caller is not None
+        session.is_over = True
+        self.log.warning(
+            "session_over",
+            entry=format_incarnation(session.entry),
+            epoch=session.fence.epoch,
+            tasks=len(running),
+            echo_age_s=self.clock.monotonic() - session.echo_s,
+        )
+        for ref in running:
+            self.caller.stop(ref, b"session over")
 
     def _close_slots(self, reason: str) -> None:
         self.ledger.slots = 0
@@ -384,10 +460,11 @@
         now_s = self.clock.monotonic()
         if now_s < self.next_tick_s:
             return
-        self.next_tick_s = now_s + TICK_S
+        self.next_tick_s = now_s + self.timing.tick_s
         if self.upstream.expire(now_s):
             self._close_slots("announcement expired")
         for session in list(self.sessions.values()):
+            self._stop_lapsed(session)
             silent_s = now_s - session.last_heard_s
             if silent_s > SESSION_RETENTION_S and session.drop_outcomes():
                 del self.sessions[session.entry]
@@ -399,6 +476,8 @@
     def _share_slots(self) -> None:
         if self.upstream.state is not UpstreamState.SERVING:
             return
+        if self.caller is None or not self.caller.is_clear:
+            return
         now_s = self.clock.monotonic()
         self.ledger.slots = self.upstream.slots
         for entry in self.ledger.allocate():
@@ -414,7 +493,7 @@
             is_open = not session.fence.broken
             if session.outbox or (due and is_open):
                 session.last_sent_s = now_s
-                data = self.encoder.encode(session.next_frame())
+                data = self.encoder.encode(session.next_frame(now_s))
                 self.socket.send_multipart([session.route, data])
 
     def _notify_listeners(self) -> None:
--- a/sardinestair/sidecar/main.py
+++ b/sardinestair/sidecar/main.py
@@ -2,6 +2,7 @@
 
 from sardinestair.cli.service import ServiceCommand, run_command
 from sardinestair.settings import SidecarSettings
+from sardinestair.sidecar.platform_process import PlatformSidecarProcess
 from sardinestair.sidecar.process import SidecarProcess
 
 __all__ = ["SidecarCommand", "main"]
@@ -24,9 +25,15 @@
 
     def make(self, settings: SidecarSettings) -> SidecarProcess:
         """Returns the sidecar for checked settings."""
-        return SidecarProcess(settings)
+        if settings.platform is None:
+            return SidecarProcess(settings)
+        return PlatformSidecarProcess(settings)
 
 
 def main() -> None:
     """Runs the program."""
     run_command(SidecarCommand())
+
+
+if __name__ == "__main__":
+    main()
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -25,6 +25,8 @@
 MAX_BODY_BYTES = 64 << 10
 DRAIN_POLL_S = 0.02
 FORGET_ENTRY_S = 60.0
+# The links, the upstream's lease and the registered entries.
+OWN_TASKS = 3
 
 
 class SidecarProcess:
@@ -54,9 +56,9 @@
             sidecar=format_incarnation(self.incarnation),
             zone=settings.zone,
         )
-        # One thread for the links and one for each entry.
+        # A few threads of its own and one for each entry.
         # Announcers that have been replaced may take a moment to end.
-        self.tasks = TaskPool(1 + 2 * settings.max_entries, self.log)
+        self.tasks = TaskPool(OWN_TASKS + 2 * settings.max_entries, self.log)
         self.mentioned_s: dict[str, float] = {}
         address = settings.address
         self.server = LinkServer(
@@ -66,6 +68,7 @@
             self.clock,
             self.metrics,
             self.context,
+            settings.link,
         )
         if settings.advertise is not None:
             self.server.advertised = f"tcp://{settings.advertise}"
@@ -107,12 +110,22 @@
             self.is_stopping = True
             for announcer in self.announcers.values():
                 announcer.stop()
+        self._stop_threads()
+        self.log.info("sidecar_stopped", unsettled=unsettled)
+        return unsettled == 0
+
+    def reload(self, settings: SidecarSettings) -> None:
+        """Takes changed settings; entries are met, the rest needs a restart."""
+        self._meet_entries(settings.entries)
+
+    def _stop_threads(self) -> None:
         self.http.stop()
         self.server.stop()
         self.tasks.close()
         self.context.term()
-        self.log.info("sidecar_stopped", unsettled=unsettled)
-        return unsettled == 0
+
+    def _configured_entries(self) -> list[str]:
+        return self.settings.entries
 
     def _unsettled(self) -> int:
         return self.server.submit(self.server.unsettled).result()
@@ -139,7 +152,7 @@
             for entry, at_s in self.mentioned_s.items()
             if now_s - at_s <= FORGET_ENTRY_S
         }
-        return [*self.settings.entries, *self.mentioned_s]
+        return [*self._configured_entries(), *self.mentioned_s]
 
     def _announce_to(self, entry: str) -> None:
         announcer = Announcer(
--- a/sardinestair/store/etcd.py
+++ b/sardinestair/store/etcd.py
@@ -53,9 +53,12 @@
         self.current = 0
         self.local = threading.local()
 
-    def read(self, prefix: str) -> Result[Snapshot, StoreError]:
-        """Reads all keys with a prefix."""
-        answer = self._call("/v3/kv/range", self._range(prefix))
+    def read(
+        self, prefix: str, may_be_stale: bool = False
+    ) -> Result[Snapshot, StoreError]:
+        """Reads all keys with a prefix; old values if they may be stale."""
+        request = {**self._range(prefix), "serializable": may_be_stale}
+        answer = self._call("/v3/kv/range", request)
         return answer.map(self._to_snapshot)
 
     def commit(self, swaps: Sequence[Swap]) -> Result[Commit, StoreError]:
--- a/sardinestair/store/port.py
+++ b/sardinestair/store/port.py
@@ -100,8 +100,10 @@
 class Store(Protocol):
     """The platform's service; every call counts against its rates."""
 
-    def read(self, prefix: str) -> Result[Snapshot, StoreError]:
-        """Reads all keys with a prefix."""
+    def read(
+        self, prefix: str, may_be_stale: bool = False
+    ) -> Result[Snapshot, StoreError]:
+        """Reads all keys with a prefix; old values if they may be stale."""
         ...
 
     def commit(self, swaps: Sequence[Swap]) -> Result[Commit, StoreError]:
--- a/sardinestair/store/registration.py
+++ b/sardinestair/store/registration.py
@@ -1,18 +1,28 @@
 """Registers an entry in the store under a lease, and reads the others."""
 
 import threading
+from collections.abc import Callable
 
 import msgspec
+from expression import Result
 
 from sardinestair.observability import EventLog
-from sardinestair.store.port import ABSENT, Store, Swap
+from sardinestair.store.port import (
+    ABSENT,
+    KeyValue,
+    Store,
+    StoreError,
+    Swap,
+)
 
-__all__ = ["EntryRecord", "Registration"]
+__all__ = ["EntryRecord", "Registration", "read_entries"]
 
 PREFIX = "entries/"
 LEASE_TTL_S = 10
 INTERVAL_S = 3.0
 
+_log = EventLog("registration")
+
 
 class EntryRecord(msgspec.Struct, frozen=True):
     """What an entry registers of itself.
@@ -28,6 +38,24 @@
     http_address: str
 
 
+def read_entries(
+    store: Store, may_be_stale: bool = False
+) -> Result[list[EntryRecord], StoreError]:
+    """Reads the registered entries; an unreadable record names none."""
+    found = store.read(PREFIX, may_be_stale)
+    return found.map(lambda snapshot: _decode_records(snapshot.items))
+
+
+def _decode_records(items: list[KeyValue]) -> list[EntryRecord]:
+    records = []
+    for item in items:
+        try:
+            records.append(msgspec.json.decode(item.value, type=EntryRecord))
+        except msgspec.DecodeError as error:
+            _log.warning("record_unreadable", key=item.key, reason=str(error))
+    return records
+
+
 class Registration:
     """Keeps an entry registered.
 
@@ -38,12 +66,20 @@
         store: The platform's service.
         record: What to register.
         on_records: Takes the registered entries.
+        interval_s: Time between two renewals, in seconds.
 
     Attributes:
         lease: Id of the present lease, 0 if there is none.
     """
 
-    def __init__(self, store: Store, record: EntryRecord, on_records):
+    def __init__(
+        self,
+        store: Store,
+        record: EntryRecord,
+        on_records: Callable[[list[EntryRecord]], object],
+        interval_s: float = INTERVAL_S,
+    ):
+        self.interval_s = interval_s
         self.store = store
         self.record = record
         self.on_records = on_records
@@ -55,7 +91,7 @@
         """Keeps the registration until `stop`, then ends it."""
         while not self.stopping.is_set():
             self.renew()
-            self.stopping.wait(INTERVAL_S)
+            self.stopping.wait(self.interval_s)
         if self.lease:
             self.store.revoke_lease(self.lease)
 
@@ -72,14 +108,15 @@
                 self.lease = 0
         if not self.lease:
             self._register()
-        found = self.store.read(PREFIX)
-        if found.is_ok():
-            self.on_records(
-                [
-                    msgspec.json.decode(item.value, type=EntryRecord)
-                    for item in found.ok.items
-                ]
-            )
+        found = read_entries(self.store)
+        if found.is_error():
+            self.log.warning("store_unanswered", reason=found.error.reason)
+            return
+        if self.lease and self.record not in found.ok:
+            # The store has taken the key away without ending the lease.
+            self.log.warning("registration_gone", lease=self.lease)
+            self._register()
+        self.on_records(found.ok)
 
     def _register(self) -> None:
         lease = self.store.grant_lease(LEASE_TTL_S)
--- a/sardinestair/tests/fakes.py
+++ b/sardinestair/tests/fakes.py
@@ -70,10 +70,16 @@
 class FakeUpstream:
     """Records starts; answers with the name of the task."""
 
+    is_leased = False
+    is_clear = True
+
     def __init__(self, starts):
         self.starts = starts
         self.state = TaskState.DONE
 
+    def stop(self, _ref, _reason=b""):
+        pass
+
     def call(self, ref, _payload, timeout_s):
         assert timeout_s > 0
         if self.state is not TaskState.NOT_RUN:
--- a/sardinestair/upstreams/__init__.py
+++ b/sardinestair/upstreams/__init__.py
@@ -1,6 +1,8 @@
 """Upstreams as sidecars see them."""
 
 from sardinestair.upstreams.caller import CallResult, UpstreamCaller
+from sardinestair.upstreams.leased import LeasedUpstream
+from sardinestair.upstreams.orders import Orders
 from sardinestair.upstreams.upstream import (
     Announcement,
     Upstream,
@@ -10,6 +12,8 @@
 __all__ = [
     "Announcement",
     "CallResult",
+    "LeasedUpstream",
+    "Orders",
     "Upstream",
     "UpstreamCaller",
     "UpstreamState",
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Collection
+from typing import Protocol
 
 import msgspec
 
@@ -10,7 +11,7 @@
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.transfer import Reply, Transfer
 
-__all__ = ["CallResult", "UpstreamCaller"]
+__all__ = ["CallResult", "TaskCaller", "UpstreamCaller"]
 
 MAX_REASON_CHARACTERS = 200
 TASK_PATH = "/tasks"
@@ -35,6 +36,30 @@
     is_unreachable: bool = False
 
 
+class TaskCaller(Protocol):
+    """What runs the tasks of one upstream.
+
+    Attributes:
+        is_leased: True if tasks can be stopped, and end with their lease.
+        is_clear: True once no task of an earlier sidecar can be running.
+    """
+
+    is_leased: bool
+    is_clear: bool
+
+    def call(
+        self, ref: TaskRef, payload: bytes, timeout_s: float
+    ) -> CallResult:
+        """Runs one task and waits for its end."""
+        ...
+
+    def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
+        """Asks for a task to be stopped, where that is possible."""
+
+    def close(self) -> None:
+        """Ends what the caller runs by itself."""
+
+
 class UpstreamCaller:
     """Runs tasks at one upstream, with one connection for each thread.
 
@@ -50,6 +75,9 @@
         <TaskState.NOT_RUN: 'not_run'>
     """
 
+    is_leased = False
+    is_clear = True
+
     def __init__(self, address: str, not_run_statuses: Collection[int] = ()):
         self.address = address
         self.not_run_statuses = frozenset(not_run_statuses)
@@ -83,6 +111,12 @@
         reason = reply.reason.encode()
         return CallResult(state, reason, False, run_s, not reply.was_sent)
 
+    def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
+        """Does nothing: a request that is under way can't be stopped."""
+
+    def close(self) -> None:
+        """Does nothing: connections end with their threads."""
+
     def _transfer(self) -> Transfer:
         transfer = getattr(self.local, "transfer", None)
         if transfer is None:
--- /dev/null
+++ b/sardinestair/upstreams/leased.py
@@ -0,0 +1,395 @@
+"""Runs tasks at an upstream that is told to start, stop and hold them.
+
+One thread renews the lease and fetches the ends of runs; the worker of each
+task sends its start and waits for its end. A start without an answer leaves
+its run *unsettled*: it counts as maybe started until the upstream's own lists
+or an answered stop tell.
+"""
+
+import threading
+from collections.abc import Callable
+
+from sardinestair.clock import Clock
+from sardinestair.links.timing import DRIFT
+from sardinestair.messages import TaskRef, TaskState
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.upstreams.caller import CallResult
+from sardinestair.upstreams.orders import (
+    EndKind,
+    OrderError,
+    Orders,
+    RunName,
+    RunReport,
+    RunState,
+)
+
+__all__ = ["STALLED", "LeasedUpstream"]
+
+# Several times a local round trip on a busy machine; a task of 120 ms that
+# lost its start must still find time elsewhere.
+START_TIMEOUT_S = 0.08
+STOP_TIMEOUT_S = 0.08
+# A third of the shortest lease in use, so that two renewals may be lost.
+REPORT_WAIT_S = 0.15
+REPORT_TIMEOUT_S = 0.3
+REPORT_PAUSE_S = 0.05
+# One hundredth of a task of 30 s; a task that does less is better off
+# elsewhere.
+STALL_S = 0.35
+# A stop takes 50 ms at most, and its end is listed in the report after it.
+END_GRACE_S = 0.5
+MAX_STOPS_A_REPORT = 16
+
+STALLED = b"stalled"
+"""Reason of an interrupted task that had stopped making progress."""
+
+_STATES = {
+    EndKind.DONE: TaskState.DONE,
+    EndKind.FAILED: TaskState.FAILED,
+}
+
+
+class Run:
+    """One run of a task, from its start to its end.
+
+    Attributes:
+        name: The run's name at the upstream.
+        end: How it ended, or None while it may run.
+        is_seen: True once the upstream has shown that it is there.
+        settled_s: From when on a report that lists it nowhere proves that it
+            has ended, or None while its start is unsettled.
+        is_stop_wanted: True if it should be stopped.
+        reason: Why it is stopped, in UTF-8.
+        percent: Share of its work that is done.
+        moved_s: When that last changed.
+        wakeup: Set when it has ended or should be stopped.
+    """
+
+    def __init__(self, name: RunName, now_s: float):
+        self.name = name
+        self.end: EndKind | None = None
+        self.is_seen = False
+        self.settled_s: float | None = None
+        self.is_stop_wanted = False
+        self.reason = b""
+        self.percent = -1
+        self.moved_s = now_s
+        self.wakeup = threading.Event()
+
+    def finish(self, how: EndKind) -> None:
+        """Takes note of the end; only the first counts."""
+        if self.end is None:
+            self.end = how
+            self.wakeup.set()
+
+    def ask_to_stop(self, reason: bytes) -> None:
+        """Asks the worker of the run to stop it."""
+        if not self.is_stop_wanted:
+            self.is_stop_wanted = True
+            self.reason = reason
+            self.wakeup.set()
+
+
+class LeasedUpstream:
+    """The runs at one upstream.
+
+    Args:
+        orders: What the upstream is told.
+        clock: The clock.
+        lease_s: Length of the lease of all runs, in seconds.
+        metrics: The process's metrics.
+        on_lost: Called when the upstream has not answered for a lease.
+
+    Attributes:
+        runs: The runs that may be active, by name.
+        is_clear: True once no run of an earlier sidecar can be active.
+        born_ms: When the present life of the upstream began.
+    """
+
+    is_leased = True
+
+    def __init__(
+        self,
+        orders: Orders,
+        clock: Clock,
+        lease_s: float,
+        metrics: Metrics,
+        on_lost: Callable[[], None],
+    ):
+        self.orders = orders
+        self.clock = clock
+        self.lease_s = lease_s
+        self.metrics = metrics
+        self.on_lost = on_lost
+        self.lock = threading.Lock()
+        self.runs: dict[RunName, Run] = {}
+        self.stopping = threading.Event()
+        self.made_s = clock.monotonic()
+        self.is_clear = False
+        self.is_lost = False
+        self.born_ms = 0
+        self.acknowledged = 0
+        self.remote_s: float | None = None
+        self.remote_at_s = 0.0
+        self.until_s = 0.0
+        self.log = EventLog("upstream")
+
+    # Called by the workers.
+
+    def call(
+        self, ref: TaskRef, payload: bytes, timeout_s: float
+    ) -> CallResult:
+        """Runs one task and waits for its end.
+
+        Args:
+            ref: The attempt.
+            payload: What the upstream runs.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            A `CallResult`; its body is empty or the reason in UTF-8.
+        """
+        began_s = self.clock.monotonic()
+        run = Run(self.orders.name_of(ref), began_s)
+        until_s = self._lease_end()
+        if until_s is None or self.is_lost:
+            return self._result(began_s, TaskState.NOT_RUN, b"no contact")
+        with self.lock:
+            self.runs[run.name] = run
+        try:
+            refusal = self._start(run, payload, until_s)
+            if refusal is not None:
+                return self._result(began_s, TaskState.NOT_RUN, refusal)
+            self._await_end(run, began_s + timeout_s)
+        finally:
+            with self.lock:
+                del self.runs[run.name]
+        return self._ended(run, began_s)
+
+    def stop(self, ref: TaskRef, reason: bytes = b"cancelled") -> None:
+        """Asks for an attempt to be stopped, if it runs."""
+        with self.lock:
+            run = self.runs.get(self.orders.name_of(ref))
+        if run is not None:
+            run.ask_to_stop(reason)
+
+    def close(self) -> None:
+        """Ends the thread of `run`."""
+        self.stopping.set()
+
+    def _start(self, run: Run, payload: bytes, until_s: float) -> bytes | None:
+        """Sends a start; returns the reason if it was not taken."""
+        reply = self.orders.start(run.name, payload, until_s, START_TIMEOUT_S)
+        if reply.is_error():
+            return self._start_unanswered(run, reply.error, until_s)
+        refusal = reply.ok.refusal
+        if refusal is not None:
+            self.log.info(
+                "start_refused",
+                job=run.name.job,
+                task=run.name.index,
+                run=run.name.number,
+                reason=refusal.value,
+            )
+            return refusal.value.encode()
+        run.is_seen = True
+        run.settled_s = self.clock.monotonic()
+        return None
+
+    def _start_unanswered(
+        self, run: Run, error: OrderError, until_s: float
+    ) -> bytes | None:
+        self.metrics.count("starts_unanswered_total", {})
+        self.log.warning(
+            "start_unanswered",
+            job=run.name.job,
+            task=run.name.index,
+            run=run.name.number,
+            may_be_done=error.may_be_done,
+            reason=error.reason,
+        )
+        if not error.may_be_done:
+            return error.reason.encode()
+        if not run.is_seen:
+            run.ask_to_stop(b"start unanswered")
+            # It can't be carried out later than that.
+            late_s = max(0.0, until_s - self._remote_now()) * (1 + DRIFT)
+            run.settled_s = self.clock.monotonic() + late_s
+        return None
+
+    def _await_end(self, run: Run, limit_s: float) -> None:
+        """Waits for a run's end, and stops it if that is asked for."""
+        while run.end is None:
+            left_s = limit_s - self.clock.monotonic()
+            if left_s <= 0:
+                run.ask_to_stop(b"deadline passed")
+            if not run.is_stop_wanted:
+                run.wakeup.wait(left_s)
+                continue
+            run.wakeup.clear()
+            if run.end is None and self._send_stop(run):
+                run.wakeup.wait(END_GRACE_S)
+
+    def _send_stop(self, run: Run) -> bool:
+        reply = self.orders.stop(run.name, STOP_TIMEOUT_S)
+        if reply.is_error():
+            self.log.warning(
+                "stop_unanswered",
+                job=run.name.job,
+                task=run.name.index,
+                run=run.name.number,
+                reason=reply.error.reason,
+            )
+            return False
+        now_s = self.clock.monotonic()
+        if run.settled_s is None or run.settled_s > now_s:
+            # The upstream refuses it from here on.
+            run.settled_s = now_s
+        return True
+
+    def _ended(self, run: Run, began_s: float) -> CallResult:
+        assert run.end is not None
+        if run.end is EndKind.OTHER and not run.is_seen:
+            return self._result(began_s, TaskState.NOT_RUN, run.reason)
+        state = _STATES.get(run.end, TaskState.INTERRUPTED)
+        reason = run.reason or run.end.value.encode()
+        body = b"" if state is TaskState.DONE else reason
+        return self._result(began_s, state, body)
+
+    def _result(
+        self, began_s: float, state: TaskState, body: bytes
+    ) -> CallResult:
+        run_s = self.clock.monotonic() - began_s
+        return CallResult(state, body, False, run_s)
+
+    # The task that holds the lease.
+
+    def run(self) -> None:
+        """Renews the lease and takes the ends of runs until `close`."""
+        while not self.stopping.is_set():
+            self.renew()
+        # Nobody renews the lease any more, so that what runs ends with it.
+        threading.Event().wait(self.lease_s * (1 + DRIFT))
+        self._finish_all(EndKind.LAPSED)
+
+    def renew(self) -> None:
+        """Renews the lease once, and takes what the upstream reports."""
+        sent_s = self.clock.monotonic()
+        until_s = self._lease_end()
+        if until_s is not None:
+            self.until_s = max(self.until_s, until_s)
+        reply = self.orders.report(
+            until_s, self.acknowledged, REPORT_WAIT_S, REPORT_TIMEOUT_S
+        )
+        if reply.is_error():
+            self._report_missing(reply.error)
+            self.stopping.wait(REPORT_PAUSE_S)
+            return
+        self._take(reply.ok, sent_s)
+
+    def _report_missing(self, error: OrderError) -> None:
+        self.metrics.count("reports_missing_total", {})
+        if self.remote_s is None or self._remote_now() < self.until_s:
+            self.log.warning("report_missing", reason=error.reason)
+            return
+        lapsed = self._finish_all(EndKind.LAPSED)
+        if not self.is_lost:
+            self.is_lost, self.is_clear = True, False
+            self.log.error("upstream_lost", runs=lapsed, reason=error.reason)
+            self.on_lost()
+
+    def _finish_all(self, how: EndKind) -> int:
+        with self.lock:
+            runs = list(self.runs.values())
+        for run in runs:
+            run.finish(how)
+        return len(runs)
+
+    def _take(self, report: RunReport, sent_s: float) -> None:
+        now_s = self.clock.monotonic()
+        self.remote_s, self.remote_at_s = report.clock_s, now_s
+        if self.is_lost:
+            self.is_lost = False
+            self.log.info("upstream_regained")
+        if report.born_ms != self.born_ms:
+            self._meet_new_life(report.born_ms)
+        with self.lock:
+            known = dict(self.runs)
+        self._take_ends(report, known)
+        self._take_active(report, known, now_s)
+        listed = {state.run for state in report.active}
+        for run in known.values():
+            settled_s = run.settled_s
+            if settled_s is None or run.name in listed:
+                continue
+            if settled_s < sent_s:
+                # It is nowhere, so it never began or ended with its life.
+                run.finish(EndKind.OTHER)
+        self._clear(report.active, known, now_s)
+
+    def _meet_new_life(self, born_ms: int) -> None:
+        self.log.info(
+            "upstream_life", born_ms=born_ms, earlier_born_ms=self.born_ms
+        )
+        self.born_ms = born_ms
+        self.acknowledged = 0
+
+    def _take_ends(self, report: RunReport, known: dict[RunName, Run]) -> None:
+        for end in report.ends:
+            run = known.get(end.run)
+            if run is not None:
+                run.is_seen = True
+                run.finish(end.how)
+            self.acknowledged = max(self.acknowledged, end.sequence)
+
+    def _take_active(
+        self, report: RunReport, known: dict[RunName, Run], now_s: float
+    ) -> None:
+        for state in report.active:
+            run = known.get(state.run)
+            if run is None:
+                continue
+            run.is_seen = True
+            if state.percent != run.percent:
+                run.percent, run.moved_s = state.percent, now_s
+            elif now_s - run.moved_s > STALL_S and not run.is_stop_wanted:
+                self.log.warning(
+                    "run_stalled",
+                    job=run.name.job,
+                    task=run.name.index,
+                    run=run.name.number,
+                    percent=run.percent,
+                    still_s=now_s - run.moved_s,
+                )
+                run.ask_to_stop(STALLED)
+
+    def _clear(
+        self, active: list[RunState], known: dict[RunName, Run], now_s: float
+    ) -> None:
+        """Stops the runs that this sidecar does not know."""
+        with self.lock:
+            unknown = [
+                state.run
+                for state in active
+                if state.run not in known and state.run not in self.runs
+            ]
+        for name in unknown[:MAX_STOPS_A_REPORT]:
+            self.log.warning(
+                "unknown_run", job=name.job, task=name.index, run=name.number
+            )
+            if self.orders.stop(name, STOP_TIMEOUT_S).is_error():
+                break
+        # A start of an earlier sidecar can be carried out for a lease.
+        is_over = now_s - self.made_s >= self.lease_s * (1 + DRIFT)
+        self.is_clear = not unknown and (self.is_clear or is_over)
+
+    def _remote_now(self) -> float:
+        """Returns the earliest that the upstream's clock can show now."""
+        assert self.remote_s is not None
+        passed_s = self.clock.monotonic() - self.remote_at_s
+        return self.remote_s + passed_s * (1 - DRIFT)
+
+    def _lease_end(self) -> float | None:
+        if self.remote_s is None:
+            return None
+        return self._remote_now() + self.lease_s
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -6,6 +6,8 @@
 import msgspec
 from msgspec import Meta
 
+from sardinestair.limits.resources import Resources
+
 __all__ = ["Announcement", "Upstream", "UpstreamState"]
 
 MAX_SLOTS = 4096
@@ -19,11 +21,12 @@
     Attributes:
         service: The service that it answers for.
         address: Base URL, with the IP number and port.
-        slots: Tasks that it runs at a time.
+        slots: Tasks that it runs at a time; not used if it has a capacity.
         connections: Connections that it accepts.
         ttl_s: How long the announcement holds, in seconds.
         health_path: Path that answers 2xx while the upstream is well, or
             empty if it has none.
+        capacity: Its resources, for an upstream that does not count slots.
     """
 
     service: Annotated[str, Meta(pattern=_NAME)]
@@ -32,6 +35,7 @@
     connections: Annotated[int, Meta(ge=1, le=65536)] = 64
     ttl_s: Annotated[float, Meta(gt=0, le=MAX_TTL_S)] = 5.0
     health_path: Annotated[str, Meta(pattern=r"^(/\S*)?$")] = ""
+    capacity: Resources | None = None
 
 
 class UpstreamState(enum.Enum):
@@ -74,11 +78,18 @@
 
     @property
     def slots(self) -> int:
-        """Tasks that may run at a time: its slots, within its connections."""
+        """Credit units: thousandths of a core, or slots within connections."""
         if self.announcement is None:
             return 0
+        if self.announcement.capacity is not None:
+            return self.announcement.capacity.cpu_millis
         return min(self.announcement.slots, self.announcement.connections)
 
+    @property
+    def capacity(self) -> Resources | None:
+        """Its resources, or None if it counts slots."""
+        return self.announcement.capacity if self.announcement else None
+
     @property
     def service(self) -> str:
         """The service that it answers for, or empty."""
--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -20,9 +20,11 @@
     "Request",
     "Response",
     "WebApp",
+    "connection_of",
     "json_response",
     "operations_rules",
     "problem_response",
+    "retry_after",
 ]
 
 JSON_TYPE = "application/json"
@@ -32,6 +34,7 @@
 # One classic BPF instruction, `ret #0`: pass no byte of any packet.
 BPF_RETURN_ZERO = struct.pack("HBBI", 0x06, 0, 0, 0)
 LISTEN_BACKLOG = 1024
+CONNECTION_KEY = "sardinestair.connection"
 
 Handler = Callable[..., Response]
 
@@ -59,12 +62,20 @@
         mimetype=PROBLEM_TYPE,
     )
     if problem.retry_after_s is not None:
-        # The header has whole seconds only; the document has the exact time.
-        seconds = max(1, -int(-problem.retry_after_s // 1))
-        response.headers["Retry-After"] = str(seconds)
+        response.headers["Retry-After"] = retry_after(problem)
     return response
 
 
+def retry_after(problem: Problem) -> str:
+    """Returns the header value; whole seconds, at least one."""
+    return str(max(1, -int(-(problem.retry_after_s or 0.0) // 1)))
+
+
+def connection_of(request: Request) -> socket.socket | None:
+    """Returns the caller's connection, or None in a test without one."""
+    return request.environ.get(CONNECTION_KEY)
+
+
 class WebApp:
     """A WSGI application with routes.
 
@@ -141,6 +152,15 @@
     return response
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Hands the connection on to the application."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self.req.conn.socket
+        return environ
+
+
 class HttpServer:
     """Serves a WSGI application from a pool of threads.
 
@@ -172,6 +192,7 @@
             timeout=SOCKET_TIMEOUT_S,
             shutdown_timeout=2,
         )
+        self.server.gateway = _Gateway
         self.server.max_request_body_size = 4 * self.app.max_body_bytes
         self.server.prepare()
         self.port = self.server.bind_addr[1]
@@ -191,9 +212,13 @@
         assert self.server is not None and self.server.socket is not None
         drop_all = ctypes.create_string_buffer(BPF_RETURN_ZERO)
         program = struct.pack("HxxxxxxP", 1, ctypes.addressof(drop_all))
-        self.server.socket.setsockopt(
-            socket.SOL_SOCKET, SO_ATTACH_FILTER, program
-        )
+        try:
+            self.server.socket.setsockopt(
+                socket.SOL_SOCKET, SO_ATTACH_FILTER, program
+            )
+        except OSError as error:
+            # Connections that come in the last moment may then be reset.
+            self.app.log.warning("filter_refused", reason=str(error))
 
     def stop(self) -> None:
         """Stops listening, and ends idle connections."""
