--- a/model/check.py
+++ b/model/check.py
@@ -12,6 +12,7 @@
 
 from model.answers import AnswerMutant, make_answers
 from model.claims import ClaimMutant, make_claims
+from model.session_lease import LeaseMutant, make_session_lease
 from model.start_protocol import StartMutant, make_start_protocol
 
 __all__ = ["CASES", "Case", "Finding", "check"]
@@ -29,7 +30,7 @@
     """
 
     make: Callable
-    mutant: StartMutant | ClaimMutant | AnswerMutant | None = None
+    mutant: StartMutant | ClaimMutant | AnswerMutant | LeaseMutant | None = None
 
 
 class Finding(msgspec.Struct, frozen=True):
@@ -52,9 +53,11 @@
     Case(make_start_protocol),
     Case(make_claims),
     Case(make_answers),
+    Case(make_session_lease),
     *(Case(make_start_protocol, mutant) for mutant in StartMutant),
     *(Case(make_claims, mutant) for mutant in ClaimMutant),
     *(Case(make_answers, mutant) for mutant in AnswerMutant),
+    *(Case(make_session_lease, mutant) for mutant in LeaseMutant),
 ]
 
 
--- /dev/null
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -0,0 +1,199 @@
+"""When a task whose run has ended may run again, and where."""
+
+import msgspec
+import pytest
+
+from sardinestair.clock import ManualClock
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.ids import Incarnation, JobId, new_incarnation
+from sardinestair.jobs import JobState
+from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
+from sardinestair.limits.resources import Resources
+from sardinestair.links.entry_link import LinkState
+from sardinestair.links.timing import LinkTiming
+from sardinestair.messages import Announce, Grant, Outcome, TaskState
+from sardinestair.observability import Metrics
+from sardinestair.outcomes import ProblemKind
+from sardinestair.settings import parse_tree
+from sardinestair.tests.fakes import FakeContext
+from sardinestair.upstreams.leased import STALLED
+
+TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
+A, B = (Incarnation(bytes([n]) * 16) for n in (1, 2))
+JOB = JobId(b"j" * 16)
+CAPACITY = Resources(16000, 65536, 0)
+
+
+class Entry:
+    def __init__(self, max_attempts):
+        self.clock = ManualClock()
+        self.dispatcher = Dispatcher(
+            new_incarnation(), "z", self.clock, Metrics(), FakeContext(), TIMING
+        )
+        limits = f"set: {{max_attempts: {max_attempts}}}"
+        tree = parse_tree(limits + "\nservices: {quotes: {}}").ok
+        self.dispatcher.configure(tree)
+        self.links = {}
+        for sidecar in (A, B):
+            self.meet(sidecar)
+
+    def meet(self, sidecar):
+        announce = Announce(
+            sidecar, "tcp://127.0.0.1:1", "z", "quotes", 16000, False, 0,
+            CAPACITY, True,
+        )  # fmt: skip
+        link = self.links[sidecar] = self.dispatcher.meet(announce)
+        link.state = LinkState.UP
+        link._handle(Grant(16000))
+
+    def submit(self, tasks=1, best_effort=False):
+        request = JobRequest(
+            "quotes", "team", [TaskRequest(msgspec.Raw(b"{}"))] * tasks,
+            deadline_s=10.0, need=Resources(1600, 64, 0),
+            best_effort=best_effort,
+        )  # fmt: skip
+        return self.dispatcher.submit(ParsedRequest(JOB, request, b"d"))
+
+    def held(self):
+        """Returns the sidecar and attempt of each task that is out."""
+        return {
+            ref.index: (sidecar, ref)
+            for sidecar, link in self.links.items()
+            for ref in link.outstanding.values()
+        }
+
+    def end(self, index, state, body=b""):
+        sidecar, ref = self.held()[index]
+        with self.dispatcher.lock:
+            self.links[sidecar]._handle(Outcome(ref, state, body, False, 0.1))
+            self.dispatcher.links_handled()
+        return sidecar
+
+
+@pytest.fixture
+def entry():
+    entry = Entry(max_attempts=2)
+    yield entry
+    for link in entry.links.values():
+        link.wakeup.close()
+
+
+def test_default_never_starts_a_task_again():
+    entry = Entry(max_attempts=1)
+    job = entry.submit().ok
+    entry.end(0, TaskState.INTERRUPTED, b"lapsed")
+    assert job.state is JobState.FAILED
+    assert not job.done.result().error.not_run
+    assert entry.held() == {}
+
+
+def test_failed_task_runs_again_elsewhere(entry):
+    job = entry.submit().ok
+    first = entry.end(0, TaskState.FAILED, b"failed")
+    sidecar, ref = entry.held()[0]
+    assert sidecar != first
+    assert ref.attempt == 2
+    entry.end(0, TaskState.DONE)
+    assert job.state is JobState.COMPLETE
+
+
+def test_task_that_has_failed_as_often_as_allowed_fails_its_job(entry):
+    job = entry.submit().ok
+    entry.end(0, TaskState.FAILED)
+    entry.end(0, TaskState.FAILED)
+    assert job.done.result().error.kind is ProblemKind.FAILED
+
+
+def test_interrupted_runs_do_not_count_as_failures(entry):
+    job = entry.submit().ok
+    for _ in range(5):
+        entry.end(0, TaskState.INTERRUPTED, b"lapsed")
+    assert job.is_active
+    entry.end(0, TaskState.FAILED)
+    assert job.is_active
+
+
+def test_stalled_task_does_not_go_back_to_its_upstream(entry):
+    entry.submit()
+    first = entry.end(0, TaskState.INTERRUPTED, STALLED)
+    assert entry.held()[0][0] != first
+
+
+def test_only_upstream_left_gets_the_task_again(entry):
+    job = entry.submit().ok
+    first = entry.held()[0][0]
+    other = A if first == B else B
+    entry.links[other].state = LinkState.LEAVING
+    entry.dispatcher.services["quotes"].refresh(entry.links[other], 0.0)
+    assert entry.end(0, TaskState.FAILED) == first
+    assert job.failed_at == {first}
+    assert entry.held()[0][0] == first
+
+
+def test_lost_session_repeats_its_tasks_only_once_they_have_ended(entry):
+    entry.submit()
+    sidecar, ref = entry.held()[0]
+    link = entry.links[sidecar]
+    entry.clock.advance(TIMING.lost_s - 0.05)
+    link._is_silent()
+    assert entry.held()[0] == (sidecar, ref)
+    entry.clock.advance(0.1)
+    link._is_silent()
+    entry.dispatcher.links_handled()
+    assert entry.held()[0][1].attempt == 2
+
+
+def test_closed_link_gives_its_tasks_up_only_with_their_session(entry):
+    """A sidecar that restarts has an upstream that runs on."""
+    job = entry.submit().ok
+    sidecar, ref = entry.held()[0]
+    link = entry.links[sidecar]
+    entry.dispatcher.forget(sidecar)
+    assert list(link.outstanding.values()) == [ref]
+    assert job.in_flight == {0: sidecar}
+    entry.clock.advance(TIMING.lost_s + 0.05)
+    link._await_session_end()
+    assert link.outstanding == {}
+    assert entry.held()[0][0] != sidecar
+
+
+def test_pause_of_the_entry_ends_its_sessions(entry):
+    entry.submit()
+    sidecar, _ref = entry.held()[0]
+    entry.clock.advance(30.0)
+    entry.links[sidecar]._is_silent()
+    entry.dispatcher.links_handled()
+    assert entry.held()[0][1].attempt == 2
+
+
+def test_caller_that_left_has_its_tasks_cancelled(entry):
+    job = entry.submit(tasks=3).ok
+    entry.dispatcher.caller_left(job)
+    assert job.state is JobState.CANCELLED
+
+
+def test_job_goes_on_while_one_caller_waits(entry):
+    job = entry.submit().ok
+    assert entry.submit().ok is job
+    entry.dispatcher.caller_left(job)
+    assert job.is_active
+    entry.dispatcher.caller_left(job)
+    assert not job.is_active
+
+
+def test_best_effort_job_can_be_submitted_again_after_its_caller_left(entry):
+    job = entry.submit(best_effort=True).ok
+    entry.dispatcher.caller_left(job)
+    # While the old run may be active, it is not run beside it.
+    assert entry.submit(best_effort=True).ok is job
+    entry.end(0, TaskState.INTERRUPTED)
+    again = entry.submit(best_effort=True).ok
+    assert again is not job
+    assert entry.held()[0][1].attempt == 2
+
+
+def test_give_up_answers_every_job(entry):
+    job = entry.submit().ok
+    entry.dispatcher.give_up("the entry is stopping")
+    assert job.done.result().error.kind is ProblemKind.DRAINING
+    assert not job.done.result().error.not_run
--- /dev/null
+++ b/sardinestair/platform/tests/standins.py
@@ -0,0 +1,241 @@
+"""Stand-ins that speak the platform's calls over HTTP, for tests."""
+
+import base64
+import threading
+
+import msgspec
+
+from sardinestair.observability import EventLog
+from sardinestair.standins.runner import RunnerModel
+from sardinestair.upstreams.orders import EndKind, Refusal, RunName
+from sardinestair.web import (
+    HttpServer,
+    Request,
+    Response,
+    WebApp,
+    json_response,
+)
+
+_REASONS = {
+    Refusal.OLD_RUN: "old",
+    Refusal.TOO_LATE: "late",
+    Refusal.NO_ROOM: "room",
+}
+_ENDS = {
+    EndKind.DONE: "done",
+    EndKind.FAILED: "failed",
+    EndKind.STOPPED: "stopped",
+    EndKind.LAPSED: "lapsed",
+}
+POLL_S = 0.005
+
+
+class RunnerServer:
+    """Serves a `RunnerModel` the way a runner does."""
+
+    def __init__(self, model: RunnerModel):
+        self.model = model
+        self.lock = threading.Lock()
+        self.requests: list[tuple[str, dict]] = []
+        self.status = 200
+        rules = [
+            ("/run-start", ["POST"], self.start_run),
+            ("/run-stop", ["POST"], self.stop_run),
+            ("/hold", ["POST"], self.hold),
+        ]
+        app = WebApp(rules, 1 << 20, EventLog("runner_standin"))
+        self.http = HttpServer("127.0.0.1", 0, app, 4)
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.http.port}"
+
+    def start_run(self, request: Request) -> Response:
+        body = self._note(request)
+        if self.status != 200:
+            return json_response(self._clock(), self.status)
+        payload = body["spec"].encode()
+        run = self._run(body)
+        with self.lock:
+            reply = self.model.start(run, payload, body["until_ms"] / 1000, 1.0)
+        if reply.ok.refusal is None:
+            return json_response(self._clock())
+        reason = _REASONS[reply.ok.refusal]
+        return json_response({**self._clock(), "reason": reason}, 409)
+
+    def stop_run(self, request: Request) -> Response:
+        body = self._note(request)
+        with self.lock:
+            self.model.stop(self._run(body), 1.0)
+        return json_response(self._clock())
+
+    def hold(self, request: Request) -> Response:
+        body = self._note(request)
+        until = body.get("until_ms")
+        until_s = None if until is None else until / 1000
+        for _ in range(int(body.get("wait_ms", 0) / 1000 / POLL_S) + 1):
+            with self.lock:
+                report = self.model.report(until_s, body["ack_seq"], 0, 1.0).ok
+            if report.ends:
+                break
+            threading.Event().wait(POLL_S)
+        return json_response(
+            {
+                **self._clock(),
+                "born": report.born_ms,
+                "active": [
+                    [_task(s.run), s.run.number, "", s.percent, 1600]
+                    for s in report.active
+                ],
+                "finished": [
+                    [e.sequence, _task(e.run), e.run.number, _ENDS[e.how], ""]
+                    for e in report.ends
+                ],
+            }
+        )
+
+    def _note(self, request: Request) -> dict:
+        body = msgspec.json.decode(request.get_data())
+        self.requests.append((request.path, body))
+        return body
+
+    def _run(self, body: dict) -> RunName:
+        job, _, _, index = body["task"].split(".")
+        return RunName(job, int(index), body["run_id"])
+
+    def _clock(self) -> dict:
+        return {"clock_ms": int(self.model.clock.monotonic() * 1000)}
+
+
+def _task(run: RunName) -> str:
+    return f"{run.job}.0.0.{run.index}"
+
+
+class StoreServer:
+    """The platform's store: items with revisions, leases and watches.
+
+    Attributes:
+        items: Value, revision and lease by key.
+        statuses: Statuses with which the next calls are refused.
+        page: Items on one page.
+    """
+
+    def __init__(self, page=500):
+        self.items: dict[str, tuple[bytes, int, int]] = {}
+        self.events: list[dict] = []
+        self.leases: set[int] = set()
+        self.revision = 5
+        self.page = page
+        self.forgotten = 0
+        self.statuses: list[int] = []
+        self.calls: list[str] = []
+        self.lock = threading.RLock()
+        rules = [
+            ("/kv-range", ["GET"], self._checked(self.range)),
+            ("/kv-watch", ["GET"], self._checked(self.watch)),
+            ("/kv-txn", ["POST"], self._checked(self.transact)),
+            ("/kv-lease", ["POST"], self._checked(self.grant)),
+            ("/kv-keep/<int:lease>", ["POST"], self._checked(self.keep)),
+            ("/kv-lease-end/<int:lease>", ["DELETE"], self._checked(self.end)),
+        ]
+        app = WebApp(rules, 1 << 20, EventLog("store_standin"))
+        self.http = HttpServer("127.0.0.1", 0, app, 8)
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.http.port}"
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        with self.lock:
+            self.revision += 1
+            self.items[key] = (value, self.revision, lease)
+            self.events.append(self._row(key))
+
+    def remove(self, key: str) -> None:
+        with self.lock:
+            if self.items.pop(key, None) is not None:
+                self.revision += 1
+                event = {"key": key, "revision": self.revision}
+                self.events.append({**event, "deleted": True})
+
+    def range(self, request: Request) -> Response:
+        prefix = request.args["prefix"]
+        after = request.args.get("after", "")
+        with self.lock:
+            keys = sorted(
+                k for k in self.items if k.startswith(prefix) and k > after
+            )
+            rows = [self._row(key) for key in keys[: self.page]]
+            more = len(keys) > self.page
+            return json_response(
+                {"items": rows, "more_pages": more, "at_rev": self.revision}
+            )
+
+    def watch(self, request: Request) -> Response:
+        prefix, after = request.args["prefix"], int(request.args["after"])
+        if after < self.forgotten:
+            return json_response({}, 410)
+        for _ in range(int(int(request.args["wait_ms"]) / 1000 / POLL_S) + 1):
+            with self.lock:
+                found = [
+                    event
+                    for event in self.events
+                    if event["revision"] > after
+                    and event["key"].startswith(prefix)
+                ]
+                if found:
+                    break
+            threading.Event().wait(POLL_S)
+        return json_response({"events": found, "at_rev": self.revision})
+
+    def transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.get_data())
+        with self.lock:
+            rows = [self._row(e["key"]) for e in body["expected"]]
+            seen = [row["revision"] for row in rows]
+            if seen != [e["revision"] for e in body["expected"]]:
+                there = [row for row in rows if row["revision"]]
+                return json_response({"items": there}, 412)
+            for put in body["puts"]:
+                if put.get("lease", 0) and put["lease"] not in self.leases:
+                    return json_response({}, 404)
+                value = base64.b64decode(put["value"])
+                self.put(put["key"], value, put.get("lease", 0))
+            for key in body["remove"]:
+                self.remove(key)
+            return json_response({"revision": self.revision})
+
+    def grant(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.get_data())
+        lease = 1000 + len(self.leases)
+        self.leases.add(lease)
+        return json_response({"lease": lease, "ttl_ms": body["ttl_ms"]})
+
+    def keep(self, _request: Request, lease: int) -> Response:
+        return json_response({}, 200 if lease in self.leases else 404)
+
+    def end(self, _request: Request, lease: int) -> Response:
+        self.leases.discard(lease)
+        for key, (_, _, held) in list(self.items.items()):
+            if held == lease:
+                self.remove(key)
+        return json_response({})
+
+    def _checked(self, handler):
+        def serve(request: Request, **values) -> Response:
+            self.calls.append(request.full_path)
+            if self.statuses:
+                return json_response({}, self.statuses.pop(0))
+            return handler(request, **values)
+
+        return serve
+
+    def _row(self, key: str) -> dict:
+        value, revision, lease = self.items.get(key, (b"", 0, 0))
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "created": revision,
+            "lease": lease,
+        }
--- /dev/null
+++ b/sardinestair/platform/tests/test_store.py
@@ -0,0 +1,149 @@
+"""The adapter to the platform's store, against the stand-in."""
+
+import pytest
+
+from sardinestair.platform.operator import read_configuration
+from sardinestair.platform.store import PlatformStore
+from sardinestair.platform.tests.standins import StoreServer
+from sardinestair.platform.tests.test_wire import CONFIGURATION
+from sardinestair.settings.service import SettingsFollower
+from sardinestair.store.port import ABSENT, StoreErrorKind, Swap
+from sardinestair.store.registration import EntryRecord, Registration
+
+
+@pytest.fixture
+def server():
+    server = StoreServer(page=3)
+    server.http.start()
+    yield server
+    server.http.stop()
+
+
+@pytest.fixture
+def store(server):
+    return PlatformStore(server.address)
+
+
+def test_all_pages_are_read(server, store):
+    for number in range(8):
+        server.put(f"a/{number}", str(number).encode())
+    server.put("b/0", b"other")
+    items = store.read("a/").ok.items
+    assert [item.value for item in items] == [b"%d" % n for n in range(8)]
+
+
+def test_stale_read_says_so(server, store):
+    store.read("a/", may_be_stale=True)
+    assert "stale_ok=1" in server.calls[0]
+
+
+def test_swap_happens_only_if_nothing_has_changed(server, store):
+    created = store.commit([Swap("a/1", b"x", ABSENT)]).ok
+    assert created.succeeded
+    again = store.commit([Swap("a/1", b"y", ABSENT)]).ok
+    assert not again.succeeded
+    assert again.current[0].value == b"x"
+    revision = again.current[0].revision
+    assert store.commit([Swap("a/1", None, revision)]).ok.succeeded
+    assert store.read("a/").ok.items == []
+
+
+def test_group_that_is_too_large_is_not_sent(server, store):
+    swaps = [Swap(f"a/{n}", b"", ABSENT) for n in range(33)]
+    assert store.commit(swaps).error.kind is StoreErrorKind.NOT_DONE
+    assert server.calls == []
+
+
+def test_lease(server, store):
+    lease = store.grant_lease(3).ok
+    store.commit([Swap("a/1", b"x", ABSENT, lease)])
+    assert store.keep_lease(lease).ok is True
+    store.revoke_lease(lease)
+    assert store.keep_lease(lease).ok is False
+    assert store.read("a/").ok.items == []
+
+
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (503, StoreErrorKind.NOT_DONE),
+        (429, StoreErrorKind.NOT_DONE),
+        (500, StoreErrorKind.UNKNOWN),
+    ],
+)
+def test_refused_write(server, store, status, kind):
+    server.statuses = [status]
+    assert store.commit([Swap("a", b"", ABSENT)]).error.kind is kind
+
+
+def test_old_keys_are_deleted_in_groups(server, store):
+    for number in range(70):
+        server.put(f"c/{number:03}", b"")
+    assert store.delete_before("c/", "c/065").ok == 65
+    assert len(server.items) == 5
+
+
+def test_watch_hears_of_a_change(server, store):
+    server.put("a/1", b"x")
+    seen = []
+
+    def on_change(revision):
+        seen.append(revision)
+        return not revision
+
+    assert store.watch("a/", 1, on_change, 10.0, lambda: False).is_ok()
+    assert seen == [server.revision]
+
+
+def test_watch_whose_history_is_gone_ends(server, store):
+    server.forgotten = 100
+    ended = store.watch("a/", 2, lambda _: True, 10.0, lambda: False)
+    assert ended.is_error()
+
+
+def test_follower_finds_what_its_watch_has_missed(server, store):
+    seen = []
+    follower = SettingsFollower(
+        store, lambda revision, _tree: seen.append(revision), "op/config",
+        read_configuration, 0.5,
+    )  # fmt: skip
+    assert follower.refresh().is_ok()
+    assert seen == []
+    server.put("op/config", CONFIGURATION)
+    server.events.clear()  # The watch hears nothing of it.
+    follower.refresh()
+    assert seen == [7]
+
+
+def test_foreign_configuration_leaves_the_last_one_in_force(server, store):
+    seen = []
+    follower = SettingsFollower(
+        store, lambda revision, _tree: seen.append(revision), "op/config",
+        read_configuration, 0.5,
+    )  # fmt: skip
+    server.put("op/config", CONFIGURATION)
+    follower.refresh()
+    server.put("op/config", b"\x00garbage")
+    assert follower.refresh().is_ok()
+    assert seen == [7]
+
+
+def test_registration_that_was_taken_away_is_made_again(server, store):
+    record = EntryRecord("e1", "10.0.0.1:7735", "http://10.0.0.1:7720")
+    found = []
+    registration = Registration(store, record, found.append)
+    registration.renew()
+    assert found[-1] == [record]
+    server.remove("entries/e1")  # Its lease goes on.
+    registration.renew()
+    registration.renew()
+    assert found[-1] == [record]
+
+
+def test_unreadable_record_names_no_entry(server, store):
+    server.put("entries/x", b"\xff")
+    server.put("entries/y", b'{"entry": 3}')
+    record = EntryRecord("e1", "10.0.0.1:7735", "http://10.0.0.1:7720")
+    found = []
+    Registration(store, record, found.append).renew()
+    assert found[-1] == [record]
--- /dev/null
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -0,0 +1,189 @@
+"""Tasks of a leased upstream live only while their entry's session does."""
+
+import msgspec
+import pytest
+
+from sardinestair.clock import ManualClock
+from sardinestair.ids import Incarnation, JobId
+from sardinestair.limits.resources import Resources
+from sardinestair.links.timing import LinkTiming
+from sardinestair.messages import (
+    Cancel,
+    Demand,
+    EntryFrame,
+    Grant,
+    Outcome,
+    Resume,
+    SidecarFrame,
+    Start,
+    TaskRef,
+    TaskState,
+)
+from sardinestair.observability import Metrics
+from sardinestair.sidecar.link_server import LinkServer
+from sardinestair.tests.fakes import FakeContext, FakeUpstream, FakeWorkers
+from sardinestair.upstreams import Announcement
+
+TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
+ENTRY = Incarnation(b"e" * 16)
+SIDECAR = Incarnation(b"s" * 16)
+NEED = Resources(1600, 64, 0)
+ANNOUNCEMENT = Announcement(
+    "quotes", "http://127.0.0.1:1", 8, ttl_s=300,
+    capacity=Resources(16000, 65536, 0),
+)  # fmt: skip
+
+
+def ref(index=0):
+    return TaskRef(JobId(b"j" * 16), index, 1)
+
+
+class LeasedFake(FakeUpstream):
+    is_leased = True
+
+    def __init__(self):
+        super().__init__([])
+        self.stopped = []
+
+    def stop(self, ref, reason=b""):
+        self.stopped.append((ref, reason))
+
+    def close(self):
+        pass
+
+
+class Entry:
+    """The entry's end of one connection, as plain frames."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.clock.advance(100.0)
+        self.upstream = LeasedFake()
+        self.server = LinkServer(
+            "tcp://127.0.0.1:*", "z", SIDECAR, self.clock, Metrics(),
+            FakeContext(), TIMING, lambda _announcement, _lost: self.upstream,
+        )  # fmt: skip
+        self.server.announce(ANNOUNCEMENT)
+        self.server.workers.shutdown()
+        self.server.workers = FakeWorkers()
+        self.sequence = 0
+        self.echo_s = 0.0
+        self.send(Resume(SIDECAR, []))
+        self.turn()
+
+    def send(self, *messages):
+        self.sequence += 1
+        frame = EntryFrame(ENTRY, 1, self.sequence, list(messages), self.echo_s)
+        self.server._handle_frame(b"r", frame)
+
+    def turn(self, hears=True):
+        """One turn of the sidecar; returns the messages of its frames."""
+        self.server._run_commands()
+        self.server._tick()
+        self.server._share_slots()
+        self.server._flush()
+        messages = []
+        for _, data in self.server.socket.take():
+            frame = msgspec.msgpack.decode(data, type=SidecarFrame)
+            messages += frame.messages
+            if hears:
+                self.echo_s = frame.sent_s
+        return messages
+
+    def start(self, index=0):
+        self.send(Start(ref(index), 30.0, b"{}", NEED))
+
+
+@pytest.fixture
+def entry():
+    entry = Entry()
+    yield entry
+    entry.server.wakeup.close()
+
+
+def refused(messages):
+    return [m.body for m in messages if isinstance(m, Outcome)]
+
+
+def test_fresh_start_is_taken(entry):
+    entry.start()
+    assert refused(entry.turn()) == []
+    assert entry.server.ledger.running == 1600
+
+
+def test_start_held_up_past_its_session_is_refused(entry):
+    # As of an entry that froze with starts in its send buffer.
+    entry.clock.advance(TIMING.session_s + 0.05)
+    entry.start()
+    assert refused(entry.turn(hears=False)) == [b"session over"]
+    assert entry.server.ledger.running == 0
+
+
+def test_frame_that_was_held_up_does_not_prolong_the_session(entry):
+    entry.start()
+    entry.turn(hears=False)
+    entry.clock.advance(TIMING.session_s + 0.05)
+    entry.send()  # Arrives now, with an old echo.
+    entry.turn(hears=False)
+    assert entry.upstream.stopped == [(ref(), b"session over")]
+
+
+def test_echoed_frames_keep_tasks_alive(entry):
+    entry.start()
+    for _ in range(20):
+        entry.clock.advance(0.2)
+        entry.turn()
+        entry.send()
+    assert entry.upstream.stopped == []
+
+
+def test_tasks_of_a_silent_entry_are_stopped_once(entry):
+    entry.start(0)
+    entry.start(1)
+    for _ in range(10):
+        entry.clock.advance(0.2)
+        entry.turn(hears=False)
+    stopped = {stop[0].index for stop in entry.upstream.stopped}
+    assert stopped == {0, 1}
+    assert len(entry.upstream.stopped) == 2
+
+
+def test_work_that_waits_for_a_thread_is_not_begun_after_the_session(entry):
+    entry.start()
+    entry.clock.advance(TIMING.session_s + 0.05)
+    entry.server.workers.work.popleft()()
+    assert entry.upstream.starts == []
+
+
+def test_cancelled_task_is_stopped(entry):
+    entry.start()
+    entry.send(Cancel([ref()]))
+    assert [stop[0] for stop in entry.upstream.stopped] == [ref()]
+
+
+def test_no_credit_before_runs_of_an_earlier_sidecar_have_ended():
+    entry = Entry()
+    entry.upstream.is_clear = False
+    entry.server.ledger.close(ENTRY)
+    entry.server.ledger.open(ENTRY)
+    entry.send(Demand(3200, 0.0, 1600))
+    assert not [m for m in entry.turn() if isinstance(m, Grant)]
+    entry.upstream.is_clear = True
+    assert [m for m in entry.turn() if isinstance(m, Grant)]
+    entry.server.wakeup.close()
+
+
+def test_capacity_is_never_exceeded_by_starts_without_credit(entry):
+    big = Resources(9000, 64, 0)
+    entry.send(Start(ref(0), 30.0, b"{}", big))
+    entry.send(Start(ref(1), 30.0, b"{}", big))
+    outcomes = [m for m in entry.turn() if isinstance(m, Outcome)]
+    assert [(o.task.index, o.state) for o in outcomes] == [
+        (1, TaskState.NOT_RUN)
+    ]
+    assert entry.server.ledger.running == 9000
+
+
+def test_timing_that_lets_two_runs_overlap_is_refused():
+    with pytest.raises(ValueError, match="lost_s must be at least"):
+        LinkTiming(0.15, 0.45, lost_s=1.2, session_s=0.75, lease_s=0.45)
--- /dev/null
+++ b/sardinestair/standins/runner.py
@@ -0,0 +1,226 @@
+"""A model of an upstream that is told to start, stop and hold its runs.
+
+It runs on a clock that is passed in, keeps the rules of leases, ends and
+repeated orders, and can leave orders unanswered, carry them out late, let
+runs stand still, fail or slow down. Tests and the emulator drive it directly;
+over HTTP it is served beside the adapter's tests.
+"""
+
+import enum
+from collections.abc import Callable
+
+import msgspec
+from expression import Error, Ok, Result
+
+from sardinestair.clock import Clock
+from sardinestair.ids import format_job_id
+from sardinestair.messages import TaskRef
+from sardinestair.upstreams.orders import (
+    EndKind,
+    OrderError,
+    Refusal,
+    RunEnd,
+    RunName,
+    RunReport,
+    RunState,
+    StartReply,
+)
+
+__all__ = ["Mode", "RunnerModel"]
+
+MAX_LEASE_S = 1.0
+WHOLE = 100.0
+
+
+class Mode(enum.Enum):
+    """How the runs of a model behave."""
+
+    SOUND = "sound"
+    FAILING = "failing"
+    STILL = "still"
+
+
+class ModelRun(msgspec.Struct):
+    """A run that is active.
+
+    Attributes:
+        run: Its name.
+        work_s: Its run time at a typical upstream, in seconds.
+        done_s: How much of it is done.
+    """
+
+    run: RunName
+    work_s: float
+    done_s: float = 0.0
+
+
+class RunnerModel:
+    """One upstream; `advance` lets its time pass.
+
+    Args:
+        clock: The clock; read as the upstream's own.
+        work_of: Returns the run time for a payload, in seconds.
+        speed: Factor of its run times; larger is slower.
+
+    Attributes:
+        active: The active runs by task.
+        ends: Ends that have not been acknowledged.
+        starts: Every run that has begun, in order.
+        mode: How its runs behave.
+        lose_answers: Orders to come that are carried out and not answered.
+        lose_orders: Orders to come that are neither; they stand in `late`.
+        late: Orders that may be carried out later.
+        is_dark: True while it neither answers nor runs.
+
+    Examples:
+        >>> from sardinestair.clock import ManualClock
+        >>> clock = ManualClock()
+        >>> runner = RunnerModel(clock)
+        >>> run = RunName("j", 0, 1)
+        >>> runner.start(run, b"0.2", until_s=1.0, timeout_s=1.0).is_ok()
+        True
+        >>> clock.advance(0.3)
+        >>> runner.report(None, 0, 0.0, 1.0).ok.ends[0].how
+        <EndKind.DONE: 'done'>
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        work_of: Callable[[bytes], float] = float,
+        speed: float = 1.0,
+    ):
+        self.clock = clock
+        self.work_of = work_of
+        self.speed = speed
+        self.born_ms = 1
+        self.active: dict[tuple[str, int], ModelRun] = {}
+        self.highest: dict[tuple[str, int], int] = {}
+        self.ends: list[RunEnd] = []
+        self.sequence = 0
+        self.until_s = 0.0
+        self.now_s = clock.monotonic()
+        self.starts: list[RunName] = []
+        self.mode = Mode.SOUND
+        self.lose_answers = 0
+        self.lose_orders = 0
+        self.late: list[Callable[[], object]] = []
+        self.is_dark = False
+
+    # The orders; see `Orders`.
+
+    def name_of(self, ref: TaskRef) -> RunName:
+        """Returns the name of an attempt."""
+        return RunName(format_job_id(ref.job), ref.index, ref.attempt)
+
+    def start(
+        self, run: RunName, payload: bytes, until_s: float, timeout_s: float
+    ) -> Result[StartReply, OrderError]:
+        """Starts a run."""
+        return self._order(lambda: self._start(run, payload, until_s))
+
+    def stop(self, run: RunName, timeout_s: float) -> Result[None, OrderError]:
+        """Stops a run."""
+        return self._order(lambda: self._stop(run))
+
+    def report(
+        self,
+        until_s: float | None,
+        acknowledged: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> Result[RunReport, OrderError]:
+        """Renews the lease, and returns the runs at once."""
+        return self._order(lambda: self._report(until_s, acknowledged))
+
+    # What happens to it.
+
+    def restart(self) -> None:
+        """Crashes, and begins a new life that knows nothing."""
+        self.born_ms += 1
+        self.active.clear()
+        self.highest.clear()
+        self.ends.clear()
+        self.sequence = 0
+        self.until_s = 0.0
+
+    def carry_out_late(self) -> None:
+        """Carries out the orders that were held up."""
+        late, self.late = self.late, []
+        for order in late:
+            order()
+
+    def advance(self) -> None:
+        """Lets its runs work until now; leases lapse, runs end."""
+        now_s = self.clock.monotonic()
+        passed_s, self.now_s = now_s - self.now_s, now_s
+        if self.is_dark:
+            return
+        for run in list(self.active.values()):
+            if self.mode is not Mode.STILL:
+                run.done_s += passed_s / self.speed
+            if self.mode is Mode.FAILING:
+                self._end(run, EndKind.FAILED)
+            elif run.done_s >= run.work_s - 1e-9:
+                self._end(run, EndKind.DONE)
+            elif now_s > self.until_s:
+                self._end(run, EndKind.LAPSED)
+
+    def _order(self, order: Callable):
+        self.advance()
+        if self.is_dark or self.lose_orders:
+            self.lose_orders = max(0, self.lose_orders - 1)
+            if not self.is_dark:
+                self.late.append(order)
+            return Error(OrderError("no answer", True))
+        answer = order()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Error(OrderError("answer lost", True))
+        return Ok(answer)
+
+    def _start(
+        self, run: RunName, payload: bytes, until_s: float
+    ) -> StartReply:
+        key = (run.job, run.index)
+        self._renew(until_s)
+        held = self.active.get(key)
+        if held is not None and held.run == run:
+            return StartReply()
+        if run.number <= self.highest.get(key, 0) or held is not None:
+            return StartReply(Refusal.OLD_RUN)
+        if self.clock.monotonic() > until_s:
+            return StartReply(Refusal.TOO_LATE)
+        self.active[key] = ModelRun(run, self.work_of(payload))
+        self.starts.append(run)
+        return StartReply()
+
+    def _stop(self, run: RunName) -> None:
+        key = (run.job, run.index)
+        self.highest[key] = max(self.highest.get(key, 0), run.number)
+        held = self.active.get(key)
+        if held is not None and held.run.number <= run.number:
+            self._end(held, EndKind.STOPPED)
+
+    def _report(self, until_s: float | None, acknowledged: int) -> RunReport:
+        self._renew(until_s)
+        self.ends = [e for e in self.ends if e.sequence > acknowledged]
+        active = [
+            RunState(run.run, int(WHOLE * run.done_s / run.work_s))
+            for run in self.active.values()
+        ]
+        return RunReport(
+            self.clock.monotonic(), self.born_ms, active, list(self.ends)
+        )
+
+    def _renew(self, until_s: float | None) -> None:
+        if until_s is not None:
+            most_s = self.clock.monotonic() + MAX_LEASE_S
+            self.until_s = max(self.until_s, min(until_s, most_s))
+
+    def _end(self, run: ModelRun, how: EndKind) -> None:
+        key = (run.run.job, run.run.index)
+        del self.active[key]
+        self.highest[key] = max(self.highest.get(key, 0), run.run.number)
+        self.sequence += 1
+        self.ends.append(RunEnd(self.sequence, run.run, how))
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -29,10 +29,12 @@
 # lost its start must still find time elsewhere.
 START_TIMEOUT_S = 0.08
 STOP_TIMEOUT_S = 0.08
-# A third of the shortest lease in use, so that two renewals may be lost.
-REPORT_WAIT_S = 0.15
-REPORT_TIMEOUT_S = 0.3
-REPORT_PAUSE_S = 0.05
+# A renewal that gets no answer is repeated once well within a lease of 0.45 s:
+# 2 x (wait + answer) < lease.
+REPORT_WAIT_S = 0.1
+REPORT_ANSWER_S = 0.1
+REPORT_PAUSE_S = 0.02
+MAX_UNANSWERED_RENEWALS = 2
 # One hundredth of a task of 30 s; a task that does less is better off
 # elsewhere.
 STALL_S = 0.35
@@ -104,6 +106,7 @@
         runs: The runs that may be active, by name.
         is_clear: True once no run of an earlier sidecar can be active.
         born_ms: When the present life of the upstream began.
+        unanswered: Reports in a row that got no answer.
     """
 
     is_leased = True
@@ -132,6 +135,7 @@
         self.remote_s: float | None = None
         self.remote_at_s = 0.0
         self.until_s = 0.0
+        self.unanswered = 0
         self.log = EventLog("upstream")
 
     # Called by the workers.
@@ -156,6 +160,7 @@
             return self._result(began_s, TaskState.NOT_RUN, b"no contact")
         with self.lock:
             self.runs[run.name] = run
+            self.until_s = max(self.until_s, until_s)
         try:
             refusal = self._start(run, payload, until_s)
             if refusal is not None:
@@ -275,19 +280,26 @@
     def renew(self) -> None:
         """Renews the lease once, and takes what the upstream reports."""
         sent_s = self.clock.monotonic()
-        until_s = self._lease_end()
-        if until_s is not None:
-            self.until_s = max(self.until_s, until_s)
+        until_s = None
+        if self.unanswered < MAX_UNANSWERED_RENEWALS:
+            # Further ones would put off the time at which all has lapsed.
+            until_s = self._lease_end()
+        wait_s = 0.0 if self.unanswered else REPORT_WAIT_S
         reply = self.orders.report(
-            until_s, self.acknowledged, REPORT_WAIT_S, REPORT_TIMEOUT_S
+            until_s, self.acknowledged, wait_s, wait_s + REPORT_ANSWER_S
         )
         if reply.is_error():
+            if until_s is not None and reply.error.may_be_done:
+                self.until_s = max(self.until_s, until_s)
             self._report_missing(reply.error)
             self.stopping.wait(REPORT_PAUSE_S)
             return
+        if until_s is not None:
+            self.until_s = max(self.until_s, until_s)
         self._take(reply.ok, sent_s)
 
     def _report_missing(self, error: OrderError) -> None:
+        self.unanswered += 1
         self.metrics.count("reports_missing_total", {})
         if self.remote_s is None or self._remote_now() < self.until_s:
             self.log.warning("report_missing", reason=error.reason)
@@ -308,6 +320,7 @@
     def _take(self, report: RunReport, sent_s: float) -> None:
         now_s = self.clock.monotonic()
         self.remote_s, self.remote_at_s = report.clock_s, now_s
+        self.unanswered = 0
         if self.is_lost:
             self.is_lost = False
             self.log.info("upstream_regained")
