Order waiting jobs by least slack, and late ones behind the rest

Change: order least_slack: the key is the latest start; a job past it goes behind all that can still be in time. Objectives by stretch in the settings; the tree's root takes defaults from the entry's settings on the platform.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -463,6 +463,8 @@
         settings = self.gate.settings_of(request)
         deadline_s = request.deadline_s or settings.deadline_s
         state = self._state(request.service)
+        work = state.estimate(request.kind, request.declared_task_s)
+        objective_s = state.objective_of(settings, work.mean_s_)
         job = Job(
             parsed.job_id,
             request.service,
@@ -471,10 +473,11 @@
             request.payloads,
             now_s,
             now_s + deadline_s,
-            state.estimate(request.kind, request.declared_task_s),
+            work,
             parsed.digest,
             settings.max_attempts,
             request.need,
+            None if objective_s is None else now_s + objective_s,
         )
         if earlier is not None:
             job.attempts = earlier.attempts
@@ -505,7 +508,7 @@
     def _place(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
         used: set[Incarnation] = set()
-        while (placement := state.next_placement()) is not None:
+        while (placement := state.next_placement(now_s)) is not None:
             job, link = placement
             payloads = job.payloads
             index = state.queue.take(job, link.sidecar)
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -155,11 +155,14 @@
             )
         size = sum(len(p) for p in request.payloads)
         estimate = state.estimate(request.kind, request.declared_task_s)
+        now_s = self.clock.monotonic()
+        objective_s = state.objective_of(settings, estimate.mean_s_)
         load = state.load(
             request.team,
             estimate.mean_s_ * tasks,
             1 / self.entry_count,
-            self.clock.monotonic(),
+            now_s,
+            now_s + (objective_s or deadline_s) - estimate.mean_s_,
         )
         decision = state.admission().decide(load, tasks, size, deadline_s)
         if decision.is_ok():
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -14,7 +14,9 @@
 from sardinestair.platform.store import PlatformStore
 from sardinestair.settings import EntrySettings
 from sardinestair.settings.process import EntryPlatform, split_address
+from sardinestair.settings.records import VersionedTree
 from sardinestair.settings.service import SettingsFollower
+from sardinestair.store.port import Snapshot
 from sardinestair.web import HttpServer, WebApp, operations_rules
 
 __all__ = ["PlatformEntryProcess"]
@@ -102,10 +104,17 @@
             self.store,
             self.adopt,
             CONFIGURATION_KEY,
-            read_configuration,
+            self._read_tree,
             CONFIRM_S,
         )
 
+    def _read_tree(self, snapshot: Snapshot) -> VersionedTree | None:
+        """Reads the operator's configuration, with the own defaults below."""
+        found = read_configuration(snapshot)
+        if found is not None:
+            found.tree.set = self.platform.defaults
+        return found
+
     def _registration_interval_s(self) -> float:
         return REGISTRATION_INTERVAL_S
 
--- a/sardinestair/entry/recorder.py
+++ b/sardinestair/entry/recorder.py
@@ -94,7 +94,7 @@
     ) -> None:
         answer = job.done.result()
         if answer.is_ok():
-            is_good = state.judge_answer(response_s)
+            is_good = state.judge_answer(job, response_s)
         elif is_system_fault(answer.error.kind):
             is_good = False
         else:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -64,10 +64,24 @@
         for link in self.links.values():
             self.policy.observe(link.candidate)
 
-    def judge_answer(self, response_s: float) -> bool:
+    def objective_of(
+        self, settings: ServiceSettings, work_s: float
+    ) -> float | None:
+        """Returns within what time an answer is in time, in seconds.
+
+        Args:
+            settings: The settings that apply to the job.
+            work_s: Expected run time of its longest task.
+
+        Returns:
+            The time, or None if any time within the deadline will do.
+        """
+        limit_s = settings.objective_s + settings.objective_stretch * work_s
+        return limit_s if limit_s > 0 else None
+
+    def judge_answer(self, job: Job, response_s: float) -> bool:
         """Tells whether a complete answer met the objective."""
-        limit_s = self.settings.objective_s
-        return limit_s <= 0 or response_s <= limit_s
+        return response_s <= job.target_s - job.accepted_s
 
     def estimate(self, kind: str, declared_s: float | None) -> WorkEstimate:
         """Returns the expectation for the tasks of a new job."""
@@ -136,7 +150,12 @@
         return max(running, share * self.throughput())
 
     def load(
-        self, team: str, work_s: float, share: float, now_s: float
+        self,
+        team: str,
+        work_s: float,
+        share: float,
+        now_s: float,
+        latest_start_s: float | None = None,
     ) -> Load:
         """Returns what admission looks at.
 
@@ -145,9 +164,12 @@
             work_s: Expected run time of the new job's tasks, in seconds.
             share: This entry's share of the upstreams if all ask.
             now_s: The present, in seconds.
+            latest_start_s: When the job must start to be in time.
         """
         rate = self.own_throughput(share)
-        ahead_s = self.queue.work_ahead_s(team, work_s, now_s) + work_s
+        ahead_s = work_s + self.queue.work_ahead_s(
+            team, work_s, now_s, latest_start_s
+        )
         expected = ahead_s / rate if rate else float("inf")
         return Load(
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected
@@ -197,15 +219,19 @@
         }
         return job.failed_at if usable - job.failed_at else set()
 
-    def next_placement(self) -> tuple[Job, EntryLink] | None:
+    def next_placement(self, now_s: float) -> tuple[Job, EntryLink] | None:
         """Chooses the next task to start and where.
 
         A job that should wait for a faster upstream does not hold up those
         behind it.
 
+        Args:
+            now_s: The present, in seconds.
+
         Returns:
             The job and the link, or None if nothing can or should start.
         """
+        self.queue.demote_late(now_s)
         ahead = -1
         for job in self.queue.in_order(LOOKAHEAD_JOBS):
             ahead += len(job.waiting)
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -63,6 +63,8 @@
         max_attempts: Runs that may fail before a task has failed. With 1, a
             task that has started is never started again.
         need: What each task needs of an upstream that has a capacity.
+        target_s: Until when the answer is in time, on the entry's clock; the
+            deadline if not given.
 
     Attributes:
         waiting: Indices of the tasks that wait, in order.
@@ -106,6 +108,7 @@
         digest: bytes,
         max_attempts: int = 1,
         need: Resources | None = None,
+        target_s: float | None = None,
     ):
         self.job_id = job_id
         self.service = service
@@ -116,6 +119,7 @@
         self.deadline_s = deadline_s
         self.work = work
         self.digest = digest
+        self.target_s = deadline_s if target_s is None else target_s
         self.max_attempts = max_attempts
         self.need = need
         self.size = len(payloads)
@@ -141,6 +145,11 @@
         """True until the job has ended."""
         return self.state is JobState.ACTIVE
 
+    @property
+    def latest_start_s(self) -> float:
+        """When its tasks must start on a typical upstream to be in time."""
+        return self.target_s - self.work.mean_s_
+
     def take(self, sidecar: Incarnation) -> int:
         """Takes the next waiting task for a start.
 
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -12,6 +12,8 @@
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamClock"]
 
 WORK_WEIGHT = 0.25
+# Puts late jobs behind all others; longer than any deadline.
+LATE_S = 86400.0
 
 
 class OrderPolicy(enum.Enum):
@@ -19,6 +21,7 @@
 
     FIRST_COME = "first_come"
     SMALL_FIRST = "small_first"
+    LEAST_SLACK = "least_slack"
 
 
 class TeamClock:
@@ -60,7 +63,9 @@
 
     With `SMALL_FIRST` the key of a job is its virtual start plus a quarter of
     its expected slot-seconds: small jobs go first, and a large one waits a
-    bounded time longer.
+    bounded time longer. With `LEAST_SLACK` it is the latest time at which the
+    job can start and be in time; a job past it goes behind all that can still
+    be in time, and the late ones keep that order among themselves.
 
     Args:
         order: How jobs are ordered.
@@ -90,8 +95,12 @@
         """
         work_s = job.work.mean_s_ * job.size
         start_s = self._virtual_start(job, now_s, work_s, rate)
-        weights = {OrderPolicy.FIRST_COME: 0.0}
-        job.key_s = start_s + weights.get(self.order, WORK_WEIGHT) * work_s
+        keys = {
+            OrderPolicy.FIRST_COME: start_s,
+            OrderPolicy.SMALL_FIRST: start_s + WORK_WEIGHT * work_s,
+            OrderPolicy.LEAST_SLACK: job.latest_start_s,
+        }
+        job.key_s = keys[self.order]
         self._count(job, job.waiting, 1)
         self.jobs.add(job)
 
@@ -123,7 +132,29 @@
         self._count(job, job.waiting, -1)
         job.waiting.clear()
 
-    def work_ahead_s(self, team: str, work_s: float, now_s: float) -> float:
+    def demote_late(self, now_s: float) -> list[Job]:
+        """Puts the jobs that can't be in time any more behind the others.
+
+        Returns:
+            Those that have just become late.
+        """
+        late: list[Job] = []
+        if self.order is not OrderPolicy.LEAST_SLACK:
+            return late
+        while self.jobs and self.jobs[0].key_s < now_s:
+            job = self.jobs.pop(0)
+            job.key_s += LATE_S
+            self.jobs.add(job)
+            late.append(job)
+        return late
+
+    def work_ahead_s(
+        self,
+        team: str,
+        work_s: float,
+        now_s: float,
+        latest_start_s: float | None = None,
+    ) -> float:
         """Returns the expected run time of what would go before a new job.
 
         The jobs ahead count by their number, at the mean of all that wait.
@@ -132,12 +163,15 @@
             team: The caller's team.
             work_s: Expected run time of the new job's tasks, in seconds.
             now_s: The present, in seconds.
+            latest_start_s: When it must start to be in time.
         """
         if not self.jobs or self.order is OrderPolicy.FIRST_COME:
             return self.waiting_s
         clock = self.teams.get(team)
         start_s = max(now_s, clock.finish_s) if clock else now_s
         key_s = start_s + WORK_WEIGHT * work_s
+        if self.order is OrderPolicy.LEAST_SLACK and latest_start_s:
+            key_s = latest_start_s
         ahead = self.jobs.bisect_key_right((key_s, b""))
         return self.waiting_s * ahead / len(self.jobs)
 
@@ -167,7 +201,7 @@
     def _virtual_start(
         self, job: Job, now_s: float, work_s: float, rate: float
     ) -> float:
-        if self.order is OrderPolicy.FIRST_COME:
+        if self.order is not OrderPolicy.SMALL_FIRST:
             return now_s
         clock = self.teams.setdefault(job.team, TeamClock())
         active = sum(1 for c in self.teams.values() if c.finish_s > now_s)
--- a/sardinestair/placement/tests/test_queue.py
+++ b/sardinestair/placement/tests/test_queue.py
@@ -79,3 +79,59 @@
     queue.put_back(job, index)
     assert queue.take(job, SIDECAR) == index
     assert queue.waiting_tasks == 2
+
+
+# More comes than can be in time (pattern: burst of all).
+
+
+def timed_job(number, target_s, task_s=1.0):
+    job = make_job(number, task_s=task_s)
+    job.target_s = target_s
+    return job
+
+
+def slack_queue(*jobs):
+    queue = ReadyQueue(OrderPolicy.LEAST_SLACK)
+    for job in jobs:
+        queue.add(job, 0.0, RATE)
+    return queue
+
+
+def test_least_slack_goes_first_whatever_came_first():
+    long = timed_job(1, target_s=5.0, task_s=2.0)
+    short = timed_job(2, target_s=1.0, task_s=0.5)
+    assert drain(slack_queue(long, short)) == [short, long]
+
+
+def test_job_that_can_not_be_in_time_goes_behind_those_that_can():
+    lost = timed_job(1, target_s=1.0, task_s=0.5)
+    fresh = timed_job(2, target_s=3.0, task_s=0.5)
+    queue = slack_queue(lost, fresh)
+    assert queue.head() is lost
+    assert queue.demote_late(0.6) == [lost]
+    assert queue.demote_late(0.7) == []
+    assert drain(queue) == [fresh, lost]
+
+
+def test_late_jobs_keep_their_order():
+    jobs = [timed_job(n, target_s=1.0 + n / 10) for n in range(5)]
+    queue = slack_queue(*reversed(jobs))
+    queue.demote_late(10.0)
+    assert drain(queue) == jobs
+
+
+def test_task_put_back_keeps_the_place_of_its_late_job():
+    lost = timed_job(1, target_s=1.0)
+    fresh = timed_job(2, target_s=9.0)
+    queue = slack_queue(lost, fresh)
+    queue.demote_late(0.5)
+    queue.take(lost, SIDECAR)
+    queue.put_back(lost, 0)
+    assert queue.head() is fresh
+
+
+def test_work_ahead_counts_what_is_more_urgent_only():
+    jobs = [timed_job(n, target_s=float(n)) for n in range(2, 12)]
+    queue = slack_queue(*jobs)
+    assert queue.work_ahead_s("calm", 1.0, 0.0, 0.5) == 0.0
+    assert queue.work_ahead_s("calm", 1.0, 0.0, 20.0) == 10.0
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -10,6 +10,7 @@
 
 from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.files import SettingsError, load_yaml
+from sardinestair.settings.tree import Overrides
 
 __all__ = [
     "Address",
@@ -67,6 +68,8 @@
         seeds: Addresses (host:port) on the machines of other entries; only
             the hosts count.
         client_threads: Clients that can wait for an answer at a time.
+        defaults: What the root of the settings tree overrides; the operator's
+            configuration knows no such settings.
         leave_s: How long clients are served on after readiness is off, since
             the balancer needs to miss it twice, in seconds.
     """
@@ -76,6 +79,7 @@
     readiness_address: HostPort
     seeds: list[HostPort] = msgspec.field(default_factory=list)
     client_threads: Annotated[int, Meta(ge=2, le=1024)] = 400
+    defaults: Overrides = msgspec.field(default_factory=Overrides)
     leave_s: Annotated[float, Meta(ge=0, le=60)] = 2.5
 
 
