Give back credits that are too few for the next task; an emulator

Cause: with three entries that all had work waiting, each kept up to most of a task's credits on each upstream, which no task could use and nobody could call back: up to a fifth of the capacity stood still just when it was short. Found by the emulator, which runs the real dispatcher, links and ledgers on a clock of its own (patterns a quarter slow and burst of all).

Change: an entry whose next task needs more than it holds at an upstream gives those credits back with its demand. Demand looks at the first jobs of each kind in place of the first job only. A job that comes before any upstream is known waits for 3 s in place of a refusal.

--- /dev/null
+++ b/sardinestair/emulator/system.py
@@ -0,0 +1,409 @@
+"""Entries, sidecars and modelled upstreams on one emulated clock."""
+
+import enum
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import zmq
+
+from sardinestair.clock import ManualClock
+from sardinestair.emulator.report import Fate, Report
+from sardinestair.emulator.workload import EmulatedJob
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.ids import Incarnation, JobId
+from sardinestair.jobs import Job, JobRequest
+from sardinestair.jobs.request import ParsedRequest, make_tasks
+from sardinestair.limits.resources import Resources
+from sardinestair.links.entry_link import EntryLink, LinkState
+from sardinestair.links.timing import LinkTiming
+from sardinestair.messages import EntryFrame, TaskRef, TaskState
+from sardinestair.observability import Metrics
+from sardinestair.outcomes import ProblemKind
+from sardinestair.settings import SettingsTree
+from sardinestair.sidecar.link_server import LinkServer
+from sardinestair.upstreams import Announcement
+from sardinestair.upstreams.caller import CallResult
+from sardinestair.upstreams.leased import STALL_S, STALLED
+
+__all__ = ["EmulatedSystem", "Fault", "Speed"]
+
+SERVICE = "quotes"
+TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
+TICK_S = 0.02
+HEARTBEAT_S = 0.1
+MEMORY_MB = 65536
+# A start without answer: its time-out, a stop and a report.
+UNANSWERED_S = 0.1
+REFUSALS = frozenset(
+    {ProblemKind.OVERLOADED, ProblemKind.UNAVAILABLE, ProblemKind.DRAINING}
+)
+
+
+class Fault(enum.Enum):
+    """How an upstream misbehaves."""
+
+    NONE = "none"
+    STILL = "tasks stand still"
+    FAILS = "tasks fail at once"
+
+
+class Speed(msgspec.Struct):
+    """An upstream of the emulation.
+
+    Attributes:
+        factor: Factor of its run times; larger is slower.
+        cpu_millis: Its processor, in thousandths of a core.
+        fault: How it misbehaves.
+        lost_share: Share of its starts that get no answer.
+    """
+
+    factor: float = 1.0
+    cpu_millis: int = 16000
+    fault: Fault = Fault.NONE
+    lost_share: float = 0.0
+
+
+class _Flag:
+    """Stands in for a `Wakeup` without a descriptor."""
+
+    def __init__(self) -> None:
+        self.is_set = False
+
+    def set(self) -> None:
+        self.is_set = True
+
+    def clear(self) -> None:
+        self.is_set = False
+
+    def close(self) -> None:
+        pass
+
+
+class _Socket:
+    """Keeps what is sent until the emulation delivers it."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+        self.inbox: list[bytes] = []
+
+    def set(self, *_option: int) -> None:
+        pass
+
+    def get(self, option: int) -> bytes | int:
+        if option == zmq.LAST_ENDPOINT:
+            return b"tcp://127.0.0.1:1"
+        return zmq.POLLIN if self.inbox else 0
+
+    def bind(self, _endpoint: str) -> None:
+        pass
+
+    def connect(self, _endpoint: str) -> None:
+        pass
+
+    def recv(self) -> bytes:
+        return self.inbox.pop(0)
+
+    def send(self, data: bytes, _flags: int = 0) -> None:
+        self.sent.append(data)
+
+    def send_multipart(self, parts: list[bytes]) -> None:
+        self.sent.append(parts)
+
+    def take(self) -> list[Any]:
+        sent, self.sent = self.sent, []
+        return sent
+
+
+class _Context:
+    """Makes sockets of the emulation."""
+
+    def socket(self, _kind: int) -> _Socket:
+        return _Socket()
+
+
+class _Upstream:
+    """Runs tasks of one sidecar: the caller and the workers in one."""
+
+    is_leased = True
+    is_clear = True
+
+    def __init__(self, system: "EmulatedSystem", speed: Speed):
+        self.system = system
+        self.speed = speed
+        self.server: LinkServer | None = None
+        self.draws = 0
+
+    def submit(self, work: Callable[[], None]) -> None:
+        """Lets a task begin now, and end when its run time has passed."""
+        assert self.server is not None
+        server, system = self.server, self.system
+        waiting = server.commands.qsize()
+        self.run_s = 0.0
+        work()
+        commands = [server.commands.get() for _ in range(waiting + 1)]
+        for command in commands[:-1]:
+            server.commands.put(command)
+        finish = commands[-1]
+
+        def end() -> None:
+            server.commands.put(finish)
+            server.wakeup.set()
+
+        system.after(self.run_s, end)
+
+    def call(
+        self, ref: TaskRef, payload: bytes, timeout_s: float
+    ) -> CallResult:
+        """Decides how a task ends."""
+        work_s = float(payload)
+        is_hopeless = work_s < 0
+        state, body = TaskState.DONE, b""
+        self.run_s = min(abs(work_s) * self.speed.factor, timeout_s)
+        self.draws += 1
+        every = 1 / self.speed.lost_share if self.speed.lost_share else 0
+        if every and self.draws % every < 1:
+            state, self.run_s = TaskState.NOT_RUN, UNANSWERED_S
+        elif self.speed.fault is Fault.STILL:
+            state, body, self.run_s = TaskState.INTERRUPTED, STALLED, STALL_S
+        elif self.speed.fault is Fault.FAILS or is_hopeless:
+            state, body, self.run_s = TaskState.FAILED, b"failed", 0.01
+        if state not in (TaskState.DONE, TaskState.NOT_RUN):
+            self.system.report.thrown_away_s += self.run_s
+        return CallResult(state, body, False, self.run_s)
+
+    def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
+        """Lets the task run out: its capacity counts as taken until then."""
+
+    def close(self) -> None:
+        pass
+
+    def shutdown(self, **_options: bool) -> None:
+        pass
+
+
+class _Connection:
+    """One link between an entry and a sidecar."""
+
+    def __init__(self, link: EntryLink, server: LinkServer, route: bytes):
+        self.link = link
+        self.server = server
+        self.route = route
+        self.socket: Any = _Socket()
+
+
+class EmulatedSystem:
+    """Entries and sidecars that place emulated jobs.
+
+    Args:
+        entries: How many entries share the upstreams.
+        upstreams: The upstreams.
+        tree: The settings tree.
+
+    Attributes:
+        clock: The emulated clock.
+        upstreams: The upstreams; faults can be set at any time.
+        report: What became of the jobs.
+    """
+
+    def __init__(
+        self, entries: int, upstreams: list[Speed], tree: SettingsTree
+    ):
+        self.clock = ManualClock()
+        self.clock.advance(100.0)
+        self.start_s = self.clock.monotonic()
+        self.report = Report()
+        self.upstreams = upstreams
+        self.events: list[tuple[float, int, Callable[[], object]]] = []
+        self.numbers = itertools.count(1)
+        self.servers = [self._make_server(speed) for speed in upstreams]
+        self.dispatchers = [self._make_entry(tree) for _ in range(entries)]
+        for dispatcher in self.dispatchers:
+            dispatcher.gate.entry_count = entries
+        self.connections: list[_Connection] = []
+        self.by_route: dict[bytes, _Connection] = {}
+        self.by_dispatcher: dict[int, list[_Connection]] = {}
+        for dispatcher in self.dispatchers:
+            self._connect(dispatcher)
+        self.pending: list[tuple[EmulatedJob, Job]] = []
+        self._settle()
+
+    def after(self, seconds: float, event: Callable[[], object]) -> None:
+        """Lets something happen later."""
+        at_s = self.clock.monotonic() + seconds
+        heapq.heappush(self.events, (at_s, next(self.numbers), event))
+
+    def submit(self, jobs: list[EmulatedJob]) -> None:
+        """Lets jobs arrive at the entries in turn."""
+        turns = itertools.cycle(self.dispatchers)
+        for job in sorted(jobs, key=lambda job: job.at_s):
+            self.after(job.at_s, self._arrival(next(turns), job))
+
+    def run(self, seconds: float) -> Report:
+        """Lets time pass; returns the report."""
+        end_s = self.start_s + seconds
+        beats = itertools.count()
+        while self.clock.monotonic() < end_s:
+            next_tick_s = self.clock.monotonic() + TICK_S
+            while self.events and self.events[0][0] <= next_tick_s:
+                at_s, _, event = heapq.heappop(self.events)
+                self._pass_time(at_s)
+                event()
+                self._settle()
+            self._pass_time(next_tick_s)
+            is_beat = next(beats) % round(HEARTBEAT_S / TICK_S) == 0
+            self._tick(is_beat)
+        return self.report
+
+    def _make_server(self, speed: Speed) -> LinkServer:
+        upstream: Any = _Upstream(self, speed)
+        context: Any = _Context()
+        server = LinkServer(
+            "tcp://127.0.0.1:*",
+            "z",
+            self._make_id(),
+            self.clock,
+            Metrics(),
+            context,
+            TIMING,
+            lambda _announcement, _lost: upstream,
+        )
+        server.wakeup.close()
+        flag: Any = _Flag()
+        server.wakeup = flag
+        upstream.server = server
+        capacity = Resources(speed.cpu_millis, MEMORY_MB, 0)
+        server.announce(
+            Announcement(
+                SERVICE, "http://127.0.0.1:1", 8, ttl_s=300, capacity=capacity
+            )
+        )
+        assert server.workers is not None
+        server.workers.shutdown()
+        server.workers = upstream
+        # An announcement would have to be repeated.
+        server.upstream.expires_s = float("inf")
+        return server
+
+    def _make_entry(self, tree: SettingsTree) -> Dispatcher:
+        context: Any = _Context()
+        dispatcher = Dispatcher(
+            self._make_id(), "z", self.clock, Metrics(), context, TIMING
+        )
+        dispatcher.configure(tree)
+        return dispatcher
+
+    def _connect(self, dispatcher: Dispatcher) -> None:
+        for server in self.servers:
+            link = dispatcher.meet(server.description())
+            assert link is not None
+            link.wakeup.close()
+            flag: Any = _Flag()
+            link.wakeup = flag
+            route = next(self.numbers).to_bytes(4, "big")
+            connection = _Connection(link, server, route)
+            link._open_epoch(connection.socket)
+            self.connections.append(connection)
+            self.by_route[route] = connection
+
+    def _make_id(self) -> Incarnation:
+        return Incarnation(next(self.numbers).to_bytes(16, "big"))
+
+    def _arrival(
+        self, dispatcher: Dispatcher, emulated: EmulatedJob
+    ) -> Callable[[], None]:
+        def arrive() -> None:
+            sign = -1 if emulated.is_hopeless else 1
+            request = JobRequest(
+                SERVICE,
+                "clients",
+                make_tasks(b"0", len(emulated.tasks_s)),
+                kind=emulated.kind.name,
+                deadline_s=emulated.deadline_s,
+                declared_task_s=emulated.declared_s,
+                need=Resources(emulated.cpu_millis, 64, 0),
+                best_effort=True,
+            )
+            for index, work_s in enumerate(emulated.tasks_s):
+                payload = msgspec.Raw(str(sign * work_s).encode())
+                task = msgspec.structs.replace(
+                    request.tasks[index], payload=payload
+                )
+                request.tasks[index] = task
+            job_id = JobId(next(self.numbers).to_bytes(16, "big"))
+            parsed = ParsedRequest(job_id, request, b"")
+            submitted = dispatcher.submit(parsed)
+            if submitted.is_error():
+                self.report.record(emulated, Fate.REFUSED, 0.0)
+                return
+            job = submitted.ok
+            job.done.add_done_callback(
+                lambda _done: self._record(emulated, job)
+            )
+
+        return arrive
+
+    def _record(self, emulated: EmulatedJob, job: Job) -> None:
+        response_s = self.clock.monotonic() - job.accepted_s
+        answer = job.done.result()
+        fate = Fate.IN_TIME
+        if answer.is_error():
+            is_refused = answer.error.kind in REFUSALS
+            fate = Fate.REFUSED if is_refused else Fate.FAILED
+        self.report.record(emulated, fate, response_s)
+
+    def _pass_time(self, at_s: float) -> None:
+        self.clock.advance(max(0.0, at_s - self.clock.monotonic()))
+
+    def _tick(self, is_beat: bool) -> None:
+        for dispatcher in self.dispatchers:
+            dispatcher.expire()
+        if is_beat:
+            for server in self.servers:
+                server._tick()
+                server.wakeup.set()
+            for connection in self.connections:
+                connection.link.wakeup.set()
+        self._settle()
+
+    def _settle(self) -> None:
+        """Delivers frames until none is under way."""
+        while self._deliver_to_sidecars() or self._deliver_to_entries():
+            pass
+
+    def _deliver_to_sidecars(self) -> bool:
+        is_any = False
+        for connection in self.connections:
+            link: Any = connection.link
+            if link.state is LinkState.CLOSED:
+                continue
+            if not (link.wakeup.is_set or link.outbox or link.settled):
+                continue
+            link.wakeup.clear()
+            link._flush(connection.socket)
+            for data in connection.socket.take():
+                frame = msgspec.msgpack.decode(data, type=EntryFrame)
+                connection.server._handle_frame(connection.route, frame)
+                connection.server.wakeup.set()
+                is_any = True
+        return is_any
+
+    def _deliver_to_entries(self) -> bool:
+        is_any = False
+        for server in self.servers:
+            wakeup: Any = server.wakeup
+            if not wakeup.is_set:
+                continue
+            wakeup.clear()
+            server._run_commands()
+            server._share_slots()
+            server._flush()
+            socket: Any = server.socket
+            for route, data in socket.take():
+                connection = self.by_route[route]
+                connection.socket.inbox.append(data)
+                connection.link._receive(connection.socket)
+                is_any = True
+        return is_any
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -426,7 +426,9 @@
         if state is None:
             tree = self.tree or SettingsTree()
             settings = effective(tree, service, self.zone)
-            state = self.services[service] = ServiceState(service, settings)
+            now_s = self.clock.monotonic()
+            state = ServiceState(service, settings, now_s)
+            self.services[service] = state
         return state
 
     def _update_link(self, link: EntryLink, announce: Announce) -> None:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -1,5 +1,8 @@
 """What an entry keeps for one service."""
 
+from collections import Counter
+from collections.abc import Iterator
+
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import Job
 from sardinestair.jobs.work import WorkEstimate
@@ -18,7 +21,12 @@
 
 __all__ = ["ServiceState"]
 
-LOOKAHEAD_JOBS = 8
+# Jobs of one kind that are tried for an upstream, and jobs that are looked at.
+LOOKAHEAD_JOBS = 3
+MAX_LOOKAHEAD_JOBS = 64
+# Upstreams announce themselves within two of their heartbeats of 1.5 s; until
+# then nothing is known of a job's wait.
+UPSTREAM_GRACE_S = 3.0
 
 
 class ServiceState:
@@ -27,6 +35,7 @@
     Args:
         name: Name of the service.
         settings: Its effective settings.
+        made_s: The present, on the entry's clock.
 
     Attributes:
         queue: The jobs that wait.
@@ -37,9 +46,13 @@
         speeds_: Learned speed factors by sidecar.
         health: Which upstreams are trusted with work.
         burn: Counts jobs against the service's objective.
+        served_s: When a job was last seen while upstreams took work.
     """
 
-    def __init__(self, name: str, settings: ServiceSettings):
+    def __init__(
+        self, name: str, settings: ServiceSettings, made_s: float = 0.0
+    ):
+        self.served_s = made_s
         self.name = name
         self.settings = settings
         self.queue = ReadyQueue(settings.order)
@@ -167,10 +180,14 @@
             latest_start_s: When the job must start to be in time.
         """
         rate = self.own_throughput(share)
+        if rate:
+            self.served_s = now_s
+        is_soon_back = now_s - self.served_s < UPSTREAM_GRACE_S
         ahead_s = work_s + self.queue.work_ahead_s(
             team, work_s, now_s, latest_start_s
         )
-        expected = ahead_s / rate if rate else float("inf")
+        without_upstream_s = 0.0 if is_soon_back else float("inf")
+        expected = ahead_s / rate if rate else without_upstream_s
         return Load(
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected
         )
@@ -184,23 +201,42 @@
     def demand(self, link: EntryLink, now_s: float) -> Demand:
         """Returns how much work waits for a link's upstream.
 
-        There is none if not even the last task that waits would start there.
+        There is none if no task that waits would start there.
         """
-        head = self.queue.head()
-        waiting = self.queue.waiting_tasks
-        if head is None:
+        job = self._first_for(link)
+        if job is None:
             return Demand(0, 0.0)
-        units = link.candidate.units(head.need)
+        units = link.candidate.units(job.need)
         if units is None or link.account.available >= units:
             return Demand(0, 0.0)
         outstanding = len(link.outstanding)
         if not self.health.decide(link.sidecar, outstanding, now_s):
             return Demand(0, 0.0)
-        size_s = self._weighted_size(head)
-        if not self.policy.accepts(link.candidate, size_s, waiting - 1):
-            return Demand(0, 0.0)
+        waiting = self.queue.waiting_tasks
         wanted = round(max(units, waiting * link.candidate.task_units_))
-        return Demand(wanted, head.key_s - now_s, units)
+        return Demand(wanted, job.key_s - now_s, units)
+
+    def _first_for(self, link: EntryLink) -> Job | None:
+        """Returns the first job that would start at a link's upstream."""
+        ahead = self.queue.waiting_tasks - 1
+        for job in self._lookahead():
+            size_s = self._weighted_size(job)
+            if self.policy.accepts(link.candidate, size_s, ahead):
+                return job
+        return None
+
+    def _lookahead(self) -> Iterator[Job]:
+        """Yields the first jobs of each kind, in order.
+
+        Jobs of a kind are much alike, so that further ones of it would fare
+        no better than those.
+        """
+        seen: Counter[tuple[str, bool]] = Counter()
+        for job in self.queue.in_order(MAX_LOOKAHEAD_JOBS):
+            group = (job.kind, job.is_late)
+            seen[group] += 1
+            if seen[group] <= LOOKAHEAD_JOBS:
+                yield job
 
     def _weighted_size(self, job: Job) -> float:
         """Returns the run time that counts for the choice of an upstream."""
@@ -233,10 +269,13 @@
         """
         self.queue.demote_late(now_s)
         ahead = -1
-        for job in self.queue.in_order(LOOKAHEAD_JOBS):
+        for job in self._lookahead():
             ahead += len(job.waiting)
             candidate = self.policy.decide(
-                self._weighted_size(job), ahead, job.need, self._avoided(job)
+                self._weighted_size(job),
+                ahead,
+                job.need,
+                self._avoided(job),
             )
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -197,3 +197,41 @@
     entry.dispatcher.give_up("the entry is stopping")
     assert job.done.result().error.kind is ProblemKind.DRAINING
     assert not job.done.result().error.not_run
+
+
+# All machines were dark, and callers go on sending.
+
+
+def fresh_entry():
+    """An entry that has just started and knows no upstream."""
+    entry = Entry(max_attempts=2)
+    for sidecar, link in list(entry.links.items()):
+        entry.dispatcher.forget(sidecar)
+        link.wakeup.close()
+    entry.dispatcher.services.clear()
+    entry.links.clear()
+    return entry
+
+
+def test_job_waits_for_the_first_upstream_after_a_start():
+    entry = fresh_entry()
+    job = entry.submit().ok
+    assert job.is_active
+    entry.clock.advance(0.5)
+    entry.meet(A)
+    entry.dispatcher.links_handled()
+    assert entry.held()[0][0] == A
+    entry.links[A].wakeup.close()
+
+
+def test_job_is_refused_once_upstreams_stay_away():
+    entry = fresh_entry()
+    assert entry.submit().is_ok()
+    entry.clock.advance(3.5)
+    request = JobRequest(
+        "quotes", "team", [TaskRequest(msgspec.Raw(b"{}"))], deadline_s=10.0
+    )
+    parsed = ParsedRequest(JobId(b"k" * 16), request, b"d")
+    refused = entry.dispatcher.submit(parsed).error
+    assert refused.not_run
+    assert refused.retry_after_s
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -80,6 +80,7 @@
         claimed: Resolves with True if the job may start.
         attempts: Starts of each task, by index.
         failures: Runs of each task that have failed, by index.
+        is_late: True once it can't be in time any more.
         waiters: Submissions that wait for the answer.
         failed_at: Upstreams on which a task has failed or stood still.
 
@@ -120,6 +121,7 @@
         self.work = work
         self.digest = digest
         self.target_s = deadline_s if target_s is None else target_s
+        self.is_late = False
         self.max_attempts = max_attempts
         self.need = need
         self.size = len(payloads)
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -417,6 +417,11 @@
             self.settled = []
         if self.state is LinkState.UP:
             demand = self.owner.link_demand(self)
+            idle = self.account.available
+            if demand.count and idle:
+                # Too few for the task that comes next, here as elsewhere.
+                messages.append(CreditReturn(self.account.give_back(idle)))
+                self.owner.link_changed(self)
             urgent = (demand.count > 0) != (self.last_demand.count > 0)
             if urgent or (messages and demand != self.last_demand):
                 messages.append(demand)
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -7,11 +7,14 @@
 
 from sardinestair.clock import ManualClock
 from sardinestair.ids import Incarnation, JobId
+from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     Announce,
+    CreditReturn,
     Demand,
+    EntryFrame,
     Grant,
     Resumed,
     SidecarFrame,
@@ -28,6 +31,7 @@
         self.lock = threading.RLock()
         self.epochs = 0
         self.lost = []
+        self.demand = Demand(0, 0.0)
 
     def next_epoch(self):
         self.epochs += 1
@@ -37,7 +41,7 @@
         self.lost += refs
 
     def link_demand(self, _link):
-        return Demand(0, 0.0)
+        return self.demand
 
     def link_changed(self, _link):
         pass
@@ -69,6 +73,25 @@
     link.wakeup.close()
 
 
+def leased_link(clock, granted):
+    announce = Announce(
+        SIDECAR, "tcp://127.0.0.1:1", "z", "q", 16000, False, 0,
+        Resources(16000, 65536, 0), True,
+    )  # fmt: skip
+    link = EntryLink(
+        FakeOwner(), Incarnation(b"e" * 16), announce, LinkTiming(), clock,
+        FakeContext(),
+    )  # fmt: skip
+    socket = FakeSocket()
+    link._open_epoch(socket)
+    messages = [Resumed(True, [], []), Grant(granted)]
+    socket.inbox.append(
+        msgspec.msgpack.encode(SidecarFrame(SIDECAR, 1, 1, messages))
+    )
+    assert link._receive(socket)
+    return link
+
+
 def test_pause_of_the_entry_loses_no_task(link, clock):
     clock.advance(60.0)
     assert link._is_silent()
@@ -99,3 +122,23 @@
     clock.advance(1.0)
     assert not link._is_silent()
     assert link.owner.lost == []
+
+
+def test_credits_too_few_for_the_next_task_are_given_back(clock):
+    """Kept by each entry they would leave much of an upstream unused."""
+    link = leased_link(clock, granted=1500)
+    link.owner.demand = Demand(3200, -1.0, 1600)
+    socket = FakeSocket()
+    assert link._flush(socket)
+    frame = msgspec.msgpack.decode(socket.sent[-1], type=EntryFrame)
+    assert CreditReturn(1500) in frame.messages
+    assert Demand(3200, -1.0, 1600) in frame.messages
+    assert link.account.available == 0
+    link.wakeup.close()
+
+
+def test_credits_are_kept_while_no_task_waits_for_them(clock):
+    link = leased_link(clock, granted=1500)
+    assert link._flush(FakeSocket())
+    assert link.account.available == 1500
+    link.wakeup.close()
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -66,7 +66,12 @@
         """
         ...
 
-    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+    def accepts(
+        self,
+        candidate: Candidate,
+        size_s: float,
+        ahead: int,
+    ) -> bool:
         """Tells whether a task would start on a candidate with a credit."""
         ...
 
@@ -162,7 +167,12 @@
             return None
         return best
 
-    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+    def accepts(
+        self,
+        candidate: Candidate,
+        size_s: float,
+        ahead: int,
+    ) -> bool:
         """Tells whether starting there beats waiting for a faster one."""
         if self.margin <= 0:
             return True
@@ -191,7 +201,12 @@
 class _AcceptsAll:
     """Base of policies that never wait."""
 
-    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+    def accepts(
+        self,
+        candidate: Candidate,
+        size_s: float,
+        ahead: int,
+    ) -> bool:
         """Returns True."""
         return True
 
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -144,6 +144,7 @@
         while self.jobs and self.jobs[0].key_s < now_s:
             job = self.jobs.pop(0)
             job.key_s += LATE_S
+            job.is_late = True
             self.jobs.add(job)
             late.append(job)
         return late
--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -32,6 +32,10 @@
 MS_PER_S = 1000
 JSON_HEADERS = ("Content-Type: application/json",)
 
+# An order can be repeated, so that a connection closed meanwhile costs little
+# more than a new one does each time.
+MAX_IDLE_S = 30
+
 # Jobs have one occurrence and one step so far.
 ONLY_OCCURRENCE = 0
 ONLY_STEP = 0
@@ -130,6 +134,9 @@
         except (msgspec.DecodeError, ValueError, IndexError) as error:
             return Error(OrderError(f"unreadable report: {error}", True))
 
+    def _connect(self) -> Transfer:
+        return Transfer(max_idle_s=MAX_IDLE_S)
+
     def _refusal(self, body: bytes) -> Refusal:
         try:
             reason = msgspec.json.decode(body, type=RefusedOrder).reason
@@ -142,7 +149,7 @@
         self, path: str, body: msgspec.Struct, timeout_s: float
     ) -> Reply | TransferFailure:
         with self.lock:
-            transfer = self.idle.pop() if self.idle else Transfer()
+            transfer = self.idle.pop() if self.idle else self._connect()
         try:
             return transfer.perform(
                 "POST",
--- a/sardinestair/transfer.py
+++ b/sardinestair/transfer.py
@@ -48,6 +48,8 @@
 
     Args:
         max_reply_bytes: Bound on a reply's body.
+        max_idle_s: How long an idle connection is kept. One that the server
+            closes meanwhile fails the next request.
 
     Examples:
         >>> transfer = Transfer()
@@ -56,7 +58,11 @@
         False
     """
 
-    def __init__(self, max_reply_bytes: int = MAX_REPLY_BYTES):
+    def __init__(
+        self,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
+        max_idle_s: int = MAX_IDLE_S,
+    ):
         self.max_reply_bytes = max_reply_bytes
         self.was_sent = False
         self.body = io.BytesIO()
@@ -66,7 +72,7 @@
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
         self.curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         # A server may close an idle connection while a request is under way.
-        self.curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
+        self.curl.setopt(pycurl.MAXAGE_CONN, max_idle_s)
         self.curl.setopt(pycurl.VERBOSE, 1)
         self.curl.setopt(pycurl.DEBUGFUNCTION, self._trace)
         self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
