--- a/sardinestair/ids.py
+++ b/sardinestair/ids.py
@@ -33,6 +33,7 @@
 TeamName = NewType("TeamName", str)
 ZoneName = NewType("ZoneName", str)
 
+SHORT_ID_BYTES = 8
 _UUID_VERSION = 7
 _MS_PER_S = 1000.0
 
@@ -92,12 +93,19 @@
 
 
 def format_job_id(job_id: JobId) -> str:
-    """Returns the text form of a job id.
+    """Returns the text form of a job id, as its caller wrote it.
+
+    Callers of other interfaces may choose ids of 8 bytes, which are kept with
+    8 leading zeros.
 
     Examples:
-        >>> format_job_id(JobId(bytes(16)))
-        '00000000-0000-0000-0000-000000000000'
+        >>> format_job_id(JobId(bytes([1, *range(15)])))
+        '01000102-0304-0506-0708-090a0b0c0d0e'
+        >>> format_job_id(JobId(bytes(8) + bytes(range(8))))
+        '0001020304050607'
     """
+    if not any(job_id[:SHORT_ID_BYTES]):
+        return job_id[SHORT_ID_BYTES:].hex()
     return str(uuid.UUID(bytes=job_id))
 
 
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -41,6 +41,8 @@
 # A stop takes 50 ms at most, and its end is listed in the report after it.
 END_GRACE_S = 0.5
 MAX_STOPS_A_REPORT = 16
+# Which missing reports in a row get a line.
+LOGGED_UNANSWERED = frozenset({1, 2, 10, 100, 1000})
 
 STALLED = b"stalled"
 """Reason of an interrupted task that had stopped making progress."""
@@ -301,8 +303,14 @@
     def _report_missing(self, error: OrderError) -> None:
         self.unanswered += 1
         self.metrics.count("reports_missing_total", {})
+        if self.unanswered in LOGGED_UNANSWERED:
+            self.log.warning(
+                "report_missing",
+                reason=error.reason,
+                unanswered=self.unanswered,
+                lease_left_s=self._lease_left(),
+            )
         if self.remote_s is None or self._remote_now() < self.until_s:
-            self.log.warning("report_missing", reason=error.reason)
             return
         lapsed = self._finish_all(EndKind.LAPSED)
         if not self.is_lost:
@@ -310,6 +318,11 @@
             self.log.error("upstream_lost", runs=lapsed, reason=error.reason)
             self.on_lost()
 
+    def _lease_left(self) -> float | None:
+        if self.remote_s is None:
+            return None
+        return self.until_s - self._remote_now()
+
     def _finish_all(self, how: EndKind) -> int:
         with self.lock:
             runs = list(self.runs.values())
