Learn a change of speed in a few tasks; late jobs take slow upstreams

Change: a second average over few tasks counts once it is far from the first; late jobs take the slowest free upstream; one that has not begun and would end past three times its objective is refused as not run, with the backlog as Retry-After; admission goes by the same time.

--- a/sardinestair/emulator/experiment.py
+++ b/sardinestair/emulator/experiment.py
@@ -40,7 +40,8 @@
     Args:
         defaults: What its root overrides.
     """
-    values = {"order": "least_slack", **(defaults or {})}
+    usual = {"order": "least_slack", "useful_factor": 3}
+    values = {**usual, **(defaults or {})}
     zone = ZoneNode()
     for kind in BUYBACK:
         zone.kinds[kind.name] = KindNode(
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -21,6 +21,7 @@
 from sardinestair.jobs import Job, JobRegistry, JobState
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
+from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobCharge
 from sardinestair.limits.money import slot_cost
 from sardinestair.links.entry_link import EntryLink, LinkState
@@ -259,12 +260,24 @@
             self.registry.expire(now_s)
             for state in self.services.values():
                 if state.queue.waiting_tasks:
+                    self._refuse_useless(state, now_s)
                     # An outage may be over, or a wait have become too long.
                     for link in state.links.values():
                         state.refresh(link, now_s)
                     self.touched.add(state.name)
             self.links_handled()
 
+    def _refuse_useless(self, state: ServiceState, now_s: float) -> None:
+        """Refuses what waits and can't be answered while that is of use."""
+        for job in state.queue.useless(now_s):
+            backlog_s = state.backlog_s(1 / self.gate.entry_count)
+            detail = (
+                f"it would end over {job.useful_until_s - job.accepted_s:.1f} "
+                f"s after it came; other work of {backlog_s:.1f} s waits"
+            )
+            retry_after_s = max(backlog_s, MIN_RETRY_AFTER_S)
+            self._fail(job, ProblemKind.OVERLOADED, detail, retry_after_s)
+
     def give_up(self, reason: str) -> None:
         """Answers all jobs that are left with a failure."""
         with self.lock:
@@ -480,6 +493,7 @@
             settings.max_attempts,
             request.need,
             None if objective_s is None else now_s + objective_s,
+            now_s + state.useful_s(settings, work.mean_s_, deadline_s),
         )
         if earlier is not None:
             job.attempts = earlier.attempts
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -164,7 +164,8 @@
             now_s,
             now_s + (objective_s or deadline_s) - estimate.mean_s_,
         )
-        decision = state.admission().decide(load, tasks, size, deadline_s)
+        useful_s = state.useful_s(settings, estimate.mean_s_, deadline_s)
+        decision = state.admission().decide(load, tasks, size, useful_s)
         if decision.is_ok():
             decision = self._quota(request.team, tasks)
         return decision.error if decision.is_error() else None
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -92,6 +92,30 @@
         limit_s = settings.objective_s + settings.objective_stretch * work_s
         return limit_s if limit_s > 0 else None
 
+    def useful_s(
+        self, settings: ServiceSettings, work_s: float, deadline_s: float
+    ) -> float:
+        """Returns how long an answer is of use, in seconds.
+
+        Args:
+            settings: The settings that apply to the job.
+            work_s: Expected run time of its longest task.
+            deadline_s: Time that its caller allows.
+        """
+        objective_s = self.objective_of(settings, work_s)
+        if objective_s is None or settings.useful_factor <= 0:
+            return deadline_s
+        return min(deadline_s, settings.useful_factor * objective_s)
+
+    def backlog_s(self, share: float) -> float:
+        """Returns how long the waiting work will take, in seconds.
+
+        Args:
+            share: This entry's share of the upstreams if all ask.
+        """
+        rate = self.own_throughput(share)
+        return self.queue.waiting_s / rate if rate else UPSTREAM_GRACE_S
+
     def judge_answer(self, job: Job, response_s: float) -> bool:
         """Tells whether a complete answer met the objective."""
         return response_s <= job.target_s - job.accepted_s
@@ -221,7 +245,9 @@
         ahead = self.queue.waiting_tasks - 1
         for job in self._lookahead():
             size_s = self._weighted_size(job)
-            if self.policy.accepts(link.candidate, size_s, ahead):
+            if job.is_late or self.policy.accepts(
+                link.candidate, size_s, ahead
+            ):
                 return job
         return None
 
@@ -276,6 +302,7 @@
                 ahead,
                 job.need,
                 self._avoided(job),
+                job.is_late,
             )
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -235,3 +235,25 @@
     refused = entry.dispatcher.submit(parsed).error
     assert refused.not_run
     assert refused.retry_after_s
+
+
+def test_late_job_that_nobody_can_use_is_refused_as_not_run():
+    """It is not left to wait until its caller gives up (pattern: burst)."""
+    entry = fresh_entry()
+    tree = parse_tree(
+        "set: {order: least_slack, objective_s: 0.5, useful_factor: 3}\n"
+        "services: {quotes: {}}"
+    ).ok
+    entry.dispatcher.configure(tree)
+    job = entry.submit().ok
+    entry.dispatcher.expire()
+    for _ in range(20):
+        entry.clock.advance(0.1)
+        entry.dispatcher.services["quotes"].queue.demote_late(
+            entry.clock.monotonic()
+        )
+        entry.dispatcher.expire()
+    problem = job.done.result(0).error
+    assert problem.kind is ProblemKind.OVERLOADED
+    assert problem.not_run
+    assert problem.retry_after_s > 0
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -65,6 +65,8 @@
         need: What each task needs of an upstream that has a capacity.
         target_s: Until when the answer is in time, on the entry's clock; the
             deadline if not given.
+        useful_until_s: Until when an answer is of use; the deadline if not
+            given.
 
     Attributes:
         waiting: Indices of the tasks that wait, in order.
@@ -110,6 +112,7 @@
         max_attempts: int = 1,
         need: Resources | None = None,
         target_s: float | None = None,
+        useful_until_s: float | None = None,
     ):
         self.job_id = job_id
         self.service = service
@@ -121,6 +124,9 @@
         self.work = work
         self.digest = digest
         self.target_s = deadline_s if target_s is None else target_s
+        self.useful_until_s = deadline_s
+        if useful_until_s is not None:
+            self.useful_until_s = min(deadline_s, useful_until_s)
         self.is_late = False
         self.max_attempts = max_attempts
         self.need = need
@@ -152,6 +158,11 @@
         """When its tasks must start on a typical upstream to be in time."""
         return self.target_s - self.work.mean_s_
 
+    def is_useless(self, now_s: float) -> bool:
+        """Tells whether it has not begun and would end too late for use."""
+        end_s = now_s + self.work.mean_s_
+        return self.is_not_run and end_s > self.useful_until_s
+
     def take(self, sidecar: Incarnation) -> int:
         """Takes the next waiting task for a start.
 
--- a/sardinestair/limits/admission.py
+++ b/sardinestair/limits/admission.py
@@ -5,7 +5,7 @@
 
 from sardinestair.outcomes import Problem, ProblemKind
 
-__all__ = ["Admission", "Load"]
+__all__ = ["MIN_RETRY_AFTER_S", "Admission", "Load"]
 
 MIN_RETRY_AFTER_S = 0.1
 # A job that is let in and then misses its deadline has wasted its slots.
@@ -56,7 +56,7 @@
             load: The state of the queue.
             tasks: Tasks of the job.
             size: Bytes of its payloads.
-            deadline_s: Time that the caller allows, in seconds.
+            deadline_s: Time for which an answer is of use, in seconds.
 
         Returns:
             Ok, or the problem with which the job is refused.
--- a/sardinestair/placement/estimators.py
+++ b/sardinestair/placement/estimators.py
@@ -76,7 +76,9 @@
 class SpeedEstimator:
     """Speed factor of one upstream: observed over expected run time.
 
-    The ratio is averaged as a logarithm, since run times vary by factors.
+    The ratio is averaged as a logarithm, since run times vary by factors. An
+    upstream that turns slow, or sound again, shows in a second average over
+    few tasks, which counts once the two are far apart.
 
     Args:
         memory: How many recent tasks the mean covers.
@@ -94,11 +96,16 @@
     """
 
     MAX_LOG_RATIO = math.log(20.0)
+    RECENT_WEIGHT = 0.3
+    # Over three standard deviations of the recent average, with run times of
+    # a kind that spread by 0.4.
+    CHANGE_LOG_RATIO = math.log(1.8)
 
     def __init__(self, memory: int = 60, prior_weight: float = 2.0):
         self.memory = memory
         self.prior_weight = prior_weight
         self.log_ratio_ = 0.0
+        self.recent_ = 0.0
         self.weight_ = prior_weight
         self.factor_ = 1.0
 
@@ -115,4 +122,9 @@
         ratio = max(-self.MAX_LOG_RATIO, min(self.MAX_LOG_RATIO, ratio))
         self.weight_ = min(self.weight_ + 1, self.memory)
         self.log_ratio_ += (ratio - self.log_ratio_) / self.weight_
-        self.factor_ = math.exp(self.log_ratio_)
+        self.recent_ += self.RECENT_WEIGHT * (ratio - self.recent_)
+        has_changed = (
+            abs(self.recent_ - self.log_ratio_) > self.CHANGE_LOG_RATIO
+        )
+        shown = self.recent_ if has_changed else self.log_ratio_
+        self.factor_ = math.exp(shown)
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -52,6 +52,7 @@
         ahead: int,
         need: Resources | None = None,
         avoid: Container[Incarnation] = (),
+        is_late: bool = False,
     ) -> Candidate | None:
         """Chooses a candidate whose credits cover the task.
 
@@ -60,6 +61,7 @@
             ahead: Waiting tasks that come before this one.
             need: What the task needs, or None if it was not said.
             avoid: Candidates that must not be chosen.
+            is_late: True if the task's job can't be in time any more.
 
         Returns:
             The choice, or None if the task should wait.
@@ -110,6 +112,18 @@
             None,
         )
 
+    def worst(
+        self, need: Resources | None, avoid: Container[Incarnation]
+    ) -> Candidate | None:
+        return next(
+            (
+                candidate
+                for _, candidate in reversed(self.items)
+                if candidate.sidecar not in avoid and candidate.has_room(need)
+            ),
+            None,
+        )
+
 
 class LeastExpectedFinish:
     """Chooses the slot on which the task should end first.
@@ -160,8 +174,14 @@
         ahead: int,
         need: Resources | None = None,
         avoid: Container[Incarnation] = (),
+        is_late: bool = False,
     ) -> Candidate | None:
-        """Chooses the fastest candidate, or None if waiting should pay."""
+        """Chooses the fastest candidate, or None if waiting should pay.
+
+        A late job takes the slowest, and leaves the others to those in time.
+        """
+        if is_late:
+            return self.available.worst(need, avoid)
         best = self.available.best(need, avoid)
         if best is None or not self.accepts(best, size_s, ahead):
             return None
@@ -231,6 +251,7 @@
         ahead: int,
         need: Resources | None = None,
         avoid: Container[Incarnation] = (),
+        is_late: bool = False,
     ) -> Candidate | None:
         """Chooses the least loaded candidate."""
         return self.available.best(need, avoid)
@@ -286,6 +307,7 @@
         ahead: int,
         need: Resources | None = None,
         avoid: Container[Incarnation] = (),
+        is_late: bool = False,
     ) -> Candidate | None:
         """Chooses the next candidate in turn."""
         fitting = self.fitting(need, avoid)
@@ -313,6 +335,7 @@
         ahead: int,
         need: Resources | None = None,
         avoid: Container[Incarnation] = (),
+        is_late: bool = False,
     ) -> Candidate | None:
         """Chooses the less loaded one of two."""
         fitting = self.fitting(need, avoid)
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -149,6 +149,12 @@
             late.append(job)
         return late
 
+    def useless(self, now_s: float) -> list[Job]:
+        """Returns the late jobs that would end too late for any use."""
+        first = self.jobs.bisect_key_left((now_s + LATE_S / 2, b""))
+        late = itertools.islice(self.jobs, first, None)
+        return [job for job in late if job.is_useless(now_s)]
+
     def work_ahead_s(
         self,
         team: str,
--- a/sardinestair/placement/tests/test_queue.py
+++ b/sardinestair/placement/tests/test_queue.py
@@ -135,3 +135,14 @@
     queue = slack_queue(*jobs)
     assert queue.work_ahead_s("calm", 1.0, 0.0, 0.5) == 0.0
     assert queue.work_ahead_s("calm", 1.0, 0.0, 20.0) == 10.0
+
+
+def test_late_job_that_has_not_begun_is_useless_after_its_time():
+    lost, begun = timed_job(1, target_s=1.0), timed_job(2, target_s=1.0)
+    for job in (lost, begun):
+        job.useful_until_s = 3.0
+    queue = slack_queue(lost, begun)
+    begun.may_have_run = True
+    queue.demote_late(0.5)
+    assert queue.useless(1.9) == []
+    assert queue.useless(2.1) == [lost]
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -78,6 +78,8 @@
         max_attempts: Runs of a task that may fail before the task has failed;
             with 1, a task that has started is never started again.
         priority: Which jobs come first when slots are short; 0 before 1.
+        useful_factor: An answer is of use until this many times its objective;
+            0 for until the deadline.
         objective_stretch: An answer is in time up to this many times the
             expected run time of a task, plus `objective_s`.
     """
@@ -102,6 +104,7 @@
     objective_s: float = 0.0
     max_attempts: int = 1
     priority: int = 0
+    useful_factor: float = 0.0
     objective_stretch: float = 0.0
 
 
@@ -128,6 +131,7 @@
     objective_s: Annotated[float, Meta(ge=0, le=3600)] | UnsetType = UNSET
     max_attempts: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
     priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
+    useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
 
 
