Move tasks that are overdue at an upstream that turned slow

Cause: an upstream that turned seven times slower showed only when its first tasks ended, after 0.8 s and more, and the tasks that were there stayed.

Change: a task that takes 2.5 times its expected run time counts as a sample of its upstream's speed; where attempts allow, and an upstream at least twice as fast has room, it is stopped (a Stop message) and runs there once its end is listed. The emulator stops runs, too.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -19,7 +19,7 @@
 from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
-from sardinestair.messages import EntryFrame, TaskRef, TaskState
+from sardinestair.messages import EntryFrame, Start, TaskRef, TaskState
 from sardinestair.observability import Metrics
 from sardinestair.outcomes import ProblemKind
 from sardinestair.settings import SettingsTree
@@ -37,6 +37,7 @@
 MEMORY_MB = 65536
 # A start without answer: its time-out, a stop and a report.
 UNANSWERED_S = 0.1
+STOP_S = 0.05
 REFUSALS = frozenset(
     {ProblemKind.OVERLOADED, ProblemKind.UNAVAILABLE, ProblemKind.DRAINING}
 )
@@ -124,6 +125,15 @@
         return _Socket()
 
 
+class _Run:
+    """A task that runs at an emulated upstream."""
+
+    def __init__(self, result: CallResult, finish: Callable[[], object]):
+        self.result = result
+        self.finish = finish
+        self.is_over = False
+
+
 class _Upstream:
     """Runs tasks of one sidecar: the caller and the workers in one."""
 
@@ -133,49 +143,32 @@
     def __init__(self, system: "EmulatedSystem", speed: Speed):
         self.system = system
         self.speed = speed
-        self.server: LinkServer | None = None
         self.draws = 0
+        self.runs: dict[TaskRef, _Run] = {}
 
-    def submit(self, work: Callable[[], None]) -> None:
+    def submit(self, work: Callable[..., None], *arguments: Any) -> None:
         """Lets a task begin now, and end when its run time has passed."""
-        assert self.server is not None
-        server, system = self.server, self.system
-        waiting = server.commands.qsize()
-        self.run_s = 0.0
-        work()
-        commands = [server.commands.get() for _ in range(waiting + 1)]
-        for command in commands[:-1]:
-            server.commands.put(command)
-        finish = commands[-1]
-
-        def end() -> None:
-            server.commands.put(finish)
-            server.wakeup.set()
-
-        system.after(self.run_s, end)
+        start: Start = arguments[1]
+        result = self._decide(start.payload, start.remaining_s)
+        run = _Run(result, lambda: work(*arguments))
+        self.runs[start.task] = run
+        self.system.after(result.run_s, lambda: self._end(start.task, run))
 
     def call(
         self, ref: TaskRef, payload: bytes, timeout_s: float
     ) -> CallResult:
-        """Decides how a task ends."""
-        work_s = float(payload)
-        is_hopeless = work_s < 0
-        state, body = TaskState.DONE, b""
-        self.run_s = min(abs(work_s) * self.speed.factor, timeout_s)
-        self.draws += 1
-        every = 1 / self.speed.lost_share if self.speed.lost_share else 0
-        if every and self.draws % every < 1:
-            state, self.run_s = TaskState.NOT_RUN, UNANSWERED_S
-        elif self.speed.fault is Fault.STILL:
-            state, body, self.run_s = TaskState.INTERRUPTED, STALLED, STALL_S
-        elif self.speed.fault is Fault.FAILS or is_hopeless:
-            state, body, self.run_s = TaskState.FAILED, b"failed", 0.01
-        if state not in (TaskState.DONE, TaskState.NOT_RUN):
-            self.system.report.thrown_away_s += self.run_s
-        return CallResult(state, body, False, self.run_s)
+        """Returns how a run has ended; called when it has."""
+        return self.runs.pop(ref).result
 
     def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
-        """Lets the task run out: its capacity counts as taken until then."""
+        """Ends a run now."""
+        run = self.runs.get(ref)
+        if run is None or run.is_over:
+            return
+        state = TaskState.INTERRUPTED
+        run.result = CallResult(state, reason, False, 0.0)
+        self.system.report.thrown_away_s += STOP_S
+        self.system.after(STOP_S, lambda: self._end(ref, run))
 
     def close(self) -> None:
         pass
@@ -183,6 +176,29 @@
     def shutdown(self, **_options: bool) -> None:
         pass
 
+    def _end(self, ref: TaskRef, run: _Run) -> None:
+        if not run.is_over:
+            run.is_over = True
+            run.finish()
+            self.runs.pop(ref, None)
+
+    def _decide(self, payload: bytes, timeout_s: float) -> CallResult:
+        """Decides how a task ends, and when."""
+        work_s = float(payload)
+        state, body = TaskState.DONE, b""
+        run_s = min(abs(work_s) * self.speed.factor, timeout_s)
+        self.draws += 1
+        every = 1 / self.speed.lost_share if self.speed.lost_share else 0
+        if every and self.draws % every < 1:
+            state, run_s = TaskState.NOT_RUN, UNANSWERED_S
+        elif self.speed.fault is Fault.STILL:
+            state, body, run_s = TaskState.INTERRUPTED, STALLED, STALL_S
+        elif self.speed.fault is Fault.FAILS or work_s < 0:
+            state, body, run_s = TaskState.FAILED, b"failed", 0.01
+        if state not in (TaskState.DONE, TaskState.NOT_RUN):
+            self.system.report.thrown_away_s += run_s
+        return CallResult(state, body, False, run_s)
+
 
 class _Connection:
     """One link between an entry and a sidecar."""
@@ -273,7 +289,6 @@
         server.wakeup.close()
         flag: Any = _Flag()
         server.wakeup = flag
-        upstream.server = server
         capacity = Resources(speed.cpu_millis, MEMORY_MB, 0)
         server.announce(
             Announcement(
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -10,6 +10,7 @@
 
 from sardinestair.clock import Clock
 from sardinestair.entry.gate import Gate
+from sardinestair.entry.overdue import OverdueTasks
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import (
@@ -45,6 +46,8 @@
 MAX_REASON_CHARACTERS = 200
 BUSY_CHECK_S = 0.02
 IDLE_CHECK_S = 0.25
+# Adds this much at most to the time until an overdue task is moved.
+OVERDUE_CHECK_S = 0.05
 
 
 class Dispatcher:
@@ -70,6 +73,7 @@
         links: Links by sidecar.
         registry: The known jobs.
         recorder: Records how jobs end.
+        overdue: Looks after tasks that take too long.
     """
 
     def __init__(
@@ -105,6 +109,7 @@
             "entry", entry=format_incarnation(incarnation), zone=zone
         )
         self.recorder = JobRecorder(clock, metrics, self.log)
+        self.overdue = OverdueTasks(self.registry, metrics, self.log)
 
     @property
     def tree(self) -> SettingsTree | None:
@@ -259,6 +264,7 @@
                     self._fail(job, ProblemKind.DEADLINE, detail)
             self.registry.expire(now_s)
             for state in self.services.values():
+                self.overdue.check(state, now_s)
                 if state.queue.waiting_tasks:
                     self._refuse_useless(state, now_s)
                     # An outage may be over, or a wait have become too long.
@@ -297,6 +303,8 @@
         with self.lock:
             if any(s.queue.waiting_tasks for s in self.services.values()):
                 return BUSY_CHECK_S
+            if self.active_jobs():
+                return OVERDUE_CHECK_S
             if not self.deadlines:
                 return IDLE_CHECK_S
             due_s = self.deadlines[0][0] - self.clock.monotonic()
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -137,6 +137,15 @@
         run_times = self.run_times_.setdefault(job.kind, RunTimeEstimator())
         run_times.observe(typical_s)
 
+    def learn_overdue(
+        self, link: EntryLink, job: Job, age_s: float, now_s: float
+    ) -> None:
+        """Learns from a task that has not ended when it should have."""
+        speed = self.speeds_.setdefault(link.sidecar, SpeedEstimator())
+        speed.observe(age_s, job.work.mean_s_)
+        link.candidate.speed_ = speed.factor_
+        self.refresh(link, now_s)
+
     def refresh(self, link: EntryLink, now_s: float) -> None:
         """Brings a link's candidate up to date for placement."""
         candidate = link.candidate
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -163,6 +163,11 @@
         end_s = now_s + self.work.mean_s_
         return self.is_not_run and end_s > self.useful_until_s
 
+    @property
+    def can_be_moved(self) -> bool:
+        """True if a task that is stopped may run again."""
+        return self.is_active and self.max_attempts > 1
+
     def take(self, sidecar: Incarnation) -> int:
         """Takes the next waiting task for a start.
 
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -36,6 +36,7 @@
     Resumed,
     SidecarFrame,
     Start,
+    Stop,
     TaskRef,
     TaskState,
 )
@@ -106,6 +107,7 @@
         state: Whether new work can be placed.
         account: The credits held.
         outstanding: Attempts sent and not yet settled, by job and index.
+        placed_s: When each of them was placed.
         candidate: What placement knows of the upstream.
         epoch: Number of the current connection.
         asked_s: When the sidecar was first asked after its last answer, or
@@ -136,6 +138,7 @@
         self.state = LinkState.CONNECTING
         self.account = CreditAccount()
         self.outstanding: dict[tuple[JobId, int], TaskRef] = {}
+        self.placed_s: dict[tuple[JobId, int], float] = {}
         self.is_leased = announce.is_leased
         self.candidate = Candidate(
             announce.sidecar,
@@ -181,12 +184,26 @@
         self.account.spend(units)
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
+        self.placed_s[ref.job, ref.index] = self.clock.monotonic()
         self.outbox.append(Start(ref, remaining_s, payload, need))
 
     def cancel(self, refs: list[TaskRef]) -> None:
         """Queues the cancellation of started tasks in one message."""
         self.outbox.append(Cancel(refs))
 
+    def stop(self, refs: list[TaskRef]) -> None:
+        """Queues a stop of started tasks, whose ends will be reported."""
+        self.outbox.append(Stop(refs))
+
+    def forget_settled(self) -> None:
+        """Drops the start times of tasks that have been settled."""
+        if len(self.placed_s) > len(self.outstanding):
+            self.placed_s = {
+                key: placed_s
+                for key, placed_s in self.placed_s.items()
+                if key in self.outstanding
+            }
+
     def close(self) -> None:
         """Ends the link.
 
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -33,6 +33,7 @@
     "SidecarFrame",
     "SidecarMessage",
     "Start",
+    "Stop",
     "TaskRef",
     "TaskState",
 ]
@@ -99,6 +100,12 @@
     tasks: list[TaskRef]
 
 
+class Stop(msgspec.Struct, array_like=True, tag="T"):
+    """Names tasks to be stopped if they run; their ends are still wanted."""
+
+    tasks: list[TaskRef]
+
+
 class Demand(msgspec.Struct, array_like=True, tag="D"):
     """Tells how much work waits at the entry.
 
@@ -188,7 +195,7 @@
 
 
 EntryMessage: TypeAlias = (
-    Resume | Start | Cancel | Demand | CreditReturn | Acknowledge
+    Resume | Start | Cancel | Stop | Demand | CreditReturn | Acknowledge
 )
 SidecarMessage: TypeAlias = Resumed | Outcome | Grant | Recall | Leaving
 
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -34,6 +34,7 @@
     Recall,
     Resume,
     Start,
+    Stop,
     TaskRef,
     TaskState,
 )
@@ -342,6 +343,12 @@
             for ref in message.tasks:
                 self.caller.stop(ref)
 
+    @_handle.register
+    def _(self, message: Stop, session: SidecarSession) -> None:
+        if self.caller is not None:
+            for ref in message.tasks:
+                self.caller.stop(ref, b"moved")
+
     def _refuse(
         self, ref: TaskRef, session: SidecarSession, reason: bytes
     ) -> None:
@@ -356,31 +363,34 @@
         self.ledger.running += units
         self.metrics.count("starts_total", {})
         due_s = self.clock.monotonic() + message.remaining_s
-        held = session.tasks[message.task.job, message.task.index]
-        caller = self.caller
-
-        def work() -> None:
-            timeout_s = due_s - self.clock.monotonic()
-            is_over = self._has_lapsed(session)
-            if timeout_s <= 0 or not held.wanted or is_over:
-                outcome = Outcome(
-                    message.task, TaskState.NOT_RUN, b"not begun", False, 0.0
-                )
-            else:
-                result = caller.call(message.task, message.payload, timeout_s)
-                outcome = Outcome(
-                    message.task,
-                    result.state,
-                    result.body,
-                    result.is_json,
-                    result.run_s,
-                )
-                if result.is_unreachable:
-                    self.commands.put(lambda: self._lose_upstream(caller))
-            self.commands.put(lambda: self._finish(session, outcome, units))
-            self.wakeup.set()
+        self.workers.submit(
+            self._run_task, self.caller, message, session, units, due_s
+        )
 
-        self.workers.submit(work)
+    def _run_task(
+        self,
+        caller: TaskCaller,
+        message: Start,
+        session: SidecarSession,
+        units: int,
+        due_s: float,
+    ) -> None:
+        """Runs one task in a worker, and reports its outcome."""
+        ref = message.task
+        held = session.tasks[ref.job, ref.index]
+        timeout_s = due_s - self.clock.monotonic()
+        is_over = self._has_lapsed(session)
+        if timeout_s <= 0 or not held.wanted or is_over:
+            outcome = Outcome(ref, TaskState.NOT_RUN, b"not begun", False, 0.0)
+        else:
+            result = caller.call(ref, message.payload, timeout_s)
+            outcome = Outcome(
+                ref, result.state, result.body, result.is_json, result.run_s
+            )
+            if result.is_unreachable:
+                self.commands.put(lambda: self._lose_upstream(caller))
+        self.commands.put(lambda: self._finish(session, outcome, units))
+        self.wakeup.set()
 
     def _lose_upstream(self, caller: TaskCaller) -> None:
         """Stops new work until the upstream announces itself again."""
--- a/sardinestair/tests/fakes.py
+++ b/sardinestair/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fakes at the interfaces: sockets, workers, upstreams and the store."""
 
+import functools
 from collections import deque
 from collections.abc import Callable
 
@@ -60,8 +61,8 @@
     def __init__(self):
         self.work: deque[Callable] = deque()
 
-    def submit(self, function):
-        self.work.append(function)
+    def submit(self, function, *arguments):
+        self.work.append(functools.partial(function, *arguments))
 
     def shutdown(self, **_options):
         self.work.clear()
