Take jobs until an entry's stop; guard a capacity that has shrunk

Found by reading: credits of a capacity that has shrunk would have let starts exceed it; an unanswered start in an earlier life of an upstream could be called not run.

Change: an entry that stops takes jobs that should end before it has stopped; a start is checked against the present capacity; an unanswered start of another life counts as interrupted. Stops without answer are logged at 1, 2, 10, ...

--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -19,6 +19,8 @@
 __all__ = ["Gate"]
 
 MAX_ID_SKEW_S = 60.0
+# Room for waiting and for a task that takes longer than expected.
+DRAIN_FACTOR = 2.0
 
 
 class Gate:
@@ -35,6 +37,8 @@
         quotas: Token buckets of the teams that have a quota.
         entry_count: Entries that share the upstreams and the quotas.
         is_draining: True once the entry stops.
+        drain_until_s: Until when an entry that stops still takes jobs that
+            should have ended by then; None to take none.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         self.quotas: dict[str, TeamQuota] = {}
         self.entry_count = 1
         self.is_draining = False
+        self.drain_until_s: float | None = None
 
     def decide(
         self, parsed: ParsedRequest, state_of: Callable[[str], ServiceState]
@@ -66,13 +71,8 @@
             The problem with which it is refused, or None.
         """
         request = parsed.request
-        if self.is_draining:
-            return Problem(
-                ProblemKind.DRAINING,
-                "the entry is stopping; submit through another",
-                not_run=True,
-                retry_after_s=0.1,
-            )
+        if self.is_draining and self.drain_until_s is None:
+            return _draining()
         if self.tree is None:
             return Problem(
                 ProblemKind.UNAVAILABLE,
@@ -92,7 +92,17 @@
             refusal = self._claim_refusal(parsed.job_id)
             if refusal is not None:
                 return refusal
-        return self._limit_refusal(request, state_of(request.service))
+        state = state_of(request.service)
+        if self.is_draining and not self._ends_in_time(request, state):
+            return _draining()
+        return self._limit_refusal(request, state)
+
+    def _ends_in_time(self, request: JobRequest, state: ServiceState) -> bool:
+        """Tells whether a job should end before the entry has stopped."""
+        assert self.drain_until_s is not None
+        estimate = state.estimate(request.kind, request.declared_task_s)
+        expected_s = DRAIN_FACTOR * estimate.mean_s_
+        return self.clock.monotonic() + expected_s < self.drain_until_s
 
     def _claim_refusal(self, job_id: JobId) -> Problem | None:
         if not self.can_claim:
@@ -180,3 +190,12 @@
         quota.tasks_per_s = limits.tasks_per_s
         share = 1 / self.entry_count
         return quota.decide(team, tasks, share, self.clock.monotonic())
+
+
+def _draining() -> Problem:
+    return Problem(
+        ProblemKind.DRAINING,
+        "the entry is stopping; submit through another",
+        not_run=True,
+        retry_after_s=0.1,
+    )
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -83,6 +83,11 @@
             serves_on_s=self.platform.leave_s,
         )
         time.sleep(self.platform.leave_s)
+        # Other entries may be stopping, too: nobody is turned away who can
+        # still be answered.
+        drain_s = self.settings.drain_timeout_s
+        until_s = self.clock.monotonic() + drain_s
+        self.dispatcher.gate.drain_until_s = until_s
         return super().stop()
 
     def reload(self, settings: EntrySettings) -> None:
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -257,3 +257,25 @@
     assert problem.kind is ProblemKind.OVERLOADED
     assert problem.not_run
     assert problem.retry_after_s > 0
+
+
+# Entries are stopped in turn.
+
+
+def test_entry_that_stops_takes_what_it_can_still_answer(entry):
+    gate = entry.dispatcher.gate
+    gate.is_draining = True
+    gate.drain_until_s = entry.clock.monotonic() + 1.0
+    assert entry.submit().is_ok()
+    entry.clock.advance(0.6)  # A task takes 0.3 s, and may take longer.
+    request = JobRequest(
+        "quotes", "team", [TaskRequest(msgspec.Raw(b"{}"))], deadline_s=10.0
+    )
+    parsed = ParsedRequest(JobId(b"k" * 16), request, b"d")
+    refused = entry.dispatcher.submit(parsed).error
+    assert (refused.kind, refused.not_run) == (ProblemKind.DRAINING, True)
+
+
+def test_entry_that_stops_takes_nothing_by_default(entry):
+    entry.dispatcher.gate.is_draining = True
+    assert entry.submit().error.kind is ProblemKind.DRAINING
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -306,7 +306,10 @@
         units = self._units(message)
         has_credit = self.ledger.spend(session.entry, units)
         is_serving = self.upstream.state is UpstreamState.SERVING
-        if not has_credit or not is_serving:
+        # Credits may be of a capacity that has shrunk since.
+        most = self.upstream.slots + self.ledger.read_ahead
+        has_room = self.ledger.running + units <= most
+        if not (has_credit and is_serving and has_room):
             self._refuse(message.task, session, b"no slot")
             return
         if self._has_lapsed(session):
--- a/sardinestair/sidecar/tests/test_session_lease.py
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -184,6 +184,18 @@
     assert entry.server.ledger.running == 9000
 
 
+def test_credits_of_a_larger_capacity_do_not_exceed_a_smaller_one(entry):
+    """A runner may come back as a smaller kind at the same address."""
+    smaller = msgspec.structs.replace(
+        ANNOUNCEMENT, capacity=Resources(8000, 65536, 0)
+    )
+    entry.server.announce(smaller)
+    entry.server.workers = FakeWorkers()
+    for index in range(8):
+        entry.start(index)
+    assert entry.server.ledger.running <= 8000
+
+
 def test_timing_that_lets_two_runs_overlap_is_refused():
     with pytest.raises(ValueError, match="lost_s must be at least"):
         LinkTiming(0.15, 0.45, lost_s=1.2, session_s=0.75, lease_s=0.45)
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -46,7 +46,7 @@
 # A stop takes 50 ms at most, and its end is listed in the report after it.
 END_GRACE_S = 0.5
 MAX_STOPS_A_REPORT = 16
-# Which missing reports in a row get a line.
+# Which missing reports, or answers to stops, in a row get a line.
 LOGGED_UNANSWERED = frozenset({1, 2, 10, 100, 1000})
 
 STALLED = b"stalled"
@@ -63,23 +63,27 @@
 
     Attributes:
         name: The run's name at the upstream.
+        born_ms: The life of the upstream in which it was to start.
         end: How it ended, or None while it may run.
         is_seen: True once the upstream has shown that it is there.
         settled_s: From when on a report that lists it nowhere proves that it
             has ended, or None while its start is unsettled.
         is_stop_wanted: True if it should be stopped.
+        stops_unanswered: Stops that got no answer.
         reason: Why it is stopped, in UTF-8.
         percent: Share of its work that is done.
         moved_s: When that last changed.
         wakeup: Set when it has ended or should be stopped.
     """
 
-    def __init__(self, name: RunName, now_s: float):
+    def __init__(self, name: RunName, now_s: float, born_ms: int = 0):
         self.name = name
+        self.born_ms = born_ms
         self.end: EndKind | None = None
         self.is_seen = False
         self.settled_s: float | None = None
         self.is_stop_wanted = False
+        self.stops_unanswered = 0
         self.reason = b""
         self.percent = -1
         self.moved_s = now_s
@@ -163,7 +167,7 @@
             A `CallResult`; its body is empty or the reason in UTF-8.
         """
         began_s = self.clock.monotonic()
-        run = Run(self.orders.name_of(ref), began_s)
+        run = Run(self.orders.name_of(ref), began_s, self.born_ms)
         until_s = self._lease_end()
         if until_s is None or self.is_lost:
             return self._result(began_s, TaskState.NOT_RUN, b"no contact")
@@ -248,13 +252,16 @@
     def _send_stop(self, run: Run) -> bool:
         reply = self.orders.stop(run.name, STOP_TIMEOUT_S)
         if reply.is_error():
-            self.log.warning(
-                "stop_unanswered",
-                job=run.name.job,
-                task=run.name.index,
-                run=run.name.number,
-                reason=reply.error.reason,
-            )
+            run.stops_unanswered += 1
+            if run.stops_unanswered in LOGGED_UNANSWERED:
+                self.log.warning(
+                    "stop_unanswered",
+                    job=run.name.job,
+                    task=run.name.index,
+                    run=run.name.number,
+                    unanswered=run.stops_unanswered,
+                    reason=reply.error.reason,
+                )
             return False
         now_s = self.clock.monotonic()
         if run.settled_s is None or run.settled_s > now_s:
@@ -264,7 +271,8 @@
 
     def _ended(self, run: Run, began_s: float) -> CallResult:
         assert run.end is not None
-        if run.end is EndKind.OTHER and not run.is_seen:
+        is_same_life = run.born_ms == self.born_ms
+        if run.end is EndKind.OTHER and not run.is_seen and is_same_life:
             return self._result(began_s, TaskState.NOT_RUN, run.reason)
         state = _STATES.get(run.end, TaskState.INTERRUPTED)
         reason = run.reason or run.end.value.encode()
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -178,6 +178,18 @@
     assert bench.upstream.acknowledged == 0
 
 
+def test_unanswered_start_of_an_earlier_life_is_not_called_not_run(bench):
+    """It may have begun before the crash."""
+    bench.runner.lose_answers = 1
+    bench.runner.lose_orders = 0
+    result = bench.run(work_s=30.0)
+    bench.runner.wait_for("start", "stop")
+    bench.runner.restart()
+    bench.renew_after(LEASE_S + 0.2)
+    done = bench.renew_until_done(result)
+    assert done.state is TaskState.INTERRUPTED
+
+
 def test_upstream_that_goes_dark_loses_its_runs_after_the_lease(bench):
     result = bench.run(work_s=30.0)
     bench.runner.wait_for("start")
