Close a wake-up only while nobody sets it; let a next attempt start

Looked for by reading: a thread that sets a wake-up between the check of its descriptor and the write, while another closes it, gets an error and ends the process (or writes into a descriptor opened since). A test shows it in 2,000 rounds on the code before. Beside it: a sidecar ignored a next attempt while the outcome of an earlier one was not acknowledged, so that the task hung until its deadline; an exception in a worker was swallowed and kept its capacity taken; the lines that say why a process aborts were lost with it.

Change: a lock in Wakeup; a next attempt replaces one that has ended, and is refused while an earlier one runs; a worker's exception ends the process; lines are written before that.

--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -23,6 +23,7 @@
 
     RUN = "run"
     IGNORE = "ignore"
+    REFUSE = "refuse"
 
 
 class HeldTask(msgspec.Struct):
@@ -110,12 +111,18 @@
             ref: The attempt.
 
         Returns:
-            RUN if the task may start; it is held from now on. IGNORE if it
-            has been started before.
+            RUN if the task may start; it is held from now on. IGNORE if this
+            attempt has been started before, REFUSE if an earlier one runs.
         """
         key = (ref.job, ref.index)
-        if key in self.tasks:
-            return StartVerdict.IGNORE
+        held = self.tasks.get(key)
+        if held is not None:
+            if held.ref.attempt >= ref.attempt:
+                return StartVerdict.IGNORE
+            if held.outcome is None:
+                return StartVerdict.REFUSE
+        # The entry has given up an earlier attempt that has ended since, and
+        # whose outcome it has not acknowledged.
         self.tasks[key] = HeldTask(ref)
         return StartVerdict.RUN
 
@@ -127,7 +134,7 @@
     def finish(self, outcome: Outcome) -> None:
         """Keeps an outcome until it is acknowledged, and queues it."""
         task = self.tasks.get((outcome.task.job, outcome.task.index))
-        if task is None:
+        if task is None or task.ref != outcome.task:
             return
         if not task.wanted:
             outcome = msgspec.structs.replace(outcome, body=b"", is_json=False)
--- a/sardinestair/links/tests/test_wakeup.py
+++ b/sardinestair/links/tests/test_wakeup.py
@@ -1,6 +1,8 @@
 """Wakeups work in processes with many descriptors."""
 
 import os
+import sys
+import threading
 
 import pytest
 
@@ -26,3 +28,33 @@
     wakeup.set()
     assert wakeup.wait(1.0)
     wakeup.close()
+
+
+def test_set_while_another_thread_closes_does_nothing():
+    """A descriptor that is closed in between would end the setting thread."""
+    failed = []
+    interval_s = sys.getswitchinterval()
+    sys.setswitchinterval(1e-6)
+    try:
+        for _ in range(2000):
+            wakeup = Wakeup()
+            ready = threading.Event()
+            setter = threading.Thread(
+                target=set_often, args=(wakeup, ready, failed)
+            )
+            setter.start()
+            ready.wait()
+            wakeup.close()
+            setter.join()
+    finally:
+        sys.setswitchinterval(interval_s)
+    assert failed == []
+
+
+def set_often(wakeup, ready, failed):
+    ready.set()
+    try:
+        for _ in range(50):
+            wakeup.set()
+    except OSError as error:
+        failed.append(error)
--- a/sardinestair/links/wakeup.py
+++ b/sardinestair/links/wakeup.py
@@ -2,6 +2,7 @@
 
 import os
 import select
+import threading
 
 import zmq
 
@@ -27,6 +28,9 @@
 
     def __init__(self) -> None:
         self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        # Between a check of the descriptor and its use it must not be closed,
+        # or be opened anew by another.
+        self.lock = threading.Lock()
 
     def fileno(self) -> int:
         """Returns the descriptor to poll."""
@@ -34,8 +38,9 @@
 
     def set(self) -> None:
         """Wakes the waiting thread; does nothing after `close`."""
-        if self.fd >= 0:
-            os.eventfd_write(self.fd, 1)
+        with self.lock:
+            if self.fd >= 0:
+                os.eventfd_write(self.fd, 1)
 
     def wait(self, timeout_s: float) -> bool:
         """Waits for `set`.
@@ -60,6 +65,7 @@
 
     def close(self) -> None:
         """Releases the descriptor."""
-        fd, self.fd = self.fd, -1
-        if fd >= 0:
-            os.close(fd)
+        with self.lock:
+            fd, self.fd = self.fd, -1
+            if fd >= 0:
+                os.close(fd)
--- a/sardinestair/observability/__init__.py
+++ b/sardinestair/observability/__init__.py
@@ -1,6 +1,10 @@
 """Logs, metrics and reports."""
 
-from sardinestair.observability.logs import EventLog, configure_logging
+from sardinestair.observability.logs import (
+    EventLog,
+    configure_logging,
+    flush_lines,
+)
 from sardinestair.observability.metrics import Metrics
 
-__all__ = ["EventLog", "Metrics", "configure_logging"]
+__all__ = ["EventLog", "Metrics", "configure_logging", "flush_lines"]
--- a/sardinestair/observability/logs.py
+++ b/sardinestair/observability/logs.py
@@ -17,6 +17,7 @@
     "BoundedHandler",
     "EventLog",
     "configure_logging",
+    "flush_lines",
     "serialize_key_values",
 ]
 
@@ -28,6 +29,7 @@
 MAX_LINES_PER_S = 200
 _FIELDS = "%(asctime)s %(levelname)s %(message)s"
 _RENAMED = {"asctime": "time", "levelname": "level", "message": "event"}
+_writers: list["LineWriter"] = []
 _QUOTED_CHARACTERS = (" ", '"', "=", "\n", "\r", "\t")
 
 
@@ -94,6 +96,7 @@
     bounded = BoundedHandler(MAX_LINES, MAX_LINES_PER_S)
     writer = LineWriter(bounded.lines_queue, handler)
     writer.start()
+    _writers.append(writer)
     atexit.register(writer.close)
     logger = logging.getLogger("sardinestair")
     logger.handlers[:] = [bounded]
@@ -102,6 +105,12 @@
     return writer
 
 
+def flush_lines() -> None:
+    """Lets the last lines out before a process ends without its usual end."""
+    for writer in _writers:
+        writer.close()
+
+
 class LineWriter:
     """Writes queued records in a thread of its own.
 
--- a/sardinestair/observability/tests/test_logs.py
+++ b/sardinestair/observability/tests/test_logs.py
@@ -2,10 +2,13 @@
 
 import logging
 import os
+import subprocess
+import sys
 import threading
 
 from sardinestair.observability import EventLog
 from sardinestair.observability.logs import BoundedHandler, configure_logging
+from sardinestair.tasks import EXIT_BROKEN_INVARIANT
 
 
 def record(level=logging.INFO, created=100.0):
@@ -58,3 +61,21 @@
     for _ in range(10):
         handler.emit(record(logging.ERROR))
     assert (handler.queue.qsize(), handler.left_out) == (3, 7)
+
+
+def test_line_before_an_abort_is_written():
+    code = (
+        "import sys\n"
+        "from sardinestair.observability import EventLog, configure_logging\n"
+        "from sardinestair.tasks import TaskPool\n"
+        "configure_logging('INFO', sys.stdout)\n"
+        "TaskPool(1, EventLog('test')).run(lambda: 1 / 0)\n"
+        "import time; time.sleep(20)\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True,
+        timeout=60, check=False,
+    )  # fmt: skip
+    assert done.returncode == EXIT_BROKEN_INVARIANT
+    assert "event=invariant_broken" in done.stdout
+    assert "ZeroDivisionError" in done.stdout
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -40,6 +40,7 @@
 )
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
+from sardinestair.tasks import abort_process
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
 from sardinestair.upstreams.caller import TaskCaller
 from sardinestair.upstreams.upstream import UpstreamState
@@ -316,8 +317,11 @@
             # It was sent before the session ended, and held up since.
             self._refuse(message.task, session, b"session over")
             return
-        if session.start(message.task) is StartVerdict.RUN:
+        verdict = session.start(message.task)
+        if verdict is StartVerdict.RUN:
             self._start(message, session)
+        elif verdict is StartVerdict.REFUSE:
+            self._refuse(message.task, session, b"an earlier attempt runs")
 
     @_handle.register
     def _(self, message: Demand, session: SidecarSession) -> None:
@@ -379,21 +383,35 @@
         due_s: float,
     ) -> None:
         """Runs one task in a worker, and reports its outcome."""
+        try:
+            outcome = self._outcome_of(caller, message, session, due_s)
+        except Exception:
+            # The task's capacity would stay taken for good.
+            self.log.logger.exception("invariant_broken")
+            abort_process()
+            raise
+        self.commands.put(lambda: self._finish(session, outcome, units))
+        self.wakeup.set()
+
+    def _outcome_of(
+        self,
+        caller: TaskCaller,
+        message: Start,
+        session: SidecarSession,
+        due_s: float,
+    ) -> Outcome:
         ref = message.task
         held = session.tasks[ref.job, ref.index]
         timeout_s = due_s - self.clock.monotonic()
         is_over = self._has_lapsed(session)
         if timeout_s <= 0 or not held.wanted or is_over:
-            outcome = Outcome(ref, TaskState.NOT_RUN, b"not begun", False, 0.0)
-        else:
-            result = caller.call(ref, message.payload, timeout_s)
-            outcome = Outcome(
-                ref, result.state, result.body, result.is_json, result.run_s
-            )
-            if result.is_unreachable:
-                self.commands.put(lambda: self._lose_upstream(caller))
-        self.commands.put(lambda: self._finish(session, outcome, units))
-        self.wakeup.set()
+            return Outcome(ref, TaskState.NOT_RUN, b"not begun", False, 0.0)
+        result = caller.call(ref, message.payload, timeout_s)
+        if result.is_unreachable:
+            self.commands.put(lambda: self._lose_upstream(caller))
+        return Outcome(
+            ref, result.state, result.body, result.is_json, result.run_s
+        )
 
     def _lose_upstream(self, caller: TaskCaller) -> None:
         """Stops new work until the upstream announces itself again."""
--- a/sardinestair/tasks.py
+++ b/sardinestair/tasks.py
@@ -4,14 +4,16 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from sardinestair.observability import EventLog
+from sardinestair.observability import EventLog, flush_lines
 
-__all__ = ["EXIT_BROKEN_INVARIANT", "TaskPool"]
+__all__ = ["EXIT_BROKEN_INVARIANT", "TaskPool", "abort_process"]
 
 EXIT_BROKEN_INVARIANT = 70
 
 
-def _abort() -> None:
+def abort_process() -> None:
+    """Ends the process at once, once the lines that say why are written."""
+    flush_lines()
     os._exit(EXIT_BROKEN_INVARIANT)
 
 
@@ -39,7 +41,7 @@
         self,
         max_tasks: int,
         log: EventLog,
-        on_broken: Callable[[], None] = _abort,
+        on_broken: Callable[[], None] = abort_process,
     ):
         self.log = log
         self.on_broken = on_broken
