--- a/sardinestair/cli/ctl.py
+++ b/sardinestair/cli/ctl.py
@@ -23,6 +23,7 @@
     HistoryCommand,
     SetCommand,
 )
+from sardinestair.cli.ctl_trace import TraceCommand
 
 __all__ = ["main"]
 
@@ -41,6 +42,7 @@
     CheckCommand,
     ForecastCommand,
     DroppedCommand,
+    TraceCommand,
 ]
 
 
--- /dev/null
+++ b/sardinestair/cli/ctl_trace.py
@@ -0,0 +1,67 @@
+"""Tells the story of one request from log files."""
+
+import sys
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from sardinestair.cli.service import EXIT_FAILURE, EXIT_OK
+from sardinestair.observability.trace import LogLine, parse_lines, trace
+
+__all__ = ["TraceCommand"]
+
+STANDARD_INPUT = "-"
+
+
+class TraceCommand(Command):
+    """Follows one request through the logs of many processes."""
+
+    name = "trace"
+    description = "Tells the story of one request from log files."
+    arguments = [
+        argument("job", "Id of the request, as its caller wrote it."),
+        argument(
+            "files", "Log files, - for standard input.", optional=True,
+            multiple=True,
+        ),
+    ]  # fmt: skip
+    help = """\
+Examples:
+  sardinestairctl trace 5c0e7a21d94b36f8 entry-*.log sidecar-*.log
+  cat *.log | sardinestairctl trace 5c0e7a21d94b36f8
+
+Lines that name the request are marked with >; the others are warnings of the
+time around it that name no request. Status 1 if no line names it."""
+
+    def handle(self) -> int:
+        """Prints the story."""
+        lines: list[LogLine] = []
+        for file in self.argument("files") or [STANDARD_INPUT]:
+            try:
+                lines += _read(file)
+            except OSError as error:
+                self.line_error(f"{file}: {error.strerror}")
+                return EXIT_FAILURE
+        job = self.argument("job")
+        story = trace(lines, job)
+        if not story:
+            self.line_error(
+                f"no line of {len(lines)} names {job}: it reached none of "
+                f"these processes, or one that was lost with its lines"
+            )
+            return EXIT_FAILURE
+        for line in story:
+            mark = ">" if line.fields.get("job") == job else " "
+            fields = " ".join(f"{k}={v}" for k, v in line.fields.items())
+            time = line.time.strftime("%H:%M:%S.%f")[:-3]
+            self.io.write_line(
+                f"{mark} {time} {line.source} {line.event} {fields}"
+            )
+        return EXIT_OK
+
+
+def _read(file: str) -> list[LogLine]:
+    if file == STANDARD_INPUT:
+        return list(parse_lines(sys.stdin, "-"))
+    with open(file, encoding="utf-8", errors="replace") as stream:
+        return list(parse_lines(stream, file))
--- /dev/null
+++ b/sardinestair/observability/trace.py
@@ -0,0 +1,103 @@
+"""Follows one request through the log lines of many processes."""
+
+import datetime
+import re
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+__all__ = ["LogLine", "parse_lines", "trace"]
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_BASIC_FIELDS = frozenset({"time", "level", "event"})
+_NOTABLE_LEVELS = frozenset({"WARNING", "ERROR", "CRITICAL"})
+# What happened this long before a request may explain it.
+BEFORE = datetime.timedelta(seconds=2)
+AFTER = datetime.timedelta(milliseconds=200)
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a log.
+
+    Attributes:
+        time: When it was written.
+        source: The file that it stands in.
+        level: Its level.
+        event: What happened.
+        fields: All other fields, in order.
+    """
+
+    time: datetime.datetime
+    source: str
+    level: str
+    event: str
+    fields: dict[str, str]
+
+
+def parse_lines(lines: Iterable[str], source: str) -> Iterator[LogLine]:
+    """Reads log lines; what stands before the time is passed over.
+
+    Args:
+        lines: Lines of key=value pairs; others are passed over.
+        source: Name of the file.
+
+    Yields:
+        The lines that can be read, in their order.
+
+    Examples:
+        >>> text = '1.5 vm-1 time="2026-01-02 03:04:05.678" level=INFO event=x'
+        >>> next(parse_lines([text + " job=0a"], "vm-1")).fields
+        {'job': '0a'}
+    """
+    for line in lines:
+        pairs = {k: _unquote(v) for k, v in _PAIR.findall(line)}
+        if not pairs.keys() >= _BASIC_FIELDS:
+            continue
+        try:
+            time = datetime.datetime.strptime(
+                pairs["time"], "%Y-%m-%d %H:%M:%S.%f"
+            )
+        except ValueError:
+            continue  # A line of another program.
+        fields = {k: v for k, v in pairs.items() if k not in _BASIC_FIELDS}
+        yield LogLine(
+            time.replace(tzinfo=datetime.UTC),
+            source,
+            pairs["level"],
+            pairs["event"],
+            fields,
+        )
+
+
+def trace(lines: Iterable[LogLine], job: str) -> list[LogLine]:
+    """Returns the story of one request, in the order of time.
+
+    Args:
+        lines: Lines of all processes.
+        job: The request's id as its caller wrote it.
+
+    Returns:
+        The lines that name it, and between them the warnings of all
+        processes that name no request: what they had lost or given up.
+    """
+    ordered = sorted(lines, key=lambda line: line.time)
+    own = [line for line in ordered if line.fields.get("job") == job]
+    if not own:
+        return []
+    start, end = own[0].time - BEFORE, own[-1].time + AFTER
+    return [
+        line
+        for line in ordered
+        if line.fields.get("job") == job
+        or (start <= line.time <= end and _is_notable(line))
+    ]
+
+
+def _is_notable(line: LogLine) -> bool:
+    return line.level in _NOTABLE_LEVELS and "job" not in line.fields
+
+
+def _unquote(text: str) -> str:
+    if not text.startswith('"'):
+        return text
+    return text[1:-1].replace('\\"', '"').replace("\\\\", "\\")
--- /dev/null
+++ b/sardinestair/platform/tests/test_deploy.py
@@ -0,0 +1,84 @@
+"""The templates of the deployment make settings that the programs take."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from sardinestair.links.timing import DRIFT, STOP_S
+from sardinestair.settings import EntrySettings, SidecarSettings
+from sardinestair.settings.files import parse_yaml
+
+DEPLOY = Path(__file__).parents[3] / "deploy"
+FIELDS = {
+    "ip": "10.1.0.13",
+    "zone": "leinster",
+    "internal_ports": [7720, 7735],
+    "seeds": ["10.1.0.13:8166", "10.2.0.30:8166"],
+    "app": "10.1.0.14:8165",
+    "platform": {"address": "10.200.1.7:8169"},
+    "listen": {
+        "frontend": "10.1.0.13:8161",
+        "readiness": "10.1.0.13:8167",
+        "control_plane": "10.1.0.13:8166",
+    },
+}
+# Bounds of the platform: when clients submit again, and a stop's grace.
+RESEND_S = 1.3
+GRACE_S = 6.0
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
+
+
+def fill_in(name, fields):
+    def value(match):
+        found = fields
+        for part in match.group(1).split("."):
+            found = found[int(part)] if part.isdigit() else found[part]
+        return json.dumps(found) if match.group(2) else str(found)
+
+    text = (DEPLOY / name).read_text(encoding="utf-8")
+    return PLACEHOLDER.sub(value, text)
+
+
+def load(name, kind, **changes):
+    parsed = parse_yaml(fill_in(name, {**FIELDS, **changes}), kind, name)
+    assert parsed.is_ok(), str(parsed.error)
+    return parsed.ok
+
+
+def test_entry():
+    settings = load("entry.yaml", EntrySettings)
+    assert settings.address.link_port == 7735
+    assert settings.platform.client_address == "10.1.0.13:8161"
+    assert settings.platform.seeds == FIELDS["seeds"]
+
+
+def test_sidecar():
+    settings = load("sidecar.yaml", SidecarSettings)
+    assert settings.platform.runner_address == "10.1.0.14:8165"
+    assert settings.platform.heartbeat_address == "10.1.0.13:8166"
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"),
+    [("entry.yaml", EntrySettings), ("sidecar.yaml", SidecarSettings)],
+)
+def test_no_seed_is_no_error(name, kind):
+    assert load(name, kind, seeds=[]).platform.seeds == []
+
+
+def test_both_ends_of_a_link_have_the_same_limits():
+    entry = load("entry.yaml", EntrySettings)
+    assert entry.link == load("sidecar.yaml", SidecarSettings).link
+
+
+def test_runs_have_ended_before_a_client_submits_again():
+    link = load("entry.yaml", EntrySettings).link
+    ended_s = link.session_s + link.lease_s * (1 + DRIFT) + STOP_S
+    assert ended_s < RESEND_S
+
+
+def test_entry_has_stopped_within_the_grace_time():
+    settings = load("entry.yaml", EntrySettings)
+    assert settings.platform.leave_s + settings.drain_timeout_s < GRACE_S
--- a/sardinestair/settings/reference.py
+++ b/sardinestair/settings/reference.py
@@ -10,9 +10,12 @@
 
 import msgspec
 
+from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.process import (
     Address,
+    EntryPlatform,
     EntrySettings,
+    SidecarPlatform,
     SidecarSettings,
     StoreSettings,
 )
@@ -71,6 +74,9 @@
         ("Sidecar", SidecarSettings),
         ("`address`", Address),
         ("`store`", StoreSettings),
+        ("`link`", LinkTiming),
+        ("`platform` of an entry", EntryPlatform),
+        ("`platform` of a sidecar", SidecarPlatform),
     ):
         parts.append(_table(title, kind, kind))
     return "\n".join(parts)
