Cancel nobody else's job when a caller leaves; keep cancellations

Found on the way: a cancellation that waited in a link's outbox was dropped when the link opened a new epoch, so that the run went on beside the next one elsewhere; a job submitted again while its cancelled runs were being stopped got their answer.

--- a/sardinestair/entry/departures.py
+++ b/sardinestair/entry/departures.py
@@ -73,9 +73,21 @@
         gone = []
         with self.lock:
             for descriptor, events in ready:
-                if events & _GONE and descriptor in self.callbacks:
+                is_watched = descriptor in self.callbacks
+                if events & _GONE and is_watched and _is_gone(descriptor):
                     gone.append(self.callbacks.pop(descriptor))
                     self.poller.unregister(descriptor)
         for on_left in gone:
             on_left()
         return len(gone)
+
+
+def _is_gone(descriptor: int) -> bool:
+    """Tells whether the connection that has a descriptor now is gone.
+
+    The one that an event was about may have been closed since, and the
+    descriptor be that of another caller.
+    """
+    poller = select.poll()
+    poller.register(descriptor, _GONE & ~select.POLLNVAL)
+    return any(events & _GONE for _, events in poller.poll(0))
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -41,9 +41,17 @@
 from sardinestair.store.claims import Claim, ClaimVerdict, ClaimWriter
 from sardinestair.upstreams.leased import STALLED
 
-__all__ = ["Dispatcher"]
+__all__ = ["SETTLING", "Dispatcher"]
 
 MAX_REASON_CHARACTERS = 200
+SETTLING = Problem(
+    ProblemKind.UNAVAILABLE,
+    "earlier runs of the job are being stopped; this submission did not run",
+    not_run=True,
+    retry_after_s=1.0,
+)
+"""Refuses a resubmission until no earlier run of its job can be active."""
+
 BUSY_CHECK_S = 0.02
 IDLE_CHECK_S = 0.25
 # Adds this much at most to the time until an overdue task is moved.
@@ -192,6 +200,8 @@
         """
         with self.lock:
             known = self.registry.find(parsed.job_id)
+            if known is not None and _is_settling(known, parsed):
+                return Error(SETTLING)
             if known is not None and not _can_run_again(known, parsed):
                 known.waiters += 1
                 return _attach(known, parsed)
@@ -431,6 +441,16 @@
         state = self.services[link.candidate.service]
         return state.demand(link, self.clock.monotonic())
 
+    def link_unwanted(self, link: EntryLink) -> list[TaskRef]:
+        """Returns the attempts at a sidecar whose jobs have ended."""
+        refs = list(link.outstanding.values())
+        jobs = [self.registry.find(ref.job) for ref in refs]
+        return [
+            ref
+            for ref, job in zip(refs, jobs, strict=True)
+            if job is None or not job.is_active
+        ]
+
     def count_wasted(self, kind: str, count: int = 1) -> None:
         """Counts messages that moved no work forward."""
         self.metrics.count("messages_wasted_total", {"kind": kind}, count)
@@ -632,7 +652,12 @@
     if known.ended_not_run:
         return True
     has_failed = known.state in (JobState.FAILED, JobState.CANCELLED)
-    return parsed.request.best_effort and has_failed and not known.in_flight
+    return parsed.request.best_effort and has_failed
+
+
+def _is_settling(known: Job, parsed: ParsedRequest) -> bool:
+    """Tells whether runs of a job that could run again are being stopped."""
+    return _can_run_again(known, parsed) and bool(known.in_flight)
 
 
 def _attach(known: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -85,6 +85,10 @@
         """Returns what the entry wants of this sidecar."""
         ...
 
+    def link_unwanted(self, link: "EntryLink") -> list[TaskRef]:
+        """Returns the attempts there whose jobs have ended."""
+        ...
+
     def count_wasted(self, kind: str, count: int = 1) -> None:
         """Counts messages that moved no work forward."""
 
@@ -331,6 +335,10 @@
             return
         self.state = LinkState.UP
         self._refused(message.not_run)
+        unwanted = self.owner.link_unwanted(self)
+        if unwanted:
+            # A cancellation of an earlier epoch may have been lost.
+            self.outbox.append(Cancel(unwanted))
         self.owner.link_changed(self)
 
     @_handle.register
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -46,6 +46,9 @@
     def link_changed(self, _link):
         pass
 
+    def link_unwanted(self, _link):
+        return []
+
     def links_handled(self):
         pass
 
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -6,6 +6,7 @@
 
 from sardinestair.entry.departures import DepartureWatcher
 from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.resubmission import submit_settled
 from sardinestair.entry.routing import find_route
 from sardinestair.ids import JobId
 from sardinestair.jobs import Job, JobRequest, JobState
@@ -129,7 +130,7 @@
             _to_request(submitted, route, request),
             digest_of(body),
         )
-        accepted = self.dispatcher.submit(parsed)
+        accepted = submit_settled(self.dispatcher, parsed)
         if accepted.is_error():
             return self._problem(accepted.error)
         return self._wait(request, accepted.ok)
