Give unrepeatable jobs one attempt whatever the settings

Change: unrepeatable jobs have one attempt; the two members exclude each other; an unused method of the links is gone.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -518,7 +518,7 @@
             now_s + deadline_s,
             work,
             parsed.digest,
-            settings.max_attempts,
+            1 if request.unrepeatable else settings.max_attempts,
             request.need,
             None if objective_s is None else now_s + objective_s,
             now_s + state.useful_s(settings, work.mean_s_, deadline_s),
--- a/sardinestair/entry/tests/test_dispatcher.py
+++ b/sardinestair/entry/tests/test_dispatcher.py
@@ -7,7 +7,12 @@
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.ids import Incarnation, new_incarnation, new_job_id
 from sardinestair.jobs import JobState
-from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
+from sardinestair.jobs.request import (
+    JobRequest,
+    ParsedRequest,
+    TaskRequest,
+    parse_request,
+)
 from sardinestair.messages import Announce
 from sardinestair.observability import Metrics
 from sardinestair.outcomes import ProblemKind
@@ -141,3 +146,24 @@
     assert queue.waiting_tasks == queue.waiting_bytes == 0
     assert abs(queue.waiting_s) < 1e-6
     assert dispatcher.active_jobs() == 0
+
+
+def test_unrepeatable_job_has_one_attempt_whatever_the_settings(
+    dispatcher, claims
+):
+    tree = parse_tree("set: {max_attempts: 4}\nservices: {quotes: {}}").ok
+    dispatcher.configure(tree)
+    job = dispatcher.submit(request(make_id(dispatcher), unrepeatable=True)).ok
+    assert job.max_attempts == 1
+    other = dispatcher.submit(request()).ok
+    assert other.max_attempts == 4
+
+
+def test_unrepeatable_job_can_not_be_best_effort():
+    body = (
+        b'{"service":"q","team":"t","tasks":[{"payload":1}],'
+        b'"unrepeatable":true,"best_effort":true}'
+    )
+    error = parse_request(body).error
+    assert error.field == "best_effort"
+    assert error.not_run
--- a/sardinestair/jobs/request.py
+++ b/sardinestair/jobs/request.py
@@ -104,6 +104,9 @@
         request = _DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Error(_invalid(str(error)))
+    if request.unrepeatable and request.best_effort:
+        rule = "unrepeatable and best_effort exclude each other"
+        return Error(_invalid(f"{rule} - at `$.best_effort`"))
     if len(request.tasks) > MAX_TASKS:
         return Error(
             Problem(
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -212,7 +212,7 @@
         """Ends the link.
 
         Its tasks, if any are left, are lost; those of a leased upstream once
-        their session has surely ended, or `release` says so before.
+        their session has surely ended.
         """
         if self.state is LinkState.CLOSED:
             return
@@ -223,10 +223,6 @@
             self._lose_tasks()
         self.wakeup.set()
 
-    def release(self) -> None:
-        """Takes note that nothing of a closed link can be running."""
-        self._lose_tasks()
-
     # The task of the link.
 
     def run(self) -> None:
