--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -8,7 +8,7 @@
 import enum
 import itertools
 import random
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Protocol
 
 from sortedcontainers import SortedKeyList
@@ -68,12 +68,7 @@
         """
         ...
 
-    def accepts(
-        self,
-        candidate: Candidate,
-        size_s: float,
-        ahead: int,
-    ) -> bool:
+    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
         """Tells whether a task would start on a candidate with a credit."""
         ...
 
@@ -103,26 +98,14 @@
     def best(
         self, need: Resources | None, avoid: Container[Incarnation]
     ) -> Candidate | None:
-        return next(
-            (
-                candidate
-                for _, candidate in self.items
-                if candidate.sidecar not in avoid and candidate.has_room(need)
-            ),
-            None,
-        )
+        ranked = (candidate for _, candidate in self.items)
+        return next(_fitting(ranked, need, avoid), None)
 
     def worst(
         self, need: Resources | None, avoid: Container[Incarnation]
     ) -> Candidate | None:
-        return next(
-            (
-                candidate
-                for _, candidate in reversed(self.items)
-                if candidate.sidecar not in avoid and candidate.has_room(need)
-            ),
-            None,
-        )
+        ranked = (candidate for _, candidate in reversed(self.items))
+        return next(_fitting(ranked, need, avoid), None)
 
 
 class LeastExpectedFinish:
@@ -187,12 +170,7 @@
             return None
         return best
 
-    def accepts(
-        self,
-        candidate: Candidate,
-        size_s: float,
-        ahead: int,
-    ) -> bool:
+    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
         """Tells whether starting there beats waiting for a faster one."""
         if self.margin <= 0:
             return True
@@ -221,12 +199,7 @@
 class _AcceptsAll:
     """Base of policies that never wait."""
 
-    def accepts(
-        self,
-        candidate: Candidate,
-        size_s: float,
-        ahead: int,
-    ) -> bool:
+    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
         """Returns True."""
         return True
 
@@ -283,16 +256,6 @@
             self.available[position] = last
             self.position[last.sidecar] = position
 
-    def fitting(
-        self, need: Resources | None, avoid: Container[Incarnation]
-    ) -> list[Candidate]:
-        """Returns the candidates that can take a task."""
-        return [
-            candidate
-            for candidate in self.available
-            if candidate.sidecar not in avoid and candidate.has_room(need)
-        ]
-
 
 class RoundRobin(_Listed):
     """Takes the candidates in turn."""
@@ -310,7 +273,7 @@
         is_late: bool = False,
     ) -> Candidate | None:
         """Chooses the next candidate in turn."""
-        fitting = self.fitting(need, avoid)
+        fitting = list(_fitting(self.available, need, avoid))
         if not fitting:
             return None
         self.turn += 1
@@ -338,13 +301,24 @@
         is_late: bool = False,
     ) -> Candidate | None:
         """Chooses the less loaded one of two."""
-        fitting = self.fitting(need, avoid)
+        fitting = list(_fitting(self.available, need, avoid))
         if not fitting:
             return None
         pair = [self.random.choice(fitting) for _ in range(2)]
         return min(pair, key=_load)
 
 
+def _fitting(
+    candidates: Iterable[Candidate],
+    need: Resources | None,
+    avoid: Container[Incarnation],
+) -> Iterator[Candidate]:
+    """Yields the candidates that can take a task, in their order."""
+    for candidate in candidates:
+        if candidate.sidecar not in avoid and candidate.has_room(need):
+            yield candidate
+
+
 def _load(candidate: Candidate) -> float:
     """Returns this entry's tasks there against what the upstream can run."""
     return candidate.outstanding / max(1.0, candidate.tasks_at_a_time)
--- a/sardinestair/platform/tests/test_wire.py
+++ b/sardinestair/platform/tests/test_wire.py
@@ -67,7 +67,7 @@
     beat = msgspec.json.decode(HEARTBEAT, type=wire.Heartbeat)
     assert beat.capacity.to_resources() == Resources(16000, 32768, 0)
     assert (beat.born, beat.sequence) == (1780000000000, 4)
-    assert beat.is_draining_for_ms is None
+    assert beat.least_time_left_ms is None
 
 
 def test_hold():
--- a/sardinestair/platform/wire.py
+++ b/sardinestair/platform/wire.py
@@ -62,7 +62,7 @@
 class Heartbeat(
     msgspec.Struct,
     frozen=True,
-    rename={"is_draining_for_ms": "drain_remaining_ms"},
+    rename={"least_time_left_ms": "drain_remaining_ms"},
 ):
     """What a runner says of itself.
 
@@ -76,7 +76,7 @@
         slots: Requests at a time; says nothing where there is a capacity.
         born: Start of this life in Unix milliseconds; 0 if it was not said.
         clock_ms: Its steady clock.
-        is_draining_for_ms: Least time until it leaves, while it drains.
+        least_time_left_ms: Least time until it leaves, while it drains.
         labels: Its kind and its rack.
     """
 
@@ -89,7 +89,7 @@
     slots: Count = 0
     born: Count = 0
     clock_ms: Count = 0
-    is_draining_for_ms: Count | None = None
+    least_time_left_ms: Count | None = None
     labels: list[str] = []
 
 
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -202,11 +202,8 @@
             return self._start_unanswered(run, reply.error, until_s)
         refusal = reply.ok.refusal
         if refusal is not None:
-            self.log.info(
+            self._log_of(run.name).info(
                 "start_refused",
-                job=run.name.job,
-                task=run.name.index,
-                run=run.name.number,
                 reason=refusal.value,
             )
             return refusal.value.encode()
@@ -219,11 +216,8 @@
     ) -> bytes | None:
         self.metrics.count("starts_unanswered_total", {})
         self.troubled_s = self.clock.monotonic()
-        self.log.warning(
+        self._log_of(run.name).warning(
             "start_unanswered",
-            job=run.name.job,
-            task=run.name.index,
-            run=run.name.number,
             may_be_done=error.may_be_done,
             reason=error.reason,
         )
@@ -254,11 +248,8 @@
         if reply.is_error():
             run.stops_unanswered += 1
             if run.stops_unanswered in LOGGED_UNANSWERED:
-                self.log.warning(
+                self._log_of(run.name).warning(
                     "stop_unanswered",
-                    job=run.name.job,
-                    task=run.name.index,
-                    run=run.name.number,
                     unanswered=run.stops_unanswered,
                     reason=reply.error.reason,
                 )
@@ -404,11 +395,8 @@
             if state.percent != run.percent:
                 run.percent, run.moved_s = state.percent, now_s
             elif now_s - run.moved_s > STALL_S and not run.is_stop_wanted:
-                self.log.warning(
+                self._log_of(run.name).warning(
                     "run_stalled",
-                    job=run.name.job,
-                    task=run.name.index,
-                    run=run.name.number,
                     percent=run.percent,
                     still_s=now_s - run.moved_s,
                 )
@@ -425,15 +413,16 @@
                 if state.run not in known and state.run not in self.runs
             ]
         for name in unknown[:MAX_STOPS_A_REPORT]:
-            self.log.warning(
-                "unknown_run", job=name.job, task=name.index, run=name.number
-            )
+            self._log_of(name).warning("unknown_run")
             if self.orders.stop(name, STOP_TIMEOUT_S).is_error():
                 break
         # A start of an earlier sidecar can be carried out for a lease.
         is_over = now_s - self.made_s >= self.lease_s * (1 + DRIFT)
         self.is_clear = not unknown and (self.is_clear or is_over)
 
+    def _log_of(self, name: RunName) -> EventLog:
+        return self.log.bind(job=name.job, task=name.index, run=name.number)
+
     def _remote_now(self) -> float:
         """Returns the earliest that the upstream's clock can show now."""
         assert self.remote_s is not None
