Predict no wait before upstreams had time to announce themselves

Change: while an entry is younger than UPSTREAM_GRACE_S, the prediction is left open, as it already was without any upstream. Test: entry/tests/test_service_state.py, failed before the change.

--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -46,12 +46,14 @@
         speeds_: Learned speed factors by sidecar.
         health: Which upstreams are trusted with work.
         burn: Counts jobs against the service's objective.
+        made_s: When it was made, on the entry's clock.
         served_s: When a job was last seen while upstreams took work.
     """
 
     def __init__(
         self, name: str, settings: ServiceSettings, made_s: float = 0.0
     ):
+        self.made_s = made_s
         self.served_s = made_s
         self.name = name
         self.settings = settings
@@ -215,16 +217,26 @@
         rate = self.own_throughput(share)
         if rate:
             self.served_s = now_s
-        is_soon_back = now_s - self.served_s < UPSTREAM_GRACE_S
         ahead_s = work_s + self.queue.work_ahead_s(
             team, work_s, now_s, latest_start_s
         )
-        without_upstream_s = 0.0 if is_soon_back else float("inf")
-        expected = ahead_s / rate if rate else without_upstream_s
+        if not self._knows_upstreams(now_s):
+            expected_s = 0.0
+        else:
+            expected_s = ahead_s / rate if rate else float("inf")
         return Load(
-            self.queue.waiting_tasks, self.queue.waiting_bytes, expected
+            self.queue.waiting_tasks, self.queue.waiting_bytes, expected_s
         )
 
+    def _knows_upstreams(self, now_s: float) -> bool:
+        """Tells whether what the known links can do says how long work waits.
+
+        It does not while upstreams have had no time to announce themselves,
+        or shortly after all of them were lost.
+        """
+        since_s = self.made_s if self.throughput() else self.served_s
+        return now_s - since_s >= UPSTREAM_GRACE_S
+
     def admission(self) -> Admission:
         """Returns the rule for letting jobs in."""
         return Admission(
--- /dev/null
+++ b/sardinestair/entry/tests/test_service_state.py
@@ -0,0 +1,61 @@
+"""What an entry predicts about a service."""
+
+import math
+
+from sardinestair.entry.service_state import UPSTREAM_GRACE_S, ServiceState
+from sardinestair.ids import Incarnation, new_job_id
+from sardinestair.jobs import Job
+from sardinestair.jobs.work import WorkEstimate
+from sardinestair.links.entry_link import LinkState
+from sardinestair.placement import Candidate
+from sardinestair.settings import ServiceSettings
+
+MADE_S = 100.0
+WORK_S = 2.0
+
+
+class FakeLink:
+    """A link that serves one task at a time."""
+
+    state = LinkState.UP
+
+    def __init__(self):
+        self.candidate = Candidate(
+            Incarnation(b"s" * 16), "quotes", "z", slots=1
+        )
+        self.outstanding = {}
+
+
+def waiting_job(now_s):
+    return Job(
+        new_job_id(), "quotes", "team", "large", [b""] * 10,
+        now_s, now_s + 60.0, WorkEstimate(WORK_S), b"digest",
+    )  # fmt: skip
+
+
+def busy_state():
+    """Returns a young state with 20 s of work for its first upstream."""
+    state = ServiceState("quotes", ServiceSettings(), MADE_S)
+    state.links[Incarnation(b"s" * 16)] = FakeLink()
+    state.queue.add(waiting_job(MADE_S), MADE_S, 1.0)
+    return state
+
+
+def expected_s(state, now_s):
+    return state.load("team", WORK_S, 1.0, now_s).expected_wait_s
+
+
+def test_entry_predicts_nothing_before_upstreams_had_time_to_announce():
+    state = busy_state()
+    assert expected_s(state, MADE_S + UPSTREAM_GRACE_S / 2) == 0.0
+
+
+def test_entry_predicts_by_its_upstreams_afterwards():
+    state = busy_state()
+    assert expected_s(state, MADE_S + UPSTREAM_GRACE_S) > 10 * WORK_S
+
+
+def test_service_without_upstreams_is_hopeless_after_the_same_time():
+    state = ServiceState("quotes", ServiceSettings(), MADE_S)
+    assert expected_s(state, MADE_S + UPSTREAM_GRACE_S / 2) == 0.0
+    assert math.isinf(expected_s(state, MADE_S + UPSTREAM_GRACE_S))
