--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -1,5 +1,6 @@
 """What the command lines of all long-running programs share."""
 
+import faulthandler
 import os
 import signal
 import sys
@@ -79,7 +80,11 @@
 
 
 def tune_interpreter() -> None:
-    """Sets the interpreter up for many short hand-overs between threads."""
+    """Sets the interpreter up for many short hand-overs between threads.
+
+    A crash of native code leaves the stacks of all threads on standard error.
+    """
+    faulthandler.enable()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     threading.stack_size(THREAD_STACK_BYTES)
 
