Listen before loading, wait for the configuration, start threads as needed

Change: the programs bind the address of clients and of heartbeats before they load the rest; an entry accepts the connections that wait once it has a configuration, or after 1 s; HTTP servers start 16 threads and grow.

--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -3,6 +3,7 @@
 import faulthandler
 import os
 import signal
+import socket
 import sys
 import threading
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from sardinestair import __version__
+from sardinestair.listening import SETTINGS_VARIABLE
 from sardinestair.observability import EventLog, configure_logging
 from sardinestair.settings.process import load_process_settings
 
@@ -35,7 +37,6 @@
 SWITCH_INTERVAL_S = 0.0005
 THREAD_STACK_BYTES = 512 << 10
 SETTINGS_CHECK_S = 1.0
-SETTINGS_VARIABLE = "SARDINESTAIR_SETTINGS"
 
 S = TypeVar("S", bound=msgspec.Struct)
 T_contra = TypeVar("T_contra", contravariant=True)
@@ -146,7 +147,12 @@
 
 
 class ServiceCommand(Command, Generic[S]):
-    """Runs a service from a settings file until SIGTERM."""
+    """Runs a service from a settings file until SIGTERM.
+
+    Args:
+        listener: What listens already for those whom the service serves on
+            the platform, if anything.
+    """
 
     options = [
         option(
@@ -159,6 +165,10 @@
     ]
     kind: type[S]
 
+    def __init__(self, listener: socket.socket | None = None):
+        super().__init__()
+        self.listener = listener
+
     def make(self, settings: S) -> Service:
         """Returns the service for checked settings."""
         raise NotImplementedError
--- a/sardinestair/entry/main.py
+++ b/sardinestair/entry/main.py
@@ -1,45 +1,18 @@
 """Command line of `sardinestair-entry`."""
 
-from sardinestair.cli.service import ServiceCommand, run_command
-from sardinestair.entry.platform_process import PlatformEntryProcess
-from sardinestair.entry.process import EntryProcess
-from sardinestair.settings import EntrySettings
+from sardinestair.listening import listen_early
 
-__all__ = ["EntryCommand", "main"]
-
-
-class EntryCommand(ServiceCommand[EntrySettings]):
-    """Serves callers and operators, and places tasks."""
-
-    name = "sardinestair-entry"
-    description = "Accepts jobs and places their tasks on upstreams."
-    help = """\
-Examples:
-  sardinestair-entry --settings entry.yaml
-  sardinestair-entry --settings entry.yaml --check
-
-SIGTERM stops it gracefully: new jobs are refused as not run, known ones are
-answered, then it exits with 0 (1 if the drain time-out cut work off)."""
-    kind = EntrySettings
-
-    def make(self, settings: EntrySettings) -> EntryProcess:
-        """Returns the entry for checked settings."""
-        kind = (
-            EntryProcess
-            if settings.platform is None
-            else (PlatformEntryProcess)
-        )
-        entry = kind(settings)
-        if settings.tree_file is not None:
-            loaded = entry.load_tree_file()
-            if loaded.is_error():
-                raise SystemExit(str(loaded.error))
-        return entry
+__all__ = ["main"]
 
 
 def main() -> None:
     """Runs the program."""
-    run_command(EntryCommand())
+    listener = listen_early("platform", "client_address")
+    # Loaded only now, since it takes long.
+    from sardinestair.cli.service import run_command
+    from sardinestair.entry.command import EntryCommand
+
+    run_command(EntryCommand(listener))
 
 
 if __name__ == "__main__":
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -1,5 +1,7 @@
 """An entry on the users' platform: its wiring around the same aggregate."""
 
+import socket
+import threading
 import time
 
 from sardinestair.clock import Clock
@@ -12,7 +14,7 @@
     read_configuration,
 )
 from sardinestair.platform.store import PlatformStore
-from sardinestair.settings import EntrySettings
+from sardinestair.settings import EntrySettings, SettingsTree
 from sardinestair.settings.process import EntryPlatform, split_address
 from sardinestair.settings.records import VersionedTree
 from sardinestair.settings.service import SettingsFollower
@@ -27,6 +29,9 @@
 CONFIRM_S = 1.0
 # Entries that lapsed are back within 2 s of the store's return.
 REGISTRATION_INTERVAL_S = 1.0
+# A few reads of the store at its slowest on a calm day; then clients are told
+# that there is no configuration.
+CONFIGURATION_WAIT_S = 1.0
 
 
 class PlatformEntryProcess(EntryProcess):
@@ -35,24 +40,36 @@
     Args:
         settings: The process's settings; `platform` must be there.
         clock: The clock.
+        listener: What listens already for clients, if anything.
 
     Attributes:
+        configured: Set once a configuration has been adopted.
         clients: Serves the clients.
         readiness: Tells the balancer whether new connections are wanted.
         is_leaving: True once it has been told to stop.
     """
 
-    def __init__(self, settings: EntrySettings, clock: Clock | None = None):
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+        listener: socket.socket | None = None,
+    ):
         assert settings.platform is not None
         self.platform: EntryPlatform = settings.platform
         self.is_leaving = False
+        self.configured = threading.Event()
         super().__init__(settings, clock)
         self.departures = DepartureWatcher()
         api = ClientApi(self.dispatcher, self.departures)
         self.client_app = WebApp(api.rules(), settings.max_body_bytes, self.log)
         host, port = split_address(self.platform.client_address)
         self.clients = HttpServer(
-            host, port, self.client_app, self.platform.client_threads
+            host,
+            port,
+            self.client_app,
+            self.platform.client_threads,
+            listener,
         )
         host, port = split_address(self.platform.readiness_address)
         readiness_app = WebApp(
@@ -66,8 +83,18 @@
         """Starts all threads."""
         super().start()
         self.tasks.run(self.departures.run)
-        self.clients.start()
         self.readiness.start()
+        # Connections that come before the configuration wait for it.
+        if not self.configured.wait(CONFIGURATION_WAIT_S):
+            self.log.warning("configuration_late", wait_s=CONFIGURATION_WAIT_S)
+        self.clients.start()
+
+    def adopt(self, revision: int, tree: SettingsTree) -> bool:
+        """Puts a settings tree of a higher revision into force."""
+        is_adopted = super().adopt(revision, tree)
+        if is_adopted:
+            self.configured.set()
+        return is_adopted
 
     def stop(self) -> bool:
         """Serves on until the balancer has noticed, then stops as ever.
--- /dev/null
+++ b/sardinestair/platform/tests/test_start.py
@@ -0,0 +1,72 @@
+"""Clients that come while an entry starts."""
+
+import http.client
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from sardinestair.entry import platform_process
+from sardinestair.entry.platform_process import PlatformEntryProcess
+from sardinestair.platform.tests.standins import StoreServer
+from sardinestair.platform.tests.test_wire import CONFIGURATION
+from sardinestair.settings import EntrySettings
+from sardinestair.settings.process import Address, EntryPlatform
+
+WAIT_S = 20
+
+
+@pytest.fixture
+def store():
+    store = StoreServer()
+    store.http.start()
+    yield store
+    store.http.stop()
+
+
+@pytest.fixture
+def wait_s(request, monkeypatch):
+    monkeypatch.setattr(platform_process, "CONFIGURATION_WAIT_S", request.param)
+
+
+@pytest.fixture
+def entry(store, wait_s):
+    listener = socket.create_server(("127.0.0.1", 0))
+    platform = EntryPlatform(
+        store.address,
+        f"127.0.0.1:{listener.getsockname()[1]}",
+        "127.0.0.1:0",
+        leave_s=0.0,
+    )
+    settings = EntrySettings(
+        Address("127.0.0.1"), "z", drain_timeout_s=0.1, platform=platform
+    )
+    entry = PlatformEntryProcess(settings, listener=listener)
+    with ThreadPoolExecutor(1) as starter:
+        started = starter.submit(entry.start)
+        yield entry
+        started.result(WAIT_S)
+        entry.stop()
+
+
+def ask(entry):
+    """Asks for a queue that no configuration has; returns the status."""
+    port = entry.clients.listener.getsockname()[1]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+    connection.request("GET", "/nowhere/", headers={"Host": "x.example"})
+    status = connection.getresponse().status
+    connection.close()
+    return status
+
+
+@pytest.mark.parametrize("wait_s", [WAIT_S], indirect=True)
+def test_client_waits_for_the_configuration(entry, store):
+    with ThreadPoolExecutor(1) as callers:
+        status = callers.submit(ask, entry)
+        store.put("op/config", CONFIGURATION)
+        assert status.result(WAIT_S) == 404
+
+
+@pytest.mark.parametrize("wait_s", [0.1], indirect=True)
+def test_client_is_told_when_there_is_none(entry):
+    assert ask(entry) == 503
--- a/sardinestair/sidecar/main.py
+++ b/sardinestair/sidecar/main.py
@@ -1,38 +1,18 @@
 """Command line of `sardinestair-sidecar`."""
 
-from sardinestair.cli.service import ServiceCommand, run_command
-from sardinestair.settings import SidecarSettings
-from sardinestair.sidecar.platform_process import PlatformSidecarProcess
-from sardinestair.sidecar.process import SidecarProcess
+from sardinestair.listening import listen_early
 
-__all__ = ["SidecarCommand", "main"]
-
-
-class SidecarCommand(ServiceCommand[SidecarSettings]):
-    """Guards the slots of the upstream beside it."""
-
-    name = "sardinestair-sidecar"
-    description = "Starts tasks on the free slots of one upstream."
-    help = """\
-Examples:
-  sardinestair-sidecar --settings sidecar.yaml
-  SARDINESTAIR_LINK_PORT=9101 sardinestair-sidecar --settings sidecar.yaml
-
-The upstream announces itself with PUT /v1/upstream and leaves with DELETE.
-SIGTERM stops the sidecar gracefully: tasks that run are finished and their
-outcomes delivered, then it exits with 0 (1 if the drain time-out cut off)."""
-    kind = SidecarSettings
-
-    def make(self, settings: SidecarSettings) -> SidecarProcess:
-        """Returns the sidecar for checked settings."""
-        if settings.platform is None:
-            return SidecarProcess(settings)
-        return PlatformSidecarProcess(settings)
+__all__ = ["main"]
 
 
 def main() -> None:
     """Runs the program."""
-    run_command(SidecarCommand())
+    listener = listen_early("platform", "heartbeat_address")
+    # Loaded only now, since it takes long.
+    from sardinestair.cli.service import run_command
+    from sardinestair.sidecar.command import SidecarCommand
+
+    run_command(SidecarCommand(listener))
 
 
 if __name__ == "__main__":
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -1,5 +1,6 @@
 """A sidecar on the users' platform: its wiring around the same aggregate."""
 
+import socket
 import threading
 from collections.abc import Callable
 
@@ -29,13 +30,19 @@
     Args:
         settings: The process's settings; `platform` must be there.
         clock: The clock.
+        listener: What listens already for heartbeats, if anything.
 
     Attributes:
         runner: The runs at the runner.
         heartbeats: Takes the runner's heartbeats.
     """
 
-    def __init__(self, settings: SidecarSettings, clock: Clock | None = None):
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        clock: Clock | None = None,
+        listener: socket.socket | None = None,
+    ):
         assert settings.platform is not None
         self.platform: SidecarPlatform = settings.platform
         super().__init__(settings, clock)
@@ -56,6 +63,7 @@
             port,
             WebApp(api.rules(), MAX_HEARTBEAT_BYTES, self.log),
             HEARTBEAT_THREADS,
+            listener,
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/sardinestair/tests/test_listening.py
@@ -0,0 +1,71 @@
+"""Listening before a program is loaded."""
+
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from sardinestair.listening import SETTINGS_VARIABLE, listen_early
+
+
+@pytest.fixture
+def write_settings(tmp_path, monkeypatch):
+    def write(text):
+        file = tmp_path / "entry.yaml"
+        file.write_text(text)
+        monkeypatch.setenv(SETTINGS_VARIABLE, str(file))
+
+    return write
+
+
+def test_connections_wait_until_somebody_serves_them(write_settings):
+    write_settings("platform: {client_address: '127.0.0.1:0'}")
+    listener = listen_early("platform", "client_address")
+    with socket.create_connection(listener.getsockname(), timeout=5) as caller:
+        caller.sendall(b"hello")
+        connection, _ = listener.accept()
+        with connection:
+            assert connection.recv(5) == b"hello"
+    listener.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "platform:",
+        "platform: {}",
+        "platform: {client_address: 8080}",
+        "platform: {client_address: 'here:there'}",
+        "platform: {client_address: '127.0.0.1:99999'}",
+        "platform: {client_address: '203.0.113.1:80'}",
+        "platform: [",
+    ],
+)
+def test_unusable_settings_are_left_to_the_program(write_settings, text):
+    write_settings(text)
+    assert listen_early("platform", "client_address") is None
+
+
+def test_address_in_use_is_left_to_the_program(write_settings):
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        port = other.getsockname()[1]
+        write_settings(f"platform: {{client_address: '127.0.0.1:{port}'}}")
+        assert listen_early("platform", "client_address") is None
+
+
+@pytest.mark.parametrize("program", ["entry", "sidecar"])
+def test_programs_load_little_before_they_listen(program):
+    """Loads a program's module, and looks what came with it."""
+    code = (
+        f"import sys, sardinestair.{program}.main; "
+        "print([m for m in ('zmq', 'werkzeug', 'cleo') if m in sys.modules])"
+    )
+    loaded = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert loaded.stdout.strip() == "[]"
--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -8,10 +8,12 @@
 
 import msgspec
 from cheroot import wsgi
+from cheroot.workers.threadpool import ThreadPool
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from sardinestair.listening import LISTEN_BACKLOG
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
 
@@ -33,7 +35,8 @@
 SO_ATTACH_FILTER = 26
 # One classic BPF instruction, `ret #0`: pass no byte of any packet.
 BPF_RETURN_ZERO = struct.pack("HBBI", 0x06, 0, 0, 0)
-LISTEN_BACKLOG = 1024
+# Threads that wait for a request; more are started once fewer do.
+SPARE_THREADS = 16
 CONNECTION_KEY = "sardinestair.connection"
 
 Handler = Callable[..., Response]
@@ -161,6 +164,55 @@
         return environ
 
 
+class _GrowingPool(ThreadPool):
+    """Starts threads as they are needed, and keeps a few idle.
+
+    Args:
+        server: The server.
+        most: Bound on the threads.
+    """
+
+    def __init__(self, server: wsgi.Server, most: int):
+        super().__init__(server, min=min(most, SPARE_THREADS), max=most)
+        self.size = self.min
+        self.put_once = threading.Event()
+
+    def put(self, obj) -> None:
+        """Hands a connection with a request to a thread."""
+        super().put(obj)
+        self.put_once.set()
+
+    def run(self) -> None:
+        """Starts threads until as many as allowed have been started.
+
+        The server can't do so itself, as it may have to wait for them.
+        """
+        while self.size < self.max:
+            self.put_once.wait()
+            self.put_once.clear()
+            if self.idle - self.qsize < SPARE_THREADS:
+                self.grow(SPARE_THREADS)
+                self.size += SPARE_THREADS
+
+
+class _Server(wsgi.Server):
+    """A server that can take over a listener.
+
+    Attributes:
+        listener: The listener, or None to bind the address.
+    """
+
+    listener: socket.socket | None = None
+
+    def bind(self, family, type, proto=0):  # noqa: A002 (named by the library)
+        """Binds the address, unless a listener already does."""
+        if self.listener is None:
+            return super().bind(family, type, proto)
+        self.socket = self.listener
+        self.bind_addr = self.listener.getsockname()[:2]
+        return self.socket
+
+
 class HttpServer:
     """Serves a WSGI application from a pool of threads.
 
@@ -169,37 +221,45 @@
         port: Port, 0 for any.
         app: The application.
         threads: Requests that are served at a time.
+        listener: A socket that listens already, in place of host and port.
 
     Attributes:
         port: The port that it listens on, after `start`.
     """
 
-    def __init__(self, host: str, port: int, app: WebApp, threads: int):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        app: WebApp,
+        threads: int,
+        listener: socket.socket | None = None,
+    ):
         self.host = host
         self.port = port
         self.app = app
         self.threads = threads
+        self.listener = listener
         self.server: wsgi.Server | None = None
-        self.thread: threading.Thread | None = None
 
     def start(self) -> None:
-        """Binds the port and serves in a thread of its own."""
-        self.server = wsgi.Server(
+        """Binds the port and serves in threads of its own."""
+        self.server = _Server(
             (self.host, self.port),
             self.app,
-            numthreads=self.threads,
             request_queue_size=LISTEN_BACKLOG,
             timeout=SOCKET_TIMEOUT_S,
             shutdown_timeout=2,
         )
+        pool = _GrowingPool(self.server, self.threads)
+        self.server.requests = pool
+        self.server.listener = self.listener
         self.server.gateway = _Gateway
         self.server.max_request_body_size = 4 * self.app.max_body_bytes
         self.server.prepare()
         self.port = self.server.bind_addr[1]
-        self.thread = threading.Thread(
-            target=self.server.serve, name="http", daemon=True
-        )
-        self.thread.start()
+        for task in (self.server.serve, pool.run):
+            threading.Thread(target=task, name="http", daemon=True).start()
 
     def refuse_connections(self) -> None:
         """Lets no further connection in, while waiting ones are served.
