Write a line for each late answer, and measure waits

Change: job_late with the time to the first and last start, the runs, the objective and the expected run time; histograms job_first_start_s and job_stretch. Test: entry/tests/test_recorder.py, failed before the change.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -556,6 +556,7 @@
             job, link = placement
             payloads = job.payloads
             index = state.queue.take(job, link.sidecar)
+            job.note_start(now_s)
             if job.attempts[index] == 1:
                 state.retries.observe()
             remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
--- a/sardinestair/entry/recorder.py
+++ b/sardinestair/entry/recorder.py
@@ -3,7 +3,7 @@
 from sardinestair.clock import Clock
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import format_job_id
-from sardinestair.jobs import Job
+from sardinestair.jobs import Job, JobState
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.observability.burn import is_system_fault
@@ -44,8 +44,11 @@
         self.metrics.count("jobs_total", {**service, "state": job.state.value})
         self.metrics.count("tasks_total", service, job.answered)
         self.metrics.observe("job_response_s", service, response_s)
+        self._observe_waits(job, response_s)
         self._count_objective(job, state, response_s)
         self._log_end(job, response_s)
+        if job.state is JobState.COMPLETE and now_s > job.target_s:
+            self._log_late(job, response_s)
 
     def record_refusal(
         self,
@@ -101,6 +104,34 @@
             return
         state.burn.observe(is_good, self.clock.now().timestamp())
 
+    def _observe_waits(self, job: Job, response_s: float) -> None:
+        service = {"service": job.service}
+        if job.first_start_s is not None:
+            waited_s = job.first_start_s - job.accepted_s
+            self.metrics.observe("job_first_start_s", service, waited_s)
+        if job.state is JobState.COMPLETE:
+            stretch = response_s / job.work.mean_s_
+            self.metrics.observe("job_stretch", service, stretch)
+
+    def _log_late(self, job: Job, response_s: float) -> None:
+        """Writes what made a complete answer late: its waits and its runs."""
+        first_s, last_s = job.first_start_s, job.last_start_s
+        assert first_s is not None and last_s is not None
+        self.log.info(
+            "job_late",
+            job=format_job_id(job.job_id),
+            service=job.service,
+            team=job.team,
+            kind=job.kind,
+            tasks=job.size,
+            runs=sum(job.attempts),
+            response_s=response_s,
+            objective_s=job.target_s - job.accepted_s,
+            expected_task_s=job.work.mean_s_,
+            first_start_s=first_s - job.accepted_s,
+            last_start_s=last_s - job.accepted_s,
+        )
+
     def _log_end(self, job: Job, response_s: float) -> None:
         answer = job.done.result()
         write, reason, not_run = self.log.debug, None, False
--- /dev/null
+++ b/sardinestair/entry/tests/test_recorder.py
@@ -0,0 +1,85 @@
+"""What is written of jobs that end."""
+
+import pytest
+
+from sardinestair.clock import ManualClock
+from sardinestair.entry.recorder import JobRecorder
+from sardinestair.entry.service_state import ServiceState
+from sardinestair.ids import Incarnation, new_job_id
+from sardinestair.jobs import Job
+from sardinestair.jobs.job import TaskAnswer
+from sardinestair.jobs.work import WorkEstimate
+from sardinestair.observability import Metrics
+from sardinestair.settings import ServiceSettings
+
+ACCEPTED_S = 100.0
+TARGET_S = 100.5
+SIDECAR = Incarnation(b"s" * 16)
+
+
+class FakeLog:
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def debug(self, event, **fields):
+        pass
+
+
+@pytest.fixture
+def log():
+    return FakeLog()
+
+
+@pytest.fixture
+def metrics():
+    return Metrics()
+
+
+@pytest.fixture
+def record(log, metrics):
+    """Runs a job of two tasks and records its end."""
+    state = ServiceState("quotes", ServiceSettings(), ACCEPTED_S)
+    recorder = JobRecorder(ManualClock(), metrics, log)
+
+    def record(ended_s):
+        job = Job(
+            new_job_id(), "quotes", "tills", "large", [b"", b""], ACCEPTED_S,
+            ACCEPTED_S + 5, WorkEstimate(0.25), b"", target_s=TARGET_S,
+        )  # fmt: skip
+        for started_s in (100.125, 100.25):
+            job.note_start(started_s)
+            job.record(job.take(SIDECAR), TaskAnswer(b"", False))
+        recorder.record_end(job, state, ended_s)
+
+    return record
+
+
+def test_late_answer_leaves_a_line_with_its_waits(record, log):
+    record(ended_s=101.0)
+    [(event, fields)] = log.lines
+    assert event == "job_late"
+    expected = {
+        "response_s": 1.0,
+        "objective_s": 0.5,
+        "expected_task_s": 0.25,
+        "first_start_s": 0.125,
+        "last_start_s": 0.25,
+        "runs": 2,
+        "tasks": 2,
+    }
+    assert expected.items() <= fields.items()
+
+
+def test_answer_in_time_leaves_none(record, log):
+    record(ended_s=TARGET_S)
+    assert log.lines == []
+
+
+def test_waits_are_measured(record, metrics):
+    record(ended_s=101.0)
+    text = metrics.render()[0].decode()
+    assert 'sardinestair_job_first_start_s_sum{service="quotes"} 0.125' in text
+    assert 'sardinestair_job_stretch_sum{service="quotes"} 4.0' in text
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -84,6 +84,8 @@
         failures: Runs of each task that have failed, by index.
         is_late: True once it can't be in time any more.
         waiters: Submissions that wait for the answer.
+        first_start_s: When its first task was sent, on the entry's clock.
+        last_start_s: When a task of it was last sent.
         failed_at: Upstreams on which a task has failed or stood still.
 
     Examples:
@@ -140,6 +142,8 @@
         self.answers: list[TaskAnswer | None] = [None] * self.size
         self.answered = 0
         self.may_have_run = False
+        self.first_start_s: float | None = None
+        self.last_start_s: float | None = None
         self.state = JobState.ACTIVE
         self.done: Future[Answer] = Future()
         self.ended_s = 0.0
@@ -182,6 +186,12 @@
         self.attempts[index] += 1
         return index
 
+    def note_start(self, now_s: float) -> None:
+        """Remembers that a task is sent now."""
+        self.last_start_s = now_s
+        if self.first_start_s is None:
+            self.first_start_s = now_s
+
     def ref(self, index: int) -> TaskRef:
         """Returns the name of a task's current attempt."""
         return TaskRef(self.job_id, index, self.attempts[index])
