Move the ends of jobs and of runs out of the dispatcher

Change: entry/job_ends.py and entry/run_ends.py; no change of behaviour. Tests: those of the entry, the whole path and the emulator, unchanged.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -3,28 +3,26 @@
 import heapq
 import itertools
 import threading
-from collections import defaultdict
 
 import zmq
 from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
 from sardinestair.entry.gate import Gate
+from sardinestair.entry.job_ends import JobEnds
 from sardinestair.entry.overdue import OverdueTasks
 from sardinestair.entry.recorder import JobRecorder
+from sardinestair.entry.run_ends import RunEnds
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import (
     Incarnation,
     JobId,
     format_incarnation,
-    format_job_id,
 )
 from sardinestair.jobs import Job, JobRegistry, JobState
-from sardinestair.jobs.job import TaskAnswer
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobCharge
-from sardinestair.limits.money import slot_cost
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -32,18 +30,15 @@
     Demand,
     Outcome,
     TaskRef,
-    TaskState,
 )
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.tree import effective
 from sardinestair.store.claims import Claim, ClaimVerdict, ClaimWriter
-from sardinestair.upstreams.leased import STALLED
 
 __all__ = ["SETTLING", "Dispatcher"]
 
-MAX_REASON_CHARACTERS = 200
 SETTLING = Problem(
     ProblemKind.UNAVAILABLE,
     "earlier runs of the job are being stopped; this submission did not run",
@@ -81,6 +76,8 @@
         links: Links by sidecar.
         registry: The known jobs.
         recorder: Records how jobs end.
+        job_ends: Ends jobs.
+        run_ends: Takes the ends of runs.
         overdue: Looks after tasks that take too long.
     """
 
@@ -117,6 +114,15 @@
             "entry", entry=format_incarnation(incarnation), zone=zone
         )
         self.recorder = JobRecorder(clock, metrics, self.log)
+        self.job_ends = JobEnds(
+            clock,
+            self.services,
+            self.links,
+            self.registry,
+            self.recorder,
+            claims,
+        )
+        self.run_ends = RunEnds(self.job_ends, metrics, self.log)
         self.overdue = OverdueTasks(self.registry, metrics, self.log)
 
     @property
@@ -130,6 +136,7 @@
         """Puts a settings tree into force."""
         with self.lock:
             self.gate.tree = tree
+            self.run_ends.tree = tree
             for name, state in self.services.items():
                 state.configure(effective(tree, name, self.zone))
                 self.touched.add(name)
@@ -249,7 +256,7 @@
                     not_run=job.is_not_run,
                 )
                 job.cancel(problem)
-                self._ended(job)
+                self.job_ends.settle(job)
                 self.links_handled()
             return job
 
@@ -271,7 +278,7 @@
                 job = heapq.heappop(self.deadlines)[2]
                 if job.is_active:
                     detail = "the deadline passed before all tasks ended"
-                    self._fail(job, ProblemKind.DEADLINE, detail)
+                    self.job_ends.fail(job, ProblemKind.DEADLINE, detail)
             self.registry.expire(now_s)
             for state in self.services.values():
                 self.overdue.check(state, now_s)
@@ -292,13 +299,15 @@
                 f"s after it came; other work of {backlog_s:.1f} s waits"
             )
             retry_after_s = max(backlog_s, MIN_RETRY_AFTER_S)
-            self._fail(job, ProblemKind.OVERLOADED, detail, retry_after_s)
+            self.job_ends.fail(
+                job, ProblemKind.OVERLOADED, detail, retry_after_s
+            )
 
     def give_up(self, reason: str) -> None:
         """Answers all jobs that are left with a failure."""
         with self.lock:
             for job in list(self.registry.jobs.values()):
-                self._fail(job, ProblemKind.DRAINING, reason, 1.0)
+                self.job_ends.fail(job, ProblemKind.DRAINING, reason, 1.0)
             self.links_handled()
 
     def has_upstreams(self) -> bool:
@@ -340,97 +349,19 @@
 
     def link_finished(self, link: EntryLink, outcome: Outcome) -> None:
         """Records how a task ended."""
-        state = self.services[link.candidate.service]
         self._settle(link)
-        job = self.registry.find(outcome.task.job)
-        if job is None:
-            return
-        index = outcome.task.index
-        if outcome.state is TaskState.DONE:
-            self._charge(state, job, link, outcome.run_s)
-            state.learn(job, link, outcome.run_s)
-            self._judge(state, link, job, True)
-            state.refresh(link, self.clock.monotonic())
-            job.record(index, TaskAnswer(outcome.body, outcome.is_json))
-            if not job.is_active and job.job_id not in self.registry.ended:
-                self._ended(job)
-            return
-        job.may_have_run = True
-        self._charge(state, job, link, outcome.run_s)
-        if outcome.state is TaskState.FAILED or outcome.body == STALLED:
-            job.failed_at.add(link.sidecar)
-            self._judge(state, link, job, False)
-        reason = outcome.body.decode("utf-8", "replace")
-        self._repeat_or_fail(state, job, index, outcome.state, reason)
-
-    def _repeat_or_fail(
-        self,
-        state: ServiceState,
-        job: Job,
-        index: int,
-        how: TaskState,
-        reason: str,
-    ) -> None:
-        """Decides about a task whose run has surely ended without success."""
-        reason = reason[:MAX_REASON_CHARACTERS]
-        is_repeated = job.may_repeat(index, how)
-        self.log.info(
-            "run_ended",
-            job=format_job_id(job.job_id),
-            task=index,
-            run=job.attempts[index],
-            how=how.value,
-            reason=reason,
-            failures=job.failures[index],
-            repeated=is_repeated,
-        )
-        if is_repeated:
-            state.queue.put_back(job, index)
-            return
-        job.release(index)
-        self._fail(job, ProblemKind.FAILED, f"task {index} failed: {reason}")
+        self.run_ends.finish(link, outcome)
 
     def link_refused(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Puts tasks that did not run back to the head of their jobs."""
-        state = self.services[link.candidate.service]
         self._settle(link)
         self.count_wasted("start_refused", len(refs))
-        for ref in refs:
-            job = self.registry.find(ref.job)
-            if job is None:
-                continue
-            if not job.is_active:
-                job.release(ref.index)
-                if job.charge is not None:
-                    job.charge.release(1)
-                continue
-            state.queue.put_back(job, ref.index)
-            if not state.retries.decide():
-                detail = f"task {ref.index} did not run; no retries are left"
-                self._fail(job, ProblemKind.UNAVAILABLE, detail)
+        self.run_ends.refuse(link, refs)
 
     def link_lost(self, link: EntryLink, refs: list[TaskRef]) -> None:
-        """Fails the jobs of tasks whose outcome won't be known."""
+        """Fails or repeats the tasks whose outcome won't be known."""
         self._settle(link)
-        for ref in refs:
-            job = self.registry.find(ref.job)
-            if job is None:
-                continue
-            job.may_have_run = True
-            if link.is_leased:
-                self._repeat_or_fail(
-                    self.services[link.candidate.service],
-                    job,
-                    ref.index,
-                    TaskState.INTERRUPTED,
-                    "lost with its sidecar",
-                )
-                continue
-            job.release(ref.index)
-            detail = (
-                f"task {ref.index} was lost with its sidecar and may have run"
-            )
-            self._fail(job, ProblemKind.LOST, detail)
+        self.run_ends.lose(link, refs)
 
     def link_changed(self, link: EntryLink) -> None:
         """Takes note of changed credits."""
@@ -490,14 +421,14 @@
     def _refuse_claimed(self, job: Job, verdict: ClaimVerdict) -> None:
         if verdict is ClaimVerdict.UNAVAILABLE:
             detail = "the store gave no answer, so the job was not claimed"
-            self._fail(job, ProblemKind.UNAVAILABLE, detail, 1.0)
+            self.job_ends.fail(job, ProblemKind.UNAVAILABLE, detail, 1.0)
             return
         job.may_have_run = True
         detail = (
             "another submission has claimed the job; it may have run, and it "
             "will not run again"
         )
-        self._fail(job, ProblemKind.LOST, detail)
+        self.job_ends.fail(job, ProblemKind.LOST, detail)
         self.registry.remove(job.job_id)
 
     def _accept(self, parsed: ParsedRequest, earlier: Job | None) -> Job:
@@ -575,73 +506,6 @@
         state.refresh(link, self.clock.monotonic())
         self.touched.add(state.name)
 
-    def _charge(
-        self, state: ServiceState, job: Job, link: EntryLink, run_s: float
-    ) -> None:
-        assert self.tree is not None
-        zone = link.candidate.zone
-        price = effective(self.tree, state.name, zone).price_per_slot_hour
-        cost = slot_cost(run_s, price)
-        if cost:
-            labels = {"team": job.team, "service": state.name, "zone": zone}
-            self.metrics.count("spent_micros_total", labels, cost)
-        if job.charge is not None:
-            job.charge.settle(cost)
-
-    def _judge(
-        self, state: ServiceState, link: EntryLink, job: Job, succeeded: bool
-    ) -> None:
-        now_s = self.clock.monotonic()
-        is_out = state.health.observe(
-            link.sidecar, job.job_id, job.kind, succeeded, now_s
-        )
-        if is_out:
-            self.metrics.count("upstreams_out_total", {"service": state.name})
-            self.log.warning(
-                "upstream_out",
-                service=state.name,
-                sidecar=format_incarnation(link.sidecar),
-            )
-
-    def _fail(
-        self,
-        job: Job,
-        kind: ProblemKind,
-        detail: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        if not job.is_active:
-            return
-        problem = Problem(
-            kind, detail, job.is_not_run, retry_after_s=retry_after_s
-        )
-        job.fail(problem)
-        self._ended(job)
-
-    def _ended(self, job: Job) -> None:
-        """Does what every end of a job needs."""
-        state = self.services[job.service]
-        if job.charge is not None:
-            job.charge.release(len(job.waiting))
-        state.queue.discard(job)
-        job.drop_payloads()
-        if job.claim is not None and job.ended_not_run and self.claims:
-            self.claims.vouch(job.job_id, job.claim)
-        self._cancel_in_flight(job)
-        now_s = self.clock.monotonic()
-        self.registry.end(job, now_s)
-        self.recorder.record_end(job, state, now_s)
-
-    def _cancel_in_flight(self, job: Job) -> None:
-        by_sidecar: dict[Incarnation, list[TaskRef]] = defaultdict(list)
-        for index, sidecar in job.in_flight.items():
-            by_sidecar[sidecar].append(job.ref(index))
-        for sidecar, refs in by_sidecar.items():
-            link = self.links.get(sidecar)
-            if link is not None and link.state is not LinkState.CLOSED:
-                link.cancel(refs)
-                link.wakeup.set()
-
     def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
         """Takes note of a job that was not let in."""
         state = self.services.get(parsed.request.service)
--- /dev/null
+++ b/sardinestair/entry/job_ends.py
@@ -0,0 +1,84 @@
+"""Ends jobs."""
+
+from collections import defaultdict
+
+from sardinestair.clock import Clock
+from sardinestair.entry.recorder import JobRecorder
+from sardinestair.entry.service_state import ServiceState
+from sardinestair.ids import Incarnation
+from sardinestair.jobs import Job, JobRegistry
+from sardinestair.links.entry_link import EntryLink, LinkState
+from sardinestair.messages import TaskRef
+from sardinestair.outcomes import Problem, ProblemKind
+from sardinestair.store.claims import ClaimWriter
+
+__all__ = ["JobEnds"]
+
+
+class JobEnds:
+    """Does what every end of a job needs; called with the entry's lock held.
+
+    Args:
+        clock: The clock.
+        services: What is kept for each service.
+        links: Links by sidecar.
+        registry: The known jobs.
+        recorder: Records how jobs end.
+        claims: Claims unrepeatable jobs, or None without a store.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        services: dict[str, ServiceState],
+        links: dict[Incarnation, EntryLink],
+        registry: JobRegistry,
+        recorder: JobRecorder,
+        claims: ClaimWriter | None,
+    ):
+        self.clock = clock
+        self.services = services
+        self.links = links
+        self.registry = registry
+        self.recorder = recorder
+        self.claims = claims
+
+    def fail(
+        self,
+        job: Job,
+        kind: ProblemKind,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Ends a job with a problem, unless it has ended."""
+        if not job.is_active:
+            return
+        problem = Problem(
+            kind, detail, job.is_not_run, retry_after_s=retry_after_s
+        )
+        job.fail(problem)
+        self.settle(job)
+
+    def settle(self, job: Job) -> None:
+        """Cleans up after a job that has just ended."""
+        state = self.services[job.service]
+        if job.charge is not None:
+            job.charge.release(len(job.waiting))
+        state.queue.discard(job)
+        job.drop_payloads()
+        if job.claim is not None and job.ended_not_run and self.claims:
+            self.claims.vouch(job.job_id, job.claim)
+        self._cancel_in_flight(job)
+        now_s = self.clock.monotonic()
+        self.registry.end(job, now_s)
+        self.recorder.record_end(job, state, now_s)
+
+    def _cancel_in_flight(self, job: Job) -> None:
+        by_sidecar: dict[Incarnation, list[TaskRef]] = defaultdict(list)
+        for index, sidecar in job.in_flight.items():
+            by_sidecar[sidecar].append(job.ref(index))
+        for sidecar, refs in by_sidecar.items():
+            link = self.links.get(sidecar)
+            if link is not None and link.state is not LinkState.CLOSED:
+                link.cancel(refs)
+                link.wakeup.set()
