Count the wait for an earlier sidecar's starts from the process's begin

The earlier one had ended before this process began, so that the time to load counts. Change: LeasedUpstream is told when the process began; listening.py became launch.py, which notes that time. Test: upstreams/tests/test_leased.py, failed for want of the part.

--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -3,7 +3,6 @@
 import faulthandler
 import os
 import signal
-import socket
 import sys
 import threading
 from collections.abc import Callable
@@ -16,7 +15,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from sardinestair import __version__
-from sardinestair.listening import SETTINGS_VARIABLE
+from sardinestair.launch import SETTINGS_VARIABLE, Launch
 from sardinestair.observability import EventLog, configure_logging
 from sardinestair.settings.process import load_process_settings
 
@@ -150,8 +149,7 @@
     """Runs a service from a settings file until SIGTERM.
 
     Args:
-        listener: What listens already for those whom the service serves on
-            the platform, if anything.
+        launched: How the program was launched, if it matters.
     """
 
     options = [
@@ -165,9 +163,9 @@
     ]
     kind: type[S]
 
-    def __init__(self, listener: socket.socket | None = None):
+    def __init__(self, launched: Launch | None = None):
         super().__init__()
-        self.listener = listener
+        self.launched = launched
 
     def make(self, settings: S) -> Service:
         """Returns the service for checked settings."""
--- a/sardinestair/entry/command.py
+++ b/sardinestair/entry/command.py
@@ -27,7 +27,7 @@
         if settings.platform is None:
             entry = EntryProcess(settings)
         else:
-            entry = PlatformEntryProcess(settings, listener=self.listener)
+            entry = PlatformEntryProcess(settings, launched=self.launched)
         if settings.tree_file is not None:
             loaded = entry.load_tree_file()
             if loaded.is_error():
--- a/sardinestair/entry/main.py
+++ b/sardinestair/entry/main.py
@@ -1,18 +1,18 @@
 """Command line of `sardinestair-entry`."""
 
-from sardinestair.listening import listen_early
+from sardinestair.launch import launch
 
 __all__ = ["main"]
 
 
 def main() -> None:
     """Runs the program."""
-    listener = listen_early("platform", "client_address")
+    launched = launch("platform", "client_address")
     # Loaded only now, since it takes long.
     from sardinestair.cli.service import run_command
     from sardinestair.entry.command import EntryCommand
 
-    run_command(EntryCommand(listener))
+    run_command(EntryCommand(launched))
 
 
 if __name__ == "__main__":
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -1,12 +1,12 @@
 """An entry on the users' platform: its wiring around the same aggregate."""
 
-import socket
 import threading
 import time
 
 from sardinestair.clock import Clock
 from sardinestair.entry.departures import DepartureWatcher
 from sardinestair.entry.process import EntryProcess
+from sardinestair.launch import Launch
 from sardinestair.platform.callers import ClientApi
 from sardinestair.platform.names import link_endpoints
 from sardinestair.platform.operator import (
@@ -40,7 +40,8 @@
     Args:
         settings: The process's settings; `platform` must be there.
         clock: The clock.
-        listener: What listens already for clients, if anything.
+        launched: How the program was launched; what listens then already
+            is for clients.
 
     Attributes:
         configured: Set once a configuration has been adopted.
@@ -53,7 +54,7 @@
         self,
         settings: EntrySettings,
         clock: Clock | None = None,
-        listener: socket.socket | None = None,
+        launched: Launch | None = None,
     ):
         assert settings.platform is not None
         self.platform: EntryPlatform = settings.platform
@@ -69,7 +70,7 @@
             port,
             self.client_app,
             self.platform.client_threads,
-            listener,
+            None if launched is None else launched.listener,
         )
         host, port = split_address(self.platform.readiness_address)
         readiness_app = WebApp(
--- a/sardinestair/sidecar/command.py
+++ b/sardinestair/sidecar/command.py
@@ -27,4 +27,4 @@
         """Returns the sidecar for checked settings."""
         if settings.platform is None:
             return SidecarProcess(settings)
-        return PlatformSidecarProcess(settings, listener=self.listener)
+        return PlatformSidecarProcess(settings, launched=self.launched)
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -1,10 +1,10 @@
 """A sidecar on the users' platform: its wiring around the same aggregate."""
 
-import socket
 import threading
 from collections.abc import Callable
 
 from sardinestair.clock import Clock
+from sardinestair.launch import Launch
 from sardinestair.platform.heartbeats import HeartbeatApi
 from sardinestair.platform.names import link_endpoints
 from sardinestair.platform.orders import RunnerOrders
@@ -30,7 +30,8 @@
     Args:
         settings: The process's settings; `platform` must be there.
         clock: The clock.
-        listener: What listens already for heartbeats, if anything.
+        launched: How the program was launched; what listens then already
+            is for heartbeats.
 
     Attributes:
         runner: The runs at the runner.
@@ -41,11 +42,13 @@
         self,
         settings: SidecarSettings,
         clock: Clock | None = None,
-        listener: socket.socket | None = None,
+        launched: Launch | None = None,
     ):
         assert settings.platform is not None
         self.platform: SidecarPlatform = settings.platform
         super().__init__(settings, clock)
+        if launched is None:
+            launched = Launch(self.clock.monotonic())
         self.stopping = threading.Event()
         self.store = PlatformStore(self.platform.store_address)
         self.runner = LeasedUpstream(
@@ -54,6 +57,7 @@
             settings.link.lease_s,
             self.metrics,
             self.server.report_lost,
+            launched.began_s,
         )
         self.server.make_caller = self._make_caller
         api = HeartbeatApi(self.server, self.platform.heartbeat_ttl_s)
@@ -63,7 +67,7 @@
             port,
             WebApp(api.rules(), MAX_HEARTBEAT_BYTES, self.log),
             HEARTBEAT_THREADS,
-            listener,
+            launched.listener,
         )
 
     def start(self) -> None:
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -112,6 +112,8 @@
         lease_s: Length of the lease of all runs, in seconds.
         metrics: The process's metrics.
         on_lost: Called when the upstream has not answered for a lease.
+        began_s: When this process began, on its clock; the present if not
+            given. An earlier sidecar had ended by then.
 
     Attributes:
         runs: The runs that may be active, by name.
@@ -130,6 +132,7 @@
         lease_s: float,
         metrics: Metrics,
         on_lost: Callable[[], None],
+        began_s: float | None = None,
     ):
         self.orders = orders
         self.clock = clock
@@ -139,7 +142,7 @@
         self.lock = threading.Lock()
         self.runs: dict[RunName, Run] = {}
         self.stopping = threading.Event()
-        self.made_s = clock.monotonic()
+        self.began_s = clock.monotonic() if began_s is None else began_s
         self.is_clear = False
         self.is_lost = False
         self.born_ms = 0
@@ -417,7 +420,7 @@
             if self.orders.stop(name, STOP_TIMEOUT_S).is_error():
                 break
         # A start of an earlier sidecar can be carried out for a lease.
-        is_over = now_s - self.made_s >= self.lease_s * (1 + DRIFT)
+        is_over = now_s - self.began_s >= self.lease_s * (1 + DRIFT)
         self.is_clear = not unknown and (self.is_clear or is_over)
 
     def _log_of(self, name: RunName) -> EventLog:
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -270,3 +270,17 @@
     assert 0.0 < bench.runner.waits[-1] <= usual / 4
     bench.renew_after(TROUBLED_FOR_S + 0.1)
     assert bench.runner.waits[-1] == usual
+
+
+def test_time_to_load_counts_for_the_wait_for_starts_of_an_earlier_sidecar(
+    bench,
+):
+    """All machines dark: runs could begin only a lease after the loading."""
+    launched_s = bench.clock.monotonic()
+    bench.clock.advance(LEASE_S * 1.1)
+    later = LeasedUpstream(
+        bench.runner, bench.clock, LEASE_S, Metrics(), lambda: None, launched_s
+    )
+    assert not later.is_clear  # What runs there has not been read.
+    later.renew()
+    assert later.is_clear
--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -13,7 +13,7 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from sardinestair.listening import LISTEN_BACKLOG
+from sardinestair.launch import LISTEN_BACKLOG
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
 
