--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -12,10 +12,8 @@
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamClock"]
 
 WORK_WEIGHT = 0.25
-# Puts jobs behind all that are more urgent; longer than any deadline.
-PRIORITY_S = 86400.0
-# Puts late jobs behind all others; settings allow priorities up to 100.
-LATE_S = 1000 * PRIORITY_S
+# Puts late jobs behind all others; longer than any deadline.
+LATE_S = 86400.0
 
 
 class OrderPolicy(enum.Enum):
@@ -63,8 +61,7 @@
 class ReadyQueue:
     """Jobs of one service with tasks that wait, in order.
 
-    Jobs of a smaller priority number go first. Among those of one number the
-    key of a job is, with `SMALL_FIRST`, its virtual start plus a quarter of
+    With `SMALL_FIRST` the key of a job is its virtual start plus a quarter of
     its expected slot-seconds: small jobs go first, and a large one waits a
     bounded time longer. With `LEAST_SLACK` it is the latest time at which the
     job can start and be in time; a job past it goes behind all that can still
@@ -82,7 +79,6 @@
     def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
         self.order = order
         self.jobs = SortedKeyList(key=lambda job: (job.key_s, job.job_id))
-        self.priorities: set[int] = set()
         self.teams: dict[str, TeamClock] = {}
         self.waiting_tasks = 0
         self.waiting_bytes = 0
@@ -104,8 +100,7 @@
             OrderPolicy.SMALL_FIRST: start_s + WORK_WEIGHT * work_s,
             OrderPolicy.LEAST_SLACK: job.latest_start_s,
         }
-        job.key_s = keys[self.order] + PRIORITY_S * job.priority
-        self.priorities.add(job.priority)
+        job.key_s = keys[self.order]
         self._count(job, job.waiting, 1)
         self.jobs.add(job)
 
@@ -146,17 +141,9 @@
         late: list[Job] = []
         if self.order is not OrderPolicy.LEAST_SLACK:
             return late
-        for priority in sorted(self.priorities):
-            late += self._demote_late_of(priority, now_s)
-        return late
-
-    def _demote_late_of(self, priority: int, now_s: float) -> list[Job]:
-        late: list[Job] = []
-        latest_key_s = now_s + PRIORITY_S * priority
-        first = self.jobs.bisect_key_left((latest_key_s - PRIORITY_S / 2, b""))
-        while first < len(self.jobs) and self.jobs[first].key_s < latest_key_s:
-            job = self.jobs.pop(first)
-            job.key_s += LATE_S - PRIORITY_S * priority
+        while self.jobs and self.jobs[0].key_s < now_s:
+            job = self.jobs.pop(0)
+            job.key_s += LATE_S
             job.is_late = True
             self.jobs.add(job)
             late.append(job)
@@ -174,7 +161,6 @@
         work_s: float,
         now_s: float,
         latest_start_s: float | None = None,
-        priority: int = 0,
     ) -> float:
         """Returns the expected run time of what would go before a new job.
 
@@ -185,7 +171,6 @@
             work_s: Expected run time of the new job's tasks, in seconds.
             now_s: The present, in seconds.
             latest_start_s: When it must start to be in time.
-            priority: The new job's priority.
         """
         if not self.jobs or self.order is OrderPolicy.FIRST_COME:
             return self.waiting_s
@@ -194,7 +179,6 @@
         key_s = start_s + WORK_WEIGHT * work_s
         if self.order is OrderPolicy.LEAST_SLACK and latest_start_s:
             key_s = latest_start_s
-        key_s += PRIORITY_S * priority
         ahead = self.jobs.bisect_key_right((key_s, b""))
         return self.waiting_s * ahead / len(self.jobs)
 
--- a/sardinestair/placement/tests/test_queue.py
+++ b/sardinestair/placement/tests/test_queue.py
@@ -84,9 +84,8 @@
 # More comes than can be in time (pattern: burst of all).
 
 
-def timed_job(number, target_s, task_s=1.0, priority=0):
+def timed_job(number, target_s, task_s=1.0):
     job = make_job(number, task_s=task_s)
-    job.priority = priority
     job.target_s = target_s
     return job
 
@@ -104,35 +103,6 @@
     assert drain(slack_queue(long, short)) == [short, long]
 
 
-def test_urgent_kinds_go_first_and_late_jobs_behind_all():
-    """High load: every kind used to wait until its slack was out."""
-    urgent = timed_job(1, 9.0, priority=0)
-    tight = timed_job(2, 5.0, priority=2)
-    roomy = timed_job(3, 7.0, priority=1)
-    queue = slack_queue(tight, roomy, urgent)
-    assert drain(queue) == [urgent, roomy, tight]
-
-
-def test_job_of_a_kind_that_is_less_urgent_becomes_late_all_the_same():
-    urgent = timed_job(1, 90.0, priority=0)
-    tight = timed_job(2, 5.0, priority=2)
-    tight.useful_until_s = 5.0
-    queue = slack_queue(urgent, tight, timed_job(3, 80.0, priority=100))
-    assert queue.demote_late(4.5) == [tight]
-    assert queue.useless(4.5) == [tight]
-
-
-def test_work_ahead_counts_kinds_that_are_more_urgent():
-    queue = slack_queue(
-        timed_job(1, 9.0, priority=0), timed_job(2, 9.0, priority=1)
-    )
-    ahead = [
-        queue.work_ahead_s("calm", 1.0, 0.0, 3.0, priority)
-        for priority in (0, 1, 2)
-    ]
-    assert ahead == [0.0, 1.0, 2.0]
-
-
 def test_job_that_can_not_be_in_time_goes_behind_those_that_can():
     lost = timed_job(1, target_s=1.0, task_s=0.5)
     fresh = timed_job(2, target_s=3.0, task_s=0.5)
