--- a/sardinestair/platform/tests/test_deploy.py
+++ b/sardinestair/platform/tests/test_deploy.py
@@ -2,11 +2,14 @@
 
 import json
 import re
+from collections import Counter
 from pathlib import Path
 
 import pytest
 
+from sardinestair.ids import Incarnation
 from sardinestair.links.timing import DRIFT, STOP_S
+from sardinestair.membership.choice import choose_entries
 from sardinestair.settings import EntrySettings, SidecarSettings
 from sardinestair.settings.files import parse_yaml
 
@@ -26,6 +29,10 @@
 }
 # Bounds of the platform: when clients submit again, and a stop's grace.
 RESEND_S = 1.3
+# 75 are too many for a VM of 0.4 cores (docs/EXPERIMENTS.md, 25).
+MOST_LINKS = 50
+# A tenth of the upstreams, so that the loss of some leaves enough of them.
+LEAST_LINKS = 8
 # The backlog, the servers and the threads of an entry that stops.
 CLOSING_S = 1.0
 GRACE_S = 6.0
@@ -85,3 +92,21 @@
     settings = load("entry.yaml", EntrySettings)
     served_s = settings.platform.leave_s + settings.drain_timeout_s
     assert served_s + CLOSING_S < GRACE_S
+
+
+def test_entry_of_a_large_deployment_has_links_that_a_small_vm_carries():
+    """75 sidecars and 14 entries: a link costs an entry 13 frames a second."""
+    most = load("sidecar.yaml", SidecarSettings).max_entries
+    entries = [f"10.1.0.{n}:7101" for n in range(14)]
+    links = Counter(
+        entry
+        for n in range(75)
+        for entry in choose_entries(Incarnation(bytes([n]) * 16), entries, most)
+    )
+    assert len(links) == len(entries)
+    assert max(links.values()) <= MOST_LINKS
+    assert min(links.values()) >= LEAST_LINKS
+
+
+def test_entries_of_a_small_deployment_have_links_to_all_sidecars():
+    assert load("sidecar.yaml", SidecarSettings).max_entries >= 3
