Let the priority of a kind count where the order is not by slack

Cause: the setting was read, documented and had no effect in any order. Test: placement/tests/test_queue.py, failed before the change.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -453,6 +453,7 @@
             request.need,
             None if objective_s is None else now_s + objective_s,
             now_s + state.useful_s(settings, work.mean_s_, deadline_s),
+            settings.priority,
         )
         if earlier is not None:
             job.attempts = earlier.attempts
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -173,6 +173,7 @@
             1 / self.entry_count,
             now_s,
             now_s + (objective_s or deadline_s) - estimate.mean_s_,
+            settings.priority,
         )
         useful_s = state.useful_s(settings, estimate.mean_s_, deadline_s)
         decision = state.admission().decide(load, tasks, size, useful_s)
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -204,6 +204,7 @@
         share: float,
         now_s: float,
         latest_start_s: float | None = None,
+        priority: int = 0,
     ) -> Load:
         """Returns what admission looks at.
 
@@ -213,12 +214,13 @@
             share: This entry's share of the upstreams if all ask.
             now_s: The present, in seconds.
             latest_start_s: When the job must start to be in time.
+            priority: The new job's priority.
         """
         rate = self.own_throughput(share)
         if rate:
             self.served_s = now_s
         ahead_s = work_s + self.queue.work_ahead_s(
-            team, work_s, now_s, latest_start_s
+            team, work_s, now_s, latest_start_s, priority
         )
         if not self._knows_upstreams(now_s):
             expected_s = 0.0
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -67,6 +67,7 @@
             deadline if not given.
         useful_until_s: Until when an answer is of use; the deadline if not
             given.
+        priority: Which jobs come first when slots are short; 0 before 1.
 
     Attributes:
         waiting: Indices of the tasks that wait, in order.
@@ -115,6 +116,7 @@
         need: Resources | None = None,
         target_s: float | None = None,
         useful_until_s: float | None = None,
+        priority: int = 0,
     ):
         self.job_id = job_id
         self.service = service
@@ -131,6 +133,7 @@
             self.useful_until_s = min(deadline_s, useful_until_s)
         self.is_late = False
         self.max_attempts = max_attempts
+        self.priority = priority
         self.need = need
         self.size = len(payloads)
         self.waiting: deque[int] = deque(range(self.size))
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -12,6 +12,8 @@
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamClock"]
 
 WORK_WEIGHT = 0.25
+# Puts jobs behind all that are more urgent; longer than any deadline.
+PRIORITY_S = 86400.0
 # Puts late jobs behind all others; longer than any deadline.
 LATE_S = 86400.0
 
@@ -61,9 +63,10 @@
 class ReadyQueue:
     """Jobs of one service with tasks that wait, in order.
 
-    With `SMALL_FIRST` the key of a job is its virtual start plus a quarter of
-    its expected slot-seconds: small jobs go first, and a large one waits a
-    bounded time longer. With `LEAST_SLACK` it is the latest time at which the
+    Jobs of a smaller priority number go first, but with `LEAST_SLACK`. With
+    `SMALL_FIRST` the key of a job is its virtual start plus a quarter of its
+    expected slot-seconds: small jobs go first, and a large one waits a bounded
+    time longer. With `LEAST_SLACK` it is the latest time at which the
     job can start and be in time; a job past it goes behind all that can still
     be in time, and the late ones keep that order among themselves.
 
@@ -100,10 +103,20 @@
             OrderPolicy.SMALL_FIRST: start_s + WORK_WEIGHT * work_s,
             OrderPolicy.LEAST_SLACK: job.latest_start_s,
         }
-        job.key_s = keys[self.order]
+        job.key_s = keys[self.order] + self._priority_s(job.priority)
         self._count(job, job.waiting, 1)
         self.jobs.add(job)
 
+    def _priority_s(self, priority: int) -> float:
+        """Returns what a priority adds to the order key, in seconds.
+
+        Slack comes before it: under high load kinds of a lower priority would
+        all wait until they are late.
+        """
+        if self.order is OrderPolicy.LEAST_SLACK:
+            return 0.0
+        return PRIORITY_S * priority
+
     def take(self, job: Job, sidecar: Incarnation) -> int:
         """Takes the next task of a job for a start at a sidecar.
 
@@ -151,6 +164,8 @@
 
     def useless(self, now_s: float) -> list[Job]:
         """Returns the late jobs that would end too late for any use."""
+        if self.order is not OrderPolicy.LEAST_SLACK:
+            return []
         first = self.jobs.bisect_key_left((now_s + LATE_S / 2, b""))
         late = itertools.islice(self.jobs, first, None)
         return [job for job in late if job.is_useless(now_s)]
@@ -161,6 +176,7 @@
         work_s: float,
         now_s: float,
         latest_start_s: float | None = None,
+        priority: int = 0,
     ) -> float:
         """Returns the expected run time of what would go before a new job.
 
@@ -171,14 +187,18 @@
             work_s: Expected run time of the new job's tasks, in seconds.
             now_s: The present, in seconds.
             latest_start_s: When it must start to be in time.
+            priority: The new job's priority.
         """
-        if not self.jobs or self.order is OrderPolicy.FIRST_COME:
-            return self.waiting_s
+        if not self.jobs:
+            return 0.0
         clock = self.teams.get(team)
         start_s = max(now_s, clock.finish_s) if clock else now_s
-        key_s = start_s + WORK_WEIGHT * work_s
+        key_s = start_s
+        if self.order is OrderPolicy.SMALL_FIRST:
+            key_s += WORK_WEIGHT * work_s
         if self.order is OrderPolicy.LEAST_SLACK and latest_start_s:
             key_s = latest_start_s
+        key_s += self._priority_s(priority)
         ahead = self.jobs.bisect_key_right((key_s, b""))
         return self.waiting_s * ahead / len(self.jobs)
 
--- a/sardinestair/placement/tests/test_queue.py
+++ b/sardinestair/placement/tests/test_queue.py
@@ -46,6 +46,30 @@
     assert queue.head() is large
 
 
+@pytest.mark.parametrize(
+    "order", [OrderPolicy.FIRST_COME, OrderPolicy.SMALL_FIRST]
+)
+def test_smaller_priority_number_goes_first(order):
+    queue = ReadyQueue(order)
+    jobs = [make_job(number) for number in range(3)]
+    for job, priority in zip(jobs, (2, 0, 1), strict=True):
+        job.priority = priority
+        queue.add(job, 0.0, RATE)
+    assert drain(queue) == [jobs[1], jobs[2], jobs[0]]
+
+
+def test_work_ahead_counts_kinds_that_are_more_urgent(queue):
+    for number in range(2):
+        job = make_job(number)
+        job.priority = number
+        queue.add(job, 0.0, RATE)
+    ahead = [
+        queue.work_ahead_s("new", 1.0, 0.0, priority=priority)
+        for priority in (0, 1, 2)
+    ]
+    assert ahead == [0.0, 1.0, 2.0]
+
+
 def test_first_come_ignores_size():
     queue = ReadyQueue(OrderPolicy.FIRST_COME)
     large, small = make_job(1, tasks=100), make_job(2)
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -77,7 +77,8 @@
             within the job's deadline.
         max_attempts: Runs of a task that may fail before the task has failed;
             with 1, a task that has started is never started again.
-        priority: Which jobs come first when slots are short; 0 before 1.
+        priority: Which jobs come first when slots are short; 0 before 1. With
+            the order `least_slack` only the slack counts.
         useful_factor: An answer is of use until this many times its objective;
             0 for until the deadline.
         objective_stretch: An answer is in time up to this many times the
