Add a soak of random faults, in series and at once

Cause: failure tests bring each fault about alone or two at a time, by a fixed plan; overlapping series and one-way cuts, delays and resets were not tested.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: demo test lint format model faults bench slopes clean
+.PHONY: demo test lint format model faults soak bench slopes clean
 
 .venv/.installed: pyproject.toml requirements.lock
 	$(PYTHON) -m venv .venv
@@ -31,6 +31,9 @@
 model: .venv/.installed
 	$(BIN)/python -m model.check
 
+soak: .venv/.installed
+	$(BIN)/python -m faults.soak
+
 faults: .venv/.installed
 	$(BIN)/python -m faults.run
 
--- a/faults/relay.py
+++ b/faults/relay.py
@@ -1,11 +1,23 @@
-"""A TCP relay whose open connections can go silent while new ones work."""
+"""A TCP relay that disturbs the connections that it passes on."""
 
+import enum
 import socket
+import struct
 import threading
+import time
 
-__all__ = ["Relay"]
+__all__ = ["Direction", "Relay"]
 
 CHUNK_BYTES = 65536
+# No time for what was not sent, so that closing resets the connection.
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class Direction(enum.Enum):
+    """Which way bytes go."""
+
+    TO_TARGET = "to target"
+    FROM_TARGET = "from target"
 
 
 class Relay:
@@ -16,6 +28,7 @@
 
     Attributes:
         port: The port that it listens on.
+        delay_s: How long bytes are held up, in seconds.
     """
 
     def __init__(self, target: int):
@@ -23,6 +36,9 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         self.generation = 0
+        self.delay_s = 0.0
+        self.open = {direction: threading.Event() for direction in Direction}
+        self.heal()
         self.sockets: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -35,6 +51,28 @@
         """Drops all further bytes of the open connections, keeping them."""
         self.generation += 1
 
+    def cut(self, direction: Direction) -> None:
+        """Holds up all bytes that go one way, until `heal`."""
+        self.open[direction].clear()
+
+    def heal(self) -> None:
+        """Ends all cuts; what was held up arrives."""
+        for event in self.open.values():
+            event.set()
+
+    def reset(self) -> None:
+        """Resets the open connections."""
+        sockets, self.sockets = self.sockets, []
+        for one in sockets:
+            try:
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+                # Wakes its reader, and tells the other end nothing yet.
+                one.shutdown(socket.SHUT_RD)
+            except OSError:
+                # It has been closed by its other end.
+                pass
+            one.close()
+
     def close(self) -> None:
         """Closes all connections."""
         self.listener.close()
@@ -51,16 +89,25 @@
                     return
                 continue
             self.sockets += [near, far]
-            for source, sink in ((near, far), (far, near)):
+            ways = (
+                (near, far, Direction.TO_TARGET),
+                (far, near, Direction.FROM_TARGET),
+            )
+            for source, sink, direction in ways:
                 threading.Thread(
                     target=self._pass_on,
-                    args=(source, sink, self.generation),
+                    args=(source, sink, direction, self.generation),
                     daemon=True,
                 ).start()
 
-    def _pass_on(self, source, sink, generation: int) -> None:
+    def _pass_on(
+        self, source, sink, direction: Direction, generation: int
+    ) -> None:
         try:
             while data := source.recv(CHUNK_BYTES):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                self.open[direction].wait()
                 if generation == self.generation:
                     sink.sendall(data)
             if generation == self.generation:
--- a/faults/scenarios.py
+++ b/faults/scenarios.py
@@ -17,7 +17,14 @@
 from faults.verdicts import Verdict, judge, read_log, read_starts
 from sardinestair.cli.client import ApiClient
 
-__all__ = ["FAULTS", "pairs", "run_scenario"]
+__all__ = [
+    "FAULTS",
+    "Stage",
+    "is_in_force_everywhere",
+    "pairs",
+    "run_scenario",
+    "set_deadline",
+]
 
 UPSTREAMS = 6
 WAVE_JOBS = 3000
@@ -71,6 +78,11 @@
             self.taken.update(f"{kind}{number}" for number in drawn)
         return drawn
 
+    def release(self, kind: str, numbers: list[int]) -> None:
+        """Lets other faults draw these again."""
+        with _DRAWING:
+            self.taken.difference_update(f"{kind}{n}" for n in numbers)
+
     def draw_entries(self, count: int) -> list[Program]:
         """Draws entries."""
         return [self.system.entries[i] for i in self.draw("entry", count)]
@@ -171,7 +183,7 @@
     watcher.start()
     for number in range(12):
         writers = [
-            threading.Thread(target=_set_deadline, args=(stage, url, number))
+            threading.Thread(target=set_deadline, args=(stage, url, number))
             for url in stage.system.urls[:2]
         ]
         for writer in writers:
@@ -179,7 +191,7 @@
         for writer in writers:
             writer.join()
     stage.verdict.reverted += watcher.stop()
-    stage.verdict.reverted += not _is_in_force_everywhere(stage.system)
+    stage.verdict.reverted += not is_in_force_everywhere(stage.system)
 
 
 def stop_gracefully(stage: Stage) -> None:
@@ -235,7 +247,7 @@
     _stop_gracefully(stage, system.entries[index])
     system.entries[index].start()
     system.wait_for_http(system.urls[index], "/readyz")
-    stage.verdict.reverted += not _is_in_force_everywhere(system)
+    stage.verdict.reverted += not is_in_force_everywhere(system)
     system.set_store_faults()
     time.sleep(GAP_S)
 
@@ -380,7 +392,8 @@
         stage.verdict.cut_off += 1
 
 
-def _set_deadline(stage: Stage, url: str, number: int) -> None:
+def set_deadline(stage: Stage, url: str, number: int) -> None:
+    """Changes a setting through an entry, as an operator."""
     body = {
         "path": "root/quotes",
         "set": {"deadline_s": 20 + number},
@@ -389,7 +402,7 @@
     ApiClient(url, 8.0).call("PATCH", "/admin/v1/settings", body)
 
 
-def _is_in_force_everywhere(system: System) -> bool:
+def is_in_force_everywhere(system: System) -> bool:
     """True if within the limit all entries have the highest revision."""
     limit_s = time.monotonic() + SETTINGS_LIMIT_S
     while time.monotonic() < limit_s:
--- /dev/null
+++ b/faults/soak.py
@@ -0,0 +1,291 @@
+"""Random faults, in series and at once, under load: `python -m faults.soak`.
+
+Each seed draws a system, and for some seconds faults that overlap: processes
+are killed, paused and stopped gracefully, links are delayed, reset, silenced
+and cut one way, the store misbehaves, operators race. Doubled starts are
+looked for while it runs; all other promises are judged at the end.
+"""
+
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from faults.callers import Callers
+from faults.relay import Direction, Relay
+from faults.scenarios import Stage, is_in_force_everywhere, set_deadline
+from faults.system import Program, System
+from faults.verdicts import Verdict, find_broken, judge, read_starts
+
+__all__ = ["ACTIONS", "play", "regression_seeds"]
+
+SEEDS_FILE = Path(__file__).parent / "soak_seeds.txt"
+DEFAULT_SECONDS = 8.0
+CHECK_S = 1.0
+# Until the last fault is over and its tasks count as lost.
+SETTLE_S = 2.0
+AT_ONCE = 4
+
+
+class Sizes(msgspec.Struct, frozen=True):
+    """Sizes of a system.
+
+    Attributes:
+        entries: Number of entries.
+        sidecars: Number of sidecars, with an upstream each.
+        callers: Callers with one job at a time each.
+    """
+
+    entries: int
+    sidecars: int
+    callers: int
+
+
+LARGE = Sizes(entries=6, sidecars=60, callers=48)
+
+
+def draw_sizes(rng: random.Random) -> Sizes:
+    """Returns the sizes of a seed's system."""
+    return Sizes(rng.randint(2, 4), rng.randint(3, 8), rng.randint(8, 24))
+
+
+def _programs(stage: Stage, rng: random.Random) -> tuple[str, list[Program]]:
+    kind, group = rng.choice(
+        [
+            ("entry", stage.system.entries),
+            ("place", stage.system.sidecars),
+            ("place", stage.system.upstreams),
+        ]
+    )
+    return kind, group
+
+
+def _with_program(stage: Stage, rng: random.Random, act) -> None:
+    """Acts on a program that no other fault acts on, if there is one."""
+    kind, group = _programs(stage, rng)
+    numbers = stage.draw(kind, 1)
+    for number in numbers:
+        act(group[number])
+    stage.release(kind, numbers)
+
+
+def kill(stage: Stage, rng: random.Random) -> None:
+    """Kills a program and starts it again."""
+
+    def act(program: Program) -> None:
+        program.kill()
+        time.sleep(rng.uniform(0.0, 1.5))
+        program.start()
+
+    _with_program(stage, rng, act)
+
+
+def pause(stage: Stage, rng: random.Random) -> None:
+    """Stops a program for a while, then lets it go on."""
+
+    def act(program: Program) -> None:
+        program.send(signal.SIGSTOP)
+        time.sleep(rng.uniform(0.05, 4.0))
+        program.send(signal.SIGCONT)
+
+    _with_program(stage, rng, act)
+
+
+def stop(stage: Stage, rng: random.Random) -> None:
+    """Stops a program gracefully and starts it again."""
+
+    def act(program: Program) -> None:
+        program.stop()
+        program.start()
+
+    _with_program(stage, rng, act)
+
+
+def disturb_link(stage: Stage, rng: random.Random) -> None:
+    """Delays, resets, silences or cuts the links of a sidecar."""
+    relay = rng.choice(list(stage.relays.values()))
+    how = rng.choice(["delay", "reset", "silence", "cut"])
+    if how == "delay":
+        relay.delay_s = rng.uniform(0.01, 0.3)
+    elif how == "reset":
+        relay.reset()
+    elif how == "silence":
+        relay.silence()
+    else:
+        relay.cut(rng.choice(list(Direction)))
+    time.sleep(rng.uniform(0.1, 3.0))
+    relay.delay_s = 0.0
+    relay.heal()
+
+
+def disturb_store(stage: Stage, rng: random.Random) -> None:
+    """Takes the store down, slows it or loses its answers."""
+    faults: dict[str, Any] = rng.choice(
+        [{"down": True}, {"delay_s": rng.uniform(0.05, 1.0)},
+         {"lose_answers": rng.randint(1, 5)}]
+    )  # fmt: skip
+    stage.system.set_store_faults(**faults)
+    time.sleep(rng.uniform(0.2, 3.0))
+    stage.system.set_store_faults()
+
+
+def change_settings(stage: Stage, rng: random.Random) -> None:
+    """Lets two operators change a setting at the same time."""
+    number = rng.randint(0, 99)
+    urls = rng.sample(stage.system.urls, 2)
+    with ThreadPoolExecutor(2) as operators:
+        for url in urls:
+            operators.submit(set_deadline, stage, url, number)
+
+
+ACTIONS: list[Callable[[Stage, random.Random], None]] = [
+    kill,
+    kill,
+    pause,
+    stop,
+    disturb_link,
+    disturb_link,
+    disturb_store,
+    change_settings,
+]
+
+
+class Watch:
+    """Looks for doubled starts while a system runs.
+
+    Args:
+        system: The system.
+        callers: Its callers.
+
+    Attributes:
+        doubled: The most that were seen at a time.
+    """
+
+    def __init__(self, system: System, callers: Callers):
+        self.system = system
+        self.callers = callers
+        self.doubled = 0
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self._run)
+
+    def start(self) -> None:
+        """Starts to look."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self.stopping.set()
+        self.thread.join()
+
+    def _run(self) -> None:
+        while not self.stopping.wait(CHECK_S):
+            starts = read_starts(self.system.start_log)
+            told = list(self.callers.told)
+            self.doubled = max(self.doubled, judge(told, starts).doubled)
+
+
+def play(
+    seed: int, seconds: float = DEFAULT_SECONDS, sizes: Sizes | None = None
+) -> tuple[Verdict, str]:
+    """Plays one seed.
+
+    Args:
+        seed: Seed of the system, the load and the faults.
+        seconds: How long faults are brought about, in seconds.
+        sizes: Sizes of the system; drawn if not given.
+
+    Returns:
+        The verdict, and the folder with the logs.
+    """
+    rng = random.Random(f"soak {seed}")
+    sizes = sizes or draw_sizes(rng)
+    system = System(sizes.entries, sizes.sidecars, seed)
+    relays = {i: Relay(port) for i, port in enumerate(system.link_ports)}
+    for index, relay in relays.items():
+        system.advertise(index, relay.endpoint)
+    stage = Stage(system, relays, Verdict(), rng)
+    try:
+        system.start()
+        callers = Callers(system, sizes.callers, seed)
+        watch = Watch(system, callers)
+        callers.start()
+        watch.start()
+        _bring_about(stage, rng, seconds)
+        time.sleep(SETTLE_S)
+        is_in_force = is_in_force_everywhere(system)
+        told = callers.stop()
+        watch.stop()
+    finally:
+        system.stop()
+        for relay in relays.values():
+            relay.close()
+    starts = read_starts(system.start_log)
+    verdict = judge(told, starts)
+    for line in find_broken(told, starts):
+        print(line)
+    verdict.doubled = max(verdict.doubled, watch.doubled)
+    verdict.reverted += not is_in_force
+    return verdict, system.folder
+
+
+def _bring_about(stage: Stage, rng: random.Random, seconds: float) -> None:
+    """Brings faults about, some at a time, and waits until all are over."""
+    until_s = time.monotonic() + seconds
+    with ThreadPoolExecutor(AT_ONCE) as faults:
+        running = []
+        while time.monotonic() < until_s:
+            own = random.Random(rng.random())
+            running.append(faults.submit(rng.choice(ACTIONS), stage, own))
+            time.sleep(rng.uniform(0.1, 1.0))
+    for fault in running:
+        fault.result()
+
+
+def regression_seeds(file: Path = SEEDS_FILE) -> list[int]:
+    """Returns the seeds that have failed before."""
+    lines = file.read_text(encoding="utf-8").splitlines()
+    return [
+        int(line.split()[0])
+        for line in lines
+        if line and not line.startswith("#")
+    ]
+
+
+def main() -> int:
+    """Plays seeds; returns 0 if no promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, help="first seed; else by time")
+    parser.add_argument("--count", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument("--large", action="store_true", help="60 sidecars")
+    parser.add_argument("--regression", action="store_true")
+    options = parser.parse_args()
+    first = int(time.time()) if options.first is None else options.first
+    seeds = list(range(first, first + options.count))
+    if options.regression:
+        seeds = regression_seeds()
+    broken = 0
+    for seed in seeds:
+        sizes = LARGE if options.large else None
+        verdict, folder = play(seed, options.seconds, sizes)
+        counts = " ".join(
+            f"{name}={value}"
+            for name, value in msgspec.structs.asdict(verdict).items()
+        )
+        broken += not verdict.is_clean
+        outcome = "clean" if verdict.is_clean else f"BROKEN logs={folder}"
+        print(f"seed={seed} {counts} {outcome}", flush=True)
+    print(f"{len(seeds)} seeds, {broken} broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/faults/verdicts.py
+++ b/faults/verdicts.py
@@ -7,7 +7,14 @@
 
 from faults.callers import Told
 
-__all__ = ["Start", "Verdict", "judge", "read_log", "read_starts"]
+__all__ = [
+    "Start",
+    "Verdict",
+    "find_broken",
+    "judge",
+    "read_log",
+    "read_starts",
+]
 
 
 class Start(msgspec.Struct, frozen=True):
@@ -106,6 +113,25 @@
     return verdict
 
 
+def find_broken(told: list[Told], starts: list[Start]) -> list[str]:
+    """Returns a line for each job of which a promise was broken."""
+    by_job: dict[str, list[Start]] = {}
+    for start in starts:
+        by_job.setdefault(start.job, []).append(start)
+    lines = []
+    for job in told:
+        own = by_job.get(job.job, [])
+        if judge([job], own).is_clean:
+            continue
+        times = ",".join(f"{s.time_s:.3f}/{s.index}/{s.upstream}" for s in own)
+        lines.append(
+            f"job={job.job} unrepeatable={job.unrepeatable} "
+            f"submissions={job.submissions} status={job.status} "
+            f"ended_s={job.ended_s:.3f} document={job.document} starts={times}"
+        )
+    return lines
+
+
 def _judge_answer(
     job: Told, has_started: bool, counts: Counter, verdict: Verdict
 ) -> None:
