Start as many threads as requests wait, and none while stopping

Cause: found by reading. A burst that came before the pool looked was answered by 16 further threads only, until the next request came; and a thread started while the others were being stopped would have kept the process from ending. Change: the pool starts what is missing at once, under a lock that stopping takes, too. Test: tests/test_web.py, failed before the change.

--- a/sardinestair/tests/test_web.py
+++ b/sardinestair/tests/test_web.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sardinestair.observability import EventLog
-from sardinestair.web import HttpServer, Response, WebApp
+from sardinestair.web import GrowingPool, HttpServer, Response, WebApp
 
 TIMEOUT_S = 20
 MOST_THREADS = 60
@@ -78,6 +78,53 @@
         assert {reply.result() for reply in replies} == {b"done"}
 
 
+class CountingPool(GrowingPool):
+    """Notes how many threads are asked for, and starts none."""
+
+    def __init__(self, most):
+        super().__init__(None, most)
+        self.asked = 0
+        self.was_asked = threading.Event()
+
+    def grow(self, amount):
+        self.asked += amount
+        self.was_asked.set()
+
+
+def test_pool_grows_by_all_that_wait_at_once():
+    pool = CountingPool(MOST_THREADS)
+    for _ in range(MOST_THREADS):
+        pool.put(None)
+    grower = threading.Thread(target=pool.run)
+    grower.start()
+    assert pool.was_asked.wait(TIMEOUT_S)
+    pool.is_stopping = True
+    pool.put(None)
+    grower.join(TIMEOUT_S)
+    assert pool.asked >= MOST_THREADS
+
+
+def test_all_that_gathered_before_the_start_are_served_at_a_time(
+    start, release, waiting
+):
+    """Back from dark: what waits in the backlog comes in one moment."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=MOST_THREADS)
+    address = listener.getsockname()
+    callers = [
+        socket.create_connection(address, TIMEOUT_S)
+        for _ in range(MOST_THREADS)
+    ]
+    for caller in callers:
+        caller.sendall(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+    start(listener=listener)
+    for _ in callers:
+        assert waiting.acquire(timeout=TIMEOUT_S)
+    release.set()
+    for caller in callers:
+        assert caller.recv(12) == b"HTTP/1.1 200"
+        caller.close()
+
+
 def test_server_takes_over_a_listener_with_its_backlog(start, release):
     release.set()
     listener = socket.create_server(("127.0.0.1", 0))
--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -164,7 +164,7 @@
         return environ
 
 
-class _GrowingPool(ThreadPool):
+class GrowingPool(ThreadPool):
     """Starts threads as they are needed, and keeps a few idle.
 
     Args:
@@ -174,25 +174,35 @@
 
     def __init__(self, server: wsgi.Server, most: int):
         super().__init__(server, min=min(most, SPARE_THREADS), max=most)
-        self.size = self.min
-        self.put_once = threading.Event()
+        self.wanted = threading.Event()
+        # A thread that starts while the others are stopped would never end.
+        self.lock = threading.Lock()
+        self.is_stopping = False
 
     def put(self, obj) -> None:
         """Hands a connection with a request to a thread."""
         super().put(obj)
-        self.put_once.set()
+        self.wanted.set()
 
     def run(self) -> None:
-        """Starts threads until as many as allowed have been started.
+        """Starts threads as they are needed, until `stop`.
 
         The server can't do so itself, as it may have to wait for them.
         """
-        while self.size < self.max:
-            self.put_once.wait()
-            self.put_once.clear()
-            if self.idle - self.qsize < SPARE_THREADS:
-                self.grow(SPARE_THREADS)
-                self.size += SPARE_THREADS
+        while not self.is_stopping:
+            self.wanted.wait()
+            self.wanted.clear()
+            with self.lock:
+                missing = SPARE_THREADS + self.qsize - self.idle
+                if missing > 0 and not self.is_stopping:
+                    self.grow(missing)
+
+    def stop(self, timeout: int = 5) -> None:
+        """Ends all threads."""
+        with self.lock:
+            self.is_stopping = True
+        self.wanted.set()
+        super().stop(timeout)
 
 
 class _Server(wsgi.Server):
@@ -251,7 +261,7 @@
             timeout=SOCKET_TIMEOUT_S,
             shutdown_timeout=2,
         )
-        pool = _GrowingPool(self.server, self.threads)
+        pool = GrowingPool(self.server, self.threads)
         self.server.requests = pool
         self.server.listener = self.listener
         self.server.gateway = _Gateway
