Judge "not run" by submissions whose outcome is known

Change: such a job counts as untrue only if no submission of it is of unknown outcome; that its tasks start once at most is checked as before.

--- a/faults/callers.py
+++ b/faults/callers.py
@@ -30,6 +30,7 @@
         not_run_at_s: Wall-clock time of the last "not run", 0 if none.
         cut_off: Answers that broke off after the request was sent.
         ended_s: Wall-clock time of the last answer.
+        unknown: Submissions that may have reached an entry and got no answer.
     """
 
     job: str
@@ -41,6 +42,7 @@
     not_run_at_s: float = 0.0
     cut_off: int = 0
     ended_s: float = 0.0
+    unknown: int = 0
 
 
 class Callers:
@@ -131,3 +133,4 @@
         is_not_run = told.document.get("not_run") is True
         told.not_run_at_s = told.ended_s if is_not_run else 0.0
         told.cut_off += told.status == 0 and not is_not_run
+        told.unknown += told.status == 0 and not is_not_run
--- a/faults/verdicts.py
+++ b/faults/verdicts.py
@@ -44,7 +44,8 @@
         failed: Jobs failed in another way, or without an answer.
         doubled: Tasks started more often than submitted, or an unrepeatable
             one more than once.
-        untrue_not_run: Jobs called not run with a start in a log.
+        untrue_not_run: Jobs called not run with a start in a log, and no
+            submission whose outcome is unknown.
         partial: Complete answers with a wrong, missing or foreign result.
         late_starts: Starts after a leave took effect.
         cut_off: Requests that a graceful stop broke off or failed.
@@ -145,6 +146,8 @@
         return
     if job.not_run_at_s:
         verdict.not_run += 1
-        verdict.untrue_not_run += has_started
+        # What has started may be an earlier submission's; that a later one
+        # was not sent or refused says nothing of it.
+        verdict.untrue_not_run += has_started and not job.unknown
         return
     verdict.failed += 1
