Play upstreams that leave under high load in the emulator

Cause: it had no pattern in which capacity goes while the load is high, and it had misled about priorities. Change: pattern "upstreams leave", two of eleven at a load of 1.2, with a test that bounds it by the users' targets.

--- a/sardinestair/emulator/experiment.py
+++ b/sardinestair/emulator/experiment.py
@@ -88,6 +88,13 @@
     _between(system, 2, "fault", Fault.FAILS)
 
 
+def upstreams_leave(system: EmulatedSystem) -> None:
+    """Two of eleven upstreams leave for good."""
+    for number in (1, 5):
+        server = system.servers[number]
+        system.after(FAULT_FROM_S, lambda server=server: server.leave())
+
+
 def lost_orders(system: EmulatedSystem) -> None:
     """One start in 25 gets no answer."""
     for number in range(len(system.upstreams)):
@@ -107,6 +114,7 @@
     "tasks stand still": (still_tasks, 1.1),
     "errors come fast": (fast_errors, 1.1),
     "orders unanswered": (lost_orders, 1.1),
+    "upstreams leave": (upstreams_leave, 1.2),
     DARK: (calm, 1.1),
 }
 
--- a/sardinestair/emulator/tests/test_patterns.py
+++ b/sardinestair/emulator/tests/test_patterns.py
@@ -29,6 +29,12 @@
     assert report.worst() >= WORST_WORTH, report.line(pattern)
 
 
+def test_upstreams_leave_under_high_load():
+    report = play("upstreams leave")
+    assert report.worth >= HIGH_LOAD_WORTH, report.line("upstreams leave")
+    assert report.worst() >= WORST_WORTH, report.line("upstreams leave")
+
+
 def test_burst_of_all():
     report = play("burst of all")
     assert report.worth >= HIGH_LOAD_WORTH, report.line("burst of all")
