--- a/faults/soak.py
+++ b/faults/soak.py
@@ -57,20 +57,17 @@
     return Sizes(rng.randint(2, 4), rng.randint(3, 8), rng.randint(8, 24))
 
 
-def _programs(stage: Stage, rng: random.Random) -> tuple[str, list[Program]]:
-    kind, group = rng.choice(
-        [
-            ("entry", stage.system.entries),
-            ("place", stage.system.sidecars),
-            ("place", stage.system.upstreams),
-        ]
-    )
-    return kind, group
-
-
-def _with_program(stage: Stage, rng: random.Random, act) -> None:
+def _with_program(
+    stage: Stage, rng: random.Random, act: Callable[[Program], None]
+) -> None:
     """Acts on a program that no other fault acts on, if there is one."""
-    kind, group = _programs(stage, rng)
+    system = stage.system
+    groups = [
+        ("entry", system.entries),
+        ("place", system.sidecars),
+        ("place", system.upstreams),
+    ]
+    kind, group = rng.choice(groups)
     numbers = stage.draw(kind, 1)
     for number in numbers:
         act(group[number])
--- a/sardinestair/emulator/experiment.py
+++ b/sardinestair/emulator/experiment.py
@@ -91,8 +91,7 @@
 def upstreams_leave(system: EmulatedSystem) -> None:
     """Two of eleven upstreams leave for good."""
     for number in (1, 5):
-        server = system.servers[number]
-        system.after(FAULT_FROM_S, lambda server=server: server.leave())
+        system.after(FAULT_FROM_S, system.servers[number].leave)
 
 
 def lost_orders(system: EmulatedSystem) -> None:
