Watch for callers that leave by epoll

Cause: two entries ended with code 139, and only entries do. Only they have a select.poll that one thread waits on while others change its set and close its descriptors; its results are read from an array that trusts the count of the call, so that a descriptor closed meanwhile can make it read past the end. Change: epoll, which allows all of that, and needs no wake-up for each caller. A departure is asked for again under the lock in place of a second poller. Test: entry/tests/test_departures.py; the new one failed before the change, and the one of a stale event begins with such an event as before.

--- a/sardinestair/entry/departures.py
+++ b/sardinestair/entry/departures.py
@@ -9,14 +9,15 @@
 
 __all__ = ["DepartureWatcher"]
 
-_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+_GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
 class DepartureWatcher:
     """Watches the connections of callers that wait for an answer.
 
-    One thread polls all of them. A caller that closes its connection, or
-    whose connection breaks, has left.
+    One thread waits for all of them. A caller that closes its connection, or
+    whose connection breaks, has left. Connections are added, removed and
+    closed by other threads while it waits, which `select.poll` does not allow.
 
     Examples:
         >>> watcher = DepartureWatcher()
@@ -34,9 +35,9 @@
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
-        self.poller = select.poll()
+        self.poller = select.epoll()
         self.wakeup = Wakeup()
-        self.poller.register(self.wakeup, select.POLLIN)
+        self.poller.register(self.wakeup, select.EPOLLIN)
         self.callbacks: dict[int, Callable[[], object]] = {}
         self.stopping = False
 
@@ -46,8 +47,7 @@
         """Calls `on_left` once if the other end goes before `forget`."""
         with self.lock:
             self.callbacks[connection.fileno()] = on_left
-            self.poller.register(connection, _GONE & ~select.POLLNVAL)
-        self.wakeup.set()
+            self.poller.register(connection, select.EPOLLRDHUP)
 
     def forget(self, connection: socket.socket) -> None:
         """Ends the watch of a connection."""
@@ -68,26 +68,17 @@
 
     def check(self, timeout_s: float) -> int:
         """Waits for departures once; returns how many there were."""
-        ready = self.poller.poll(timeout_s * 1000)
+        if not self.poller.poll(timeout_s):
+            return 0
         self.wakeup.clear()
         gone = []
         with self.lock:
-            for descriptor, events in ready:
-                is_watched = descriptor in self.callbacks
-                if events & _GONE and is_watched and _is_gone(descriptor):
+            # Asked again, since a connection may have been closed meanwhile
+            # and its descriptor be that of another caller.
+            for descriptor, events in self.poller.poll(0.0):
+                if events & _GONE and descriptor in self.callbacks:
                     gone.append(self.callbacks.pop(descriptor))
                     self.poller.unregister(descriptor)
         for on_left in gone:
             on_left()
         return len(gone)
-
-
-def _is_gone(descriptor: int) -> bool:
-    """Tells whether the connection that has a descriptor now is gone.
-
-    The one that an event was about may have been closed since, and the
-    descriptor be that of another caller.
-    """
-    poller = select.poll()
-    poller.register(descriptor, _GONE & ~select.POLLNVAL)
-    return any(events & _GONE for _, events in poller.poll(0))
--- a/sardinestair/entry/tests/test_departures.py
+++ b/sardinestair/entry/tests/test_departures.py
@@ -2,6 +2,8 @@
 
 import select
 import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -24,14 +26,15 @@
 
 
 class StalePoller:
-    """Returns an event of a connection that has been closed since."""
+    """Begins with an event of a connection that has been closed since."""
 
     def __init__(self, poller, descriptor):
         self.poller = poller
-        self.descriptor = descriptor
+        self.stale = [(descriptor, select.EPOLLRDHUP | select.EPOLLHUP)]
 
-    def poll(self, _timeout_ms):
-        return [(self.descriptor, select.POLLIN | select.POLLHUP)]
+    def poll(self, timeout_s):
+        stale, self.stale = self.stale, []
+        return stale or self.poller.poll(timeout_s)
 
     def unregister(self, descriptor):
         self.poller.unregister(descriptor)
@@ -69,3 +72,23 @@
     pair[1].close()
     assert watcher.check(0.0) == 0
     assert left == []
+
+
+def test_connections_come_and_go_while_the_watcher_waits(watcher):
+    """Waiting begins before a caller is watched, and others are closed."""
+    left = threading.Event()
+    with ThreadPoolExecutor(1) as threads:
+        found = threads.submit(watcher.check, 20.0)
+        for _ in range(200):
+            ours, theirs = socket.socketpair()
+            watcher.watch(ours, lambda: None)
+            watcher.forget(ours)
+            ours.close()
+            theirs.close()
+        ours, theirs = socket.socketpair()
+        watcher.watch(ours, left.set)
+        theirs.close()
+        assert found.result(20.0) == 1
+        ours.close()
+    assert left.is_set()
+    assert not watcher.wakeup.wait(0.0)
