Share what stood twice; record a refusal that left no line

Cause: reading the whole change again. Five policies repeated a list of five arguments; three clients kept a transfer for each thread in the same lines; orders mapped a missing answer in three places, the two store adapters in two; a resubmission that waited in vain for earlier runs was refused without a line. Change: policies take a WaitingTask; ThreadTransfers; RunnerOrders._send and port.unanswered return the errors; both callers' sides record the refusal. Test: entry/tests/test_attempts.py, failed before the change; the rest is covered by the tests as they were.

--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -15,7 +15,11 @@
 from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
 from sardinestair.messages import Announce
 from sardinestair.observability import Metrics
-from sardinestair.placement import Candidate, LeastExpectedFinish
+from sardinestair.placement import (
+    Candidate,
+    LeastExpectedFinish,
+    WaitingTask,
+)
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.edit import edit_node
 from sardinestair.settings.tree import effective
@@ -52,7 +56,7 @@
         policy.observe(candidate)
     began_s = time.perf_counter()
     for number in range(repeats):
-        chosen = policy.decide(0.3, number % 50)
+        chosen = policy.decide(WaitingTask(0.3, number % 50))
         policy.observe(chosen or candidates[number % upstreams])
     return (time.perf_counter() - began_s) / repeats * 1e6
 
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -6,7 +6,7 @@
 import msgspec
 from expression import Error, Result
 
-from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.dispatcher import SETTLING, Dispatcher
 from sardinestair.entry.forwarding import (
     FORWARDED_HEADER,
     ForwardedReply,
@@ -85,6 +85,9 @@
             return elsewhere
         submitted = self._submit(parsed.ok)
         if submitted.is_error():
+            if submitted.error is SETTLING:
+                with self.dispatcher.lock:
+                    self.dispatcher.record_refusal(parsed.ok, SETTLING)
             job_id = format_job_id(parsed.ok.job_id)
             return problem_response(submitted.error, job_id)
         job = submitted.ok
--- a/sardinestair/entry/resubmission.py
+++ b/sardinestair/entry/resubmission.py
@@ -38,5 +38,7 @@
         if not is_settling:
             return submitted
         if clock.monotonic() >= limit_s:
+            with dispatcher.lock:
+                dispatcher.record_refusal(parsed, SETTLING)
             return Error(SETTLING)
         pause.wait(CHECK_S)
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -15,6 +15,7 @@
     ReadyQueue,
     RunTimeEstimator,
     SpeedEstimator,
+    WaitingTask,
     make_policy,
 )
 from sardinestair.settings import ServiceSettings
@@ -267,10 +268,8 @@
         """Returns the first job that would start at a link's upstream."""
         ahead = self.queue.waiting_tasks - 1
         for job in self._lookahead():
-            size_s = self._weighted_size(job)
-            if job.is_late or self.policy.accepts(
-                link.candidate, size_s, ahead
-            ):
+            task = WaitingTask(self._weighted_size(job), ahead)
+            if job.is_late or self.policy.accepts(link.candidate, task):
                 return job
         return None
 
@@ -320,13 +319,14 @@
         ahead = -1
         for job in self._lookahead():
             ahead += len(job.waiting)
-            candidate = self.policy.decide(
+            task = WaitingTask(
                 self._weighted_size(job),
                 ahead,
                 job.need,
                 self._avoided(job),
                 job.is_late,
             )
+            candidate = self.policy.decide(task)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
         return None
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -219,6 +219,23 @@
         assert again.result(20.0).ok.is_active
 
 
+def test_resubmission_that_waits_in_vain_is_recorded(entry):
+    """Otherwise no line names the request that was refused."""
+    job = entry.submit(best_effort=True).ok
+    entry.dispatcher.caller_left(job)
+    dropped = entry.dispatcher.recorder.dropped
+    began = entry.clock.now()
+    before = len(dropped.since(began))
+    with ThreadPoolExecutor(1) as pool:
+        again = pool.submit(
+            submit_settled, entry.dispatcher, entry.parsed(best_effort=True)
+        )
+        while not again.done():
+            entry.clock.advance(TIMING.lost_s)
+        assert again.result().error is SETTLING
+    assert len(dropped.since(began)) == before + 1
+
+
 def test_cancellation_lost_with_a_connection_is_sent_again(entry):
     """Otherwise the run goes on beside the next one elsewhere."""
     job = entry.submit().ok
--- a/sardinestair/placement/__init__.py
+++ b/sardinestair/placement/__init__.py
@@ -10,6 +10,7 @@
     PolicyName,
     PowerOfTwoChoices,
     RoundRobin,
+    WaitingTask,
     make_policy,
 )
 from sardinestair.placement.queue import OrderPolicy, ReadyQueue
@@ -28,5 +29,6 @@
     "RoundRobin",
     "RunTimeEstimator",
     "SpeedEstimator",
+    "WaitingTask",
     "make_policy",
 ]
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Protocol
 
+import msgspec
 from sortedcontainers import SortedKeyList
 
 from sardinestair.ids import Incarnation
@@ -24,6 +25,7 @@
     "PolicyName",
     "PowerOfTwoChoices",
     "RoundRobin",
+    "WaitingTask",
     "make_policy",
 ]
 
@@ -37,6 +39,24 @@
     ROUND_ROBIN = "round_robin"
 
 
+class WaitingTask(msgspec.Struct, frozen=True):
+    """What a policy looks at of the task that is to be placed.
+
+    Attributes:
+        size_s: Expected run time on a typical upstream, in seconds.
+        ahead: Waiting tasks that come before it.
+        need: What it needs, or None if that was not said.
+        avoid: Candidates that must not be chosen.
+        is_late: True if its job can't be in time any more.
+    """
+
+    size_s: float
+    ahead: int = 0
+    need: Resources | None = None
+    avoid: Container[Incarnation] = frozenset()
+    is_late: bool = False
+
+
 class PlacementPolicy(Protocol):
     """What each policy offers."""
 
@@ -46,29 +66,15 @@
     def withdraw(self, candidate: Candidate) -> None:
         """Forgets a candidate."""
 
-    def decide(
-        self,
-        size_s: float,
-        ahead: int,
-        need: Resources | None = None,
-        avoid: Container[Incarnation] = (),
-        is_late: bool = False,
-    ) -> Candidate | None:
+    def decide(self, task: WaitingTask) -> Candidate | None:
         """Chooses a candidate whose credits cover the task.
 
-        Args:
-            size_s: Expected run time of the task on a typical upstream.
-            ahead: Waiting tasks that come before this one.
-            need: What the task needs, or None if it was not said.
-            avoid: Candidates that must not be chosen.
-            is_late: True if the task's job can't be in time any more.
-
         Returns:
             The choice, or None if the task should wait.
         """
         ...
 
-    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+    def accepts(self, candidate: Candidate, task: WaitingTask) -> bool:
         """Tells whether a task would start on a candidate with a credit."""
         ...
 
@@ -95,17 +101,13 @@
             self.known[candidate.sidecar] = item
             self.items.add(item)
 
-    def best(
-        self, need: Resources | None, avoid: Container[Incarnation]
-    ) -> Candidate | None:
+    def best(self, task: WaitingTask) -> Candidate | None:
         ranked = (candidate for _, candidate in self.items)
-        return next(_fitting(ranked, need, avoid), None)
+        return next(_fitting(ranked, task), None)
 
-    def worst(
-        self, need: Resources | None, avoid: Container[Incarnation]
-    ) -> Candidate | None:
+    def worst(self, task: WaitingTask) -> Candidate | None:
         ranked = (candidate for _, candidate in reversed(self.items))
-        return next(_fitting(ranked, need, avoid), None)
+        return next(_fitting(ranked, task), None)
 
 
 class LeastExpectedFinish:
@@ -127,7 +129,7 @@
         >>> slow.speed_ = 3.0
         >>> policy.observe(fast)
         >>> policy.observe(slow)
-        >>> policy.decide(size_s=0.1, ahead=0) is fast
+        >>> policy.decide(WaitingTask(size_s=0.1)) is fast
         True
     """
 
@@ -151,35 +153,26 @@
         self.available.set(candidate, False)
         self.busy.set(candidate, False)
 
-    def decide(
-        self,
-        size_s: float,
-        ahead: int,
-        need: Resources | None = None,
-        avoid: Container[Incarnation] = (),
-        is_late: bool = False,
-    ) -> Candidate | None:
+    def decide(self, task: WaitingTask) -> Candidate | None:
         """Chooses the fastest candidate, or None if waiting should pay.
 
         A late job takes the slowest, and leaves the others to those in time.
         """
-        if is_late:
-            return self.available.worst(need, avoid)
-        best = self.available.best(need, avoid)
-        if best is None or not self.accepts(best, size_s, ahead):
+        if task.is_late:
+            return self.available.worst(task)
+        best = self.available.best(task)
+        if best is None or not self.accepts(best, task):
             return None
         return best
 
-    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+    def accepts(self, candidate: Candidate, task: WaitingTask) -> bool:
         """Tells whether starting there beats waiting for a faster one."""
         if self.margin <= 0:
             return True
-        limit_s = self.margin * size_s * candidate.speed_
-        return self._finish_after_wait(candidate, size_s, ahead) >= limit_s
+        limit_s = self.margin * task.size_s * candidate.speed_
+        return self._finish_after_wait(candidate, task) >= limit_s
 
-    def _finish_after_wait(
-        self, best: Candidate, size_s: float, ahead: int
-    ) -> float:
+    def _finish_after_wait(self, best: Candidate, task: WaitingTask) -> float:
         """Expected time until the end on a faster upstream, in seconds."""
         ends_per_s = 0.0
         speed_sum = 0.0
@@ -192,14 +185,14 @@
             count += 1
         if count == 0:
             return float("inf")
-        wait_s = (ahead + 1) / ends_per_s
-        return wait_s + size_s * speed_sum / count
+        wait_s = (task.ahead + 1) / ends_per_s
+        return wait_s + task.size_s * speed_sum / count
 
 
 class _AcceptsAll:
     """Base of policies that never wait."""
 
-    def accepts(self, candidate: Candidate, size_s: float, ahead: int) -> bool:
+    def accepts(self, candidate: Candidate, task: WaitingTask) -> bool:
         """Returns True."""
         return True
 
@@ -218,16 +211,9 @@
         """Forgets a candidate."""
         self.available.set(candidate, False)
 
-    def decide(
-        self,
-        size_s: float,
-        ahead: int,
-        need: Resources | None = None,
-        avoid: Container[Incarnation] = (),
-        is_late: bool = False,
-    ) -> Candidate | None:
+    def decide(self, task: WaitingTask) -> Candidate | None:
         """Chooses the least loaded candidate."""
-        return self.available.best(need, avoid)
+        return self.available.best(task)
 
 
 class _Listed(_AcceptsAll):
@@ -264,16 +250,9 @@
         super().__init__()
         self.turn = 0
 
-    def decide(
-        self,
-        size_s: float,
-        ahead: int,
-        need: Resources | None = None,
-        avoid: Container[Incarnation] = (),
-        is_late: bool = False,
-    ) -> Candidate | None:
+    def decide(self, task: WaitingTask) -> Candidate | None:
         """Chooses the next candidate in turn."""
-        fitting = list(_fitting(self.available, need, avoid))
+        fitting = list(_fitting(self.available, task))
         if not fitting:
             return None
         self.turn += 1
@@ -292,16 +271,9 @@
         self.seed = seed
         self.random = random.Random(seed)
 
-    def decide(
-        self,
-        size_s: float,
-        ahead: int,
-        need: Resources | None = None,
-        avoid: Container[Incarnation] = (),
-        is_late: bool = False,
-    ) -> Candidate | None:
+    def decide(self, task: WaitingTask) -> Candidate | None:
         """Chooses the less loaded one of two."""
-        fitting = list(_fitting(self.available, need, avoid))
+        fitting = list(_fitting(self.available, task))
         if not fitting:
             return None
         pair = [self.random.choice(fitting) for _ in range(2)]
@@ -309,13 +281,12 @@
 
 
 def _fitting(
-    candidates: Iterable[Candidate],
-    need: Resources | None,
-    avoid: Container[Incarnation],
+    candidates: Iterable[Candidate], task: WaitingTask
 ) -> Iterator[Candidate]:
     """Yields the candidates that can take a task, in their order."""
     for candidate in candidates:
-        if candidate.sidecar not in avoid and candidate.has_room(need):
+        is_avoided = candidate.sidecar in task.avoid
+        if not is_avoided and candidate.has_room(task.need):
             yield candidate
 
 
--- a/sardinestair/placement/tests/test_estimators.py
+++ b/sardinestair/placement/tests/test_estimators.py
@@ -5,7 +5,7 @@
 from sardinestair.ids import Incarnation
 from sardinestair.placement.candidate import Candidate
 from sardinestair.placement.estimators import SpeedEstimator
-from sardinestair.placement.policies import LeastExpectedFinish
+from sardinestair.placement.policies import LeastExpectedFinish, WaitingTask
 
 
 def trained(factor=1.0, tasks=200):
@@ -49,5 +49,5 @@
     slow.speed_ = 7.0
     policy.observe(fast)
     policy.observe(slow)
-    assert policy.decide(0.1, 0) is fast
-    assert policy.decide(0.1, 0, is_late=True) is slow
+    assert policy.decide(WaitingTask(0.1)) is fast
+    assert policy.decide(WaitingTask(0.1, is_late=True)) is slow
--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -1,6 +1,7 @@
 """Orders to the runner on the same machine."""
 
 import threading
+from typing import Any
 
 import msgspec
 from expression import Error, Ok, Result
@@ -93,26 +94,24 @@
             msgspec.json.decode(payload, type=str),
             int(until_s * MS_PER_S),
         )
-        reply = self._send("/run-start", body, timeout_s)
-        if isinstance(reply, TransferFailure):
-            return Error(OrderError(reply.reason, reply.was_sent))
+        sent = self._send("/run-start", body, timeout_s)
+        if sent.is_error():
+            return Error(sent.error)
+        reply = sent.ok
         if reply.status == 200:
             return Ok(StartReply())
         if reply.status in _STATUSES:
             return Ok(StartReply(_STATUSES[reply.status]))
         if reply.status == 409:
             return Ok(StartReply(self._refusal(reply.body)))
-        return Error(OrderError(f"status {reply.status}", True))
+        return _failed(reply)
 
     def stop(self, run: RunName, timeout_s: float) -> Result[None, OrderError]:
         """Stops a run; see `Orders.stop`."""
         body = RunStop(_task_name(run), run.number)
-        reply = self._send("/run-stop", body, timeout_s)
-        if isinstance(reply, TransferFailure):
-            return Error(OrderError(reply.reason, reply.was_sent))
-        if reply.status != 200:
-            return Error(OrderError(f"status {reply.status}", True))
-        return Ok(None)
+        return self._send("/run-stop", body, timeout_s).bind(
+            lambda reply: Ok(None) if reply.status == 200 else _failed(reply)
+        )
 
     def report(
         self,
@@ -124,13 +123,13 @@
         """Renews the lease and returns the runs; see `Orders.report`."""
         until_ms = None if until_s is None else int(until_s * MS_PER_S)
         body = HoldRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
-        reply = self._send("/hold", body, timeout_s)
-        if isinstance(reply, TransferFailure):
-            return Error(OrderError(reply.reason, reply.was_sent))
-        if reply.status != 200:
-            return Error(OrderError(f"status {reply.status}", True))
+        sent = self._send("/hold", body, timeout_s)
+        if sent.is_error():
+            return Error(sent.error)
+        if sent.ok.status != 200:
+            return _failed(sent.ok)
         try:
-            return Ok(_to_report(self.hold_decoder.decode(reply.body)))
+            return Ok(_to_report(self.hold_decoder.decode(sent.ok.body)))
         except (msgspec.DecodeError, ValueError, IndexError) as error:
             return Error(OrderError(f"unreadable report: {error}", True))
 
@@ -147,11 +146,11 @@
 
     def _send(
         self, path: str, body: msgspec.Struct, timeout_s: float
-    ) -> Reply | TransferFailure:
+    ) -> Result[Reply, OrderError]:
         with self.lock:
             transfer = self.idle.pop() if self.idle else self._connect()
         try:
-            return transfer.perform(
+            reply = transfer.perform(
                 "POST",
                 f"http://{self.address}{path}",
                 msgspec.json.encode(body),
@@ -161,6 +160,14 @@
         finally:
             with self.lock:
                 self.idle.append(transfer)
+        if isinstance(reply, TransferFailure):
+            return Error(OrderError(reply.reason, reply.was_sent))
+        return Ok(reply)
+
+
+def _failed(reply: Reply) -> Result[Any, OrderError]:
+    """Returns the error of an answer that says nothing of the order."""
+    return Error(OrderError(f"status {reply.status}", True))
 
 
 def _task_name(run: RunName) -> str:
--- a/sardinestair/platform/store.py
+++ b/sardinestair/platform/store.py
@@ -1,7 +1,6 @@
 """Adapter to the platform's metadata store."""
 
 import base64
-import threading
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -27,8 +26,9 @@
     StoreError,
     StoreErrorKind,
     Swap,
+    unanswered,
 )
-from sardinestair.transfer import Reply, Transfer, TransferFailure
+from sardinestair.transfer import Reply, ThreadTransfers, TransferFailure
 
 __all__ = ["PlatformStore"]
 
@@ -62,7 +62,7 @@
     def __init__(self, address: str, timeout_s: float = 1.0):
         self.address = address
         self.timeout_s = timeout_s
-        self.local = threading.local()
+        self.transfers = ThreadTransfers()
 
     def read(
         self, prefix: str, may_be_stale: bool = False
@@ -184,11 +184,8 @@
         request: msgspec.Struct | None = None,
         timeout_s: float | None = None,
     ) -> Reply | TransferFailure:
-        transfer = getattr(self.local, "transfer", None)
-        if transfer is None:
-            transfer = self.local.transfer = Transfer()
         body = b"" if request is None else msgspec.json.encode(request)
-        return transfer.perform(
+        return self.transfers.current.perform(
             method,
             f"http://{self.address}{path}",
             body,
@@ -222,11 +219,7 @@
 
 def _to_error(reply: Reply | TransferFailure) -> StoreError:
     if isinstance(reply, TransferFailure):
-        kinds = {
-            True: StoreErrorKind.UNKNOWN,
-            False: StoreErrorKind.NOT_DONE,
-        }
-        return StoreError(kinds[reply.was_sent], reply.reason)
+        return unanswered(reply.reason, reply.was_sent)
     is_done = reply.status not in NOT_DONE_STATUSES
     kind = StoreErrorKind.UNKNOWN if is_done else StoreErrorKind.NOT_DONE
     return StoreError(kind, f"status {reply.status}")
--- a/sardinestair/store/etcd.py
+++ b/sardinestair/store/etcd.py
@@ -1,7 +1,6 @@
 """Adapter to a service that speaks etcd's v3 protocol as JSON over HTTP."""
 
 import base64
-import threading
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -15,8 +14,9 @@
     StoreError,
     StoreErrorKind,
     Swap,
+    unanswered,
 )
-from sardinestair.transfer import Reply, Transfer, TransferFailure
+from sardinestair.transfer import Reply, ThreadTransfers, TransferFailure
 
 __all__ = ["EtcdStore"]
 
@@ -51,7 +51,7 @@
         self.prefix = prefix
         self.timeout_s = timeout_s
         self.current = 0
-        self.local = threading.local()
+        self.transfers = ThreadTransfers()
 
     def read(
         self, prefix: str, may_be_stale: bool = False
@@ -144,12 +144,9 @@
         on_data: Callable[[bytes], bool] | None = None,
         should_abort: Callable[[], bool] | None = None,
     ) -> Reply | TransferFailure:
-        transfer = getattr(self.local, "transfer", None)
-        if transfer is None:
-            transfer = self.local.transfer = Transfer()
         url = self.endpoints[self.current] + path
         body = msgspec.json.encode(request)
-        return transfer.perform(
+        return self.transfers.current.perform(
             "POST",
             url,
             body,
@@ -255,10 +252,6 @@
 
 def _to_error(reply: Reply | TransferFailure) -> StoreError:
     if isinstance(reply, TransferFailure):
-        kinds = {
-            True: StoreErrorKind.UNKNOWN,
-            False: StoreErrorKind.NOT_DONE,
-        }
-        return StoreError(kinds[reply.was_sent], reply.reason)
+        return unanswered(reply.reason, reply.was_sent)
     reason = f"status {reply.status}: {reply.body[:200]!r}"
     return StoreError(StoreErrorKind.UNKNOWN, reason)
--- a/sardinestair/store/port.py
+++ b/sardinestair/store/port.py
@@ -16,6 +16,7 @@
     "StoreError",
     "StoreErrorKind",
     "Swap",
+    "unanswered",
 ]
 
 ABSENT = 0
@@ -41,6 +42,17 @@
     reason: str
 
 
+def unanswered(reason: str, was_sent: bool) -> StoreError:
+    """Returns the error of a call that got no answer.
+
+    Args:
+        reason: What went wrong.
+        was_sent: True if any of it may have reached the store.
+    """
+    kind = StoreErrorKind.UNKNOWN if was_sent else StoreErrorKind.NOT_DONE
+    return StoreError(kind, reason)
+
+
 class KeyValue(msgspec.Struct, frozen=True):
     """A key with its value.
 
--- a/sardinestair/transfer.py
+++ b/sardinestair/transfer.py
@@ -2,12 +2,13 @@
 
 import io
 import socket
+import threading
 from collections.abc import Callable, Sequence
 
 import msgspec
 import pycurl
 
-__all__ = ["Reply", "Transfer", "TransferFailure"]
+__all__ = ["Reply", "ThreadTransfers", "Transfer", "TransferFailure"]
 
 CONNECT_TIMEOUT_MS = 1000
 MAX_IDLE_S = 2
@@ -160,3 +161,24 @@
         if self.was_sent:
             return pycurl.SOCKET_BAD
         return socket.socket(address.family, address.socktype, address.protocol)
+
+
+class ThreadTransfers:
+    """A `Transfer` for each thread; safe across threads.
+
+    Examples:
+        >>> transfers = ThreadTransfers()
+        >>> transfers.current is transfers.current
+        True
+    """
+
+    def __init__(self) -> None:
+        self.local = threading.local()
+
+    @property
+    def current(self) -> Transfer:
+        """The calling thread's transfer."""
+        transfer = getattr(self.local, "transfer", None)
+        if transfer is None:
+            transfer = self.local.transfer = Transfer()
+        return transfer
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -1,6 +1,5 @@
 """Calls an upstream over HTTP."""
 
-import threading
 import time
 from collections.abc import Collection
 from typing import Protocol
@@ -9,7 +8,7 @@
 
 from sardinestair.ids import format_job_id
 from sardinestair.messages import TaskRef, TaskState
-from sardinestair.transfer import Reply, Transfer
+from sardinestair.transfer import Reply, ThreadTransfers
 
 __all__ = ["CallResult", "TaskCaller", "UpstreamCaller"]
 
@@ -81,7 +80,7 @@
     def __init__(self, address: str, not_run_statuses: Collection[int] = ()):
         self.address = address
         self.not_run_statuses = frozenset(not_run_statuses)
-        self.local = threading.local()
+        self.transfers = ThreadTransfers()
 
     def call(
         self, ref: TaskRef, payload: bytes, timeout_s: float
@@ -97,7 +96,7 @@
             A `CallResult`.
         """
         began_s = time.monotonic()
-        reply = self._transfer().perform(
+        reply = self.transfers.current.perform(
             "POST",
             self.address + TASK_PATH,
             payload,
@@ -117,12 +116,6 @@
     def close(self) -> None:
         """Does nothing: connections end with their threads."""
 
-    def _transfer(self) -> Transfer:
-        transfer = getattr(self.local, "transfer", None)
-        if transfer is None:
-            transfer = self.local.transfer = Transfer()
-        return transfer
-
     def _headers(self, ref: TaskRef) -> list[str]:
         return [
             "Content-Type: application/json",
