Report processor time by purpose, frames, wake-ups and waits of requests

The hypotheses of the incident could not be told apart: nothing showed what an entry or a sidecar spends its processor time on.

- An entry also reports the longest wait of a request for a thread and the jobs that are active.
- The hot paths only add to integers.

--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -55,6 +55,9 @@
     def reload(self, settings: T_contra) -> None:
         """Applies those changed settings that can change at run time."""
 
+    def report_usage(self) -> None:
+        """Reports the resource usage; called every second."""
+
 
 def wait_for_stop_signal(
     poll_settings: Callable[[], object] | None = None,
@@ -209,7 +212,12 @@
         watcher = SettingsWatcher(
             file, self.settings_type, settings, daemon.reload
         )
-        wait_for_stop_signal(watcher.reload_if_changed)
+
+        def poll() -> None:
+            watcher.reload_if_changed()
+            daemon.report_usage()
+
+        wait_for_stop_signal(poll)
         return EXIT_OK if daemon.stop() else EXIT_FAILURE
 
 
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -31,7 +31,7 @@
     Outcome,
     TaskRef,
 )
-from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.tree import resolve_settings
@@ -84,6 +84,7 @@
         job_finalizer: Ends jobs and releases what they hold.
         run_outcome_handler: Processes the outcomes of runs.
         overdue_monitor: Detects and moves tasks that take too long.
+        link_usage: Counters of all links.
     """
 
     def __init__(
@@ -132,6 +133,7 @@
         self.run_outcome_handler = RunOutcomeHandler(
             self.job_finalizer, metrics, self.log
         )
+        self.link_usage = LinkUsage()
         self.overdue_monitor = OverdueTaskMonitor(
             self.registry, metrics, self.log
         )
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -87,7 +87,7 @@
     def start(self) -> None:
         """Starts all threads."""
         super().start()
-        self.tasks.run(self.disconnect_watcher.run)
+        self.tasks.run(self.disconnect_watcher.run, "http/disconnects")
         self.readiness_server.start()
         # Early connections wait in the listen backlog for the configuration.
         if not self.configured.wait(CONFIGURATION_WAIT_S):
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -17,7 +17,7 @@
 from sardinestair.limits.budget import TeamBudgets
 from sardinestair.links.entry_link import EntryLink
 from sardinestair.membership import PeerDirectory, Roster
-from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
 from sardinestair.settings.files import SettingsError
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
@@ -101,13 +101,24 @@
             self._start_link,
             self.context,
         )
-        self.gossip = Gossip(self.membership, self.tasks.run, self.adopt)
+        self.gossip = Gossip(
+            self.membership,
+            lambda task: self.tasks.run(task, "gossip"),
+            self.adopt,
+        )
         self.budgets = self._make_budgets()
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
             address.host, address.http_port, self.app, settings.http_threads
         )
         self.store_workers: list[SettingsFollower | Registration] = []
+        self.usage = UsageReporter(
+            self.clock,
+            self.metrics,
+            self.log,
+            self.dispatcher.link_usage,
+            read_levels=self._read_levels,
+        )
 
     @property
     def membership_endpoint(self) -> str:
@@ -124,11 +135,11 @@
         self.http.start()
         self.membership.http_address = self.http_address
         self.peers.add_static(self._peer_endpoints(), self.clock.monotonic())
-        self.tasks.run(self.membership.run)
-        self.tasks.run(self._run_periodic_checks)
+        self.tasks.run(self.membership.run, "membership")
+        self.tasks.run(self._run_periodic_checks, "timer")
         self.gossip.start()
         if self.store is not None and self.claims is not None:
-            self.tasks.run(self.claims.run)
+            self.tasks.run(self.claims.run, "store/claims")
             self._follow_store(self.store)
         self.log.info(
             "entry_started",
@@ -244,9 +255,9 @@
             self._registration_interval_s(),
         )
         self.store_workers = [follower, registration]
-        self.tasks.run(follower.run)
-        self.tasks.run(registration.run)
-        self.tasks.run(self._delete_old_claims)
+        self.tasks.run(follower.run, "store/settings")
+        self.tasks.run(registration.run, "store/registration")
+        self.tasks.run(self._delete_old_claims, "store/claims")
 
     def _delete_old_claims(self) -> None:
         assert self.store is not None
@@ -299,12 +310,23 @@
         self.context.term()
 
     def _start_link(self, link: EntryLink) -> None:
-        self.tasks.run(link.run)
+        self.tasks.run(link.run, "links")
 
     def _run_periodic_checks(self) -> None:
         while not self.stopping.wait(self.dispatcher.next_check_delay_s()):
             self.dispatcher.run_periodic_checks()
 
+    def report_usage(self) -> None:
+        """Reports the processor time by purpose and the counters of links."""
+        self.usage.report_if_due()
+
+    def _read_levels(self) -> dict[str, float]:
+        waits_s = [server.take_longest_wait_s() for server in self._servers()]
+        return {
+            "longest_request_wait_s": max(waits_s),
+            "active_jobs": self.dispatcher.count_active_jobs(),
+        }
+
     def reload(self, settings: EntrySettings) -> None:
         """Adds new peers; other changed settings apply after a restart."""
         self.gossip.add_endpoints(settings.peers)
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -40,7 +40,7 @@
     TaskRef,
     TaskState,
 )
-from sardinestair.observability import EventLog
+from sardinestair.observability import EventLog, LinkUsage
 from sardinestair.placement.candidate import Candidate
 
 __all__ = ["EntryLink", "LinkOwner", "LinkState"]
@@ -64,10 +64,12 @@
 
     Attributes:
         lock: Guards the state of all links.
+        link_usage: Counters of all links.
         is_closed: True once the entry has closed all links.
     """
 
     lock: threading.RLock
+    link_usage: LinkUsage
     is_closed: bool
 
     def next_epoch(self) -> int:
@@ -274,6 +276,7 @@
         with self.owner.lock:
             if self.state is not LinkState.CLOSED:
                 self.state = LinkState.CONNECTING
+            self.owner.link_usage.connections += 1
             self.epoch = self.owner.next_epoch()
             self.frames_sent = 0
             self.outbox.clear()
@@ -295,6 +298,7 @@
         is_open = self._flush(socket)
         while is_open and self.state is not LinkState.CLOSED:
             poller.poll(int(self.timing.poll_timeout_s * 1000))
+            self.owner.link_usage.wakeups += 1
             self.wakeup.clear()
             is_open = (
                 self._receive(socket)
@@ -307,6 +311,7 @@
         frames: list[SidecarFrame] = []
         while has_message(socket):
             frames.append(self.decoder.decode(socket.recv()))
+            self.owner.link_usage.frames_received += 1
         if not frames:
             return True
         with self.owner.lock:
@@ -452,6 +457,7 @@
                 self.echo_s,
             )
             self.last_sent_s = now_s
+            self.owner.link_usage.count_sent(has_messages=bool(messages))
         try:
             socket.send(self.encoder.encode(frame), zmq.NOBLOCK)
         except zmq.Again:
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -24,6 +24,7 @@
     SidecarFrame,
     TaskRef,
 )
+from sardinestair.observability import LinkUsage
 from sardinestair.tests.fakes import FakeContext, FakeSocket
 
 SIDECAR = Incarnation(b"s" * 16)
@@ -34,6 +35,7 @@
     def __init__(self):
         self.lock = threading.RLock()
         self.epochs = 0
+        self.link_usage = LinkUsage()
         self.lost = []
         self.demand = Demand(0, 0.0)
 
--- a/sardinestair/observability/__init__.py
+++ b/sardinestair/observability/__init__.py
@@ -6,5 +6,13 @@
     flush_logs,
 )
 from sardinestair.observability.metrics import Metrics
+from sardinestair.observability.usage import LinkUsage, UsageReporter
 
-__all__ = ["EventLog", "Metrics", "configure_logging", "flush_logs"]
+__all__ = [
+    "EventLog",
+    "LinkUsage",
+    "Metrics",
+    "UsageReporter",
+    "configure_logging",
+    "flush_logs",
+]
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -39,7 +39,7 @@
     TaskRef,
     TaskState,
 )
-from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
 from sardinestair.tasks import abort_process
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
@@ -84,6 +84,7 @@
         workers: Threads that call the upstream.
         listeners: Called when the description of the sidecar has changed.
         advertised_endpoint: Endpoint at which entries reach the sidecar.
+        link_usage: Counters of all links.
     """
 
     def __init__(
@@ -126,6 +127,7 @@
         self.decoder = msgspec.msgpack.Decoder(EntryFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.next_tick_s = 0.0
+        self.link_usage = LinkUsage()
         self.log = EventLog(
             "sidecar", sidecar=format_incarnation(incarnation), zone=zone
         )
@@ -249,6 +251,7 @@
         poller.register(self.wakeup, zmq.POLLIN)
         while not self.stopping:
             poller.poll(int(self.timing.tick_s * 1000))
+            self.link_usage.wakeups += 1
             self.wakeup.clear()
             self._run_commands()
             self._receive()
@@ -268,6 +271,7 @@
             if not has_message(self.socket):
                 return
             route, data = self.socket.recv_multipart()[:2]
+            self.link_usage.frames_received += 1
             try:
                 frame = self.decoder.decode(data)
             except msgspec.DecodeError as error:
@@ -306,6 +310,7 @@
         if not is_accepted:
             session.fence.is_epoch_invalid = True
             return
+        self.link_usage.connections += 1
         self.ledger.reset_entry(session.entry)
         if self.upstream.state is not UpstreamState.SERVING:
             session.outbox.append(Leaving())
@@ -546,6 +551,7 @@
             is_open = not session.fence.is_epoch_invalid
             if session.outbox or (due and is_open):
                 session.last_sent_s = now_s
+                self.link_usage.count_sent(has_messages=bool(session.outbox))
                 data = self.encoder.encode(session.next_frame(now_s))
                 self.socket.send_multipart([session.route, data])
 
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -73,9 +73,9 @@
     def start(self) -> None:
         """Starts all threads."""
         super().start()
-        self.tasks.run(self.runner.run)
+        self.tasks.run(self.runner.run, "reports")
         self.heartbeats.start()
-        self.tasks.run(self._poll_entries)
+        self.tasks.run(self._poll_entries, "store/entries")
 
     def stop(self) -> bool:
         """Accepts no new tasks, finishes those that run, and ends all threads.
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -10,7 +10,7 @@
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.membership import Announcer, choose_entries
 from sardinestair.messages import AnnounceReply
-from sardinestair.observability import EventLog, Metrics
+from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.settings import SidecarSettings
 from sardinestair.sidecar.api import UpstreamApi
 from sardinestair.sidecar.link_server import LinkServer
@@ -71,6 +71,9 @@
             self.context,
             settings.link,
         )
+        self.usage = UsageReporter(
+            self.clock, self.metrics, self.log, self.server.link_usage
+        )
         if settings.advertise is not None:
             self.server.advertised_endpoint = f"tcp://{settings.advertise}"
         rules = UpstreamApi(self.server).rules()
@@ -85,7 +88,7 @@
     def start(self) -> None:
         """Starts all threads."""
         self.server.listeners.append(self._notify_announcers)
-        self.tasks.run(self.server.run)
+        self.tasks.run(self.server.run, "links")
         self.http.start()
         self._update_announcers([])
         self.log.info(
@@ -115,6 +118,10 @@
         self.log.info("sidecar_stopped", unsettled=unsettled)
         return unsettled == 0
 
+    def report_usage(self) -> None:
+        """Reports the processor time by purpose and the counters of links."""
+        self.usage.report_if_due()
+
     def reload(self, settings: SidecarSettings) -> None:
         """Learns entries added to the settings; the rest needs a restart."""
         self._update_announcers(settings.entries)
@@ -165,7 +172,7 @@
             self.context,
         )
         self.announcers[entry] = announcer
-        self.tasks.run(announcer.run)
+        self.tasks.run(announcer.run, "announcements")
 
     def _handle_reply(self, reply: AnnounceReply) -> None:
         self._update_announcers(reply.entries)
--- a/sardinestair/tasks.py
+++ b/sardinestair/tasks.py
@@ -1,6 +1,7 @@
 """Background tasks of a process, each in its own thread."""
 
 import os
+import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -49,16 +50,20 @@
         self.threads = ThreadPoolExecutor(max_tasks)
         self.is_closed = False
 
-    def run(self, task: Callable[[], None]) -> bool:
+    def run(self, task: Callable[[], None], purpose: str = "task") -> bool:
         """Starts a task.
 
+        Args:
+            task: The task.
+            purpose: Name of the task's thread, for reports of processor time.
+
         Returns:
             False if the pool is closed.
         """
         if self.is_closed:
             return False
         try:
-            self.threads.submit(self._guard, task)
+            self.threads.submit(self._guard, task, purpose)
         except RuntimeError:  # Closed since the check.
             return False
         return True
@@ -68,7 +73,8 @@
         self.is_closed = True
         self.threads.shutdown(wait=True)
 
-    def _guard(self, task: Callable[[], None]) -> None:
+    def _guard(self, task: Callable[[], None], purpose: str) -> None:
+        threading.current_thread().name = purpose
         try:
             task()
         except Exception:
--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -4,10 +4,13 @@
 import socket
 import struct
 import threading
+import time
+from collections import deque
 from collections.abc import Callable, Iterable
 
 import msgspec
 from cheroot import wsgi
+from cheroot.server import HTTPConnection
 from cheroot.workers.threadpool import ThreadPool
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 from werkzeug.routing import Map, Rule
@@ -170,6 +173,10 @@
     Args:
         server: The server.
         max_threads: Maximum number of threads.
+
+    Attributes:
+        longest_wait_s: Longest time for which a connection with a request has
+            waited for a thread since this was last read, in seconds.
     """
 
     def __init__(self, server: wsgi.Server, max_threads: int):
@@ -180,12 +187,42 @@
         # A thread started while the pool is being stopped would never end.
         self.lock = threading.Lock()
         self.is_stopping = False
+        self.longest_wait_s = 0.0
+        # When each connection that waits for a thread was queued.
+        self.queued_s: deque[float] = deque()
+        self.take_next = self.get
+        self.get = self._get
 
     def put(self, obj) -> None:
         """Queues a connection that has a request for a thread."""
+        if isinstance(obj, HTTPConnection):
+            self.queued_s.append(time.monotonic())
         super().put(obj)
         self.wakeup.set()
 
+    def _get(self):
+        """Returns the next connection, or the library's request to stop."""
+        connection = self.take_next()
+        if isinstance(connection, HTTPConnection):
+            self._record_wait(self.queued_s.popleft())
+        return connection
+
+    def _record_wait(self, queued_s: float) -> None:
+        waited_s = time.monotonic() - queued_s
+        self.longest_wait_s = max(self.longest_wait_s, waited_s)
+
+    def take_longest_wait_s(self) -> float:
+        """Returns `longest_wait_s`, and starts it again.
+
+        Connections that are still waiting count.
+        """
+        try:
+            self._record_wait(self.queued_s[0])
+        except IndexError:
+            pass  # None is waiting.
+        longest_s, self.longest_wait_s = self.longest_wait_s, 0.0
+        return longest_s
+
     def run(self) -> None:
         """Starts threads on demand, until `stop`.
 
@@ -254,6 +291,7 @@
         self.threads = threads
         self.listener = listener
         self.server: wsgi.Server | None = None
+        self.pool: GrowingPool | None = None
 
     def start(self) -> None:
         """Binds the port and serves in background threads."""
@@ -264,7 +302,7 @@
             timeout=SOCKET_TIMEOUT_S,
             shutdown_timeout=2,
         )
-        pool = GrowingPool(self.server, self.threads)
+        pool = self.pool = GrowingPool(self.server, self.threads)
         self.server.requests = pool
         self.server.listener = self.listener
         self.server.gateway = _Gateway
@@ -274,6 +312,13 @@
         for task in (self.server.serve, pool.run):
             threading.Thread(target=task, name="http", daemon=True).start()
 
+    def take_longest_wait_s(self) -> float:
+        """Returns the longest wait of a request for a thread, in seconds.
+
+        It covers the time since the previous call.
+        """
+        return 0.0 if self.pool is None else self.pool.take_longest_wait_s()
+
     def refuse_connections(self) -> None:
         """Blocks new connections, while pending ones are still served.
 
