Serve all links of an entry in one thread

Callers saw: answers late or none on the grown deployments; entries took requests whose clients had left, links counted as silent and were opened anew without end.

Cause: a thread for each link. Every frame, and every placement on a link, woke a thread of its own, and all of them contended for the interpreter lock: a thread that waits for it wakes up each switch interval. The cost of a frame so grew with the links, and an entry that was behind had to wake more threads.

Why this works: LinkLoop waits for all sockets at once, handles all frames that have arrived under one lock, places once and then sends once per link; the busier the entry, the more one wake-up does. While no task depends on a frame it looks at the sockets once a tick, so that idle links cost no wake-ups of their own. Links without tasks send a heartbeat each idle_heartbeat_s, which must be shorter than the session, as a start with an older echo is refused; acknowledgements wait for the next frame.

Tests that called methods of links which are now called by the loop have their new names; one that waited for the end of a session also checks that it had not ended before.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -326,12 +326,9 @@
         for server in self.servers:
             link = dispatcher.handle_announcement(server.description())
             assert link is not None
-            link.wakeup.close()
-            wakeup: Any = _FakeWakeup()
-            link.wakeup = wakeup
             route = next(self.sequence).to_bytes(4, "big")
             connection = _Connection(link, server, route)
-            link._open_epoch(connection.socket)
+            link.open_epoch(connection.socket)
             self.connections.append(connection)
             self.by_route[route] = connection
 
@@ -392,7 +389,7 @@
                 server._tick()
                 server.wakeup.set()
             for connection in self.connections:
-                connection.link.wakeup.set()
+                connection.link.notify()
         self._deliver_all()
 
     def _deliver_all(self) -> None:
@@ -406,10 +403,10 @@
             link: Any = connection.link
             if link.state is LinkState.CLOSED:
                 continue
-            if not (link.wakeup.is_set or link.outbox or link.to_acknowledge):
+            if not (link.is_ready or link.outbox):
                 continue
-            link.wakeup.clear()
-            link._flush(connection.socket)
+            link.is_ready = False
+            link.flush(connection.socket)
             for data in connection.socket.take_sent():
                 frame = msgspec.msgpack.decode(data, type=EntryFrame)
                 connection.server._handle_frame(connection.route, frame)
@@ -431,6 +428,7 @@
             for route, data in socket.take_sent():
                 connection = self.by_route[route]
                 connection.socket.inbox.append(data)
-                connection.link._receive(connection.socket)
+                connection.link.receive(connection.socket)
+                connection.link.owner.place_waiting()
                 has_delivered = True
         return has_delivered
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -3,6 +3,8 @@
 import heapq
 import itertools
 import threading
+from collections import deque
+from collections.abc import Callable
 
 import zmq
 from expression import Error, Ok, Result
@@ -85,6 +87,8 @@
         run_outcome_handler: Processes the outcomes of runs.
         overdue_monitor: Detects and moves tasks that take too long.
         link_usage: Counters of all links.
+        ready_links: Links to be served soon.
+        on_links_ready: Called when a link has been added to them.
     """
 
     def __init__(
@@ -134,6 +138,8 @@
             self.job_finalizer, metrics, self.log
         )
         self.link_usage = LinkUsage()
+        self.ready_links: deque[EntryLink] = deque()
+        self.on_links_ready: Callable[[], None] = lambda: None
         self.overdue_monitor = OverdueTaskMonitor(
             self.registry, metrics, self.log
         )
@@ -162,8 +168,8 @@
             announce: The sidecar's announcement.
 
         Returns:
-            A new link that the caller must run in its own thread, or None if
-            no link was opened.
+            A new link that the caller must have served, or None if no link was
+            opened.
         """
         with self.lock:
             link = self.links.get(announce.sidecar)
@@ -365,6 +371,11 @@
         """Returns an epoch greater than those of all earlier connections."""
         return next(self.epoch_counter)
 
+    def on_link_ready(self, link: EntryLink) -> None:
+        """Has a link served soon; the lock need not be held."""
+        self.ready_links.append(link)
+        self.on_links_ready()
+
     def on_task_finished(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles the outcome of a run."""
         self._refresh_link(link)
@@ -522,7 +533,7 @@
             sidecars_to_wake.update(state.links)
         state.has_unmet_demand = has_waiting_tasks
         for sidecar in sidecars_to_wake:
-            state.links[sidecar].wakeup.set()
+            state.links[sidecar].notify()
 
     def _refresh_link(self, link: EntryLink) -> None:
         state = self.services[link.candidate.service]
--- a/sardinestair/entry/job_ends.py
+++ b/sardinestair/entry/job_ends.py
@@ -84,4 +84,4 @@
             link = self.links.get(sidecar)
             if link is not None and link.state is not LinkState.CLOSED:
                 link.cancel(refs)
-                link.wakeup.set()
+                link.notify()
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -38,7 +38,7 @@
         dispatcher: The entry's dispatcher.
         roster: The known sidecars.
         peers: The known entries; `own_endpoint` is set here.
-        start_link: Runs a link in its own thread.
+        start_link: Has a new link served.
         context: The ZeroMQ context.
 
     Attributes:
--- a/sardinestair/entry/overdue.py
+++ b/sardinestair/entry/overdue.py
@@ -81,7 +81,7 @@
         )
         job.failed_upstreams.add(link.sidecar)
         link.stop([ref])
-        link.wakeup.set()
+        link.notify()
 
 
 def _has_faster_upstream(
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -15,7 +15,7 @@
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
-from sardinestair.links.entry_link import EntryLink
+from sardinestair.links import LinkLoop
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
@@ -76,8 +76,8 @@
             entry=format_incarnation(self.incarnation),
             zone=settings.zone,
         )
-        # One thread per link and peer, and 8 for the entry's own tasks.
-        self.tasks = TaskPool(MAX_LINKS + MAX_PEERS + 8, self.log)
+        # One thread per peer, and 9 for the entry's own tasks.
+        self.tasks = TaskPool(MAX_PEERS + 9, self.log)
         self.store = self._make_store()
         self.claims = self._make_claims()
         self.dispatcher = Dispatcher(
@@ -91,6 +91,10 @@
             claims=self.claims,
             claim_retention_s=settings.claim_retention_s,
         )
+        self.link_loop = LinkLoop(
+            self.dispatcher, self.clock, self.dispatcher.timing
+        )
+        self.dispatcher.on_links_ready = self.link_loop.wake
         address = settings.address
         self.peers = PeerDirectory("")
         self.membership = MembershipServer(
@@ -98,7 +102,7 @@
             self.dispatcher,
             Roster(),
             self.peers,
-            self._start_link,
+            self.link_loop.add,
             self.context,
         )
         self.gossip = Gossip(
@@ -135,6 +139,7 @@
         self.http.start()
         self.membership.http_address = self.http_address
         self.peers.add_static(self._peer_endpoints(), self.clock.monotonic())
+        self.tasks.run(self.link_loop.run, "links")
         self.tasks.run(self.membership.run, "membership")
         self.tasks.run(self._run_periodic_checks, "timer")
         self.gossip.start()
@@ -306,12 +311,10 @@
         if self.claims is not None:
             self.claims.stop()
         self.dispatcher.close()
+        self.link_loop.stop()
         self.tasks.close()
         self.context.term()
 
-    def _start_link(self, link: EntryLink) -> None:
-        self.tasks.run(link.run, "links")
-
     def _run_periodic_checks(self) -> None:
         while not self.stopping.wait(self.dispatcher.next_check_delay_s()):
             self.dispatcher.run_periodic_checks()
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -89,8 +89,6 @@
 def entry():
     entry = Entry(max_attempts=2)
     yield entry
-    for link in entry.links.values():
-        link.wakeup.close()
 
 
 def test_task_is_not_retried_by_default():
@@ -152,10 +150,10 @@
     sidecar, ref = entry.in_flight()[0]
     link = entry.links[sidecar]
     entry.clock.advance(TIMING.lost_s - 0.05)
-    link._is_silent()
+    link.is_silent()
     assert entry.in_flight()[0] == (sidecar, ref)
     entry.clock.advance(0.1)
-    link._is_silent()
+    link.is_silent()
     entry.dispatcher.place_waiting()
     assert entry.in_flight()[0][1].attempt == 2
 
@@ -168,8 +166,9 @@
     entry.dispatcher.remove_sidecar(sidecar)
     assert list(link.outstanding.values()) == [ref]
     assert job.in_flight == {0: sidecar}
+    assert not link.is_settled()
     entry.clock.advance(TIMING.lost_s + 0.05)
-    link._await_session_end()
+    assert link.is_settled()
     assert link.outstanding == {}
     assert entry.in_flight()[0][0] != sidecar
 
@@ -178,7 +177,7 @@
     entry.submit()
     sidecar, _ref = entry.in_flight()[0]
     entry.clock.advance(30.0)
-    entry.links[sidecar]._is_silent()
+    entry.links[sidecar].is_silent()
     entry.dispatcher.place_waiting()
     assert entry.in_flight()[0][1].attempt == 2
 
@@ -250,7 +249,7 @@
     sidecar, ref = entry.in_flight()[0]
     link = entry.links[sidecar]
     entry.dispatcher.handle_caller_disconnect(job)
-    link._open_epoch(FakeSocket())  # Drops unsent messages.
+    link.open_epoch(FakeSocket())  # Drops unsent messages.
     assert not [m for m in link.outbox if isinstance(m, Cancel)]
     link._handle(Resumed(True, [], [ref]))
     assert [m.tasks for m in link.outbox if isinstance(m, Cancel)] == [[ref]]
@@ -269,9 +268,8 @@
 def entry_without_upstreams():
     """Returns a newly started entry that knows no upstream yet."""
     entry = Entry(max_attempts=2)
-    for sidecar, link in list(entry.links.items()):
+    for sidecar in list(entry.links):
         entry.dispatcher.remove_sidecar(sidecar)
-        link.wakeup.close()
     entry.dispatcher.services.clear()
     entry.links.clear()
     return entry
@@ -285,7 +283,6 @@
     entry.connect_sidecar(A)
     entry.dispatcher.place_waiting()
     assert entry.in_flight()[0][0] == A
-    entry.links[A].wakeup.close()
 
 
 def test_job_is_refused_once_upstreams_stay_away():
--- a/sardinestair/entry/tests/test_overdue.py
+++ b/sardinestair/entry/tests/test_overdue.py
@@ -13,8 +13,6 @@
 def entry():
     entry = Entry(max_attempts=2)
     yield entry
-    for link in entry.links.values():
-        link.wakeup.close()
 
 
 def learn_run_time(entry):
--- a/sardinestair/links/__init__.py
+++ b/sardinestair/links/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.fence import FrameFence, FrameStatus
+from sardinestair.links.link_loop import LinkLoop
 from sardinestair.links.session import SidecarSession, StartDecision
 from sardinestair.links.timing import LinkTiming
 from sardinestair.links.wakeup import Wakeup
@@ -10,6 +11,7 @@
     "EntryLink",
     "FrameFence",
     "FrameStatus",
+    "LinkLoop",
     "LinkState",
     "LinkTiming",
     "SidecarSession",
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -1,12 +1,11 @@
 """The entry's end of a link with one sidecar.
 
-Each link has one thread, which also reconnects it. The state that placement
+`LinkLoop` serves the links of an entry in one thread. The state that placement
 reads is guarded by the lock of the `LinkOwner`.
 """
 
 import enum
 import threading
-import time
 from functools import singledispatchmethod
 from typing import Protocol
 
@@ -19,7 +18,7 @@
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
 from sardinestair.links.timing import LinkTiming
-from sardinestair.links.wakeup import Wakeup, has_message
+from sardinestair.links.wakeup import has_message
 from sardinestair.messages import (
     Acknowledge,
     Announce,
@@ -45,10 +44,6 @@
 
 __all__ = ["EntryLink", "LinkOwner", "LinkState"]
 
-RECONNECT_DELAY_S = 0.1
-# Adds at most this much to the delay before a lost task is retried.
-SESSION_POLL_S = 0.02
-
 
 class LinkState(enum.Enum):
     """State of a link; new tasks are placed only while it is UP."""
@@ -60,7 +55,9 @@
 
 
 class LinkOwner(Protocol):
-    """Interface through which a link calls its entry, with `lock` held.
+    """Interface through which a link calls its entry.
+
+    `lock` is held unless a method says otherwise.
 
     Attributes:
         lock: Guards the state of all links.
@@ -85,6 +82,9 @@
     def on_tasks_lost(self, link: "EntryLink", refs: list[TaskRef]) -> None:
         """Handles attempts that may have run, with an unknown outcome."""
 
+    def on_link_ready(self, link: "EntryLink") -> None:
+        """Has the link served soon; called with or without `lock` held."""
+
     def on_link_changed(self, link: "EntryLink") -> None:
         """Handles a change of the link's credits or state."""
 
@@ -137,6 +137,7 @@
         echo_s: When the sidecar sent the latest frame that has arrived, on
             its clock.
         echo_received_s: When that frame arrived, on the entry's clock.
+        is_ready: True from `notify` until the link is served.
     """
 
     def __init__(
@@ -179,7 +180,7 @@
         self.unanswered_since_s: float | None = None
         self.echo_s = 0.0
         self.echo_received_s = clock.monotonic()
-        self.wakeup = Wakeup()
+        self.is_ready = False
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.log = EventLog(
@@ -201,6 +202,9 @@
         """Queues the start of a task, and spends its credits."""
         units = self.candidate.units_needed(need)
         assert units is not None, "the task exceeds the upstream's capacity"
+        if self.is_idle:
+            # The sidecar sends frames more often from now on.
+            self.silent_since_s = self.clock.monotonic()
         self.account.spend(units)
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
@@ -237,36 +241,43 @@
         self.owner.on_link_changed(self)
         if not self.is_leased:
             self._report_tasks_lost()
-        self.wakeup.set()
-
-    # Run in the link's thread.
-
-    def run(self) -> None:
-        """Serves the link until it is closed."""
-        while self.state is not LinkState.CLOSED:
-            socket = self.context.socket(zmq.DEALER)
-            try:
-                self._open_epoch(socket)
-                self._run_connection(socket)
-            finally:
-                socket.close(linger=0)
-            if self.state is not LinkState.CLOSED:
-                time.sleep(RECONNECT_DELAY_S)
-        self._await_session_end()
-        self.wakeup.close()
-        self.log.info("link_closed", epoch=self.epoch)
-
-    def _await_session_end(self) -> None:
-        """Waits until the tasks of a closed link must have ended."""
-        while self.outstanding and not self.owner.is_closed:
-            if self._are_tasks_lost(self.clock.monotonic()):
-                self._report_tasks_lost()
-                with self.owner.lock:
-                    self.owner.place_waiting()
-            else:
-                time.sleep(SESSION_POLL_S)
-
-    def _open_epoch(self, socket: zmq.Socket) -> None:
+        self.notify()
+
+    def notify(self) -> None:
+        """Has the thread that serves links serve this one soon."""
+        if not self.is_ready:
+            self.is_ready = True
+            self.owner.on_link_ready(self)
+
+    # Called in the thread that serves links.
+
+    @property
+    def next_due_s(self) -> float:
+        """When a frame is due even if none arrives, on the entry's clock."""
+        return self.last_sent_s + self.timing.poll_timeout_s(self.is_idle)
+
+    @property
+    def is_idle(self) -> bool:
+        """True if no task at the sidecar depends on frames of this link."""
+        return not (self.outstanding or self.to_acknowledge)
+
+    @property
+    def awaits_frames(self) -> bool:
+        """True if a task depends on the next frame of the sidecar."""
+        return bool(self.outstanding or self.last_demand.count)
+
+    def is_settled(self) -> bool:
+        """Returns True if no task of a closed link can be running."""
+        if not self.outstanding or self.owner.is_closed:
+            return True
+        if not self._are_tasks_lost(self.clock.monotonic()):
+            return False
+        with self.owner.lock:
+            self._report_tasks_lost()
+            self.owner.place_waiting()
+        return True
+
+    def open_epoch(self, socket: zmq.Socket) -> None:
         """Connects, and asks for the outstanding tasks in a new epoch."""
         socket.set(zmq.SNDHWM, 0)
         socket.set(zmq.RCVHWM, 0)
@@ -291,23 +302,11 @@
             self.owner.on_link_changed(self)
         self.log.info("link_open", epoch=self.epoch, tasks=len(tasks))
 
-    def _run_connection(self, socket: zmq.Socket) -> None:
-        poller = zmq.Poller()
-        poller.register(socket, zmq.POLLIN)
-        poller.register(self.wakeup, zmq.POLLIN)
-        is_open = self._flush(socket)
-        while is_open and self.state is not LinkState.CLOSED:
-            poller.poll(int(self.timing.poll_timeout_s * 1000))
-            self.owner.link_usage.wakeups += 1
-            self.wakeup.clear()
-            is_open = (
-                self._receive(socket)
-                and not self._is_silent()
-                and self._flush(socket)
-            )
+    def receive(self, socket: zmq.Socket) -> bool:
+        """Handles received frames; returns False if any were lost.
 
-    def _receive(self, socket: zmq.Socket) -> bool:
-        """Handles received frames; returns False if any were lost."""
+        Tasks that can be placed as a result are left to the caller.
+        """
         frames: list[SidecarFrame] = []
         while has_message(socket):
             frames.append(self.decoder.decode(socket.recv()))
@@ -315,9 +314,7 @@
         if not frames:
             return True
         with self.owner.lock:
-            intact = all([self._handle_frame(frame) for frame in frames])
-            self.owner.place_waiting()
-        return intact
+            return all([self._handle_frame(frame) for frame in frames])
 
     def _handle_frame(self, frame: SidecarFrame) -> bool:
         """Handles a frame; returns False if frames before it were lost."""
@@ -409,13 +406,13 @@
         if current:
             self.owner.on_tasks_refused(self, current)
 
-    def _is_silent(self) -> bool:
+    def is_silent(self) -> bool:
         """Returns True on a silent connection; also reports lost tasks."""
         now_s = self.clock.monotonic()
         if self._are_tasks_lost(now_s):
             self._report_tasks_lost()
         silent_s = now_s - self.silent_since_s
-        if silent_s <= self.timing.silence_s:
+        if silent_s <= self.timing.silence_limit_s(self.is_idle):
             return False
         self.log.warning("link_silent", epoch=self.epoch, silent_s=silent_s)
         return True
@@ -440,14 +437,18 @@
                 self.log.error("tasks_lost", tasks=len(lost))
                 self.owner.on_tasks_lost(self, lost)
 
-    def _flush(self, socket: zmq.Socket) -> bool:
+    def flush(self, socket: zmq.Socket) -> bool:
         """Sends a frame if one is due; returns False on a broken connection."""
         now_s = self.clock.monotonic()
         with self.owner.lock:
             messages = self._collect_messages()
-            due = now_s - self.last_sent_s >= self.timing.heartbeat_due_s
-            if not messages and not due:
+            due_s = self.timing.heartbeat_due_s(self.is_idle)
+            if not messages and now_s - self.last_sent_s < due_s:
                 return True
+            if self.to_acknowledge:
+                # Not urgent, so it waits for the next frame.
+                messages.append(Acknowledge(self.to_acknowledge))
+                self.to_acknowledge = []
             self.frames_sent += 1
             frame = EntryFrame(
                 self.incarnation,
@@ -466,11 +467,8 @@
         return True
 
     def _collect_messages(self) -> list[EntryMessage]:
-        """Returns the messages for the next frame."""
+        """Returns the messages that are to be sent at once."""
         messages, self.outbox = self.outbox, []
-        if self.to_acknowledge:
-            messages.append(Acknowledge(self.to_acknowledge))
-            self.to_acknowledge = []
         if self.state is LinkState.UP:
             demand = self.owner.demand_for(self)
             idle = self.account.available
--- /dev/null
+++ b/sardinestair/links/link_loop.py
@@ -0,0 +1,216 @@
+"""Serves all links of an entry in one thread.
+
+The busier the entry is, the more frames and links one wake-up handles.
+"""
+
+import select
+import threading
+from collections import deque
+from typing import Protocol
+
+import msgspec
+import zmq
+
+from sardinestair.clock import Clock
+from sardinestair.links.entry_link import EntryLink, LinkOwner, LinkState
+from sardinestair.links.timing import LinkTiming
+from sardinestair.links.wakeup import Wakeup, has_message
+
+__all__ = ["LinkLoop", "LoopOwner"]
+
+RECONNECT_DELAY_S = 0.1
+
+
+class LoopOwner(LinkOwner, Protocol):
+    """Interface through which the loop calls its entry.
+
+    Attributes:
+        ready_links: Links to be served soon; threads only append to it.
+    """
+
+    ready_links: deque[EntryLink]
+
+
+class _Connection(msgspec.Struct, eq=False):
+    """The connection of one link.
+
+    Attributes:
+        link: The link.
+        socket: Its socket, or None while it is disconnected.
+        descriptor: The descriptor that signals events of the socket.
+        reopen_s: When it is connected next, if it is disconnected.
+    """
+
+    link: EntryLink
+    socket: zmq.Socket | None = None
+    descriptor: int = -1
+    reopen_s: float = 0.0
+
+
+class LinkLoop:
+    """Connects links, receives and sends their frames, and reconnects them.
+
+    Args:
+        owner: The entry.
+        clock: The clock.
+        timing: Timeouts of the links.
+
+    Attributes:
+        connections: Connections of the links that are served, by link.
+        connections_by_descriptor: Those that are connected.
+        unread: Descriptors of sockets with messages that the poller does not
+            report, as sending has consumed the signal.
+    """
+
+    def __init__(self, owner: LoopOwner, clock: Clock, timing: LinkTiming):
+        self.owner = owner
+        self.clock = clock
+        self.timing = timing
+        self.poller = select.epoll()
+        self.wakeup = Wakeup()
+        self.poller.register(self.wakeup, select.EPOLLIN)
+        self.added: deque[EntryLink] = deque()
+        self.connections: dict[EntryLink, _Connection] = {}
+        self.connections_by_descriptor: dict[int, _Connection] = {}
+        self.unread: set[int] = set()
+        self.next_tick_s = 0.0
+        self.thread_id = 0
+        self.stopping = False
+
+    # Safe to call from other threads.
+
+    def add(self, link: EntryLink) -> None:
+        """Serves a link until it is closed and its tasks have ended."""
+        self.added.append(link)
+        self.wake()
+
+    def wake(self) -> None:
+        """Makes the loop serve the links that are ready."""
+        # The loop looks for ready links before it waits.
+        if threading.get_ident() != self.thread_id:
+            self.wakeup.set()
+
+    def stop(self) -> None:
+        """Makes `run` return."""
+        self.stopping = True
+        self.wakeup.set()
+
+    # The loop's thread.
+
+    def run(self) -> None:
+        """Serves links until `stop`."""
+        self.thread_id = threading.get_ident()
+        try:
+            while not self.stopping:
+                self.run_once()
+        finally:
+            for connection in self.connections.values():
+                self._disconnect(connection)
+            self.poller.close()
+            self.wakeup.close()
+
+    def run_once(self) -> None:
+        """Waits for frames, ready links or the next tick, and handles them."""
+        has_work = bool(self.added or self.owner.ready_links or self.unread)
+        wait_s = max(0.0, self.next_tick_s - self.clock.monotonic())
+        if has_work:
+            wait_s = 0.0
+        elif not self._awaits_frames():
+            # Handles the heartbeats of all links once per tick.
+            self.wakeup.wait(wait_s)
+            wait_s = 0.0
+        events = self.poller.poll(wait_s)
+        self.owner.link_usage.wakeups += 1
+        self.wakeup.clear()
+        while self.added:
+            link = self.added.popleft()
+            self.connections[link] = _Connection(link)
+            self._connect(self.connections[link])
+        descriptors = self.unread | {descriptor for descriptor, _ in events}
+        self.unread = set()
+        self._serve(self._receive(descriptors) | self._take_ready())
+        now_s = self.clock.monotonic()
+        if now_s >= self.next_tick_s:
+            self.next_tick_s = now_s + self.timing.tick_s
+            self._tick(now_s)
+
+    def _awaits_frames(self) -> bool:
+        """Returns True if a frame may arrive that should be handled at once."""
+        return any(link.awaits_frames for link in self.connections)
+
+    def _receive(self, descriptors: set[int]) -> set[EntryLink]:
+        """Handles received frames; returns the links of their connections."""
+        received: set[EntryLink] = set()
+        with self.owner.lock:
+            for descriptor in descriptors:
+                connection = self.connections_by_descriptor.get(descriptor)
+                if connection is None or connection.socket is None:
+                    continue
+                received.add(connection.link)
+                if not connection.link.receive(connection.socket):
+                    self._disconnect(connection)
+            if received:
+                self.owner.place_waiting()
+        return received
+
+    def _take_ready(self) -> set[EntryLink]:
+        ready: set[EntryLink] = set()
+        while self.owner.ready_links:
+            link = self.owner.ready_links.popleft()
+            link.is_ready = False
+            ready.add(link)
+        return ready
+
+    def _serve(self, links: set[EntryLink]) -> None:
+        """Sends what is due on links, and disconnects those that failed."""
+        for link in links:
+            connection = self.connections.get(link)
+            if connection is None:
+                continue
+            if link.state is LinkState.CLOSED:
+                self._retire(connection)
+            elif connection.socket is not None:
+                if link.is_silent() or not link.flush(connection.socket):
+                    self._disconnect(connection)
+                elif has_message(connection.socket):
+                    self.unread.add(connection.descriptor)
+
+    def _tick(self, now_s: float) -> None:
+        due: set[EntryLink] = set()
+        for connection in list(self.connections.values()):
+            link = connection.link
+            if link.state is LinkState.CLOSED:
+                due.add(link)
+            elif connection.socket is None:
+                if connection.reopen_s <= now_s:
+                    self._connect(connection)
+            elif link.next_due_s <= now_s:
+                due.add(link)
+        self._serve(due)
+
+    def _connect(self, connection: _Connection) -> None:
+        link = connection.link
+        if link.state is LinkState.CLOSED:
+            return
+        socket = link.context.socket(zmq.DEALER)
+        link.open_epoch(socket)
+        connection.socket = socket
+        connection.descriptor = int(socket.get(zmq.FD))
+        self.connections_by_descriptor[connection.descriptor] = connection
+        self.poller.register(connection.descriptor, select.EPOLLIN)
+        link.notify()
+
+    def _disconnect(self, connection: _Connection) -> None:
+        socket, connection.socket = connection.socket, None
+        if socket is None:
+            return
+        self.poller.unregister(connection.descriptor)
+        del self.connections_by_descriptor[connection.descriptor]
+        socket.close(linger=0)
+        connection.reopen_s = self.clock.monotonic() + RECONNECT_DELAY_S
+
+    def _retire(self, connection: _Connection) -> None:
+        """Disconnects a closed link; drops it once its tasks have ended."""
+        self._disconnect(connection)
+        if connection.link.is_settled():
+            del self.connections[connection.link]
--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -79,6 +79,11 @@
         self.is_expired = False
         self.last_sent_s = 0.0
 
+    @property
+    def is_idle(self) -> bool:
+        """True if no task of the entry is held."""
+        return not self.tasks
+
     def resume(self, route: bytes, message: Resume) -> bool:
         """Answers the first message of an epoch.
 
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -55,6 +55,9 @@
     def unwanted_tasks(self, _link):
         return []
 
+    def on_link_ready(self, _link):
+        pass
+
     def place_waiting(self):
         pass
 
@@ -72,14 +75,13 @@
         FakeContext(),
     )  # fmt: skip
     socket = FakeSocket()
-    link._open_epoch(socket)
+    link.open_epoch(socket)
     frame = SidecarFrame(SIDECAR, 1, 1, [Resumed(True, [], []), Grant(1)])
     socket.inbox.append(msgspec.msgpack.encode(frame))
-    assert link._receive(socket)
+    assert link.receive(socket)
     assert link.state is LinkState.UP
     link.place(REF, 30.0, b"{}")
     yield link
-    link.wakeup.close()
 
 
 def leased_link(clock, granted):
@@ -92,18 +94,18 @@
         FakeContext(),
     )  # fmt: skip
     socket = FakeSocket()
-    link._open_epoch(socket)
+    link.open_epoch(socket)
     messages = [Resumed(True, [], []), Grant(granted)]
     socket.inbox.append(
         msgspec.msgpack.encode(SidecarFrame(SIDECAR, 1, 1, messages))
     )
-    assert link._receive(socket)
+    assert link.receive(socket)
     return link
 
 
 def test_pause_of_the_entry_does_not_lose_tasks(link, clock):
     clock.advance(60.0)
-    assert link._is_silent()
+    assert link.is_silent()
     assert link.owner.lost == []
     assert REF in link.outstanding.values()
 
@@ -111,25 +113,25 @@
 def test_tasks_are_lost_after_an_unanswered_resume(link, clock):
     timing = link.timing
     clock.advance(timing.silence_s + 0.1)
-    assert link._is_silent()
-    link._open_epoch(FakeSocket())
+    assert link.is_silent()
+    link.open_epoch(FakeSocket())
     clock.advance(timing.lost_s - timing.silence_s - 0.1)
-    link._is_silent()
+    link.is_silent()
     assert link.owner.lost == []
     clock.advance(0.2)
-    link._is_silent()
+    link.is_silent()
     assert link.owner.lost == [REF]
 
 
 def test_reply_resets_the_loss_timeout(link, clock):
     socket = FakeSocket()
-    link._open_epoch(socket)
+    link.open_epoch(socket)
     clock.advance(4.0)
     frame = SidecarFrame(SIDECAR, link.epoch, 1, [Resumed(True, [], [REF])])
     socket.inbox.append(msgspec.msgpack.encode(frame))
-    assert link._receive(socket)
+    assert link.receive(socket)
     clock.advance(1.0)
-    assert not link._is_silent()
+    assert not link.is_silent()
     assert link.owner.lost == []
 
 
@@ -138,16 +140,14 @@
     link = leased_link(clock, granted=1500)
     link.owner.demand = Demand(3200, -1.0, 1600)
     socket = FakeSocket()
-    assert link._flush(socket)
+    assert link.flush(socket)
     frame = msgspec.msgpack.decode(socket.sent[-1], type=EntryFrame)
     assert CreditReturn(1500) in frame.messages
     assert Demand(3200, -1.0, 1600) in frame.messages
     assert link.account.available == 0
-    link.wakeup.close()
 
 
 def test_credits_are_kept_while_no_task_waits_for_them(clock):
     link = leased_link(clock, granted=1500)
-    assert link._flush(FakeSocket())
+    assert link.flush(FakeSocket())
     assert link.account.available == 1500
-    link.wakeup.close()
--- a/sardinestair/links/timing.py
+++ b/sardinestair/links/timing.py
@@ -39,6 +39,9 @@
         session_s: Length of a session at a leased upstream, in seconds.
         lease_s: Length of the lease that a sidecar requests from its upstream,
             in seconds.
+        idle_heartbeat_s: Longest interval between two frames while no task
+            depends on the link, in seconds. It must be shorter than the
+            session, since a start is refused if its session has expired.
     """
 
     heartbeat_s: float = 0.5
@@ -46,13 +49,21 @@
     lost_s: float = 6.0
     session_s: float = 3.0
     lease_s: float = 1.0
+    idle_heartbeat_s: float = 0.5
 
     def __post_init__(self) -> None:
-        """Checks the second inequality.
+        """Checks the second inequality and the intervals of heartbeats.
 
         Raises:
-            ValueError: If running tasks could be treated as lost.
+            ValueError: If running tasks could be treated as lost, or starts on
+                idle links would be refused.
         """
+        if not self.heartbeat_s <= self.idle_heartbeat_s < self.session_s:
+            raise ValueError(
+                f"idle_heartbeat_s must be in [heartbeat_s, session_s), that "
+                f"is [{self.heartbeat_s}, {self.session_s}) s, got "
+                f"{self.idle_heartbeat_s} s"
+            )
         min_lost_s = (self.session_s + self.lease_s) * (
             1 + MAX_CLOCK_DRIFT
         ) + MAX_STOP_S
@@ -68,20 +79,31 @@
         """Interval between two checks for expired timeouts."""
         return min(MAX_TICK_S, self.heartbeat_s / 3)
 
-    @property
-    def heartbeat_due_s(self) -> float:
+    def heartbeat_interval_s(self, is_idle: bool) -> float:
+        """Returns the longest interval between two frames, in seconds.
+
+        Args:
+            is_idle: True if no task depends on the link.
+        """
+        return self.idle_heartbeat_s if is_idle else self.heartbeat_s
+
+    def silence_limit_s(self, is_idle: bool) -> float:
+        """Returns the time without a frame that breaks a link, in seconds."""
+        extra_s = self.heartbeat_interval_s(is_idle) - self.heartbeat_s
+        return self.silence_s + extra_s
+
+    def heartbeat_due_s(self, is_idle: bool) -> float:
         """Time since its last frame after which the entry sends a heartbeat.
 
         Shorter than the heartbeat interval, so that the sidecar's heartbeats
         are each answered with one.
         """
-        return 0.8 * self.heartbeat_s
+        return 0.8 * self.heartbeat_interval_s(is_idle)
 
-    @property
-    def poll_timeout_s(self) -> float:
-        """Longest time that the entry waits for a frame.
+    def poll_timeout_s(self, is_idle: bool) -> float:
+        """Longest time that the entry waits for a frame before it sends one.
 
         Longer than the heartbeat interval, so that one wake-up both receives
         the sidecar's heartbeat and sends the entry's.
         """
-        return 1.3 * self.heartbeat_s
+        return 1.3 * self.heartbeat_interval_s(is_idle)
--- a/sardinestair/links/wakeup.py
+++ b/sardinestair/links/wakeup.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self.is_set = False
         # Keeps `close` from running between a check of the descriptor and its
         # use, when the number could already belong to another file.
         self.lock = threading.Lock()
@@ -38,8 +39,11 @@
 
     def set(self) -> None:
         """Wakes the waiting thread; does nothing after `close`."""
+        if self.is_set:
+            return
         with self.lock:
             if self.fd >= 0:
+                self.is_set = True
                 os.eventfd_write(self.fd, 1)
 
     def wait(self, timeout_s: float) -> bool:
@@ -57,11 +61,11 @@
         return bool(poller.poll(timeout_s * MS_PER_S))
 
     def clear(self) -> None:
-        """Resets the event."""
-        try:
-            os.eventfd_read(self.fd)
-        except BlockingIOError:
-            pass
+        """Resets the event; what it announced must be looked for after this."""
+        with self.lock:
+            if self.is_set and self.fd >= 0:
+                self.is_set = False
+                os.eventfd_read(self.fd)
 
     def close(self) -> None:
         """Closes the file descriptor."""
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -524,9 +524,10 @@
         for session in list(self.sessions.values()):
             self._stop_expired_session(session)
             silent_s = now_s - session.last_received_s
+            limit_s = self.timing.silence_limit_s(session.is_idle)
             if silent_s > SESSION_RETENTION_S and session.drop_outcomes():
                 del self.sessions[session.entry]
-            elif silent_s > self.timing.silence_s:
+            elif silent_s > limit_s:
                 # Forces the entry to open a new epoch before its next start.
                 session.fence.is_epoch_invalid = True
                 self.ledger.remove_entry(session.entry)
@@ -547,7 +548,8 @@
     def _flush(self) -> None:
         now_s = self.clock.monotonic()
         for session in self.sessions.values():
-            due = now_s - session.last_sent_s >= self.timing.heartbeat_s
+            interval_s = self.timing.heartbeat_interval_s(session.is_idle)
+            due = now_s - session.last_sent_s >= interval_s
             is_open = not session.fence.is_epoch_invalid
             if session.outbox or (due and is_open):
                 session.last_sent_s = now_s
--- a/sardinestair/tests/test_links_machine.py
+++ b/sardinestair/tests/test_links_machine.py
@@ -102,15 +102,14 @@
             self.servers[index].description()
         )
         if link is not None:
-            self.created.append(link)
             self.open_connection(link, index)
 
     def open_connection(self, link, index):
         self.connections = [c for c in self.connections if c.link is not link]
         self.connection_count += 1
         connection = Connection(link, index, self.connection_count)
-        link._open_epoch(connection.socket)
-        link._flush(connection.socket)
+        link.open_epoch(connection.socket)
+        link.flush(connection.socket)
         connection.queue_sent()
         self.connections.append(connection)
 
@@ -151,7 +150,7 @@
     def flush_links(self):
         for connection in self.connections:
             if connection.link.state is not LinkState.CLOSED:
-                connection.link._flush(connection.socket)
+                connection.link.flush(connection.socket)
                 connection.queue_sent()
 
     # Delivery, loss and duplication of frames.
@@ -171,7 +170,8 @@
             return
         connection.socket.inbox.extend(connection.to_entry)
         connection.to_entry.clear()
-        is_intact = connection.link._receive(connection.socket)
+        is_intact = connection.link.receive(connection.socket)
+        self.dispatcher.place_waiting()
         self.flush_links()
         if not is_intact and connection.link.state is not LinkState.CLOSED:
             self.open_connection(connection.link, connection.sidecar_index)
@@ -301,8 +301,8 @@
             assert server.ledger.occupied_units <= SLOTS
 
     def teardown(self):
-        for endpoint in self.created:
-            endpoint.wakeup.close()
+        for server in self.created:
+            server.wakeup.close()
 
 
 def test_jobs_complete_without_faults():
