Stop frames per task from growing with entries and sidecars

Cause: four exchanges that grow with the deployment. - A sidecar granted what a task had freed to all entries at once, each in a frame of its own, and in fractions of a task that nobody could use. - A waiting task made an entry ask all its sidecars. - An entry asked for units that were no whole number of tasks, and returned the rest of each grant. - An entry that waits for a faster upstream was granted credits, asked for none, lost them to a recall for another entry, asked again and was granted the same ones: a loop as fast as frames travel.

The loop was found when the emulator served links that had received frames, as programs do: it did not end.

Change: grants that nobody waits for go with the next frame, and idle units are granted in steps of the largest task so far; two sidecars are asked per waiting task, all of the others at the periodic checks; demand is a whole number of tasks; a sidecar whose credits were recalled unused is not asked again until the next check.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -430,5 +430,7 @@
                 connection.socket.inbox.append(data)
                 connection.link.receive(connection.socket)
                 connection.link.owner.place_waiting()
+                # A link that has received frames is served, as by `LinkLoop`.
+                connection.link.notify()
                 has_delivered = True
         return has_delivered
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -15,7 +15,7 @@
 from sardinestair.entry.overdue import OverdueTaskMonitor
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.run_ends import RunOutcomeHandler
-from sardinestair.entry.service_state import ServiceState
+from sardinestair.entry.service_state import ASKED_PER_TASK, ServiceState
 from sardinestair.ids import (
     Incarnation,
     JobId,
@@ -122,6 +122,7 @@
         self.epoch_counter = itertools.count(1)
         self.services_to_place: set[str] = set()
         self.is_closed = False
+        self.next_overdue_check_s = 0.0
         self.log = EventLog(
             "entry", entry=format_incarnation(incarnation), zone=zone
         )
@@ -301,14 +302,22 @@
                     detail = "the deadline passed before all tasks ended"
                     self.job_finalizer.fail(job, ProblemKind.DEADLINE, detail)
             self.registry.evict(now_s)
+            is_overdue_check_due = now_s >= self.next_overdue_check_s
+            if is_overdue_check_due:
+                self.next_overdue_check_s = now_s + OVERDUE_CHECK_INTERVAL_S
             for state in self.services.values():
-                self.overdue_monitor.check(state, now_s)
+                if is_overdue_check_due:
+                    self.overdue_monitor.check(state, now_s)
                 if state.queue.waiting_tasks:
                     self._shed_useless_jobs(state, now_s)
-                    # Time alone can end an upstream's outage or make a wait
-                    # too long.
+                    # Time alone can end an upstream's outage.
                     for link in state.links.values():
-                        state.refresh_candidate(link, now_s)
+                        if not link.candidate.is_usable:
+                            state.refresh_candidate(link, now_s)
+                    # Those asked so far have too little free capacity.
+                    state.declined.clear()
+                    wanted = ASKED_PER_TASK * state.queue.waiting_tasks
+                    self._ask_sidecars(state, wanted)
                     self.services_to_place.add(state.name)
             self.place_waiting()
 
@@ -396,6 +405,16 @@
         """Refreshes placement after a change of a link's credits or state."""
         self._refresh_link(link)
 
+    def on_credits_unused(self, link: EntryLink) -> None:
+        """Asks a sidecar for no more credits until the next periodic check.
+
+        Otherwise the same credits would be granted and recalled in a loop, as
+        long as placement prefers to wait for another upstream.
+        """
+        state = self.services[link.candidate.service]
+        state.asked.discard(link.sidecar)
+        state.declined.add(link.sidecar)
+
     def demand_for(self, link: EntryLink) -> Demand:
         """Returns the demand for credits of a link's upstream."""
         state = self.services[link.candidate.service]
@@ -528,13 +547,18 @@
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
-        has_waiting_tasks = state.queue.waiting_tasks > 0
-        if has_waiting_tasks and not state.has_unmet_demand:
-            sidecars_to_wake.update(state.links)
-        state.has_unmet_demand = has_waiting_tasks
+        if not state.queue.waiting_tasks:
+            state.asked.clear()
+        wanted = ASKED_PER_TASK * state.queue.waiting_tasks
+        self._ask_sidecars(state, wanted - len(state.asked))
         for sidecar in sidecars_to_wake:
             state.links[sidecar].notify()
 
+    def _ask_sidecars(self, state: ServiceState, count: int) -> None:
+        """Asks further sidecars for credits."""
+        for link in state.ask_sidecars(count):
+            link.notify()
+
     def _refresh_link(self, link: EntryLink) -> None:
         state = self.services[link.candidate.service]
         state.refresh_candidate(link, self.clock.monotonic())
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -25,6 +25,9 @@
 # Queued jobs that one placement considers: of each kind, and in total.
 MAX_LOOKAHEAD_PER_KIND = 3
 MAX_LOOKAHEAD_JOBS = 64
+# Sidecars asked for credits per waiting task at first. Asking more of them
+# finds free capacity sooner, but credits that are not used must be returned.
+ASKED_PER_TASK = 2
 # Upstreams announce themselves within two heartbeats of 1.5 s. Until then the
 # throughput is unknown and no wait can be predicted.
 DISCOVERY_GRACE_S = 3.0
@@ -47,8 +50,9 @@
         speeds_: Learned speed factors by sidecar.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
-        has_unmet_demand: True if tasks were left in the queue by the last
-            placement.
+        asked: Sidecars that are asked for credits for the queued tasks.
+        declined: Sidecars whose credits no task has used since the last
+            periodic check.
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
@@ -69,7 +73,9 @@
         self.speeds_: dict[Incarnation, SlowdownEstimator] = {}
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
-        self.has_unmet_demand = False
+        self.asked: set[Incarnation] = set()
+        self.declined: set[Incarnation] = set()
+        self.next_asked = 0
 
     def configure(self, settings: ServiceSettings) -> None:
         """Applies changed settings; learned estimates are kept."""
@@ -259,12 +265,37 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
+    def ask_sidecars(self, count: int) -> list[EntryLink]:
+        """Chooses further sidecars to ask for credits, in turn.
+
+        Args:
+            count: Maximum number of sidecars to choose.
+
+        Returns:
+            Their links.
+        """
+        links = list(self.links.values())
+        chosen: list[EntryLink] = []
+        skipped = self.asked | self.declined
+        for offset in range(len(links)):
+            if len(chosen) >= count:
+                break
+            link = links[(self.next_asked + offset) % len(links)]
+            if link.sidecar not in skipped and link.candidate.is_usable:
+                chosen.append(link)
+        if chosen:
+            self.next_asked = (links.index(chosen[-1]) + 1) % len(links)
+            self.asked.update(link.sidecar for link in chosen)
+        return chosen
+
     def demand(self, link: EntryLink, now_s: float) -> Demand:
         """Returns the demand for credits of a link's upstream.
 
-        It is zero if no queued task would start there, or if the credits held
-        already cover the next one.
+        It is zero if the sidecar is not among those asked, if no queued task
+        would start there, or if the credits held already cover the next one.
         """
+        if link.sidecar not in self.asked:
+            return Demand(0, 0.0)
         job = self._first_job_for(link)
         if job is None:
             return Demand(0, 0.0)
@@ -275,7 +306,9 @@
         if not self.health.allows_start(link.sidecar, outstanding, now_s):
             return Demand(0, 0.0)
         waiting = self.queue.waiting_tasks
-        wanted = round(max(units, waiting * link.candidate.mean_task_units_))
+        # Whole tasks: the rest of a grant could only be returned.
+        steps = round(waiting * link.candidate.mean_task_units_ / units)
+        wanted = max(1, steps) * units
         return Demand(wanted, job.order_key_s - now_s, units)
 
     def _first_job_for(self, link: EntryLink) -> Job | None:
@@ -317,6 +350,8 @@
 
         There are none if no other upstream is usable.
         """
+        if not job.failed_upstreams:
+            return set()
         usable = {
             sidecar
             for sidecar, link in self.links.items()
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -19,6 +19,7 @@
     Cancel,
     Grant,
     Outcome,
+    Recall,
     Resumed,
     TaskState,
 )
@@ -340,3 +341,19 @@
 def test_draining_entry_accepts_nothing_by_default(entry):
     entry.dispatcher.admission_controller.is_draining = True
     assert entry.submit().error.kind is ProblemKind.DRAINING
+
+
+# Guards against a loop: an entry that waits for a faster upstream was granted
+# the same credits over and over, as another entry's demand recalled them.
+def test_unused_credits_are_asked_for_once_per_check():
+    entry = Entry(max_attempts=1)
+    state = entry.dispatcher.services["quotes"]
+    link = entry.links[A]
+    state.asked = {A, B}
+    link._handle(Recall(1600))
+    assert state.asked == {B}
+    assert link not in state.ask_sidecars(2)
+    entry.submit(tasks=40)
+    entry.dispatcher.run_periodic_checks()
+    assert state.queue.waiting_tasks
+    assert not state.declined
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -139,6 +139,8 @@
     Attributes:
         holders: Credits and demand by incarnation of the entry.
         occupied_units: Units that running tasks occupy.
+        task_units: Units of the largest task so far. Idle units are granted in
+            such steps, since fewer can't start a task and must be recalled.
 
     Examples:
         >>> ledger = CreditLedger(slots=2)
@@ -158,6 +160,7 @@
         self.recall_delay_s = recall_delay_s
         self.holders: dict[Incarnation, CreditHolder] = {}
         self.occupied_units = 0
+        self.task_units = 1
 
     @property
     def free(self) -> int:
@@ -215,6 +218,7 @@
         if holder is None or holder.held < units:
             return False
         holder.spent += units
+        self.task_units = max(self.task_units, units)
         return True
 
     def allocate(self) -> set[Incarnation]:
@@ -243,7 +247,7 @@
         """Returns the credits to grant to an entry in one step."""
         if holder.unmet > 0:
             return min(holder.unmet, holder.head_units)
-        return max(1, self.slots // IDLE_GRANT_PARTS)
+        return max(self.task_units, self.slots // IDLE_GRANT_PARTS)
 
     def start_recalls(self, now_s: float = 0.0) -> dict[Incarnation, int]:
         """Chooses the idle credits to recall for unmet demand.
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -85,6 +85,9 @@
     def on_link_ready(self, link: "EntryLink") -> None:
         """Has the link served soon; called with or without `lock` held."""
 
+    def on_credits_unused(self, link: "EntryLink") -> None:
+        """Handles a recall of credits that no task has used."""
+
     def on_link_changed(self, link: "EntryLink") -> None:
         """Handles a change of the link's credits or state."""
 
@@ -382,7 +385,9 @@
     @_handle.register
     def _(self, message: Recall) -> None:
         idle = self.account.available
-        if not idle:
+        if idle:
+            self.owner.on_credits_unused(self)
+        else:
             self.owner.count_wasted("recall_empty")
         total = self.account.return_unused(min(message.count, idle))
         self.outbox.append(CreditReturn(total))
--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -7,6 +7,7 @@
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.links.fence import FrameFence
 from sardinestair.messages import (
+    Grant,
     Outcome,
     Resume,
     Resumed,
@@ -64,6 +65,9 @@
         is_expired: True once its tasks have been stopped because no echo came
             in time.
         last_sent_s: When the last frame was sent.
+        granted: Credits granted in this epoch, if the entry has not been sent
+            this number; 0 otherwise.
+        is_grant_urgent: True if the entry has tasks that wait for them.
     """
 
     def __init__(self, entry: Incarnation, sidecar: Incarnation):
@@ -78,6 +82,8 @@
         self.echo_s = 0.0
         self.is_expired = False
         self.last_sent_s = 0.0
+        self.granted = 0
+        self.is_grant_urgent = False
 
     @property
     def is_idle(self) -> bool:
@@ -100,6 +106,8 @@
         self.route = route
         self.frames_sent = 0
         self.outbox.clear()
+        self.granted = 0
+        self.is_grant_urgent = False
         if message.sidecar != self.sidecar:
             self.outbox.append(Resumed(False, [], []))
             return False
@@ -176,9 +184,28 @@
         """Returns the attempts that have not ended."""
         return [t.ref for t in self.tasks.values() if t.outcome is None]
 
+    def grant(self, total: int, is_urgent: bool) -> None:
+        """Queues a grant of credits.
+
+        Args:
+            total: Credits granted in this epoch.
+            is_urgent: True if a frame is to be sent for it. Otherwise it waits
+                for the next frame, as no task waits for the credits.
+        """
+        self.granted = total
+        self.is_grant_urgent |= is_urgent
+
+    @property
+    def has_urgent_messages(self) -> bool:
+        """True if a frame is to be sent at once."""
+        return bool(self.outbox) or self.is_grant_urgent
+
     def next_frame(self, now_s: float) -> SidecarFrame:
         """Returns a frame with all queued messages, and clears the queue."""
         self.frames_sent += 1
+        if self.granted:
+            self.outbox.append(Grant(self.granted))
+            self.granted, self.is_grant_urgent = 0, False
         messages, self.outbox = self.outbox, []
         return SidecarFrame(
             self.sidecar, self.fence.epoch, self.frames_sent, messages, now_s
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -58,6 +58,9 @@
     def on_link_ready(self, _link):
         pass
 
+    def on_credits_unused(self, _link):
+        pass
+
     def place_waiting(self):
         pass
 
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -29,7 +29,6 @@
     CreditReturn,
     Demand,
     EntryFrame,
-    Grant,
     Leaving,
     Outcome,
     Recall,
@@ -540,8 +539,8 @@
         now_s = self.clock.monotonic()
         self.ledger.slots = self.upstream.slots
         for entry in self.ledger.allocate():
-            total = self.ledger.holders[entry].granted
-            self.sessions[entry].outbox.append(Grant(total))
+            holder = self.ledger.holders[entry]
+            self.sessions[entry].grant(holder.granted, holder.demand > 0)
         for entry, count in self.ledger.start_recalls(now_s).items():
             self.sessions[entry].outbox.append(Recall(count))
 
@@ -551,9 +550,9 @@
             interval_s = self.timing.heartbeat_interval_s(session.is_idle)
             due = now_s - session.last_sent_s >= interval_s
             is_open = not session.fence.is_epoch_invalid
-            if session.outbox or (due and is_open):
+            if session.has_urgent_messages or (due and is_open):
                 session.last_sent_s = now_s
-                self.link_usage.count_sent(has_messages=bool(session.outbox))
+                self.link_usage.count_sent(session.has_urgent_messages)
                 data = self.encoder.encode(session.next_frame(now_s))
                 self.socket.send_multipart([session.route, data])
 
