Let starts and stops share three connections to the runner

Change: reports have their own connection, and at most three orders are sent at once; one takes about a millisecond. One without an answer holds its connection for 50 ms.

test_burst_of_starts_shares_few_connections fails without the limit.

--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -36,6 +36,9 @@
 # Requests are idempotent, so one that fails on a connection closed by the
 # runner can be repeated at little more than the cost of a new connection.
 MAX_IDLE_S = 30
+# An order takes about a millisecond, and one without a reply 50 ms, in which
+# the other connections serve the rest.
+MAX_ORDER_CONNECTIONS = 3
 
 # Only jobs with one occurrence and one step are supported.
 ONLY_OCCURRENCE = 0
@@ -66,8 +69,10 @@
 class HttpRunClient:
     """Implements `RunClient` over HTTP; thread-safe.
 
-    Idle connections are reused last in, first out, so that few are opened and
-    those in use stay warm.
+    Reports have a connection of their own, as they wait for ends. Starts and
+    stops share `MAX_ORDER_CONNECTIONS`, reused last in, first out: a runner
+    closes idle connections soon, so with one for each task of a burst most
+    orders would have to open a new one.
 
     Args:
         address: Address at which the runner accepts requests, host:port.
@@ -76,6 +81,8 @@
     def __init__(self, address: str):
         self.address = address
         self.lock = threading.Lock()
+        self.report_transfer = self._new_transfer()
+        self.order_slots = threading.BoundedSemaphore(MAX_ORDER_CONNECTIONS)
         self.idle_transfers: list[Transfer] = []
         self.report_decoder = msgspec.json.Decoder(ReportReply)
         self.log = EventLog("runner")
@@ -94,7 +101,7 @@
             msgspec.json.decode(payload, type=str),
             int(until_s * MS_PER_S),
         )
-        result = self._send("/run-start", body, timeout_s)
+        result = self._send_order("/run-start", body, timeout_s)
         if result.is_error():
             return Error(result.error)
         reply = result.ok
@@ -109,7 +116,7 @@
     def stop(self, run: RunId, timeout_s: float) -> Result[None, RequestError]:
         """Stops a run; see `RunClient.stop`."""
         body = StopRequest(_format_task_name(run), run.attempt)
-        return self._send("/run-stop", body, timeout_s).bind(
+        return self._send_order("/run-stop", body, timeout_s).bind(
             lambda reply: (
                 Ok(None) if reply.status == 200 else _unknown_outcome(reply)
             )
@@ -125,7 +132,7 @@
         """Renews the lease and reports the runs; see `RunClient.report`."""
         until_ms = None if until_s is None else int(until_s * MS_PER_S)
         body = ReportRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
-        result = self._send("/hold", body, timeout_s)
+        result = self._send(self.report_transfer, "/hold", body, timeout_s)
         if result.is_error():
             return Error(result.error)
         if result.ok.status != 200:
@@ -146,26 +153,36 @@
             return Refusal.INVALID
         return _REFUSALS_BY_REASON.get(reason, Refusal.INVALID)
 
-    def _send(
+    def _send_order(
         self, path: str, body: msgspec.Struct, timeout_s: float
     ) -> Result[Reply, RequestError]:
-        with self.lock:
-            transfer = (
-                self.idle_transfers.pop()
-                if self.idle_transfers
-                else self._new_transfer()
-            )
-        try:
-            reply = transfer.perform(
-                "POST",
-                f"http://{self.address}{path}",
-                msgspec.json.encode(body),
-                timeout_s,
-                JSON_HEADERS,
-            )
-        finally:
+        with self.order_slots:
             with self.lock:
-                self.idle_transfers.append(transfer)
+                transfer = (
+                    self.idle_transfers.pop()
+                    if self.idle_transfers
+                    else self._new_transfer()
+                )
+            try:
+                return self._send(transfer, path, body, timeout_s)
+            finally:
+                with self.lock:
+                    self.idle_transfers.append(transfer)
+
+    def _send(
+        self,
+        transfer: Transfer,
+        path: str,
+        body: msgspec.Struct,
+        timeout_s: float,
+    ) -> Result[Reply, RequestError]:
+        reply = transfer.perform(
+            "POST",
+            f"http://{self.address}{path}",
+            msgspec.json.encode(body),
+            timeout_s,
+            JSON_HEADERS,
+        )
         if isinstance(reply, TransferFailure):
             return Error(RequestError(reply.reason, reply.was_sent))
         return Ok(reply)
--- a/sardinestair/platform/tests/test_orders.py
+++ b/sardinestair/platform/tests/test_orders.py
@@ -1,17 +1,22 @@
 """Requests to a stand-in for a runner over HTTP."""
 
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
 from sardinestair.clock import SystemClock
 from sardinestair.messages import TaskRef
 from sardinestair.platform.names import parse_job_name
-from sardinestair.platform.orders import HttpRunClient
+from sardinestair.platform.orders import MAX_ORDER_CONNECTIONS, HttpRunClient
 from sardinestair.platform.tests.standins import RunnerServer
 from sardinestair.standins.runner import RunnerModel
 from sardinestair.upstreams.orders import EndKind, Refusal
 
 REF = TaskRef(parse_job_name("5c0e7a21d94b36f8"), 17, 2)
 SPEC = b'"0.01"'
+BURST = 16
+TIMEOUT_S = 20.0
 
 
 @pytest.fixture
@@ -107,3 +112,42 @@
         run = client.run_id(TaskRef(REF.job, 0, number))
         client.stop(run, 1.0)
     assert len(client.idle_transfers) == 1
+
+
+class SlowRunnerServer(RunnerServer):
+    """Answers starts once `release` is set, and records their connections."""
+
+    def __init__(self, model):
+        self.release = threading.Event()
+        self.arrived = threading.Semaphore(0)
+        self.ports = set()
+        super().__init__(model)
+
+    def start_run(self, request):
+        self.ports.add(request.environ["REMOTE_PORT"])
+        self.arrived.release()
+        assert self.release.wait(TIMEOUT_S)
+        return super().start_run(request)
+
+
+# Guards against a connection for each start of a burst: runners close idle
+# connections, so that nearly every start opened a new one.
+def test_burst_of_starts_shares_few_connections():
+    server = SlowRunnerServer(RunnerModel(SystemClock()))
+    server.http.start()
+    client = HttpRunClient(server.address)
+    refs = [TaskRef(REF.job, index, 1) for index in range(BURST)]
+    with ThreadPoolExecutor(BURST) as workers:
+        starts = [
+            workers.submit(
+                client.start, client.run_id(ref), SPEC,
+                until_s(server, TIMEOUT_S), TIMEOUT_S,
+            )
+            for ref in refs
+        ]  # fmt: skip
+        for _ in range(MAX_ORDER_CONNECTIONS):
+            assert server.arrived.acquire(timeout=TIMEOUT_S)
+        server.release.set()
+        assert all(start.result(TIMEOUT_S).is_ok() for start in starts)
+    server.http.stop()
+    assert len(server.ports) <= MAX_ORDER_CONNECTIONS
