Refuse jobs whose client has left before they are read

Callers saw: an entry that was behind spent its time on jobs that nobody waited for any more.

Cause: the client's departure was looked for only once a job was accepted.

Change: one poll of the connection before the job is submitted. Nothing is refused that a client waits for.

--- a/sardinestair/entry/departures.py
+++ b/sardinestair/entry/departures.py
@@ -41,6 +41,12 @@
         self.callbacks: dict[int, Callable[[], object]] = {}
         self.stopping = False
 
+    def has_left(self, connection: socket.socket) -> bool:
+        """Returns True if the peer has already closed a connection."""
+        poller = select.poll()
+        poller.register(connection, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     def watch(
         self, connection: socket.socket, on_disconnect: Callable[[], object]
     ) -> None:
--- a/sardinestair/entry/tests/test_departures.py
+++ b/sardinestair/entry/tests/test_departures.py
@@ -92,3 +92,9 @@
         ours.close()
     assert left.is_set()
     assert not watcher.wakeup.wait(0.0)
+
+
+def test_departure_before_the_watch_is_visible(watcher, pair):
+    assert not watcher.has_left(pair[0])
+    pair[1].close()
+    assert watcher.has_left(pair[0])
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -121,6 +121,9 @@
         self, request: Request, route: RouteNode, job_id: JobId
     ) -> Response:
         body = request.get_data(cache=False)
+        connection = connection_of(request)
+        if connection is not None and self.departures.has_left(connection):
+            return self._refusal_response(request, 503, "the client has left")
         try:
             submitted = self.decoder.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
