Bound the messages between entries

Cause, found while looking for the same class elsewhere: an entry sent a message a second to each other entry, each in a thread of its own, and answered as many: 26 wake-ups a second with 14 entries, and quadratic in all.

Change: at most four a second, one in up to 5 s to the same entry, and an entry counts as gone after three intervals. Settings still reach all entries within a second or two, as each passes them on and each also reads the store.

--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -11,12 +11,18 @@
 
 __all__ = ["Gossip"]
 
-GOSSIP_INTERVAL_S = 1.0
-PEER_TIMEOUT_S = 5.0
+MIN_INTERVAL_S = 1.0
+MAX_INTERVAL_S = 5.0
+# Bounds the messages of an entry; settings reach all entries within a second or
+# two, as each entry passes them on.
+MAX_MESSAGES_PER_S = 4.0
+MIN_PEER_TIMEOUT_S = 5.0
 
 
 class Gossip:
-    """Exchanges messages with each other entry once a second.
+    """Exchanges messages with all other entries in turn.
+
+    Each gets one per second; with many entries, one in up to `MAX_INTERVAL_S`.
 
     An entry that has lost its watch on the store, or that starts while the
     store is down, gets the settings in force from its peers.
@@ -42,6 +48,17 @@
         self.announcers: dict[str, Announcer[PeerReply]] = {}
         self.stopping = False
 
+    @property
+    def interval_s(self) -> float:
+        """Interval between two messages to the same entry, in seconds."""
+        interval_s = len(self.announcers) / MAX_MESSAGES_PER_S
+        return min(max(interval_s, MIN_INTERVAL_S), MAX_INTERVAL_S)
+
+    @property
+    def peer_timeout_s(self) -> float:
+        """Time without a message after which an entry counts as gone."""
+        return max(MIN_PEER_TIMEOUT_S, 3 * self.interval_s)
+
     def start(self) -> None:
         """Starts an announcer for each known peer."""
         for endpoint in list(self.membership.peers.peers):
@@ -74,10 +91,12 @@
             self._make_hello,
             PeerReply,
             lambda reply: self._handle_reply(endpoint, reply),
-            GOSSIP_INTERVAL_S,
+            self.interval_s,
             self.membership.dispatcher.context,
         )
         self.announcers[endpoint] = announcer
+        for other in self.announcers.values():
+            other.interval_s = self.interval_s
         self.run_in_thread(announcer.run)
 
     def _make_hello(self) -> PeerHello:
@@ -99,5 +118,5 @@
         self.add_endpoints(reply.entries)
         dispatcher = self.membership.dispatcher
         dispatcher.admission_controller.entry_count = 1 + len(
-            self.membership.peers.recently_seen(now_s, PEER_TIMEOUT_S)
+            self.membership.peers.recently_seen(now_s, self.peer_timeout_s)
         )
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -11,7 +11,7 @@
 from sardinestair.entry.admin import AdminApi
 from sardinestair.entry.api import CallerApi
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.entry.gossip import PEER_TIMEOUT_S, Gossip
+from sardinestair.entry.gossip import Gossip
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
@@ -277,7 +277,9 @@
         self.gossip.add_endpoints([record.endpoint for record in records])
 
     def _live_peers(self):
-        return self.peers.recently_seen(self.clock.monotonic(), PEER_TIMEOUT_S)
+        return self.peers.recently_seen(
+            self.clock.monotonic(), self.gossip.peer_timeout_s
+        )
 
     def _servers(self) -> list[HttpServer]:
         return [self.http]
