--- a/sardinestair/web.py
+++ b/sardinestair/web.py
@@ -38,7 +38,9 @@
 SO_ATTACH_FILTER = 26
 # One classic BPF instruction, `ret #0`: drop every packet.
 BPF_RETURN_ZERO = struct.pack("HBBI", 0x06, 0, 0, 0)
-# Idle threads to keep; more threads are started when fewer are idle.
+# More threads are started when fewer than MIN_IDLE_THREADS are idle, until
+# SPARE_THREADS are.
+MIN_IDLE_THREADS = 8
 SPARE_THREADS = 16
 CONNECTION_KEY = "sardinestair.connection"
 
@@ -198,7 +200,8 @@
         if isinstance(obj, HTTPConnection):
             self.queued_s.append(time.monotonic())
         super().put(obj)
-        self.wakeup.set()
+        if self.idle - self.qsize < MIN_IDLE_THREADS:
+            self.wakeup.set()
 
     def _get(self):
         """Returns the next connection, or the library's request to stop."""
