Use the interpreter's default switch interval

Cause: with 0.5 ms in place of 5 ms every thread that waits for the interpreter lock wakes up ten times as often. It was chosen for hand-overs between many threads of links, which are gone.

Hand-overs may take up to 5 ms while a thread computes; the latency of the path (bench_path) was not measured again.

--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -32,9 +32,6 @@
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 
-# Each hand-over of a task to another thread may wait this long. The
-# interpreter's default is 5 ms.
-SWITCH_INTERVAL_S = 0.0005
 THREAD_STACK_BYTES = 512 << 10
 SETTINGS_POLL_INTERVAL_S = 1.0
 
@@ -86,13 +83,12 @@
 
 
 def tune_interpreter() -> None:
-    """Configures the interpreter for frequent hand-overs between threads.
+    """Limits the stacks of threads.
 
     Also enables a dump of all thread stacks to standard error if native code
     crashes.
     """
     faulthandler.enable()
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
     threading.stack_size(THREAD_STACK_BYTES)
 
 
