--- a/sardinestair/links/link_loop.py
+++ b/sardinestair/links/link_loop.py
@@ -19,8 +19,8 @@
 __all__ = ["LinkLoop", "LoopOwner"]
 
 RECONNECT_DELAY_S = 0.1
-# Bounds the delay of an idle entry's answer to a recall, which holds up tasks of
-# another entry.
+# Bounds the delay of an idle entry's answer to a recall, which holds up tasks
+# of another entry.
 IDLE_WAIT_S = 0.02
 
 
