--- a/sardinestair/links/link_loop.py
+++ b/sardinestair/links/link_loop.py
@@ -217,3 +217,4 @@
         self._disconnect(connection)
         if connection.link.is_settled():
             del self.connections[connection.link]
+            connection.link.log.info("link_closed", epoch=connection.link.epoch)
--- a/sardinestair/links/tests/test_link_loop.py
+++ b/sardinestair/links/tests/test_link_loop.py
@@ -157,11 +157,13 @@
     assert max(epochs) == LINKS
 
 
-def test_closed_link_is_dropped(system):
+def test_closed_link_is_dropped_and_logged(system, caplog):
+    caplog.set_level("INFO", logger="sardinestair")
     system.open()
     system.links[0].close()
     system.run_until(lambda: system.links[0] not in system.loop.connections)
     assert len(system.loop.connections) == LINKS - 1
+    assert "link_closed" in caplog.text
 
 
 # Guards against a busy loop: sending consumed the signal of a message, and the
