Name the targets of demand by what they are

From reading the change as a newcomer: asked and asking were figures of speech for sending demand. No change of behaviour; the regression test keeps its check under test_unused_credits_are_requested_once_per_check.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -15,7 +15,7 @@
 from sardinestair.entry.overdue import OverdueTaskMonitor
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.run_ends import RunOutcomeHandler
-from sardinestair.entry.service_state import ASKED_PER_TASK, ServiceState
+from sardinestair.entry.service_state import TARGETS_PER_TASK, ServiceState
 from sardinestair.ids import (
     Incarnation,
     JobId,
@@ -169,8 +169,8 @@
             announce: The sidecar's announcement.
 
         Returns:
-            A new link that the caller must have served, or None if no link was
-            opened.
+            A new link that the caller must add to the `LinkLoop`, or None if
+            no link was opened.
         """
         with self.lock:
             link = self.links.get(announce.sidecar)
@@ -314,10 +314,10 @@
                     for link in state.links.values():
                         if not link.candidate.is_usable:
                             state.refresh_candidate(link, now_s)
-                    # Those asked so far have too little free capacity.
+                    # The targets so far have too little free capacity.
                     state.declined.clear()
-                    wanted = ASKED_PER_TASK * state.queue.waiting_tasks
-                    self._ask_sidecars(state, wanted)
+                    wanted = TARGETS_PER_TASK * state.queue.waiting_tasks
+                    self._add_demand_targets(state, wanted)
                     self.services_to_place.add(state.name)
             self.place_waiting()
 
@@ -381,7 +381,7 @@
         return next(self.epoch_counter)
 
     def on_link_ready(self, link: EntryLink) -> None:
-        """Has a link served soon; the lock need not be held."""
+        """Queues a link for `LinkLoop`; the lock need not be held."""
         self.ready_links.append(link)
         self.on_links_ready()
 
@@ -406,13 +406,13 @@
         self._refresh_link(link)
 
     def on_credits_unused(self, link: EntryLink) -> None:
-        """Asks a sidecar for no more credits until the next periodic check.
+        """Sends a sidecar no more demand until the next periodic check.
 
         Otherwise the same credits would be granted and recalled in a loop, as
         long as placement prefers to wait for another upstream.
         """
         state = self.services[link.candidate.service]
-        state.asked.discard(link.sidecar)
+        state.demand_targets.discard(link.sidecar)
         state.declined.add(link.sidecar)
 
     def demand_for(self, link: EntryLink) -> Demand:
@@ -548,15 +548,15 @@
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
         if not state.queue.waiting_tasks:
-            state.asked.clear()
-        wanted = ASKED_PER_TASK * state.queue.waiting_tasks
-        self._ask_sidecars(state, wanted - len(state.asked))
+            state.demand_targets.clear()
+        wanted = TARGETS_PER_TASK * state.queue.waiting_tasks
+        self._add_demand_targets(state, wanted - len(state.demand_targets))
         for sidecar in sidecars_to_wake:
             state.links[sidecar].notify()
 
-    def _ask_sidecars(self, state: ServiceState, count: int) -> None:
-        """Asks further sidecars for credits."""
-        for link in state.ask_sidecars(count):
+    def _add_demand_targets(self, state: ServiceState, count: int) -> None:
+        """Sends the demand of the queued tasks to further sidecars."""
+        for link in state.add_demand_targets(count):
             link.notify()
 
     def _refresh_link(self, link: EntryLink) -> None:
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -38,7 +38,7 @@
         dispatcher: The entry's dispatcher.
         roster: The known sidecars.
         peers: The known entries; `own_endpoint` is set here.
-        start_link: Has a new link served.
+        start_link: Adds a new link to the `LinkLoop`.
         context: The ZeroMQ context.
 
     Attributes:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -25,9 +25,9 @@
 # Queued jobs that one placement considers: of each kind, and in total.
 MAX_LOOKAHEAD_PER_KIND = 3
 MAX_LOOKAHEAD_JOBS = 64
-# Sidecars asked for credits per waiting task at first. Asking more of them
-# finds free capacity sooner, but credits that are not used must be returned.
-ASKED_PER_TASK = 2
+# Sidecars that receive the demand for one waiting task at first. With more of
+# them free capacity is found sooner, but unused credits must be returned.
+TARGETS_PER_TASK = 2
 # Upstreams announce themselves within two heartbeats of 1.5 s. Until then the
 # throughput is unknown and no wait can be predicted.
 DISCOVERY_GRACE_S = 3.0
@@ -50,7 +50,7 @@
         speeds_: Learned speed factors by sidecar.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
-        asked: Sidecars that are asked for credits for the queued tasks.
+        demand_targets: Sidecars that receive the demand of the queued tasks.
         declined: Sidecars whose credits no task has used since the last
             periodic check.
         created_s: When this state was created, on the entry's clock.
@@ -73,9 +73,9 @@
         self.speeds_: dict[Incarnation, SlowdownEstimator] = {}
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
-        self.asked: set[Incarnation] = set()
+        self.demand_targets: set[Incarnation] = set()
         self.declined: set[Incarnation] = set()
-        self.next_asked = 0
+        self.next_target = 0
 
     def configure(self, settings: ServiceSettings) -> None:
         """Applies changed settings; learned estimates are kept."""
@@ -265,36 +265,36 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
-    def ask_sidecars(self, count: int) -> list[EntryLink]:
-        """Chooses further sidecars to ask for credits, in turn.
+    def add_demand_targets(self, count: int) -> list[EntryLink]:
+        """Adds sidecars to the demand targets, in turn.
 
         Args:
-            count: Maximum number of sidecars to choose.
+            count: Maximum number of sidecars to add.
 
         Returns:
             Their links.
         """
         links = list(self.links.values())
         chosen: list[EntryLink] = []
-        skipped = self.asked | self.declined
+        skipped = self.demand_targets | self.declined
         for offset in range(len(links)):
             if len(chosen) >= count:
                 break
-            link = links[(self.next_asked + offset) % len(links)]
+            link = links[(self.next_target + offset) % len(links)]
             if link.sidecar not in skipped and link.candidate.is_usable:
                 chosen.append(link)
         if chosen:
-            self.next_asked = (links.index(chosen[-1]) + 1) % len(links)
-            self.asked.update(link.sidecar for link in chosen)
+            self.next_target = (links.index(chosen[-1]) + 1) % len(links)
+            self.demand_targets.update(link.sidecar for link in chosen)
         return chosen
 
     def demand(self, link: EntryLink, now_s: float) -> Demand:
         """Returns the demand for credits of a link's upstream.
 
-        It is zero if the sidecar is not among those asked, if no queued task
+        It is zero if the sidecar is not a demand target, if no queued task
         would start there, or if the credits held already cover the next one.
         """
-        if link.sidecar not in self.asked:
+        if link.sidecar not in self.demand_targets:
             return Demand(0, 0.0)
         job = self._first_job_for(link)
         if job is None:
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -345,14 +345,14 @@
 
 # Guards against a loop: an entry that waits for a faster upstream was granted
 # the same credits over and over, as another entry's demand recalled them.
-def test_unused_credits_are_asked_for_once_per_check():
+def test_unused_credits_are_requested_once_per_check():
     entry = Entry(max_attempts=1)
     state = entry.dispatcher.services["quotes"]
     link = entry.links[A]
-    state.asked = {A, B}
+    state.demand_targets = {A, B}
     link._handle(Recall(1600))
-    assert state.asked == {B}
-    assert link not in state.ask_sidecars(2)
+    assert state.demand_targets == {B}
+    assert link not in state.add_demand_targets(2)
     entry.submit(tasks=40)
     entry.dispatcher.run_periodic_checks()
     assert state.queue.waiting_tasks
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -83,7 +83,7 @@
         """Handles attempts that may have run, with an unknown outcome."""
 
     def on_link_ready(self, link: "EntryLink") -> None:
-        """Has the link served soon; called with or without `lock` held."""
+        """Queues the link for `LinkLoop`; `lock` need not be held."""
 
     def on_credits_unused(self, link: "EntryLink") -> None:
         """Handles a recall of credits that no task has used."""
@@ -247,7 +247,7 @@
         self.notify()
 
     def notify(self) -> None:
-        """Has the thread that serves links serve this one soon."""
+        """Queues the link for `LinkLoop`, unless it is queued already."""
         if not self.is_ready:
             self.is_ready = True
             self.owner.on_link_ready(self)
