Restore the short window of the frames test as a known red case

While the test was written its run was lengthened from 3 to 6 s, since 6 entries and 24 sidecars took 4.2 frames a task against a bound of 4. The bound stayed, but the longer run hid a real cost: until the first tasks have shown their size, idle credits are granted in fractions of a task and recalled.

--- a/sardinestair/tests/test_cost_growth.py
+++ b/sardinestair/tests/test_cost_growth.py
@@ -11,9 +11,10 @@
 MAX_FRAMES_PER_TASK = 4
 TASKS_PER_JOB = 4
 JOBS_PER_S = 20
+KNOWN_RED = "frames while task sizes are unknown; listed in KNOWN-RED.txt"
 
 
-def measure_frames_per_task(entries, sidecars, duration_s=6.0):
+def measure_frames_per_task(entries, sidecars, duration_s):
     """Returns the frames with messages per task, at a light load."""
     system = EmulatedSystem(
         entries, [UpstreamModel() for _ in range(sidecars)], make_tree()
@@ -36,7 +37,19 @@
 
 # Guards against frames to all entries or all sidecars for each task: grants of
 # what a task had freed, recalls of fractions of a task, demand of every link.
-@pytest.mark.parametrize(("entries", "sidecars"), [(3, 12), (3, 48), (6, 24)])
-def test_frames_of_a_task_do_not_grow_with_the_deployment(entries, sidecars):
-    frames = measure_frames_per_task(entries, sidecars)
+@pytest.mark.parametrize(
+    ("entries", "sidecars", "duration_s"),
+    [
+        (3, 12, 3.0),
+        (3, 48, 3.0),
+        pytest.param(
+            6, 24, 3.0, marks=pytest.mark.xfail(strict=True, reason=KNOWN_RED)
+        ),
+        (6, 24, 6.0),
+    ],
+)
+def test_frames_of_a_task_do_not_grow_with_the_deployment(
+    entries, sidecars, duration_s
+):
+    frames = measure_frames_per_task(entries, sidecars, duration_s)
     assert frames <= MAX_FRAMES_PER_TASK
