--- a/benchmarks/bench_http.py
+++ b/benchmarks/bench_http.py
@@ -1,12 +1,12 @@
-"""Compares WSGI servers: keep-alive requests, and many waiting callers."""
+"""Measures the HTTP server: latency, and processor time and memory used."""
 
+import asyncio
 import multiprocessing
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from werkzeug.serving import WSGIRequestHandler, make_server
-
 from benchmarks.measure import percentile, read_usage
 from faults.system import free_port
 from sardinestair.cli.service import tune_interpreter
@@ -14,19 +14,19 @@
 from sardinestair.transfer import Reply, Transfer
 from sardinestair.web import HttpServer, Request, Response, WebApp
 
-HANDLER_WAIT_S = 0.2
-MAX_THREADS = 256
+HANDLER_WAIT_S = 0.12
 STARTUP_WAIT_S = 1.5
+SILENT_CONNECTIONS = 1000
 
 
 def make_app() -> WebApp:
     """Returns an application with a trivial and a waiting path."""
 
-    def respond(_request: Request) -> Response:
+    async def respond(_request: Request) -> Response:
         return Response(b"{}")
 
-    def respond_after_wait(_request: Request) -> Response:
-        time.sleep(HANDLER_WAIT_S)
+    async def respond_after_wait(_request: Request) -> Response:
+        await asyncio.sleep(HANDLER_WAIT_S)
         return Response(b"{}")
 
     rules = [
@@ -36,40 +36,17 @@
     return WebApp(rules, 1 << 20, EventLog("bench"))
 
 
-def serve_cheroot(port: int) -> None:
-    """Serves with cheroot."""
+def serve(port: int) -> None:
+    """Serves until the process is ended."""
     tune_interpreter()
-    server = HttpServer("127.0.0.1", port, make_app(), MAX_THREADS)
-    server.start()
+    HttpServer("127.0.0.1", port, make_app()).start()
     threading.Event().wait()
 
 
-class KeepAliveHandler(WSGIRequestHandler):
-    """Werkzeug's handler with keep-alive and without logging."""
-
-    protocol_version = "HTTP/1.1"
-
-    def log(self, *_arguments) -> None:
-        """Discards the message."""
-
-
-def serve_werkzeug(port: int) -> None:
-    """Serves with werkzeug's threaded server."""
-    tune_interpreter()
-    server = make_server(
-        "127.0.0.1",
-        port,
-        make_app(),
-        threaded=True,
-        request_handler=KeepAliveHandler,
-    )
-    server.serve_forever()
-
-
 def call_concurrently(
-    url: str, callers: int, calls: int
+    url: str, callers: int, calls: int, keeps_connections: bool
 ) -> tuple[list[float], int]:
-    """Calls a server from concurrent callers with keep-alive.
+    """Calls a server from concurrent callers.
 
     Returns:
         The durations of successful calls in ms, and the number of failed
@@ -83,6 +60,9 @@
             reply = transfer.perform("GET", url, b"", 30.0)
             if isinstance(reply, Reply):
                 durations.append((time.perf_counter() - started_s) * 1000)
+            if not keeps_connections:
+                transfer.close()
+                transfer = Transfer()
         return durations
 
     with ThreadPoolExecutor(callers) as pool:
@@ -94,36 +74,50 @@
 
 
 def main() -> None:
-    """Runs each case on each server and prints a table."""
+    """Runs each case and prints a table."""
+    port = free_port()
+    process = multiprocessing.Process(target=serve, args=(port,), daemon=True)
+    process.start()
+    time.sleep(STARTUP_WAIT_S)
+    pid = process.pid or 0
+    base = f"http://127.0.0.1:{port}"
     print(
-        f"{'server':10} {'case':26} {'p50 ms':>8} {'p99 ms':>8} {'MB':>6} "
+        f"{'case':38} {'p50 ms':>8} {'p99 ms':>8} {'cpu ms':>8} {'MB':>6} "
         f"{'failed':>6}"
     )
-    for name, serve in (
-        ("cheroot", serve_cheroot),
-        ("werkzeug", serve_werkzeug),
+    for case, path, callers, calls, keeps_connections in (
+        ("1 caller, trivial, kept", "/trivial", 1, 500, True),
+        ("8 callers, trivial, kept", "/trivial", 8, 200, True),
+        ("8 callers, waiting, new connections", "/waiting", 8, 30, False),
+        ("200 callers, waiting, kept", "/waiting", 200, 5, True),
     ):
-        port = free_port()
-        process = multiprocessing.Process(
-            target=serve, args=(port,), daemon=True
+        before_s = read_usage(pid).cpu_s
+        durations, failed = call_concurrently(
+            base + path, callers, calls, keeps_connections
+        )
+        usage = read_usage(pid)
+        cpu_ms = 1000 * (usage.cpu_s - before_s) / (callers * calls)
+        print(
+            f"{case:38} {percentile(durations, 0.5):8.2f} "
+            f"{percentile(durations, 0.99):8.2f} {cpu_ms:8.3f} "
+            f"{usage.resident_mb:6.1f} {failed:6d}"
         )
-        process.start()
-        time.sleep(STARTUP_WAIT_S)
-        base = f"http://127.0.0.1:{port}"
-        for case, path, callers, calls in (
-            ("1 caller, trivial", "/trivial", 1, 500),
-            ("8 callers, trivial", "/trivial", 8, 200),
-            ("200 callers, each 0.2 s", "/waiting", 200, 5),
-        ):
-            durations, failed = call_concurrently(base + path, callers, calls)
-            usage = read_usage(process.pid or 0)
-            print(
-                f"{name:10} {case:26} {percentile(durations, 0.5):8.2f} "
-                f"{percentile(durations, 0.99):8.2f} {usage.resident_mb:6.1f} "
-                f"{failed:6d}"
-            )
-        process.terminate()
-        process.join()
+    before_mb = read_usage(pid).resident_mb
+    silent = [
+        socket.create_connection(("127.0.0.1", port))
+        for _ in range(SILENT_CONNECTIONS)
+    ]
+    time.sleep(STARTUP_WAIT_S)
+    added_mb = read_usage(pid).resident_mb - before_mb
+    per_connection_kb = 1024 * added_mb / SILENT_CONNECTIONS
+    print(
+        f"{SILENT_CONNECTIONS} silent connections: {per_connection_kb:.1f} KB "
+        f"each"
+    )
+    for connection in silent:
+        connection.close()
+    process.terminate()
+    process.join()
 
 
 if __name__ == "__main__":
--- a/faults/system.py
+++ b/faults/system.py
@@ -247,7 +247,6 @@
             "zone": ZONES[index % len(ZONES)],
             "store": {"endpoints": [self.store_url], "timeout_s": 0.5},
             "peers": [f"127.0.0.1:{p}" for p in link_ports],
-            "http_threads": 160,
         }
         file = self._write_settings(f"entry{index}.yaml", settings)
         args = ["sardinestair-entry", "--settings", file]
--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -7,6 +7,7 @@
 
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.ids import format_incarnation
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability.burn import ServiceBurn
 from sardinestair.observability.dropped import parse_time_span
 from sardinestair.outcomes import Problem, ProblemKind
@@ -14,9 +15,9 @@
 from sardinestair.settings.service import Applied, SettingsWriter
 from sardinestair.settings.tree import WILDCARD, explain
 from sardinestair.web import (
-    Handler,
     Request,
     Response,
+    Rule,
     json_response,
     problem_response,
 )
@@ -53,7 +54,7 @@
         self.writer = writer
         self.revision = revision
 
-    def rules(self) -> list[tuple[str, list[str], Handler]]:
+    def rules(self) -> list[Rule]:
         """Returns the URL rules with their methods and handlers."""
         return [
             ("/admin/v1/settings", ["GET"], self.show_settings),
@@ -67,7 +68,7 @@
             ("/admin/v1/burn", ["GET"], self.burn),
         ]
 
-    def show_settings(self, _request: Request) -> Response:
+    async def show_settings(self, _request: Request) -> Response:
         """Returns the settings tree in force at this entry."""
         tree = self.dispatcher.tree or SettingsTree()
         return json_response({"revision": self.revision(), "tree": tree})
@@ -75,8 +76,8 @@
     def edit(self, request: Request) -> Response:
         """Changes one settings node."""
         try:
-            edit = msgspec.json.decode(request.get_data(), type=EditRequest)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            edit = msgspec.json.decode(request.body, type=EditRequest)
+        except DECODE_ERRORS as error:
             return problem_response(_invalid_request(str(error)))
         if self.writer is None:
             return problem_response(_store_required())
@@ -89,17 +90,19 @@
     def apply(self, request: Request) -> Response:
         """Replaces the settings tree."""
         try:
-            body = request.get_data()
-            tree = msgspec.json.decode(body, type=SettingsTree)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            tree = msgspec.json.decode(request.body, type=SettingsTree)
+        except DECODE_ERRORS as error:
             return problem_response(_invalid_request(str(error)))
         if self.writer is None:
             return problem_response(_store_required())
-        seen = request.args.get("seen", type=int)
+        try:
+            seen = int(request.args["seen"]) if "seen" in request.args else None
+        except ValueError as error:
+            return problem_response(_invalid_request(f"seen: {error}"))
         author = request.args.get("author", "unknown")
         return _applied_response(self.writer.apply(tree, seen, author))
 
-    def explain(self, request: Request) -> Response:
+    async def explain(self, request: Request) -> Response:
         """Returns effective settings and the node that sets each value."""
         scope = [
             request.args.get(n, WILDCARD) for n in ("service", "zone", "kind")
@@ -122,7 +125,7 @@
         ordered = sorted(changes.values(), key=lambda c: c.time, reverse=True)
         return json_response(ordered)
 
-    def status(self, _request: Request) -> Response:
+    async def status(self, _request: Request) -> Response:
         """Returns the state of the entry and its queues."""
         dispatcher = self.dispatcher
         with dispatcher.lock:
@@ -148,7 +151,7 @@
             }
         return json_response(body)
 
-    def burn(self, _request: Request) -> Response:
+    async def burn(self, _request: Request) -> Response:
         """Returns job counts against each service's objective, by minute."""
         with self.dispatcher.lock:
             reports = [
@@ -162,7 +165,7 @@
             ]
             return json_response(reports)
 
-    def dropped(self, request: Request) -> Response:
+    async def dropped(self, request: Request) -> Response:
         """Returns the jobs that got no complete answer, oldest first."""
         try:
             span = parse_time_span(request.args.get("since", "24h"))
@@ -171,7 +174,7 @@
         start = self.dispatcher.clock.now() - span
         return json_response(self.dispatcher.recorder.dropped.since(start))
 
-    def upstreams(self, _request: Request) -> Response:
+    async def upstreams(self, _request: Request) -> Response:
         """Returns the upstreams that this entry knows."""
         with self.dispatcher.lock:
             rows = [
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -1,7 +1,6 @@
 """The HTTP API through which callers submit and fetch jobs."""
 
 from collections.abc import Callable
-from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import msgspec
 from expression import Error, Result
@@ -12,6 +11,7 @@
     ForwardedReply,
     Forwarder,
 )
+from sardinestair.event_loop import EventLoop, wait_for_result
 from sardinestair.ids import (
     JobId,
     format_job_id,
@@ -29,9 +29,9 @@
 from sardinestair.web import (
     JSON_TYPE,
     PROBLEM_TYPE,
-    Handler,
     Request,
     Response,
+    Rule,
     json_response,
     problem_response,
 )
@@ -44,6 +44,8 @@
 # No caller resubmits after a lost answer sooner than this, so a younger id is
 # not looked up at other entries.
 MIN_RESUBMISSION_AGE_S = 0.25
+# Decoding a larger body would hold the event loop for over a millisecond.
+MAX_INLINE_BYTES = 256 << 10
 
 
 class CallerApi:
@@ -51,6 +53,7 @@
 
     Args:
         dispatcher: The entry's dispatcher.
+        event_loop: The loop in which the handlers run.
         peers: Returns the other entries that have answered recently.
         budgets: Reserves the teams' budgets; None without a store.
     """
@@ -58,16 +61,18 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
+        event_loop: EventLoop,
         peers: Callable[[], list[Peer]],
         budgets: TeamBudgets | None = None,
     ):
         self.budgets = budgets
         self.dispatcher = dispatcher
+        self.event_loop = event_loop
         self.peers = peers
         self.forwarder = Forwarder()
         self.log = EventLog("api")
 
-    def rules(self) -> list[tuple[str, list[str], Handler]]:
+    def rules(self) -> list[Rule]:
         """Returns the URL rules with their methods and handlers."""
         return [
             ("/v1/jobs", ["POST"], self.submit),
@@ -75,19 +80,22 @@
             ("/v1/jobs/<job_id>", ["DELETE"], self.cancel),
         ]
 
-    def submit(self, request: Request) -> Response:
+    async def submit(self, request: Request) -> Response:
         """Submits a job, and waits for its answer.
 
         With `Prefer: respond-async` it returns the progress at once.
         """
-        body = request.get_data(cache=False)
-        parsed = parse_request(body)
+        body = request.body
+        if len(body) > MAX_INLINE_BYTES:
+            parsed = await self.event_loop.run_blocking(parse_request, body)
+        else:
+            parsed = parse_request(body)
         if parsed.is_error():
             return problem_response(parsed.error)
-        forwarded = self._forward_resubmission(request, parsed.ok, body)
+        forwarded = await self._forward_resubmission(request, parsed.ok, body)
         if forwarded is not None:
             return forwarded
-        submitted = self._reserve_and_submit(parsed.ok)
+        submitted = await self._reserve_and_submit(parsed.ok)
         if submitted.is_error():
             if submitted.error is EARLIER_RUNS_ACTIVE:
                 with self.dispatcher.lock:
@@ -97,15 +105,19 @@
             job_id = format_job_id(parsed.ok.job_id)
             return problem_response(submitted.error, job_id)
         job = submitted.ok
-        if parsed.ok.request.unrepeatable and not job.claimed.result():
-            return self._claim_refused_response(request, job, body)
+        if parsed.ok.request.unrepeatable:
+            await wait_for_result(
+                self.event_loop, job.claimed, self._answer_timeout_s(job)
+            )
+            if not (job.claimed.done() and job.claimed.result()):
+                return await self._claim_refused_response(request, job, body)
         if "respond-async" in request.headers.get("Prefer", ""):
             response = self._progress_response(job)
             response.headers["Location"] = f"/v1/jobs/{_format_id(job)}"
             return response
-        return self._wait_for_answer(job)
+        return await self._wait_for_answer(job)
 
-    def _reserve_and_submit(
+    async def _reserve_and_submit(
         self, parsed: ParsedRequest
     ) -> Result[Job, Problem]:
         """Reserves the maximum cost of a job, and submits it."""
@@ -119,7 +131,10 @@
         tasks = len(request.tasks)
         limit = dispatcher.admission_controller.max_task_cost(request)
         total = Micros(limit * tasks)
-        reserved = self.budgets.reserve(request.team, total)
+        # It may have to reserve a slice in the store.
+        reserved = await self.event_loop.run_blocking(
+            self.budgets.reserve, request.team, total
+        )
         if reserved.is_error():
             with dispatcher.lock:
                 dispatcher.record_refusal(parsed, reserved.error)
@@ -130,20 +145,20 @@
             charge.release(tasks)
         return submitted
 
-    def fetch(self, request: Request, job_id: str) -> Response:
+    async def fetch(self, request: Request, job_id: str) -> Response:
         """Returns a job's answer, or its progress while it is active."""
-        found = self._find_job(request, job_id)
+        found = await self._find_job(request, job_id)
         if isinstance(found, Response):
             return found
         if found.is_active and "wait" in request.args:
-            return self._wait_for_answer(found)
+            return await self._wait_for_answer(found)
         if found.is_active:
             return self._progress_response(found)
         return self._answer_response(found)
 
-    def cancel(self, request: Request, job_id: str) -> Response:
+    async def cancel(self, request: Request, job_id: str) -> Response:
         """Cancels a job; a job that has ended keeps its answer."""
-        found = self._find_job(request, job_id)
+        found = await self._find_job(request, job_id)
         if isinstance(found, Response):
             return found
         self.dispatcher.cancel(found.job_id)
@@ -152,7 +167,7 @@
             return json_response(body)
         return self._answer_response(found)
 
-    def _find_job(self, request: Request, text: str) -> Job | Response:
+    async def _find_job(self, request: Request, text: str) -> Job | Response:
         try:
             job_id: JobId = parse_job_id(text)
         except ValueError as error:
@@ -163,7 +178,7 @@
         job = self.dispatcher.find(job_id)
         if job is not None:
             return job
-        forwarded = self._forward_to_owner(request, job_id)
+        forwarded = await self._forward_to_owner(request, job_id)
         if forwarded is not None:
             return forwarded
         problem = Problem(
@@ -173,24 +188,24 @@
         )
         return problem_response(problem, text)
 
-    def _forward_to_owner(
+    async def _forward_to_owner(
         self, request: Request, job_id: JobId
     ) -> Response | None:
         if FORWARDED_HEADER in request.headers:
             return None
-        owner = self.forwarder.find_owner(job_id, self.peers())
+        owner = await self.forwarder.find_owner(job_id, self.peers())
         if owner is None:
             return None
-        reply = self.forwarder.forward(
+        reply = await self.forwarder.forward(
             request.method,
             owner.http_address,
-            request.full_path,
+            request.target,
             b"",
             FORWARD_TIMEOUT_S,
         )
         return _relayed_response(reply) if reply is not None else None
 
-    def _forward_resubmission(
+    async def _forward_resubmission(
         self, request: Request, parsed: ParsedRequest, body: bytes
     ) -> Response | None:
         """Forwards a resubmission to the entry that knows the job, if any."""
@@ -204,15 +219,15 @@
         now_s = self.dispatcher.clock.now().timestamp()
         if now_s - job_id_time_s(parsed.job_id) < MIN_RESUBMISSION_AGE_S:
             return None
-        owner = self.forwarder.find_owner(parsed.job_id, self.peers())
+        owner = await self.forwarder.find_owner(parsed.job_id, self.peers())
         if owner is None:
             return None
-        reply = self.forwarder.forward(
+        reply = await self.forwarder.forward(
             "POST", owner.http_address, "/v1/jobs", body, FORWARD_TIMEOUT_S
         )
         return _relayed_response(reply) if reply is not None else None
 
-    def _claim_refused_response(
+    async def _claim_refused_response(
         self, request: Request, job: Job, body: bytes
     ) -> Response:
         """Answers for a job whose claim was refused.
@@ -224,19 +239,23 @@
         is_elsewhere = claim is not None and claim.entry != own
         if is_elsewhere and FORWARDED_HEADER not in request.headers:
             assert claim is not None
-            reply = self.forwarder.forward_submission(
+            reply = await self.forwarder.forward_submission(
                 claim, body, FORWARD_TIMEOUT_S
             )
             if reply is not None:
                 return _relayed_response(reply)
+        if job.is_active:
+            self.log.error("answer_overdue", job=_format_id(job))
+            return self._progress_response(job)
         return self._answer_response(job)
 
-    def _wait_for_answer(self, job: Job) -> Response:
-        clock = self.dispatcher.clock
-        timeout_s = job.deadline_s - clock.monotonic() + ANSWER_GRACE_S
-        try:
-            job.done.result(timeout=max(0.0, timeout_s))
-        except FutureTimeoutError:
+    def _answer_timeout_s(self, job: Job) -> float:
+        now_s = self.dispatcher.clock.monotonic()
+        return max(0.0, job.deadline_s - now_s + ANSWER_GRACE_S)
+
+    async def _wait_for_answer(self, job: Job) -> Response:
+        timeout_s = self._answer_timeout_s(job)
+        if not await wait_for_result(self.event_loop, job.done, timeout_s):
             self.log.error("answer_overdue", job=_format_id(job))
             return self._progress_response(job)
         return self._answer_response(job)
@@ -272,7 +291,7 @@
 def _relayed_response(reply: ForwardedReply) -> Response:
     is_problem = reply.status >= 400
     mimetype = PROBLEM_TYPE if is_problem else JSON_TYPE
-    return Response(reply.body, reply.status, mimetype=mimetype)
+    return Response(reply.body, reply.status, mimetype)
 
 
 def _result_json(answer: TaskAnswer) -> msgspec.Raw | str:
--- a/sardinestair/entry/forwarding.py
+++ b/sardinestair/entry/forwarding.py
@@ -1,20 +1,22 @@
 """Forwards requests about a job to the entry that owns it."""
 
 from collections.abc import Sequence
+from urllib.parse import urlsplit
 
 import msgspec
 
+from sardinestair.async_transfer import AsyncTransfer
 from sardinestair.ids import JobId, format_job_id
 from sardinestair.membership import Peer
 from sardinestair.store.claims import Claim
-from sardinestair.transfer import Reply, Transfer
+from sardinestair.transfer import Reply, TransferFailure
 
 __all__ = ["FORWARDED_HEADER", "Forwarder", "ForwardedReply"]
 
 FORWARDED_HEADER = "Sardinestair-Forwarded"
-ENTRY_HEADER = "Sardinestair-Entry"
+HTTP_PORT = 80
 LOOKUP_TIMEOUT_S = 0.5
-JSON_HEADERS = ("Content-Type: application/json", f"{FORWARDED_HEADER}: 1")
+HEADERS = f"Content-Type: application/json\r\n{FORWARDED_HEADER}: 1\r\n"
 
 
 class ForwardedReply(msgspec.Struct, frozen=True):
@@ -35,7 +37,9 @@
     A forwarded request carries a header and is never forwarded again.
     """
 
-    def find_owner(self, job_id: JobId, peers: Sequence[Peer]) -> Peer | None:
+    async def find_owner(
+        self, job_id: JobId, peers: Sequence[Peer]
+    ) -> Peer | None:
         """Returns the first peer that knows a job, or None.
 
         Args:
@@ -44,15 +48,14 @@
         """
         path = f"/v1/jobs/{format_job_id(job_id)}"
         for peer in peers:
-            url = peer.http_address + path
-            reply = Transfer().perform(
-                "GET", url, b"", LOOKUP_TIMEOUT_S, JSON_HEADERS
+            reply = await _send(
+                "GET", peer.http_address, path, b"", LOOKUP_TIMEOUT_S
             )
             if isinstance(reply, Reply) and reply.status != 404:
                 return peer
         return None
 
-    def forward(
+    async def forward(
         self,
         method: str,
         base_url: str,
@@ -72,17 +75,26 @@
         Returns:
             The reply, or None if the entry did not answer.
         """
-        reply = Transfer().perform(
-            method, base_url + path, body, timeout_s, JSON_HEADERS
-        )
+        reply = await _send(method, base_url, path, body, timeout_s)
         if not isinstance(reply, Reply):
             return None
         return ForwardedReply(reply.status, reply.body)
 
-    def forward_submission(
+    async def forward_submission(
         self, claim: Claim, body: bytes, timeout_s: float
     ) -> ForwardedReply | None:
         """Forwards a submission to the entry that holds the job's claim."""
-        return self.forward(
+        return await self.forward(
             "POST", claim.http_address, "/v1/jobs", body, timeout_s
         )
+
+
+async def _send(
+    method: str, base_url: str, path: str, body: bytes, timeout_s: float
+) -> Reply | TransferFailure:
+    url = urlsplit(base_url)
+    transfer = AsyncTransfer(url.hostname or "", url.port or HTTP_PORT)
+    try:
+        return await transfer.perform(method, path, body, timeout_s, HEADERS)
+    finally:
+        transfer.close()
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -4,8 +4,8 @@
 import time
 
 from sardinestair.clock import Clock
-from sardinestair.entry.departures import DisconnectWatcher
 from sardinestair.entry.process import EntryProcess
+from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LaunchContext
 from sardinestair.platform.callers import ClientApi
 from sardinestair.platform.names import link_endpoints
@@ -23,7 +23,6 @@
 
 __all__ = ["PlatformEntryProcess"]
 
-READINESS_THREADS = 2
 # A configuration change must be in force within 2 s (platform figure). A watch
 # reports it at once; reading again this often finds what a watch has missed.
 REREAD_INTERVAL_S = 1.0
@@ -41,6 +40,7 @@
     Args:
         settings: The process's settings; `platform` is required.
         clock: The clock.
+        event_loop: The event loop; the entry runs one of its own if None.
         launched: How the program was launched. Its listener, if any, accepts
             the clients' connections.
 
@@ -58,36 +58,38 @@
         self,
         settings: EntrySettings,
         clock: Clock | None = None,
+        event_loop: EventLoop | None = None,
         launched: LaunchContext | None = None,
     ):
         assert settings.platform is not None
         self.platform: EntryPlatform = settings.platform
         self.is_leaving = False
         self.configured = threading.Event()
-        super().__init__(settings, clock)
-        self.disconnect_watcher = DisconnectWatcher()
-        api = ClientApi(self.dispatcher, self.disconnect_watcher)
+        super().__init__(settings, clock, event_loop)
+        api = ClientApi(self.dispatcher, self.event_loop)
         self.client_app = WebApp(api.rules(), settings.max_body_bytes, self.log)
         host, port = split_address(self.platform.client_address)
         self.client_server = HttpServer(
             host,
             port,
             self.client_app,
-            self.platform.client_threads,
+            self.event_loop,
             None if launched is None else launched.listener,
+            settings.http,
         )
         host, port = split_address(self.platform.readiness_address)
         readiness_app = WebApp(
             monitoring_rules(self.metrics, self._readiness), 1024, self.log
         )
         self.readiness_server = HttpServer(
-            host, port, readiness_app, READINESS_THREADS
+            host, port, readiness_app, self.event_loop, limits=settings.http
         )
 
     def start(self) -> None:
-        """Starts all threads."""
+        """Starts to serve, clients last."""
+        if self.platform.client_threads is not None:
+            self.log.warning("setting_ignored", name="platform.client_threads")
         super().start()
-        self.tasks.run(self.disconnect_watcher.run, "http/disconnects")
         self.readiness_server.start()
         # Early connections wait in the listen backlog for the configuration.
         if not self.configured.wait(CONFIGURATION_WAIT_S):
@@ -160,10 +162,6 @@
     def _servers(self) -> list[HttpServer]:
         return [self.client_server, self.readiness_server, *super()._servers()]
 
-    def _close_http(self) -> None:
-        super()._close_http()
-        self.disconnect_watcher.stop()
-
     def _readiness(self) -> tuple[bool, str]:
         if self.is_leaving:
             return False, "the entry is leaving the balancer"
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 
 import zmq
 from expression import Result
@@ -13,6 +12,7 @@
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.entry.gossip import Gossip
 from sardinestair.entry.membership_server import MembershipServer
+from sardinestair.event_loop import EventLoop
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
 from sardinestair.links import LinkLoop
@@ -51,6 +51,7 @@
     Args:
         settings: The process's settings.
         clock: The clock.
+        event_loop: The event loop; the entry runs one of its own if None.
 
     Attributes:
         dispatcher: Owns all jobs.
@@ -62,8 +63,15 @@
 
     drain_grace_s = DRAIN_GRACE_S
 
-    def __init__(self, settings: EntrySettings, clock: Clock | None = None):
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+        event_loop: EventLoop | None = None,
+    ):
         self.settings = settings
+        self.owns_loop = event_loop is None
+        self.event_loop = event_loop or EventLoop()
         self.clock = clock or SystemClock()
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
@@ -113,7 +121,11 @@
         self.budgets = self._make_budgets()
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
-            address.host, address.http_port, self.app, settings.http_threads
+            address.host,
+            address.http_port,
+            self.app,
+            self.event_loop,
+            limits=settings.http,
         )
         self.store_workers: list[SettingsFollower | Registration] = []
         self.usage = UsageReporter(
@@ -135,7 +147,11 @@
         return f"http://{self.settings.address.host}:{self.http.port}"
 
     def start(self) -> None:
-        """Starts all threads."""
+        """Starts to serve."""
+        if self.settings.http_threads is not None:
+            self.log.warning("setting_ignored", name="http_threads")
+        if self.owns_loop:
+            self.event_loop.start()
         self.http.start()
         self.membership.http_address = self.http_address
         self.peers.add_static(self._peer_endpoints(), self.clock.monotonic())
@@ -236,7 +252,7 @@
             self.dispatcher, writer, lambda: self.membership.settings_revision
         )
         rules = CallerApi(
-            self.dispatcher, self._live_peers, self.budgets
+            self.dispatcher, self.event_loop, self._live_peers, self.budgets
         ).rules()
         rules += admin.rules()
         return rules + monitoring_rules(self.metrics, self._readiness)
@@ -295,9 +311,8 @@
             if self.clock.monotonic() >= limit_s:
                 break
             time.sleep(DRAIN_POLL_INTERVAL_S)
-        # Concurrently, because each stop takes a while even when idle.
-        with ThreadPoolExecutor(len(servers)) as closers:
-            list(closers.map(HttpServer.stop, servers))
+        for server in servers:
+            server.stop()
 
     def _is_busy(self) -> bool:
         if self.dispatcher.count_active_jobs() > 0:
@@ -315,6 +330,8 @@
         self.dispatcher.close()
         self.link_loop.stop()
         self.tasks.close()
+        if self.owns_loop:
+            self.event_loop.stop()
         self.context.term()
 
     def _run_periodic_checks(self) -> None:
@@ -326,9 +343,8 @@
         self.usage.report_if_due()
 
     def _read_levels(self) -> dict[str, float]:
-        waits_s = [server.take_longest_wait_s() for server in self._servers()]
         return {
-            "longest_request_wait_s": max(waits_s),
+            "longest_request_wait_s": self.event_loop.take_longest_delay_s(),
             "active_jobs": self.dispatcher.count_active_jobs(),
         }
 
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -1,5 +1,6 @@
 """Tests of retries: when a task may run again, and on which upstream."""
 
+import asyncio
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
@@ -212,15 +213,18 @@
     assert entry.in_flight()[0][1].attempt == 2
 
 
+def resubmit(entry):
+    parsed = entry.parsed(best_effort=True)
+    return asyncio.run(
+        submit_after_earlier_runs(entry.dispatcher, parsed, lambda: False)
+    )
+
+
 def test_resubmission_waits_for_the_end_of_earlier_runs(entry):
     job = entry.submit(best_effort=True).ok
     entry.dispatcher.handle_caller_disconnect(job)
     with ThreadPoolExecutor(1) as pool:
-        again = pool.submit(
-            submit_after_earlier_runs,
-            entry.dispatcher,
-            entry.parsed(best_effort=True),
-        )
+        again = pool.submit(resubmit, entry)
         entry.report_outcome(0, TaskState.INTERRUPTED)
         assert again.result(20.0).ok.is_active
 
@@ -233,11 +237,7 @@
     began = entry.clock.now()
     before = len(dropped.since(began))
     with ThreadPoolExecutor(1) as pool:
-        again = pool.submit(
-            submit_after_earlier_runs,
-            entry.dispatcher,
-            entry.parsed(best_effort=True),
-        )
+        again = pool.submit(resubmit, entry)
         while not again.done():
             entry.clock.advance(TIMING.lost_s)
         assert again.result().error is EARLIER_RUNS_ACTIVE
--- a/sardinestair/jobs/request.py
+++ b/sardinestair/jobs/request.py
@@ -9,6 +9,7 @@
 
 from sardinestair.ids import JobId, new_job_id, parse_job_id
 from sardinestair.limits.resources import Resources
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.outcomes import Problem, ProblemKind
 
 __all__ = [
@@ -103,7 +104,7 @@
     """
     try:
         request = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Error(_invalid_request(str(error)))
     if request.unrepeatable and request.best_effort:
         rule = "unrepeatable and best_effort are mutually exclusive"
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -16,6 +16,7 @@
 from sardinestair.limits.resources import Resources
 
 __all__ = [
+    "DECODE_ERRORS",
     "Acknowledge",
     "Announce",
     "AnnounceReply",
@@ -41,6 +42,11 @@
 ]
 
 
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""What a decoder raises for invalid data; the last one if values are nested too
+deeply."""
+
+
 class TaskState(enum.Enum):
     """State of a task as a sidecar reports it.
 
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -1,26 +1,29 @@
 """HTTP API of an entry for the platform's clients."""
 
-from concurrent.futures import TimeoutError as FutureTimeoutError
+import math
 
 import msgspec
 
-from sardinestair.entry.departures import DisconnectWatcher
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.entry.resubmission import submit_after_earlier_runs
+from sardinestair.entry.resubmission import (
+    CALLER_LEFT,
+    submit_after_earlier_runs,
+)
 from sardinestair.entry.routing import find_route
+from sardinestair.event_loop import EventLoop, wait_for_result
 from sardinestair.ids import JobId
 from sardinestair.jobs import Job, JobRequest, JobState
 from sardinestair.jobs.request import ParsedRequest, make_tasks, request_digest
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.platform.names import format_job_name, parse_job_name
 from sardinestair.platform.wire import Step, SubmittedJob
 from sardinestair.settings.tree import RouteNode
 from sardinestair.web import (
-    Handler,
     Request,
     Response,
-    connection_of,
+    Rule,
     json_response,
     retry_after,
 )
@@ -55,16 +58,16 @@
 
     Args:
         dispatcher: Dispatcher of the entry.
-        departures: Detects clients that disconnect before the response.
+        event_loop: The loop in which the handlers run.
     """
 
-    def __init__(self, dispatcher: Dispatcher, departures: DisconnectWatcher):
+    def __init__(self, dispatcher: Dispatcher, event_loop: EventLoop):
         self.dispatcher = dispatcher
-        self.departures = departures
+        self.event_loop = event_loop
         self.decoder = msgspec.json.Decoder(SubmittedJob)
         self.log = EventLog("clients")
 
-    def rules(self) -> list[tuple[str, list[str], Handler]]:
+    def rules(self) -> list[Rule]:
         """Returns the URL rules; queues are looked up by host and path."""
         methods = ["GET", "POST", "DELETE"]
         return [
@@ -72,7 +75,7 @@
             ("/<path:_path>", methods, self.handle),
         ]
 
-    def handle(self, request: Request, _path: str = "") -> Response:
+    async def handle(self, request: Request, _path: str = "") -> Response:
         """Handles a request for a queue or for one of its jobs."""
         tree = self.dispatcher.tree
         if tree is None:
@@ -94,14 +97,14 @@
             "GET": self._get_state,
             "DELETE": self._cancel,
         }
-        return handlers[request.method](request, route, job_id)
+        return await handlers[request.method](request, route, job_id)
 
     def _count_pending(self, route: RouteNode) -> int:
         with self.dispatcher.lock:
             state = self.dispatcher.services.get(route.service)
             return state.queue.count_not_started(route.kind) if state else 0
 
-    def _get_state(
+    async def _get_state(
         self, _request: Request, _route: RouteNode, job_id: JobId
     ) -> Response:
         job = self.dispatcher.find(job_id)
@@ -109,7 +112,7 @@
             return json_response({}, 410)
         return json_response({"state": _state_name(job)})
 
-    def _cancel(
+    async def _cancel(
         self, _request: Request, _route: RouteNode, job_id: JobId
     ) -> Response:
         job = self.dispatcher.cancel(job_id)
@@ -117,16 +120,13 @@
             return json_response({}, 410)
         return json_response({"state": _state_name(job)})
 
-    def _submit(
+    async def _submit(
         self, request: Request, route: RouteNode, job_id: JobId
     ) -> Response:
-        body = request.get_data(cache=False)
-        connection = connection_of(request)
-        if connection is not None and self.departures.has_left(connection):
-            return self._refusal_response(request, 503, "the client has left")
+        connection = request.connection
         try:
-            submitted = self.decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            submitted = self.decoder.decode(request.body)
+        except DECODE_ERRORS as error:
             return self._refusal_response(request, 400, str(error))
         unsupported = _find_unsupported(submitted)
         if unsupported:
@@ -136,26 +136,31 @@
         parsed = ParsedRequest(
             job_id,
             _to_request(submitted, route, request),
-            request_digest(body),
+            request_digest(request.body),
+        )
+        accepted = await submit_after_earlier_runs(
+            self.dispatcher,
+            parsed,
+            lambda: connection is not None and connection.has_left(),
         )
-        accepted = submit_after_earlier_runs(self.dispatcher, parsed)
         if accepted.is_error():
+            if accepted.error is CALLER_LEFT:
+                return self._refusal_response(request, 503, CALLER_LEFT.detail)
             return self._problem_response(accepted.error)
-        return self._wait_for_job(request, accepted.ok)
+        return await self._wait_for_job(request, accepted.ok)
 
-    def _wait_for_job(self, request: Request, job: Job) -> Response:
-        connection = connection_of(request)
+    async def _wait_for_job(self, request: Request, job: Job) -> Response:
+        connection = request.connection
         if connection is not None:
-            self.departures.watch(connection, lambda: self._on_disconnect(job))
-        try:
-            left_s = job.deadline_s - self.dispatcher.clock.monotonic()
-            job.done.result(timeout=max(0.0, left_s) + RESPONSE_GRACE_S)
-        except FutureTimeoutError:
+            connection.on_disconnect(lambda: self._on_disconnect(job))
+        left_s = job.deadline_s - self.dispatcher.clock.monotonic()
+        timeout_s = max(0.0, left_s) + RESPONSE_GRACE_S
+        is_done = await wait_for_result(self.event_loop, job.done, timeout_s)
+        if connection is not None:
+            connection.on_disconnect(None)
+        if not is_done:
             self.log.error("answer_overdue", job=format_job_name(job.job_id))
             return json_response({"state": _state_name(job)}, 504)
-        finally:
-            if connection is not None:
-                self.departures.unwatch(connection)
         return self._job_response(job)
 
     def _on_disconnect(self, job: Job) -> None:
@@ -235,11 +240,21 @@
     }
 
 
+def _parse_deadline_ms(request: Request) -> float | None:
+    """Returns how long the client waits, or None if it does not say."""
+    try:
+        deadline_ms = float(request.headers.get(DEADLINE_HEADER))
+    except ValueError:
+        return None
+    is_valid = 0 < deadline_ms < math.inf
+    return deadline_ms if is_valid else None
+
+
 def _to_request(
     job: SubmittedJob, route: RouteNode, request: Request
 ) -> JobRequest:
     step = job.steps[0]
-    deadline_ms = request.headers.get(DEADLINE_HEADER, type=float)
+    deadline_ms = _parse_deadline_ms(request)
     estimated_s = step.estimated_ms / MS_PER_S
     return JobRequest(
         service=route.service,
--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -4,11 +4,12 @@
 
 import msgspec
 
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog
 from sardinestair.platform.wire import Heartbeat
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.upstreams import Announcement
-from sardinestair.web import Handler, Request, Response, json_response
+from sardinestair.web import Request, Response, Rule, json_response
 
 __all__ = ["HeartbeatApi"]
 
@@ -39,7 +40,7 @@
         self.decoder = msgspec.json.Decoder(Heartbeat)
         self.log = EventLog("heartbeats")
 
-    def rules(self) -> list[tuple[str, list[str], Handler]]:
+    def rules(self) -> list[Rule]:
         """Returns the URL rules with their handlers."""
         return [
             ("/instances/<runner>/heartbeat", ["POST"], self.receive_heartbeat),
@@ -49,8 +50,8 @@
     def receive_heartbeat(self, request: Request, runner: str) -> Response:
         """Applies a heartbeat; late and invalid ones have no effect."""
         try:
-            heartbeat = self.decoder.decode(request.get_data())
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            heartbeat = self.decoder.decode(request.body)
+        except DECODE_ERRORS as error:
             self.log.warning(
                 "heartbeat_unreadable", runner=runner, reason=str(error)
             )
--- a/sardinestair/platform/tests/standins.py
+++ b/sardinestair/platform/tests/standins.py
@@ -44,7 +44,7 @@
             ("/hold", ["POST"], self.report_runs),
         ]
         app = WebApp(rules, 1 << 20, EventLog("runner_standin"))
-        self.http = HttpServer("127.0.0.1", 0, app, 4)
+        self.http = HttpServer("127.0.0.1", 0, app)
 
     @property
     def address(self):
@@ -109,7 +109,7 @@
         )
 
     def _record_request(self, request: Request) -> dict:
-        body = msgspec.json.decode(request.get_data())
+        body = msgspec.json.decode(request.body)
         self.requests.append((request.path, body))
         return body
 
@@ -151,18 +151,18 @@
             ("/kv-txn", ["POST"], self._with_next_status(self.commit)),
             ("/kv-lease", ["POST"], self._with_next_status(self.grant_lease)),
             (
-                "/kv-keep/<int:lease>",
+                "/kv-keep/<lease>",
                 ["POST"],
                 self._with_next_status(self.renew_lease),
             ),
             (
-                "/kv-lease-end/<int:lease>",
+                "/kv-lease-end/<lease>",
                 ["DELETE"],
                 self._with_next_status(self.revoke_lease),
             ),
         ]
         app = WebApp(rules, 1 << 20, EventLog("store_standin"))
-        self.http = HttpServer("127.0.0.1", 0, app, 8)
+        self.http = HttpServer("127.0.0.1", 0, app, max_blocking_requests=8)
 
     @property
     def address(self):
@@ -214,7 +214,7 @@
         return json_response({"events": found, "at_rev": self.revision})
 
     def commit(self, request: Request) -> Response:
-        body = msgspec.json.decode(request.get_data())
+        body = msgspec.json.decode(request.body)
         with self.lock:
             rows = [self._to_item(e["key"]) for e in body["expected"]]
             revisions = [row["revision"] for row in rows]
@@ -231,24 +231,25 @@
             return json_response({"revision": self.revision})
 
     def grant_lease(self, request: Request) -> Response:
-        body = msgspec.json.decode(request.get_data())
+        body = msgspec.json.decode(request.body)
         lease = 1000 + len(self.leases)
         self.leases.add(lease)
         return json_response({"lease": lease, "ttl_ms": body["ttl_ms"]})
 
-    def renew_lease(self, _request: Request, lease: int) -> Response:
-        return json_response({}, 200 if lease in self.leases else 404)
+    def renew_lease(self, _request: Request, lease: str) -> Response:
+        is_held = int(lease) in self.leases
+        return json_response({}, 200 if is_held else 404)
 
-    def revoke_lease(self, _request: Request, lease: int) -> Response:
-        self.leases.discard(lease)
+    def revoke_lease(self, _request: Request, lease: str) -> Response:
+        self.leases.discard(int(lease))
         for key, (_, _, held) in list(self.items.items()):
-            if held == lease:
+            if held == int(lease):
                 self.remove(key)
         return json_response({})
 
     def _with_next_status(self, handler):
         def serve(request: Request, **values) -> Response:
-            self.calls.append(request.full_path)
+            self.calls.append(request.target)
             if self.next_statuses:
                 return json_response({}, self.next_statuses.pop(0))
             return handler(request, **values)
--- a/sardinestair/platform/tests/test_callers.py
+++ b/sardinestair/platform/tests/test_callers.py
@@ -1,21 +1,22 @@
-"""Requests whose client has left before they are handled."""
+"""Requests of clients: those that have left, and odd header fields."""
 
-import io
-import socket
+import asyncio
 
 import pytest
 
 from sardinestair.clock import ManualClock
-from sardinestair.entry.departures import DisconnectWatcher
-from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry import resubmission
+from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, Dispatcher
+from sardinestair.event_loop import EventLoop
 from sardinestair.ids import new_incarnation
 from sardinestair.observability import EventLog, Metrics
+from sardinestair.platform import callers
 from sardinestair.platform.callers import ClientApi
 from sardinestair.platform.operator import read_configuration
 from sardinestair.platform.tests.test_wire import CONFIGURATION
 from sardinestair.store.port import KeyValue, Snapshot
 from sardinestair.tests.fakes import FakeContext
-from sardinestair.web import CONNECTION_KEY, WebApp
+from sardinestair.web import Headers, Request, WebApp
 
 BODY = (
     b'{"spec":"x","best_effort":true,'
@@ -23,6 +24,25 @@
 )
 
 
+class FakeConnection:
+    """A client's connection that the test closes."""
+
+    def __init__(self):
+        self.is_open = True
+        self.callback = None
+
+    def has_left(self):
+        return not self.is_open
+
+    def on_disconnect(self, callback):
+        self.callback = callback
+
+    def close(self):
+        self.is_open = False
+        if self.callback is not None:
+            self.callback()
+
+
 @pytest.fixture
 def dispatcher():
     dispatcher = Dispatcher(
@@ -34,49 +54,94 @@
 
 
 @pytest.fixture
-def watcher():
-    watcher = DisconnectWatcher()
-    yield watcher
-    watcher.wakeup.close()
+def event_loop():
+    event_loop = EventLoop()
+    event_loop.start()
+    yield event_loop
+    event_loop.stop()
 
 
-def post(app, dispatcher, connection):
-    """Submits a job; returns the status."""
+@pytest.fixture
+def connection():
+    return FakeConnection()
+
+
+@pytest.fixture
+def post(dispatcher, event_loop, connection, monkeypatch):
+    """Submits a job; returns the future of the status."""
+    monkeypatch.setattr(callers, "RESPONSE_GRACE_S", 0.2)
+    api = ClientApi(dispatcher, event_loop)
+    app = WebApp(api.rules(), 1 << 18, EventLog("test"))
     route = next(iter(dispatcher.tree.routes.values()))
-    statuses = []
-    environ = {
-        "REQUEST_METHOD": "POST",
-        "PATH_INFO": route.prefix + "5c0e7a21d94b36f8",
-        "HTTP_HOST": route.host,
-        "HTTP_X_DEADLINE_MS": "1",
-        "SERVER_NAME": "x",
-        "SERVER_PORT": "80",
-        "wsgi.url_scheme": "http",
-        "wsgi.input": io.BytesIO(BODY),
-        "CONTENT_LENGTH": str(len(BODY)),
-        CONNECTION_KEY: connection,
-    }
-    app(environ, lambda status, _headers: statuses.append(status))
-    return int(statuses[0].split()[0])
+
+    def post(deadline_ms="1"):
+        fields = [("host", route.host), ("x-deadline-ms", deadline_ms)]
+        request = Request(
+            "POST",
+            route.prefix + "5c0e7a21d94b36f8",
+            Headers(fields),
+            BODY,
+            connection,
+        )
+
+        async def respond():
+            response = await app.respond(request, asyncio.to_thread)
+            return response.status
+
+        return event_loop.run_coroutine(respond())
+
+    return post
 
 
 # Guards against work for clients that have left: an entry that was behind with
 # reading requests started their tasks, and stopped them again.
-def test_job_of_a_client_that_has_left_is_not_accepted(dispatcher, watcher):
-    api = ClientApi(dispatcher, watcher)
-    app = WebApp(api.rules(), 1 << 18, EventLog("test"))
-    ours, theirs = socket.socketpair()
-    theirs.close()
-    assert post(app, dispatcher, ours) == 503
+def test_job_of_a_client_that_has_left_is_not_accepted(
+    dispatcher, connection, post
+):
+    connection.is_open = False
+    assert post().result() == 503
     assert not dispatcher.registry.jobs
-    ours.close()
 
 
-def test_job_of_a_waiting_client_is_accepted(dispatcher, watcher):
-    api = ClientApi(dispatcher, watcher)
-    app = WebApp(api.rules(), 1 << 18, EventLog("test"))
-    ours, theirs = socket.socketpair()
-    post(app, dispatcher, ours)
+def test_job_of_a_waiting_client_is_accepted(dispatcher, post):
+    post().result()
     assert len(dispatcher.registry.jobs) == 1
-    ours.close()
-    theirs.close()
+
+
+def test_job_of_a_client_that_leaves_is_cancelled(
+    dispatcher, event_loop, connection, post
+):
+    status = post("10000")
+    while connection.callback is None:
+        event_loop.call(lambda: None)
+    event_loop.call(connection.close)
+    assert status.result(20) == 200
+    assert not dispatcher.count_active_jobs()
+
+
+# Guards against a job of nobody: its client left while it waited for earlier
+# runs to end, and the job was then accepted.
+def test_client_that_leaves_during_earlier_runs_is_not_accepted(
+    dispatcher, connection, post, monkeypatch
+):
+    submissions = []
+
+    def submit(parsed):
+        submissions.append(parsed)
+        connection.is_open = False
+        return resubmission.Error(EARLIER_RUNS_ACTIVE)
+
+    monkeypatch.setattr(dispatcher, "submit", submit)
+    assert post().result(20) == 503
+    assert len(submissions) == 1
+
+
+@pytest.mark.parametrize("text", ["nan", "inf", "-inf", "-1", "0", "x", ""])
+def test_odd_deadline_counts_as_none(dispatcher, connection, post, text):
+    status = post(text)
+    while not dispatcher.registry.jobs:
+        assert not status.done()
+    job = next(iter(dispatcher.registry.jobs.values()))
+    assert 0 < job.deadline_s < 1e6
+    dispatcher.cancel(job.job_id)
+    assert status.result(20) == 200
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -4,12 +4,12 @@
 
 import msgspec
 import pytest
-from werkzeug.test import Client
 
 from sardinestair.limits.resources import Resources
 from sardinestair.observability import EventLog
 from sardinestair.platform.heartbeats import HeartbeatApi
 from sardinestair.platform.tests.test_wire import HEARTBEAT
+from sardinestair.tests.fakes import send_request
 from sardinestair.web import WebApp
 
 
@@ -36,67 +36,73 @@
 
 
 @pytest.fixture
-def client(server):
+def app(server):
     api = HeartbeatApi(server, ttl_s=6.0)
-    return Client(WebApp(api.rules(), 1 << 20, EventLog("test")))
+    return WebApp(api.rules(), 1 << 20, EventLog("test"))
 
 
-def send_heartbeat(client, **changes):
+def send_heartbeat(app, **changes):
     body = {**msgspec.json.decode(HEARTBEAT), **changes}
     path = "/instances/i-1/heartbeat"
-    return client.post(path, data=msgspec.json.encode(body)).status_code
+    return send_request(app, "POST", path, msgspec.json.encode(body)).status
 
 
-def test_ready_runner_is_announced_with_its_capacity(client, server):
-    assert send_heartbeat(client) == 200
+def test_ready_runner_is_announced_with_its_capacity(app, server):
+    assert send_heartbeat(app) == 200
     announcement = server.announced[0]
     assert announcement.service == "huvo11a"
     assert announcement.capacity == Resources(16000, 32768, 0)
 
 
-def test_draining_runner_gets_no_new_work(client, server):
-    send_heartbeat(client)
-    assert send_heartbeat(client, sequence=5, state="draining") == 200
+def test_draining_runner_gets_no_new_work(app, server):
+    send_heartbeat(app)
+    assert send_heartbeat(app, sequence=5, state="draining") == 200
     assert server.leave_count == 1
 
 
-def test_late_heartbeat_is_ignored(client, server):
-    send_heartbeat(client, sequence=5, state="draining")
-    assert send_heartbeat(client, sequence=4) == 200
+def test_late_heartbeat_is_ignored(app, server):
+    send_heartbeat(app, sequence=5, state="draining")
+    assert send_heartbeat(app, sequence=4) == 200
     assert server.announced == []
 
 
-def test_heartbeat_of_an_earlier_incarnation_is_ignored(client, server):
-    send_heartbeat(client, born=2000, sequence=1)
-    assert (
-        send_heartbeat(client, born=1000, sequence=9, state="draining") == 200
-    )
+def test_heartbeat_of_an_earlier_incarnation_is_ignored(app, server):
+    send_heartbeat(app, born=2000, sequence=1)
+    assert send_heartbeat(app, born=1000, sequence=9, state="draining") == 200
     assert server.leave_count == 0
 
 
-def test_new_incarnation_restarts_sequence_numbers(client, server):
-    send_heartbeat(client, born=1000, sequence=9)
-    send_heartbeat(client, born=2000, sequence=1)
+def test_new_incarnation_restarts_sequence_numbers(app, server):
+    send_heartbeat(app, born=1000, sequence=9)
+    send_heartbeat(app, born=2000, sequence=1)
     assert len(server.announced) == 2
 
 
 @pytest.mark.parametrize(
     "data",
-    [b"", b"{", b"\xff\xfe", b"[]", b'{"service": 3}', b'{"state":"ready"}'],
+    [
+        b"",
+        b"{",
+        b"\xff\xfe",
+        b"[]",
+        b'{"service": 3}',
+        b'{"state":"ready"}',
+        b'{"x":' + b"[" * 100_000,
+    ],
 )
-def test_invalid_heartbeat_is_rejected(client, server, data):
-    reply = client.post("/instances/i-1/heartbeat", data=data)
-    assert reply.status_code == 400
+def test_invalid_heartbeat_is_rejected(app, server, data):
+    reply = send_request(app, "POST", "/instances/i-1/heartbeat", data)
+    assert reply.status == 400
     assert server.announced == []
-    assert send_heartbeat(client) == 200
+    assert send_heartbeat(app) == 200
 
 
-def test_unknown_state_is_rejected(client, server):
-    assert send_heartbeat(client, state="asleep") == 400
+def test_unknown_state_is_rejected(app, server):
+    assert send_heartbeat(app, state="asleep") == 400
     assert server.announced == []
     assert server.leave_count == 0
 
 
-def test_deregistered_runner_gets_no_new_work(client, server):
-    assert client.post("/instances/i-1/deregister").status_code == 200
+def test_deregistered_runner_gets_no_new_work(app, server):
+    assert send_request(app, "POST", "/instances/i-1/deregister").status == 200
     assert server.leave_count == 1
--- a/sardinestair/platform/tests/test_orders.py
+++ b/sardinestair/platform/tests/test_orders.py
@@ -124,7 +124,7 @@
         super().__init__(model)
 
     def start_run(self, request):
-        self.ports.add(request.environ["REMOTE_PORT"])
+        self.ports.add(request.connection.remote_port)
         self.arrived.release()
         assert self.release.wait(TIMEOUT_S)
         return super().start_run(request)
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -11,6 +11,7 @@
 from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.files import SettingsError, load_yaml
 from sardinestair.settings.tree import Overrides
+from sardinestair.web.limits import HttpLimits
 
 __all__ = [
     "Address",
@@ -68,8 +69,7 @@
             balancer, host:port.
         seeds: Addresses (host:port) on the machines of other entries; only
             the hosts are used.
-        client_threads: Number of clients that can wait for an answer at the
-            same time.
+        client_threads: Ignored; clients need no threads any more.
         defaults: Overrides of the settings tree's root, for settings that the
             operator's configuration does not contain.
         leave_s: How long clients are still served after the readiness check
@@ -81,7 +81,7 @@
     client_address: HostPort
     readiness_address: HostPort
     seeds: list[HostPort] = msgspec.field(default_factory=list)
-    client_threads: Annotated[int, Meta(ge=2, le=1024)] = 400
+    client_threads: Annotated[int, Meta(ge=2, le=1024)] | None = None
     defaults: Overrides = msgspec.field(default_factory=Overrides)
     leave_s: Annotated[float, Meta(ge=0, le=60)] = 2.5
 
@@ -116,7 +116,8 @@
         store: Key-value store; None runs the entry from `tree_file` alone.
         tree_file: Settings tree to use until the store contains one.
         peers: Membership endpoints (host:port) of other entries.
-        http_threads: Maximum number of requests served concurrently.
+        http_threads: Ignored; requests need no threads any more.
+        http: Limits of HTTP connections and requests.
         max_body_bytes: Maximum size of a request body, in bytes.
         retention_s: How long finished jobs are kept, in seconds.
         claim_wait_s: Longest wait for the store before an unrepeatable job
@@ -134,7 +135,8 @@
     store: StoreSettings | None = None
     tree_file: str | None = None
     peers: list[str] = msgspec.field(default_factory=list)
-    http_threads: Annotated[int, Meta(ge=2, le=1024)] = 128
+    http_threads: Annotated[int, Meta(ge=2, le=1024)] | None = None
+    http: HttpLimits = msgspec.field(default_factory=HttpLimits)
     max_body_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 8 << 20
     retention_s: Seconds = 300.0
     claim_wait_s: Annotated[float, Meta(gt=0, le=30)] = 2.0
@@ -159,6 +161,7 @@
         announce_interval_s: Time between announcements, in seconds.
         drain_timeout_s: Timeout of a graceful shutdown, in seconds.
         log_level: Minimum level of logged events.
+        http: Limits of HTTP connections and requests.
         link: Timing of the links; must match that of the entries.
         platform: Settings for the users' platform; None runs outside of it.
     """
@@ -171,6 +174,7 @@
     announce_interval_s: Annotated[float, Meta(ge=0.05, le=10)] = 0.5
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
+    http: HttpLimits = msgspec.field(default_factory=HttpLimits)
     link: LinkTiming = msgspec.field(default_factory=LinkTiming)
     platform: SidecarPlatform | None = None
 
--- a/sardinestair/settings/reference.py
+++ b/sardinestair/settings/reference.py
@@ -20,6 +20,7 @@
     StoreSettings,
 )
 from sardinestair.settings.tree import Overrides, ServiceSettings, TeamNode
+from sardinestair.web.limits import HttpLimits
 
 __all__ = ["make_reference"]
 
@@ -77,6 +78,7 @@
         ("Sidecar", SidecarSettings),
         ("`address`", Address),
         ("`store`", StoreSettings),
+        ("`http`", HttpLimits),
         ("`link`", LinkTiming),
         ("`platform` of an entry", EntryPlatform),
         ("`platform` of a sidecar", SidecarPlatform),
--- a/sardinestair/sidecar/api.py
+++ b/sardinestair/sidecar/api.py
@@ -2,13 +2,14 @@
 
 import msgspec
 
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.upstreams import Announcement
 from sardinestair.web import (
-    Handler,
     Request,
     Response,
+    Rule,
     json_response,
     problem_response,
 )
@@ -29,7 +30,7 @@
         self.server = server
         self.decoder = msgspec.json.Decoder(Announcement)
 
-    def rules(self) -> list[tuple[str, list[str], Handler]]:
+    def rules(self) -> list[Rule]:
         """Returns the routes as path, methods and handler."""
         return [
             ("/v1/upstream", ["PUT"], self.announce),
@@ -40,8 +41,8 @@
     def announce(self, request: Request) -> Response:
         """Handles an announcement; repeating it extends its expiry."""
         try:
-            announcement = self.decoder.decode(request.get_data())
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            announcement = self.decoder.decode(request.body)
+        except DECODE_ERRORS as error:
             problem = Problem(ProblemKind.INVALID, str(error), not_run=True)
             return problem_response(problem)
         command = self.server.submit(lambda: self.server.announce(announcement))
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from sardinestair.clock import Clock
+from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LaunchContext
 from sardinestair.platform.heartbeats import HeartbeatApi
 from sardinestair.platform.names import link_endpoints
@@ -18,7 +19,6 @@
 
 __all__ = ["PlatformSidecarProcess"]
 
-HEARTBEAT_THREADS = 2
 MAX_HEARTBEAT_BYTES = 4 << 20
 # New entries are usually learned sooner, from the replies of other entries.
 ENTRY_POLL_INTERVAL_S = 2.0
@@ -30,6 +30,7 @@
     Args:
         settings: The process's settings; `platform` is required.
         clock: The clock.
+        event_loop: The event loop; the sidecar runs one of its own if None.
         launched: Start time of the process, and a socket that already listens
             for heartbeats.
 
@@ -42,11 +43,12 @@
         self,
         settings: SidecarSettings,
         clock: Clock | None = None,
+        event_loop: EventLoop | None = None,
         launched: LaunchContext | None = None,
     ):
         assert settings.platform is not None
         self.platform: SidecarPlatform = settings.platform
-        super().__init__(settings, clock)
+        super().__init__(settings, clock, event_loop)
         if launched is None:
             launched = LaunchContext(self.clock.monotonic())
         self.stopping = threading.Event()
@@ -66,12 +68,13 @@
             host,
             port,
             WebApp(api.rules(), MAX_HEARTBEAT_BYTES, self.log),
-            HEARTBEAT_THREADS,
+            self.event_loop,
             launched.listener,
+            settings.http,
         )
 
     def start(self) -> None:
-        """Starts all threads."""
+        """Starts to serve, and to announce the sidecar."""
         super().start()
         self.tasks.run(self.runner.run, "reports")
         self.heartbeats.start()
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -7,6 +7,7 @@
 import zmq
 
 from sardinestair.clock import Clock, SystemClock
+from sardinestair.event_loop import EventLoop
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.membership import Announcer, choose_entries
 from sardinestair.messages import AnnounceReply
@@ -21,7 +22,6 @@
 
 __all__ = ["SidecarProcess"]
 
-HTTP_THREADS = 3
 MAX_BODY_BYTES = 64 << 10
 DRAIN_POLL_INTERVAL_S = 0.02
 ENTRY_TTL_S = 60.0
@@ -35,6 +35,7 @@
     Args:
         settings: The process's settings.
         clock: The clock.
+        event_loop: The event loop; the sidecar runs one of its own if None.
 
     Attributes:
         server: Serves the links to entries, and owns the state.
@@ -43,8 +44,15 @@
             the store or changed settings.
     """
 
-    def __init__(self, settings: SidecarSettings, clock: Clock | None = None):
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        clock: Clock | None = None,
+        event_loop: EventLoop | None = None,
+    ):
         self.settings = settings
+        self.owns_loop = event_loop is None
+        self.event_loop = event_loop or EventLoop()
         self.clock = clock or SystemClock()
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
@@ -82,11 +90,14 @@
             address.host,
             address.http_port,
             WebApp(rules, MAX_BODY_BYTES, self.log),
-            HTTP_THREADS,
+            self.event_loop,
+            limits=settings.http,
         )
 
     def start(self) -> None:
-        """Starts all threads."""
+        """Starts to serve."""
+        if self.owns_loop:
+            self.event_loop.start()
         self.server.listeners.append(self._notify_announcers)
         self.tasks.run(self.server.run, "links")
         self.http.start()
@@ -130,6 +141,8 @@
         self.http.stop()
         self.server.stop()
         self.tasks.close()
+        if self.owns_loop:
+            self.event_loop.stop()
         self.context.term()
 
     def _configured_entries(self) -> list[str]:
--- a/sardinestair/standins/store.py
+++ b/sardinestair/standins/store.py
@@ -133,7 +133,9 @@
             ("/standin/calls", ["GET"], self._show_calls),
         ]
         app = WebApp(rules, MAX_BODY_BYTES, log)
-        self.http = HttpServer("127.0.0.1", port, app, THREADS)
+        self.http = HttpServer(
+            "127.0.0.1", port, app, max_blocking_requests=THREADS
+        )
 
     @property
     def address(self) -> str:
@@ -181,7 +183,7 @@
 
     def _begin_call(self, request: Request) -> Any:
         self.calls[request.path] += 1
-        body = msgspec.json.decode(request.get_data())
+        body = msgspec.json.decode(request.body)
         if self.faults.delay_s:
             time.sleep(self.faults.delay_s)
         return None if self.faults.down else body
@@ -321,7 +323,7 @@
             self._remove(key)
 
     def _set_faults(self, request: Request) -> Response:
-        self.faults = msgspec.json.decode(request.get_data(), type=Faults)
+        self.faults = msgspec.json.decode(request.body, type=Faults)
         return json_response(self.faults)
 
     def _show_calls(self, _request: Request) -> Response:
--- a/sardinestair/standins/upstream.py
+++ b/sardinestair/standins/upstream.py
@@ -4,6 +4,7 @@
 started task, which tests check.
 """
 
+import asyncio
 import os
 import threading
 import time
@@ -73,7 +74,6 @@
         self.fails_all = fails_all
         self.running = 0
         self.max_running = 0
-        self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.log = EventLog("upstream_standin", service=service)
         rules = [
@@ -81,7 +81,7 @@
             ("/healthz", ["GET"], self._show_health),
         ]
         app = WebApp(rules, MAX_BODY_BYTES, self.log)
-        self.http = HttpServer("127.0.0.1", port, app, threads=slots + 2)
+        self.http = HttpServer("127.0.0.1", port, app)
         self.start_log_fd: int | None = None
 
     @property
@@ -142,18 +142,16 @@
             return None
         return reply
 
-    def _run_task(self, request: Request) -> Response:
-        task = msgspec.json.decode(request.get_data(), type=TaskPayload)
+    async def _run_task(self, request: Request) -> Response:
+        task = msgspec.json.decode(request.body, type=TaskPayload)
         self._log_start(request)
-        with self.lock:
-            self.running += 1
-            self.max_running = max(self.max_running, self.running)
+        self.running += 1
+        self.max_running = max(self.max_running, self.running)
         try:
             if not self.fails_all:
-                time.sleep(task.run_s * self.speed)
+                await asyncio.sleep(task.run_s * self.speed)
         finally:
-            with self.lock:
-                self.running -= 1
+            self.running -= 1
         if task.fail or self.fails_all:
             return Response(b"told to fail", 500)
         return Response(bytes(task.echo), mimetype="application/json")
@@ -166,5 +164,5 @@
         line = f"{time.time():.6f} {job} {index} {self.http.port}\n"
         os.write(self.start_log_fd, line.encode())
 
-    def _show_health(self, _request: Request) -> Response:
+    async def _show_health(self, _request: Request) -> Response:
         return Response(b"", 500 if self.fails_all else 200)
--- a/sardinestair/tests/fakes.py
+++ b/sardinestair/tests/fakes.py
@@ -1,5 +1,6 @@
 """Test doubles for ZeroMQ sockets, the thread pool and the upstream."""
 
+import asyncio
 import functools
 from collections import deque
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 
 from sardinestair.messages import TaskState
 from sardinestair.upstreams import CallResult
+from sardinestair.web import Headers, Request, Response, WebApp
 
 
 class FakeSocket:
@@ -87,3 +89,17 @@
             self.starts.append((ref.job, ref.index))
         body = f"{ref.job.hex()}/{ref.index}".encode()
         return CallResult(self.state, body, False, 0.1)
+
+
+def send_request(
+    app: WebApp,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    connection=None,
+) -> Response:
+    """Returns an application's response to a request, without a server."""
+    fields = Headers((headers or {}).items())
+    request = Request(method, target, fields, body, connection)
+    return asyncio.run(app.respond(request, asyncio.to_thread))
--- a/sardinestair/tests/test_launch.py
+++ b/sardinestair/tests/test_launch.py
@@ -60,7 +60,7 @@
     """Listening must not wait for the import of large libraries."""
     code = (
         f"import sys, sardinestair.{program}.main; "
-        "print([m for m in ('zmq', 'werkzeug', 'cleo') if m in sys.modules])"
+        "print([m for m in ('zmq', 'uvloop', 'cleo') if m in sys.modules])"
     )
     completed = subprocess.run(
         [sys.executable, "-c", code],
--- /dev/null
+++ b/sardinestair/web/__init__.py
@@ -0,0 +1,35 @@
+"""HTTP server: connections, routes, requests and responses."""
+
+from sardinestair.web.app import Handler, Rule, WebApp, monitoring_rules
+from sardinestair.web.messages import (
+    JSON_TYPE,
+    PROBLEM_TYPE,
+    Connection,
+    Headers,
+    Request,
+    Response,
+    json_response,
+    problem_response,
+    retry_after,
+    status_response,
+)
+from sardinestair.web.server import HttpLimits, HttpServer
+
+__all__ = [
+    "JSON_TYPE",
+    "PROBLEM_TYPE",
+    "Connection",
+    "Handler",
+    "Headers",
+    "HttpLimits",
+    "HttpServer",
+    "Request",
+    "Response",
+    "Rule",
+    "WebApp",
+    "json_response",
+    "monitoring_rules",
+    "problem_response",
+    "retry_after",
+    "status_response",
+]
