--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -19,13 +19,13 @@
 from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
-from sardinestair.messages import EntryFrame, Start, TaskRef, TaskState
+from sardinestair.messages import EntryFrame, TaskRef, TaskState
 from sardinestair.observability import Metrics
 from sardinestair.outcomes import ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.upstreams import Announcement
-from sardinestair.upstreams.caller import CallResult
+from sardinestair.upstreams.caller import CallResult, ResultCallback
 from sardinestair.upstreams.leased import STALL_TIMEOUT_S, STALLED
 
 __all__ = ["EmulatedSystem", "Fault", "UpstreamModel"]
@@ -68,22 +68,6 @@
     unanswered_share: float = 0.0
 
 
-class _FakeWakeup:
-    """Replaces a `Wakeup`, without a file descriptor."""
-
-    def __init__(self) -> None:
-        self.is_set = False
-
-    def set(self) -> None:
-        self.is_set = True
-
-    def clear(self) -> None:
-        self.is_set = False
-
-    def close(self) -> None:
-        pass
-
-
 class _FakeSocket:
     """Replaces a ZeroMQ socket; buffers messages until they are delivered."""
 
@@ -97,6 +81,8 @@
     def get(self, option: int) -> bytes | int:
         if option == zmq.LAST_ENDPOINT:
             return b"tcp://127.0.0.1:1"
+        if option == zmq.FD:
+            return -1
         return zmq.POLLIN if self.inbox else 0
 
     def bind(self, _endpoint: str) -> None:
@@ -129,14 +115,14 @@
 class _EmulatedRun:
     """A run of a task at an emulated upstream."""
 
-    def __init__(self, result: CallResult, finish: Callable[[], object]):
+    def __init__(self, result: CallResult, on_result: ResultCallback):
         self.result = result
-        self.finish = finish
+        self.on_result = on_result
         self.is_finished = False
 
 
 class _EmulatedUpstream:
-    """Emulates an upstream, as both the caller and the workers of a sidecar."""
+    """Emulates an upstream, as the caller of a sidecar."""
 
     is_leased = True
     has_no_orphans = True
@@ -147,21 +133,19 @@
         self.start_count = 0
         self.runs: dict[TaskRef, _EmulatedRun] = {}
 
-    def submit(self, work: Callable[..., None], *arguments: Any) -> None:
+    def start(
+        self,
+        ref: TaskRef,
+        payload: bytes,
+        timeout_s: float,
+        may_start: Callable[[], bool],
+        on_result: ResultCallback,
+    ) -> None:
         """Starts a run now and schedules its end."""
-        start: Start = arguments[1]
-        result = self._plan_result(start.payload, start.remaining_s)
-        run = _EmulatedRun(result, lambda: work(*arguments))
-        self.runs[start.task] = run
-        self.system.schedule(
-            result.run_s, lambda: self._finish(start.task, run)
-        )
-
-    def call(
-        self, ref: TaskRef, payload: bytes, timeout_s: float
-    ) -> CallResult:
-        """Returns the result of a run that has ended."""
-        return self.runs.pop(ref).result
+        result = self._plan_result(payload, timeout_s)
+        run = _EmulatedRun(result, on_result)
+        self.runs[ref] = run
+        self.system.schedule(result.run_s, lambda: self._finish(ref, run))
 
     def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
         """Interrupts a run."""
@@ -176,14 +160,11 @@
     def close(self) -> None:
         pass
 
-    def shutdown(self, **_options: bool) -> None:
-        pass
-
     def _finish(self, ref: TaskRef, run: _EmulatedRun) -> None:
         if not run.is_finished:
             run.is_finished = True
-            run.finish()
-            self.runs.pop(ref, None)
+            del self.runs[ref]
+            run.on_result(run.result)
 
     def _plan_result(self, payload: bytes, timeout_s: float) -> CallResult:
         """Returns the result of a run, including its duration, in advance."""
@@ -242,6 +223,7 @@
         self.upstreams = upstreams
         self.events: list[tuple[float, int, Callable[[], object]]] = []
         self.sequence = itertools.count(1)
+        self.ready_servers: set[LinkServer] = set()
         self.servers = [self._make_server(model) for model in upstreams]
         self.dispatchers = [self._make_entry(tree) for _ in range(entries)]
         for dispatcher in self.dispatchers:
@@ -298,18 +280,13 @@
             TIMING,
             lambda _announcement, _lost: upstream,
         )
-        server.wakeup.close()
-        wakeup: Any = _FakeWakeup()
-        server.wakeup = wakeup
+        server.wake = lambda: self.ready_servers.add(server)
         capacity = Resources(model.cpu_millis, MEMORY_MB, 0)
         server.announce(
             Announcement(
                 SERVICE, "http://127.0.0.1:1", 8, ttl_s=300, capacity=capacity
             )
         )
-        assert server.workers is not None
-        server.workers.shutdown()
-        server.workers = upstream
         # The emulation doesn't renew the announcement.
         server.upstream.expires_s = float("inf")
         return server
@@ -387,7 +364,7 @@
         if is_heartbeat:
             for server in self.servers:
                 server._tick()
-                server.wakeup.set()
+                self.ready_servers.add(server)
             for connection in self.connections:
                 connection.link.notify()
         self._deliver_all()
@@ -410,18 +387,16 @@
             for data in connection.socket.take_sent():
                 frame = msgspec.msgpack.decode(data, type=EntryFrame)
                 connection.server._handle_frame(connection.route, frame)
-                connection.server.wakeup.set()
+                self.ready_servers.add(connection.server)
                 has_delivered = True
         return has_delivered
 
     def _deliver_to_entries(self) -> bool:
         has_delivered = False
         for server in self.servers:
-            wakeup: Any = server.wakeup
-            if not wakeup.is_set:
+            if server not in self.ready_servers:
                 continue
-            wakeup.clear()
-            server._run_commands()
+            self.ready_servers.discard(server)
             server._allocate_credits()
             server._flush()
             socket: Any = server.socket
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -6,7 +6,8 @@
 
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.membership import Announcer
-from sardinestair.messages import PeerHello, PeerReply
+from sardinestair.messages import DECODE_ERRORS, PeerHello, PeerReply
+from sardinestair.observability import EventLog
 from sardinestair.settings import SettingsTree
 
 __all__ = ["Gossip"]
@@ -24,12 +25,13 @@
 
     Each gets one per second; with many entries, one in up to `MAX_INTERVAL_S`.
 
-    An entry that has lost its watch on the store, or that starts while the
+    Its methods are called in one thread, that of the event loop. An entry that
+    has lost its watch on the store, or that starts while the
     store is down, gets the settings in force from its peers.
 
     Args:
         membership: The entry's membership server.
-        run_in_thread: Runs a function in its own thread.
+        start_announcer: Makes a new announcer announce.
         adopt: Called with the revision and tree of received settings.
 
     Attributes:
@@ -39,14 +41,15 @@
     def __init__(
         self,
         membership: MembershipServer,
-        run_in_thread: Callable[[Callable[[], None]], object],
+        start_announcer: Callable[[Announcer[PeerReply]], object],
         adopt: Callable[[int, SettingsTree], bool],
     ):
         self.membership = membership
-        self.run_in_thread = run_in_thread
+        self.start_announcer = start_announcer
         self.adopt = adopt
         self.announcers: dict[str, Announcer[PeerReply]] = {}
         self.stopping = False
+        self.log = EventLog("gossip")
 
     @property
     def interval_s(self) -> float:
@@ -62,7 +65,7 @@
     def start(self) -> None:
         """Starts an announcer for each known peer."""
         for endpoint in list(self.membership.peers.peers):
-            self._start_announcer(endpoint)
+            self._add_announcer(endpoint)
 
     def stop(self) -> None:
         """Stops all announcers."""
@@ -77,13 +80,13 @@
         membership.peers.learn(endpoints, now_s)
         for endpoint in list(membership.peers.peers):
             if endpoint not in self.announcers:
-                self._start_announcer(endpoint)
+                self._add_announcer(endpoint)
         for endpoint in membership.peers.expire(now_s):
             announcer = self.announcers.pop(endpoint, None)
             if announcer is not None:
                 announcer.stop()
 
-    def _start_announcer(self, endpoint: str) -> None:
+    def _add_announcer(self, endpoint: str) -> None:
         if self.stopping:
             return
         announcer = Announcer(
@@ -93,11 +96,12 @@
             lambda reply: self._handle_reply(endpoint, reply),
             self.interval_s,
             self.membership.dispatcher.context,
+            self.membership.dispatcher.clock,
         )
         self.announcers[endpoint] = announcer
         for other in self.announcers.values():
             other.interval_s = self.interval_s
-        self.run_in_thread(announcer.run)
+        self.start_announcer(announcer)
 
     def _make_hello(self) -> PeerHello:
         return PeerHello(
@@ -107,14 +111,21 @@
             self.membership.settings_revision,
         )
 
+    def _adopt(self, reply: PeerReply) -> None:
+        try:
+            tree = msgspec.json.decode(reply.settings, type=SettingsTree)
+        except DECODE_ERRORS as error:
+            self.log.warning("settings_undecodable", reason=str(error))
+            return
+        self.adopt(reply.settings_revision, tree)
+
     def _handle_reply(self, endpoint: str, reply: PeerReply) -> None:
         now_s = self.membership.dispatcher.clock.monotonic()
         self.membership.peers.observe(
             endpoint, reply.http_address, reply.entry, now_s
         )
         if reply.settings:
-            tree = msgspec.json.decode(reply.settings, type=SettingsTree)
-            self.adopt(reply.settings_revision, tree)
+            self._adopt(reply)
         self.add_endpoints(reply.entries)
         dispatcher = self.membership.dispatcher
         dispatcher.admission_controller.entry_count = 1 + len(
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -127,10 +127,10 @@
     def reload(self, settings: EntrySettings) -> None:
         """Adds new peers; other changed settings apply after a restart."""
         assert settings.platform is not None
-        seeds = settings.platform.seeds
-        self.gossip.add_endpoints(
-            link_endpoints(seeds, settings.address.link_port)
+        endpoints = link_endpoints(
+            settings.platform.seeds, settings.address.link_port
         )
+        self.event_loop.call(lambda: self.gossip.add_endpoints(endpoints))
 
     def _make_store(self) -> PlatformStore:
         return PlatformStore(self.platform.store_address)
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -12,7 +12,7 @@
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.entry.gossip import Gossip
 from sardinestair.entry.membership_server import MembershipServer
-from sardinestair.event_loop import EventLoop
+from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
 from sardinestair.links import LinkLoop
@@ -42,7 +42,7 @@
 HTTP_CLOSE_TIMEOUT_S = 2.0
 CLAIM_SWEEP_INTERVAL_S = 60.0
 MAX_LINKS = 2048
-MAX_PEERS = 64
+MAX_THREADS = 8
 
 
 class EntryProcess:
@@ -84,8 +84,7 @@
             entry=format_incarnation(self.incarnation),
             zone=settings.zone,
         )
-        # One thread per peer, and 9 for the entry's own tasks.
-        self.tasks = TaskPool(MAX_PEERS + 9, self.log)
+        self.tasks = TaskPool(MAX_THREADS, self.log)
         self.store = self._make_store()
         self.claims = self._make_claims()
         self.dispatcher = Dispatcher(
@@ -115,7 +114,11 @@
         )
         self.gossip = Gossip(
             self.membership,
-            lambda task: self.tasks.run(task, "gossip"),
+            lambda announcer: announcer.start(
+                LoopTask(
+                    self.event_loop, announcer.run_once, self.log, "gossip"
+                )
+            ),
             self.adopt,
         )
         self.budgets = self._make_budgets()
@@ -158,7 +161,7 @@
         self.tasks.run(self.link_loop.run, "links")
         self.tasks.run(self.membership.run, "membership")
         self.tasks.run(self._run_periodic_checks, "timer")
-        self.gossip.start()
+        self.event_loop.call(self.gossip.start)
         if self.store is not None and self.claims is not None:
             self.tasks.run(self.claims.run, "store/claims")
             self._follow_store(self.store)
@@ -290,7 +293,8 @@
                 self.log.info("claims_deleted", count=count)
 
     def _add_registered_entries(self, records: list[EntryRecord]) -> None:
-        self.gossip.add_endpoints([record.endpoint for record in records])
+        endpoints = [record.endpoint for record in records]
+        self.event_loop.call(lambda: self.gossip.add_endpoints(endpoints))
 
     def _live_peers(self):
         return self.peers.recently_seen(
@@ -322,7 +326,7 @@
     def _stop_threads(self) -> None:
         self.stopping.set()
         self.membership.stop()
-        self.gossip.stop()
+        self.event_loop.call(self.gossip.stop)
         for worker in self.store_workers:
             worker.stop()
         if self.claims is not None:
@@ -350,7 +354,7 @@
 
     def reload(self, settings: EntrySettings) -> None:
         """Adds new peers; other changed settings apply after a restart."""
-        self.gossip.add_endpoints(settings.peers)
+        self.event_loop.call(lambda: self.gossip.add_endpoints(settings.peers))
 
     def _readiness(self) -> tuple[bool, str]:
         if self.dispatcher.admission_controller.is_draining:
--- a/sardinestair/entry/tests/test_gossip.py
+++ b/sardinestair/entry/tests/test_gossip.py
@@ -21,7 +21,7 @@
 
 def gossip_with(peers):
     gossip = Gossip(
-        FakeMembership(), lambda _task: None, lambda _revision, _tree: True
+        FakeMembership(), lambda _announcer: None, lambda _revision, _tree: True
     )
     gossip.add_endpoints([f"10.0.0.{n}:1" for n in range(peers)])
     assert len(gossip.announcers) == peers
--- a/sardinestair/event_loop.py
+++ b/sardinestair/event_loop.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import threading
+import time
+from collections import defaultdict
 from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, Protocol, TypeVar
@@ -35,6 +37,7 @@
         longest_delay_s: Longest delay of a timer since this was last taken,
             in seconds: for that time a callback held the loop, or the process
             got no processor time.
+        busy_s: Time spent in tasks of the loop by purpose, in seconds.
 
     Examples:
         >>> event_loop = EventLoop()
@@ -52,6 +55,7 @@
         self.thread: threading.Thread | None = None
         self.thread_id = 0
         self.longest_delay_s = 0.0
+        self.busy_s: defaultdict[str, float] = defaultdict(float)
         self.log = EventLog("event_loop")
 
     @property
@@ -68,6 +72,7 @@
     def run(self) -> None:
         """Runs the loop in the current thread until `stop`."""
         self.thread_id = threading.get_ident()
+        threading.current_thread().name = "loop"
         asyncio.set_event_loop(self.loop)
         try:
             self.loop.run_forever()
@@ -169,6 +174,7 @@
         run_once: The function; returns the time until it is due again, in
             seconds.
         log: Where an exception is logged.
+        purpose: What the time of the calls is reported as.
         on_failure: Stops the process.
     """
 
@@ -177,11 +183,13 @@
         event_loop: EventLoop,
         run_once: Callable[[], float],
         log: EventLog,
+        purpose: str,
         on_failure: Callable[[], None] = abort_process,
     ):
         self.event_loop = event_loop
         self.run_once = run_once
         self.log = log
+        self.purpose = purpose
         self.on_failure = on_failure
         self.readable: set[int] = set()
         self.watched: set[int] = set()
@@ -249,12 +257,14 @@
         self.is_scheduled = False
         if self.is_stopped:
             return
+        start_s = time.perf_counter()
         try:
             delay_s = self.run_once()
         except Exception:
             self.log.logger.exception("invariant_broken")
             self.on_failure()
             return
+        self.event_loop.busy_s[self.purpose] += time.perf_counter() - start_s
         self._set_timer(self.event_loop.loop.time() + max(0.0, delay_s))
 
     def _set_timer(self, due_s: float) -> None:
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -17,8 +17,8 @@
 from sardinestair.limits.credits import CreditAccount
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
+from sardinestair.links.sockets import has_message
 from sardinestair.links.timing import LinkTiming
-from sardinestair.links.wakeup import has_message
 from sardinestair.messages import (
     Acknowledge,
     Announce,
--- a/sardinestair/links/link_loop.py
+++ b/sardinestair/links/link_loop.py
@@ -13,8 +13,9 @@
 
 from sardinestair.clock import Clock
 from sardinestair.links.entry_link import EntryLink, LinkOwner, LinkState
+from sardinestair.links.sockets import has_message
 from sardinestair.links.timing import LinkTiming
-from sardinestair.links.wakeup import Wakeup, has_message
+from sardinestair.links.wakeup import Wakeup
 
 __all__ = ["LinkLoop", "LoopOwner"]
 
--- a/sardinestair/links/wakeup.py
+++ b/sardinestair/links/wakeup.py
@@ -4,18 +4,11 @@
 import select
 import threading
 
-import zmq
-
-__all__ = ["Wakeup", "has_message"]
+__all__ = ["Wakeup"]
 
 MS_PER_S = 1000
 
 
-def has_message(socket: zmq.Socket) -> bool:
-    """Returns True if a message can be received without waiting."""
-    return bool(int(socket.get(zmq.EVENTS)) & zmq.POLLIN)
-
-
 class Wakeup:
     """An event that a ZeroMQ poller can wait for; thread-safe.
 
--- a/sardinestair/membership/announcer.py
+++ b/sardinestair/membership/announcer.py
@@ -6,13 +6,16 @@
 import msgspec
 import zmq
 
-from sardinestair.links.wakeup import Wakeup, has_message
-from sardinestair.messages import Announce, PeerHello
+from sardinestair.clock import Clock
+from sardinestair.event_loop import LoopTask
+from sardinestair.links.sockets import has_message
+from sardinestair.messages import DECODE_ERRORS, Announce, PeerHello
 from sardinestair.observability import EventLog
 
 __all__ = ["Announcer"]
 
 MAX_MISSED_REPLIES = 3
+LINGER_MS = 100
 
 R = TypeVar("R")
 
@@ -20,6 +23,8 @@
 class Announcer(Generic[R]):
     """Announces a sidecar or an entry to one other entry.
 
+    Its methods are called in one thread, that of the event loop.
+
     Args:
         entry: Membership endpoint of the entry, host:port.
         describe: Returns the current announcement.
@@ -27,6 +32,13 @@
         on_reply: Called with each reply of the entry.
         interval_s: Interval between announcements, in seconds.
         context: The ZeroMQ context.
+        clock: The clock.
+
+    Attributes:
+        task: Calls `run_once` when there is work; None before `start`.
+        socket: The socket, or None while it is not connected.
+        unanswered: Announcements since the last reply.
+        due_s: When the next announcement is due.
     """
 
     def __init__(
@@ -37,54 +49,93 @@
         on_reply: Callable[[R], None],
         interval_s: float,
         context: zmq.Context,
+        clock: Clock,
     ):
         self.entry = entry
         self.describe = describe
         self.on_reply = on_reply
         self.interval_s = interval_s
         self.context = context
-        self.stopping = False
-        self.wakeup = Wakeup()
+        self.clock = clock
+        self.task: LoopTask | None = None
+        self.socket: zmq.Socket | None = None
+        self.unanswered = 0
+        self.due_s = 0.0
         self.decoder = msgspec.msgpack.Decoder(reply_type)
         self.log = EventLog("announcer", entry_endpoint=entry)
 
+    def start(self, task: LoopTask) -> None:
+        """Starts to announce.
+
+        Args:
+            task: Calls `run_once`.
+        """
+        self.task = task
+        task.wake()
+
     def notify(self) -> None:
-        """Sends an announcement immediately."""
-        self.wakeup.set()
+        """Sends an announcement soon."""
+        self.due_s = 0.0
+        if self.task is not None:
+            self.task.wake()
 
     def stop(self) -> None:
-        """Ends the announcer's thread."""
-        self.stopping = True
-        self.wakeup.set()
-
-    def run(self) -> None:
-        """Announces until `stop`, and reconnects when replies are missing."""
-        while not self.stopping:
-            socket = self.context.socket(zmq.DEALER)
-            socket.connect(f"tcp://{self.entry}")
-            try:
-                self._run_connection(socket)
-            finally:
-                socket.close(linger=100)
-
-    def _run_connection(self, socket: zmq.Socket) -> None:
-        missed = 0
-        while not self.stopping and missed < MAX_MISSED_REPLIES:
-            self.wakeup.clear()
+        """Ends the announcements; a sidecar announces that it leaves."""
+        if self.socket is not None:
+            self._send_leaving(self.socket)
+        self._disconnect()
+        if self.task is not None:
+            self.task.stop()
+
+    def run_once(self) -> float:
+        """Handles replies, and sends an announcement if one is due.
+
+        Returns:
+            The time until the next one is due, in seconds.
+        """
+        socket = self.socket or self._connect()
+        self._receive(socket)
+        now_s = self.clock.monotonic()
+        if now_s >= self.due_s:
+            if self.unanswered >= MAX_MISSED_REPLIES:
+                self._disconnect()
+                socket = self._connect()
+            self.due_s = now_s + self.interval_s
+            self.unanswered += 1
             socket.send(msgspec.msgpack.encode(self.describe()))
-            self.wakeup.wait(self.interval_s)
-            missed = 0 if self._receive(socket) else missed + 1
-        self._send_leaving(socket)
-
-    def _receive(self, socket: zmq.Socket) -> bool:
-        has_reply = False
+            if has_message(socket) and self.task is not None:
+                # Sending may have consumed the signal of a message.
+                self.task.wake()
+        return self.due_s - now_s
+
+    def _connect(self) -> zmq.Socket:
+        socket = self.socket = self.context.socket(zmq.DEALER)
+        socket.connect(f"tcp://{self.entry}")
+        self.unanswered = 0
+        if self.task is not None:
+            self.task.add(int(socket.get(zmq.FD)))
+        return socket
+
+    def _disconnect(self) -> None:
+        socket, self.socket = self.socket, None
+        if socket is not None:
+            if self.task is not None:
+                self.task.remove(int(socket.get(zmq.FD)))
+            socket.close(linger=LINGER_MS)
+
+    def _receive(self, socket: zmq.Socket) -> None:
         while has_message(socket):
-            has_reply = True
-            self.on_reply(self.decoder.decode(socket.recv()))
-        return has_reply
+            data = socket.recv()
+            try:
+                reply = self.decoder.decode(data)
+            except DECODE_ERRORS as error:
+                self.log.warning("reply_undecodable", reason=str(error))
+                continue
+            self.unanswered = 0
+            self.on_reply(reply)
 
     def _send_leaving(self, socket: zmq.Socket) -> None:
         description = self.describe()
-        if self.stopping and isinstance(description, Announce):
+        if isinstance(description, Announce):
             last = msgspec.structs.replace(description, leaving=True)
             socket.send(msgspec.msgpack.encode(last), zmq.NOBLOCK)
--- a/sardinestair/observability/usage.py
+++ b/sardinestair/observability/usage.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -21,14 +21,14 @@
 MS_PER_S = 1000.0
 # Purpose of threads that were started by libraries, by their name's start.
 _PURPOSES = {
-    "CP Server": "http",
-    "http": "http",
     "MainThread": "main",
-    "Thread-": "http",
+    "blocking": "blocking",
+    "http": "blocking",
     "log": "log",
-    "slot": "runs",
 }
 OTHER_PURPOSE = "other"
+# The event loop without its tasks: requests, calls to upstreams, and waiting.
+LOOP_PURPOSE = "loop"
 
 
 class LinkUsage(msgspec.Struct):
@@ -61,12 +61,19 @@
     return thread_name.partition("/")[0]
 
 
-def read_processor_times() -> dict[str, float]:
+def read_processor_times(
+    loop_busy_s: Mapping[str, float] | None = None,
+) -> dict[str, float]:
     """Returns the processor time of the process by purpose, in seconds.
 
-    The purpose of a thread is its name up to a slash. `other` is the time of
+    The purpose of a thread is its name up to a slash. The thread of the event
+    loop serves several: `loop` is its time without that of `loop_busy_s`, if
+    the loop has a thread of that name. `other` is the time of
     native threads, such as those of ZeroMQ, and of threads that have ended; it
     is all of the time where the system has no clocks of threads.
+
+    Args:
+        loop_busy_s: Time spent in tasks of the event loop, by purpose.
     """
     times: defaultdict[str, float] = defaultdict(float)
     for thread in threading.enumerate():
@@ -81,6 +88,9 @@
     if threads_s > process_s:
         return {OTHER_PURPOSE: process_s}
     times[OTHER_PURPOSE] += process_s - threads_s
+    for purpose, spent_s in dict(loop_busy_s or {}).items():
+        times[LOOP_PURPOSE] -= spent_s
+        times[purpose] += spent_s
     return dict(times)
 
 
--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -1,7 +1,5 @@
 """HTTP API for the heartbeats of the runner on the same machine."""
 
-from concurrent.futures import TimeoutError as FutureTimeoutError
-
 import msgspec
 
 from sardinestair.messages import DECODE_ERRORS
@@ -13,8 +11,6 @@
 
 __all__ = ["HeartbeatApi"]
 
-# The platform requires a heartbeat to be acknowledged within 1 s.
-COMMAND_TIMEOUT_S = 0.9
 READY = "ready"
 DRAINING = "draining"
 
@@ -47,7 +43,9 @@
             ("/instances/<runner>/deregister", ["POST"], self.deregister),
         ]
 
-    def receive_heartbeat(self, request: Request, runner: str) -> Response:
+    async def receive_heartbeat(
+        self, request: Request, runner: str
+    ) -> Response:
         """Applies a heartbeat; late and invalid ones have no effect."""
         try:
             heartbeat = self.decoder.decode(request.body)
@@ -70,10 +68,10 @@
         self.latest_id = heartbeat_id
         return self._apply(runner, heartbeat)
 
-    def deregister(self, _request: Request, runner: str) -> Response:
+    async def deregister(self, _request: Request, runner: str) -> Response:
         """Deregisters the runner, which gets no new tasks."""
         self.log.info("runner_left", runner=runner)
-        self.server.submit(self.server.leave)
+        self.server.leave()
         return json_response({})
 
     def _apply(self, runner: str, heartbeat: Heartbeat) -> Response:
@@ -91,11 +89,7 @@
                 state=heartbeat.state,
             )
             return json_response({}, 400)
-        try:
-            self.server.submit(command).result(COMMAND_TIMEOUT_S)
-        except FutureTimeoutError:
-            self.log.warning("heartbeat_overdue", runner=runner)
-            return json_response({}, 503)
+        command()
         return json_response({})
 
     def _to_announcement(self, heartbeat: Heartbeat) -> Announcement:
--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -1,12 +1,14 @@
 """Client of the runner on the same machine."""
 
-import threading
+import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 from expression import Error, Ok, Result
 
-from sardinestair.messages import TaskRef
+from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer
+from sardinestair.messages import DECODE_ERRORS, TaskRef
 from sardinestair.observability import EventLog
 from sardinestair.platform.names import format_job_name
 from sardinestair.platform.wire import (
@@ -16,7 +18,8 @@
     StartRequest,
     StopRequest,
 )
-from sardinestair.transfer import Reply, Transfer, TransferFailure
+from sardinestair.settings.process import split_address
+from sardinestair.transfer import Reply
 from sardinestair.upstreams.orders import (
     EndKind,
     Refusal,
@@ -31,7 +34,7 @@
 __all__ = ["HttpRunClient"]
 
 MS_PER_S = 1000
-JSON_HEADERS = ("Content-Type: application/json",)
+JSON_HEADERS = "Content-Type: application/json\r\n"
 
 # Requests are idempotent, so one that fails on a connection closed by the
 # runner can be repeated at little more than the cost of a new connection.
@@ -67,7 +70,7 @@
 
 
 class HttpRunClient:
-    """Implements `RunClient` over HTTP; thread-safe.
+    """Implements `RunClient` over HTTP.
 
     Reports have a connection of their own, as they wait for ends. Starts and
     stops share `MAX_ORDER_CONNECTIONS`, reused last in, first out: a runner
@@ -79,11 +82,10 @@
     """
 
     def __init__(self, address: str):
-        self.address = address
-        self.lock = threading.Lock()
+        self.host, self.port = split_address(address)
         self.report_transfer = self._new_transfer()
-        self.order_slots = threading.BoundedSemaphore(MAX_ORDER_CONNECTIONS)
-        self.idle_transfers: list[Transfer] = []
+        self.order_slots = asyncio.BoundedSemaphore(MAX_ORDER_CONNECTIONS)
+        self.idle_transfers: list[AsyncTransfer] = []
         self.report_decoder = msgspec.json.Decoder(ReportReply)
         self.log = EventLog("runner")
 
@@ -91,17 +93,27 @@
         """Returns the runner's identifier for an attempt."""
         return RunId(format_job_name(ref.job), ref.index, ref.attempt)
 
-    def start(
-        self, run: RunId, payload: bytes, until_s: float, timeout_s: float
+    async def start(
+        self,
+        run: RunId,
+        payload: bytes,
+        until_s: float,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> Result[StartReply, RequestError]:
         """Starts a run; see `RunClient.start`."""
+        try:
+            specification = msgspec.json.decode(payload, type=str)
+        except DECODE_ERRORS as error:
+            self.log.warning("payload_unreadable", reason=str(error))
+            return Ok(StartReply(Refusal.INVALID))
         body = StartRequest(
             _format_task_name(run),
             run.attempt,
-            msgspec.json.decode(payload, type=str),
+            specification,
             int(until_s * MS_PER_S),
         )
-        result = self._send_order("/run-start", body, timeout_s)
+        result = await self._send_order("/run-start", body, timeout_s, may_send)
         if result.is_error():
             return Error(result.error)
         reply = result.ok
@@ -113,16 +125,19 @@
             return Ok(StartReply(self._decode_refusal(reply.body)))
         return _unknown_outcome(reply)
 
-    def stop(self, run: RunId, timeout_s: float) -> Result[None, RequestError]:
+    async def stop(
+        self, run: RunId, timeout_s: float
+    ) -> Result[None, RequestError]:
         """Stops a run; see `RunClient.stop`."""
         body = StopRequest(_format_task_name(run), run.attempt)
-        return self._send_order("/run-stop", body, timeout_s).bind(
+        result = await self._send_order("/run-stop", body, timeout_s)
+        return result.bind(
             lambda reply: (
                 Ok(None) if reply.status == 200 else _unknown_outcome(reply)
             )
         )
 
-    def report(
+    async def report(
         self,
         until_s: float | None,
         acknowledged: int,
@@ -132,60 +147,74 @@
         """Renews the lease and reports the runs; see `RunClient.report`."""
         until_ms = None if until_s is None else int(until_s * MS_PER_S)
         body = ReportRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
-        result = self._send(self.report_transfer, "/hold", body, timeout_s)
+        result = await self._send(
+            self.report_transfer, "/hold", body, timeout_s
+        )
         if result.is_error():
             return Error(result.error)
         if result.ok.status != 200:
             return _unknown_outcome(result.ok)
         try:
             return Ok(_to_report(self.report_decoder.decode(result.ok.body)))
-        except (msgspec.DecodeError, ValueError, IndexError) as error:
+        except (*DECODE_ERRORS, ValueError, IndexError) as error:
             return Error(RequestError(f"invalid report: {error}", True))
 
-    def _new_transfer(self) -> Transfer:
-        return Transfer(max_idle_s=MAX_IDLE_S)
+    def close(self) -> None:
+        """Closes all connections."""
+        for transfer in (self.report_transfer, *self.idle_transfers):
+            transfer.close()
+
+    def _new_transfer(self) -> AsyncTransfer:
+        return AsyncTransfer(self.host, self.port, max_idle_s=MAX_IDLE_S)
 
     def _decode_refusal(self, body: bytes) -> Refusal:
         try:
             reason = msgspec.json.decode(body, type=RefusalReply).reason
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.log.warning("refusal_unreadable", reason=str(error))
             return Refusal.INVALID
         return _REFUSALS_BY_REASON.get(reason, Refusal.INVALID)
 
-    def _send_order(
-        self, path: str, body: msgspec.Struct, timeout_s: float
+    async def _send_order(
+        self,
+        path: str,
+        body: msgspec.Struct,
+        timeout_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[Reply, RequestError]:
-        with self.order_slots:
-            with self.lock:
-                transfer = (
-                    self.idle_transfers.pop()
-                    if self.idle_transfers
-                    else self._new_transfer()
-                )
+        async with self.order_slots:
+            transfer = (
+                self.idle_transfers.pop()
+                if self.idle_transfers
+                else self._new_transfer()
+            )
             try:
-                return self._send(transfer, path, body, timeout_s)
+                return await self._send(
+                    transfer, path, body, timeout_s, may_send
+                )
             finally:
-                with self.lock:
-                    self.idle_transfers.append(transfer)
+                self.idle_transfers.append(transfer)
 
-    def _send(
+    async def _send(
         self,
-        transfer: Transfer,
+        transfer: AsyncTransfer,
         path: str,
         body: msgspec.Struct,
         timeout_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[Reply, RequestError]:
-        reply = transfer.perform(
+        reply = await transfer.perform(
             "POST",
-            f"http://{self.address}{path}",
+            path,
             msgspec.json.encode(body),
             timeout_s,
             JSON_HEADERS,
+            may_send,
         )
-        if isinstance(reply, TransferFailure):
-            return Error(RequestError(reply.reason, reply.was_sent))
-        return Ok(reply)
+        if isinstance(reply, Reply):
+            return Ok(reply)
+        is_withdrawn = reply is WITHDRAWN
+        return Error(RequestError(reply.reason, reply.was_sent, is_withdrawn))
 
 
 def _unknown_outcome(reply: Reply) -> Result[Any, RequestError]:
--- a/sardinestair/platform/tests/test_idle_links.py
+++ b/sardinestair/platform/tests/test_idle_links.py
@@ -42,7 +42,6 @@
     server.announce(
         Announcement("quotes", "http://127.0.0.1:1", 8, 300, capacity=CAPACITY)
     )
-    server.workers.shutdown()
     server.caller = FakeUpstream([])
     link = make_idle_link(server, timing, clock)
     socket = FakeSocket()
@@ -63,7 +62,6 @@
             socket.inbox.append(data)
         link.receive(socket)
         assert not link.is_silent()
-    server.wakeup.close()
     return total / duration_s
 
 
--- a/sardinestair/platform/tests/test_orders.py
+++ b/sardinestair/platform/tests/test_orders.py
@@ -1,7 +1,7 @@
 """Requests to a stand-in for a runner over HTTP."""
 
+import asyncio
 import threading
-from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -27,9 +27,36 @@
     server.http.stop()
 
 
+class Client:
+    """Calls a `HttpRunClient` in an event loop, and waits for the results."""
+
+    def __init__(self, address):
+        self.loop = asyncio.new_event_loop()
+        self.client = HttpRunClient(address)
+        self.run_id = self.client.run_id
+
+    def start(self, run, payload, until_s, timeout_s, may_send=lambda: True):
+        return self.loop.run_until_complete(
+            self.client.start(run, payload, until_s, timeout_s, may_send)
+        )
+
+    def stop(self, run, timeout_s):
+        return self.loop.run_until_complete(self.client.stop(run, timeout_s))
+
+    def report(self, *arguments):
+        return self.loop.run_until_complete(self.client.report(*arguments))
+
+    def close(self):
+        self.client.close()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+
 @pytest.fixture
 def client(server):
-    return HttpRunClient(server.address)
+    client = Client(server.address)
+    yield client
+    client.close()
 
 
 def until_s(server, seconds=1.0):
@@ -102,16 +129,35 @@
 
 
 def test_unreachable_runner_has_not_executed_the_request():
-    client = HttpRunClient("127.0.0.1:9")
+    client = Client("127.0.0.1:9")
     reply = client.start(client.run_id(REF), SPEC, 1.0, 1.0)
     assert not reply.error.may_have_executed
 
 
+def test_withdrawn_start_is_not_sent(server, client):
+    run = client.run_id(REF)
+    reply = client.start(run, SPEC, until_s(server), 1.0, lambda: False)
+    assert reply.error.is_withdrawn
+    assert not reply.error.may_have_executed
+    assert server.requests == []
+
+
+# Guards against a task that ends its sidecar: a payload that is no JSON string
+# raised an error that nothing handled.
+@pytest.mark.parametrize("payload", [b"", b"{}", b"\xff", b"[" * 100_000])
+def test_payload_that_is_no_string_is_refused(server, client, payload):
+    run = client.run_id(REF)
+    reply = client.start(run, payload, until_s(server), 1.0)
+    assert reply.ok.refusal is Refusal.INVALID
+    assert server.requests == []
+
+
 def test_connection_is_reused(server, client):
     for number in range(1, 20):
         run = client.run_id(TaskRef(REF.job, 0, number))
         client.stop(run, 1.0)
-    assert len(client.idle_transfers) == 1
+    assert len(client.client.idle_transfers) == 1
+    assert len(server.http.connections) == 1
 
 
 class SlowRunnerServer(RunnerServer):
@@ -136,18 +182,21 @@
     server = SlowRunnerServer(RunnerModel(SystemClock()))
     server.http.start()
     client = HttpRunClient(server.address)
-    refs = [TaskRef(REF.job, index, 1) for index in range(BURST)]
-    with ThreadPoolExecutor(BURST) as workers:
-        starts = [
-            workers.submit(
-                client.start, client.run_id(ref), SPEC,
-                until_s(server, TIMEOUT_S), TIMEOUT_S,
-            )
-            for ref in refs
-        ]  # fmt: skip
+
+    async def start(index):
+        run = client.run_id(TaskRef(REF.job, index, 1))
+        latest_s = until_s(server, TIMEOUT_S)
+        return await client.start(run, SPEC, latest_s, TIMEOUT_S, lambda: True)
+
+    async def start_burst():
+        starts = [asyncio.ensure_future(start(n)) for n in range(BURST)]
         for _ in range(MAX_ORDER_CONNECTIONS):
-            assert server.arrived.acquire(timeout=TIMEOUT_S)
+            await asyncio.to_thread(server.arrived.acquire, timeout=TIMEOUT_S)
         server.release.set()
-        assert all(start.result(TIMEOUT_S).is_ok() for start in starts)
+        replies = await asyncio.gather(*starts)
+        client.close()
+        return replies
+
+    assert all(reply.is_ok() for reply in asyncio.run(start_burst()))
     server.http.stop()
     assert len(server.ports) <= MAX_ORDER_CONNECTIONS
--- a/sardinestair/sidecar/api.py
+++ b/sardinestair/sidecar/api.py
@@ -16,8 +16,6 @@
 
 __all__ = ["UpstreamApi"]
 
-COMMAND_TIMEOUT_S = 2.0
-
 
 class UpstreamApi:
     """Handlers with which an upstream announces itself and leaves.
@@ -38,27 +36,26 @@
             ("/v1/upstream", ["GET"], self.show),
         ]
 
-    def announce(self, request: Request) -> Response:
+    async def announce(self, request: Request) -> Response:
         """Handles an announcement; repeating it extends its expiry."""
         try:
             announcement = self.decoder.decode(request.body)
         except DECODE_ERRORS as error:
             problem = Problem(ProblemKind.INVALID, str(error), not_run=True)
             return problem_response(problem)
-        command = self.server.submit(lambda: self.server.announce(announcement))
-        if not command.result(COMMAND_TIMEOUT_S):
+        if not self.server.announce(announcement):
             problem = Problem(
                 ProblemKind.DRAINING, "the sidecar is stopping", not_run=True
             )
             return problem_response(problem)
-        return self.show(request)
+        return await self.show(request)
 
-    def leave(self, request: Request) -> Response:
+    async def leave(self, request: Request) -> Response:
         """Marks the upstream as leaving; tasks that run are finished."""
-        self.server.submit(self.server.leave).result(COMMAND_TIMEOUT_S)
-        return self.show(request)
+        self.server.leave()
+        return await self.show(request)
 
-    def show(self, _request: Request) -> Response:
+    async def show(self, _request: Request) -> Response:
         """Returns the upstream's state and the number of its tasks."""
         upstream = self.server.upstream
         body = {
@@ -66,8 +63,6 @@
             "service": upstream.service,
             "slots": upstream.slots,
             "running": self.server.ledger.occupied_units,
-            "unsettled": self.server.submit(self.server.unsettled).result(
-                COMMAND_TIMEOUT_S
-            ),
+            "unsettled": self.server.unsettled(),
         }
         return json_response(body)
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -1,15 +1,11 @@
 """Serves the links between a sidecar and its entries.
 
-One thread owns the state: it receives frames, starts tasks on free slots and
-sends outcomes. Worker threads, one per slot up to a limit, call the upstream
-and report back through a command queue.
+It receives frames, starts tasks on free slots and sends outcomes. All of its
+methods are called in one thread, that of the event loop.
 """
 
-import queue
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
 from functools import singledispatchmethod
-from typing import Any
 
 import msgspec
 import zmq
@@ -20,9 +16,10 @@
 from sardinestair.limits.resources import units_needed
 from sardinestair.links.fence import FrameStatus
 from sardinestair.links.session import SidecarSession, StartDecision
+from sardinestair.links.sockets import has_message
 from sardinestair.links.timing import LinkTiming
-from sardinestair.links.wakeup import Wakeup, has_message
 from sardinestair.messages import (
+    DECODE_ERRORS,
     Acknowledge,
     Announce,
     Cancel,
@@ -40,17 +37,14 @@
 )
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
-from sardinestair.tasks import abort_process
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
-from sardinestair.upstreams.caller import TaskCaller
+from sardinestair.upstreams.caller import CallResult, TaskCaller
 from sardinestair.upstreams.upstream import UpstreamState
 
 __all__ = ["LinkServer"]
 
 SESSION_RETENTION_S = 600.0
 MAX_FRAMES_PER_ITERATION = 64
-# Tasks beyond this number wait for a free worker thread.
-MAX_WORKERS = 64
 
 CallerFactory = Callable[[Announcement, Callable[[], None]], TaskCaller]
 
@@ -77,11 +71,11 @@
         policy: The effective settings.
         policy_revision: Their revision, -1 before the first.
         is_draining: True once announcements are rejected for good.
-        commands: Functions to run in the server's thread.
         caller: Runs tasks at the announced upstream; None before the first
             announcement.
-        workers: Threads that call the upstream.
+        wake: Called when `run_once` has work to do.
         listeners: Called when the description of the sidecar has changed.
+        descriptor: Descriptor that signals events of the socket.
         advertised_endpoint: Endpoint at which entries reach the sidecar.
         link_usage: Counters of all links.
     """
@@ -109,19 +103,15 @@
         self.policy = SidecarPolicy()
         self.policy_revision = -1
         self.is_draining = False
-        self.stopping = False
-        self.commands: queue.SimpleQueue[Callable[[], None]] = (
-            queue.SimpleQueue()
-        )
-        self.wakeup = Wakeup()
         self.caller: TaskCaller | None = None
-        self.workers: ThreadPoolExecutor | None = None
+        self.wake: Callable[[], None] = lambda: None
         self.listeners: list[Callable[[], None]] = []
         self.socket = context.socket(zmq.ROUTER)
         self.socket.set(zmq.SNDHWM, 0)
         self.socket.set(zmq.RCVHWM, 0)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
+        self.descriptor = int(self.socket.get(zmq.FD))
         self.advertised_endpoint = self.endpoint
         self.decoder = msgspec.msgpack.Decoder(EntryFrame)
         self.encoder = msgspec.msgpack.Encoder()
@@ -131,23 +121,6 @@
             "sidecar", sidecar=format_incarnation(incarnation), zone=zone
         )
 
-    # Safe to call from other threads.
-
-    def submit(self, command: Callable[[], Any]) -> Future[Any]:
-        """Runs a command in the server's thread.
-
-        Returns:
-            A future of its result.
-        """
-        result: Future[Any] = Future()
-
-        def run() -> None:
-            result.set_result(command())
-
-        self.commands.put(run)
-        self.wakeup.set()
-        return result
-
     def description(self) -> Announce:
         """Returns the sidecar's announcement to entries."""
         is_leaving = self.upstream.state is not UpstreamState.SERVING
@@ -165,17 +138,8 @@
 
     def report_upstream_lost(self) -> None:
         """Reports that the current caller's upstream stopped answering."""
-        caller = self.caller
-        if caller is not None:
-            self.commands.put(lambda: self._handle_upstream_lost(caller))
-            self.wakeup.set()
-
-    def stop(self) -> None:
-        """Makes `run` return."""
-        self.stopping = True
-        self.wakeup.set()
-
-    # Run in the server's thread, through `submit`.
+        if self.caller is not None:
+            self._handle_upstream_lost(self.caller)
 
     def announce(self, announcement: Announcement) -> bool:
         """Handles an announcement of the upstream.
@@ -189,7 +153,7 @@
         now_s = self.clock.monotonic()
         if not self.upstream.announce(announcement, now_s):
             return True
-        if self.workers is None or old != announcement:
+        if self.caller is None or old != announcement:
             self._open_slots(announcement)
         self.log.info(
             "upstream_serving",
@@ -198,6 +162,7 @@
             slots=self.upstream.slots,
         )
         self._notify_listeners()
+        self.wake()
         return True
 
     def leave(self) -> bool:
@@ -241,29 +206,27 @@
             self.caller.not_run_statuses = frozenset(policy.not_run_statuses)
         self.log.info("settings_adopted", revision=revision)
 
-    # The server's thread.
-
-    def run(self) -> None:
-        """Serves links until `stop`."""
-        poller = zmq.Poller()
-        poller.register(self.socket, zmq.POLLIN)
-        poller.register(self.wakeup, zmq.POLLIN)
-        while not self.stopping:
-            poller.poll(int(self.timing.tick_s * 1000))
-            self.link_usage.wakeups += 1
-            self.wakeup.clear()
-            self._run_commands()
-            self._receive()
-            self._tick()
-            self._allocate_credits()
-            self._flush()
-        self.socket.close(linger=200)
-        if self.workers is not None:
-            self.workers.shutdown(wait=False, cancel_futures=True)
+    def run_once(self) -> float:
+        """Handles received frames, and sends those that are due.
 
-    def _run_commands(self) -> None:
-        while not self.commands.empty():
-            self.commands.get()()
+        Returns:
+            The time until it is due again, in seconds.
+        """
+        self.link_usage.wakeups += 1
+        self._receive()
+        self._tick()
+        self._allocate_credits()
+        self._flush()
+        if has_message(self.socket):
+            # Sending may have consumed the signal of a message.
+            self.wake()
+        return self.next_tick_s - self.clock.monotonic()
+
+    def close(self) -> None:
+        """Closes the socket after what has been sent is delivered."""
+        self.socket.close(linger=200)
+        if self.caller is not None:
+            self.caller.close()
 
     def _receive(self) -> None:
         for _ in range(MAX_FRAMES_PER_ITERATION):
@@ -273,11 +236,11 @@
             self.link_usage.frames_received += 1
             try:
                 frame = self.decoder.decode(data)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 self.log.warning("frame_undecodable", reason=str(error))
                 continue
             self._handle_frame(route, frame)
-        self.wakeup.set()
+        self.wake()
 
     def _handle_frame(self, route: bytes, frame: EntryFrame) -> None:
         session = self.sessions.get(frame.sender)
@@ -383,54 +346,23 @@
         )
 
     def _start(self, message: Start, session: SidecarSession) -> None:
-        assert self.workers is not None and self.caller is not None
+        assert self.caller is not None
+        caller, ref = self.caller, message.task
         units = self._credits_needed(message)
         self.ledger.occupied_units += units
         self.metrics.count("starts_total", {})
-        deadline_s = self.clock.monotonic() + message.remaining_s
-        self.workers.submit(
-            self._run_task, self.caller, message, session, units, deadline_s
-        )
-
-    def _run_task(
-        self,
-        caller: TaskCaller,
-        message: Start,
-        session: SidecarSession,
-        units: int,
-        deadline_s: float,
-    ) -> None:
-        """Runs one task in a worker thread, and reports its outcome."""
-        try:
-            outcome = self._execute(caller, message, session, deadline_s)
-        except Exception:
-            # The task's credits would never be released.
-            self.log.logger.exception("invariant_broken")
-            abort_process()
-            raise
-        self.commands.put(lambda: self._finish(session, outcome, units))
-        self.wakeup.set()
-
-    def _execute(
-        self,
-        caller: TaskCaller,
-        message: Start,
-        session: SidecarSession,
-        deadline_s: float,
-    ) -> Outcome:
-        ref = message.task
         held = session.tasks[ref.job, ref.index]
-        timeout_s = deadline_s - self.clock.monotonic()
-        is_expired = self._is_session_expired(session)
-        if timeout_s <= 0 or not held.wanted or is_expired:
-            return Outcome(
-                ref, TaskState.NOT_RUN, b"cancelled or expired", False, 0.0
-            )
-        result = caller.call(ref, message.payload, timeout_s)
-        if result.is_unreachable:
-            self.commands.put(lambda: self._handle_upstream_lost(caller))
-        return Outcome(
-            ref, result.state, result.body, result.is_json, result.run_s
+
+        def may_start() -> bool:
+            return held.wanted and not self._is_session_expired(session)
+
+        def on_result(result: CallResult) -> None:
+            self._finish(session, ref, result, units)
+            if result.is_unreachable:
+                self._handle_upstream_lost(caller)
+
+        caller.start(
+            ref, message.payload, message.remaining_s, may_start, on_result
         )
 
     def _handle_upstream_lost(self, caller: TaskCaller) -> None:
@@ -439,9 +371,17 @@
             self._close_slots("unreachable")
 
     def _finish(
-        self, session: SidecarSession, outcome: Outcome, units: int
+        self,
+        session: SidecarSession,
+        ref: TaskRef,
+        result: CallResult,
+        units: int,
     ) -> None:
+        outcome = Outcome(
+            ref, result.state, result.body, result.is_json, result.run_s
+        )
         self.ledger.occupied_units -= units
+        self.wake()
         self.metrics.count("outcomes_total", {"state": outcome.state.value})
         if outcome.state is TaskState.NOT_RUN:
             session.forget(outcome.task)
@@ -450,10 +390,6 @@
         session.finish(outcome)
 
     def _open_slots(self, announcement: Announcement) -> None:
-        if self.workers is not None:
-            self.workers.shutdown(wait=False)
-        workers = min(self.upstream.slots, MAX_WORKERS)
-        self.workers = ThreadPoolExecutor(workers, thread_name_prefix="slot")
         previous = self.caller
         self.caller = self.make_caller(announcement, self.report_upstream_lost)
         if previous is not None and previous is not self.caller:
@@ -464,7 +400,9 @@
         self, announcement: Announcement, _on_lost: Callable[[], None]
     ) -> TaskCaller:
         return UpstreamCaller(
-            announcement.address, self.policy.not_run_statuses
+            announcement.address,
+            self.policy.not_run_statuses,
+            self.upstream.slots,
         )
 
     def _credits_needed(self, message: Start) -> int:
@@ -512,6 +450,7 @@
         for session in self.sessions.values():
             session.outbox.append(Leaving())
         self._notify_listeners()
+        self.wake()
 
     def _tick(self) -> None:
         now_s = self.clock.monotonic()
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -1,7 +1,9 @@
 """Assembles a sidecar process on the users' platform."""
 
+import functools
 import threading
 from collections.abc import Callable
+from concurrent.futures import Future
 
 from sardinestair.clock import Clock
 from sardinestair.event_loop import EventLoop
@@ -14,6 +16,7 @@
 from sardinestair.settings.process import SidecarPlatform, split_address
 from sardinestair.sidecar.process import SidecarProcess
 from sardinestair.store.registration import read_entries
+from sardinestair.tasks import abort_process
 from sardinestair.upstreams import Announcement, LeasedUpstream
 from sardinestair.web import HttpServer, WebApp
 
@@ -52,9 +55,11 @@
         if launched is None:
             launched = LaunchContext(self.clock.monotonic())
         self.stopping = threading.Event()
+        self.renewals: Future[None] | None = None
         self.store = PlatformStore(self.platform.store_address)
+        self.run_client = HttpRunClient(self.platform.runner_address)
         self.runner = LeasedUpstream(
-            HttpRunClient(self.platform.runner_address),
+            self.run_client,
             self.clock,
             settings.link.lease_s,
             self.metrics,
@@ -76,7 +81,7 @@
     def start(self) -> None:
         """Starts to serve, and to announce the sidecar."""
         super().start()
-        self.tasks.run(self.runner.run, "reports")
+        self.renewals = self.event_loop.run_coroutine(self._run_runner())
         self.heartbeats.start()
         self.tasks.run(self._poll_entries, "store/entries")
 
@@ -93,7 +98,7 @@
         """Applies a changed list of seeds; other settings need a restart."""
         assert settings.platform is not None
         self.platform = settings.platform
-        self._update_announcers([])
+        self.event_loop.call(lambda: self._update_announcers([]))
 
     def _make_caller(
         self, _announcement: Announcement, _on_lost: Callable[[], None]
@@ -109,12 +114,25 @@
         while not self.stopping.is_set():
             found = read_entries(self.store, may_be_stale=True)
             if found.is_ok():
-                self._update_announcers([r.endpoint for r in found.ok])
+                endpoints = [record.endpoint for record in found.ok]
+                self.event_loop.call(
+                    functools.partial(self._update_announcers, endpoints)
+                )
             else:
                 self.log.warning("store_unanswered", reason=found.error.reason)
             self.stopping.wait(ENTRY_POLL_INTERVAL_S)
 
-    def _stop_threads(self) -> None:
+    async def _run_runner(self) -> None:
+        try:
+            await self.runner.run()
+        except Exception:
+            self.log.logger.exception("invariant_broken")
+            abort_process()
+
+    def _shut_down(self) -> None:
         self.heartbeats.stop()
-        self.runner.close()
-        super()._stop_threads()
+        self.event_loop.call(self.runner.close)
+        if self.renewals is not None:
+            self.renewals.result()
+        self.event_loop.call(self.run_client.close)
+        super()._shut_down()
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -1,17 +1,17 @@
-"""Assembles a sidecar process: components, threads and graceful shutdown."""
+"""Assembles a sidecar process: its components and graceful shutdown."""
 
-import threading
 import time
 
 import msgspec
 import zmq
 
 from sardinestair.clock import Clock, SystemClock
-from sardinestair.event_loop import EventLoop
+from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.membership import Announcer, choose_entries
-from sardinestair.messages import AnnounceReply
+from sardinestair.messages import DECODE_ERRORS, AnnounceReply
 from sardinestair.observability import EventLog, Metrics, UsageReporter
+from sardinestair.observability.usage import read_processor_times
 from sardinestair.settings import SidecarSettings
 from sardinestair.sidecar.api import UpstreamApi
 from sardinestair.sidecar.link_server import LinkServer
@@ -25,12 +25,12 @@
 MAX_BODY_BYTES = 64 << 10
 DRAIN_POLL_INTERVAL_S = 0.02
 ENTRY_TTL_S = 60.0
-# The link server, the renewal of the upstream's lease and the entry poll.
-BASE_THREADS = 3
+# Only reads of the store take a thread, as they block.
+MAX_THREADS = 1
 
 
 class SidecarProcess:
-    """Runs a sidecar in threads of the current process.
+    """Runs a sidecar in an event loop.
 
     Args:
         settings: The process's settings.
@@ -58,16 +58,13 @@
         self.metrics = Metrics()
         self.context = zmq.Context()
         self.announcers: dict[str, Announcer] = {}
-        self.lock = threading.Lock()
         self.is_stopping = False
         self.log = EventLog(
             "sidecar",
             sidecar=format_incarnation(self.incarnation),
             zone=settings.zone,
         )
-        # One thread per entry, and as many again for replaced announcers that
-        # have not ended yet.
-        self.tasks = TaskPool(BASE_THREADS + 2 * settings.max_entries, self.log)
+        self.tasks = TaskPool(MAX_THREADS, self.log)
         self.last_learned_s: dict[str, float] = {}
         address = settings.address
         self.server = LinkServer(
@@ -79,8 +76,16 @@
             self.context,
             settings.link,
         )
+        self.links = LoopTask(
+            self.event_loop, self.server.run_once, self.log, "links"
+        )
         self.usage = UsageReporter(
-            self.clock, self.metrics, self.log, self.server.link_usage
+            self.clock,
+            self.metrics,
+            self.log,
+            self.server.link_usage,
+            lambda: read_processor_times(self.event_loop.busy_s),
+            self._read_levels,
         )
         if settings.advertise is not None:
             self.server.advertised_endpoint = f"tcp://{settings.advertise}"
@@ -98,10 +103,9 @@
         """Starts to serve."""
         if self.owns_loop:
             self.event_loop.start()
-        self.server.listeners.append(self._notify_announcers)
-        self.tasks.run(self.server.run, "links")
+        self.event_loop.call(self._start_links)
         self.http.start()
-        self._update_announcers([])
+        self.event_loop.call(lambda: self._update_announcers([]))
         self.log.info(
             "sidecar_started",
             http_port=self.http.port,
@@ -115,17 +119,14 @@
             True if all outcomes were acknowledged before the drain time-out.
         """
         self.log.info("drain_started")
-        self.server.submit(self.server.drain)
+        self.event_loop.call(self.server.drain)
         deadline_s = self.clock.monotonic() + self.settings.drain_timeout_s
         while (unsettled := self._unsettled()) > 0:
             if self.clock.monotonic() >= deadline_s:
                 break
             time.sleep(DRAIN_POLL_INTERVAL_S)
-        with self.lock:
-            self.is_stopping = True
-            for announcer in self.announcers.values():
-                announcer.stop()
-        self._stop_threads()
+        self.event_loop.call(self._stop_announcers)
+        self._shut_down()
         self.log.info("sidecar_stopped", unsettled=unsettled)
         return unsettled == 0
 
@@ -135,11 +136,26 @@
 
     def reload(self, settings: SidecarSettings) -> None:
         """Learns entries added to the settings; the rest needs a restart."""
-        self._update_announcers(settings.entries)
+        self.event_loop.call(lambda: self._update_announcers(settings.entries))
+
+    def _start_links(self) -> None:
+        self.server.wake = self.links.wake
+        self.server.listeners.append(self._notify_announcers)
+        self.links.add(self.server.descriptor)
+        self.links.wake()
+
+    def _stop_links(self) -> None:
+        self.links.stop()
+        self.server.close()
+
+    def _stop_announcers(self) -> None:
+        self.is_stopping = True
+        for announcer in self.announcers.values():
+            announcer.stop()
 
-    def _stop_threads(self) -> None:
+    def _shut_down(self) -> None:
         self.http.stop()
-        self.server.stop()
+        self.event_loop.call(self._stop_links)
         self.tasks.close()
         if self.owns_loop:
             self.event_loop.stop()
@@ -149,20 +165,22 @@
         return self.settings.entries
 
     def _unsettled(self) -> int:
-        return self.server.submit(self.server.unsettled).result()
+        return self.event_loop.call(self.server.unsettled)
+
+    def _read_levels(self) -> dict[str, float]:
+        return {"loop_delay_s": self.event_loop.take_longest_delay_s()}
 
     def _update_announcers(self, learned: list[str]) -> None:
-        with self.lock:
-            if self.is_stopping:
-                return
-            known = self._known_entries(learned)
-            chosen = choose_entries(
-                self.incarnation, known, self.settings.max_entries
-            )
-            for entry in set(self.announcers).difference(chosen):
-                self.announcers.pop(entry).stop()
-            for entry in set(chosen).difference(self.announcers):
-                self._start_announcer(entry)
+        if self.is_stopping:
+            return
+        known = self._known_entries(learned)
+        chosen = choose_entries(
+            self.incarnation, known, self.settings.max_entries
+        )
+        for entry in set(self.announcers).difference(chosen):
+            self.announcers.pop(entry).stop()
+        for entry in set(chosen).difference(self.announcers):
+            self._start_announcer(entry)
 
     def _known_entries(self, learned: list[str]) -> list[str]:
         """Returns the configured entries, and those learned recently."""
@@ -183,16 +201,24 @@
             self._handle_reply,
             self.settings.announce_interval_s,
             self.context,
+            self.clock,
         )
         self.announcers[entry] = announcer
-        self.tasks.run(announcer.run, "announcements")
+        announcer.start(
+            LoopTask(
+                self.event_loop, announcer.run_once, self.log, "announcements"
+            )
+        )
 
     def _handle_reply(self, reply: AnnounceReply) -> None:
         self._update_announcers(reply.entries)
         if reply.settings:
-            policy = msgspec.json.decode(reply.settings, type=SidecarPolicy)
-            revision = reply.settings_revision
-            self.server.submit(lambda: self.server.adopt(revision, policy))
+            try:
+                policy = msgspec.json.decode(reply.settings, type=SidecarPolicy)
+            except DECODE_ERRORS as error:
+                self.log.warning("settings_undecodable", reason=str(error))
+                return
+            self.server.adopt(reply.settings_revision, policy)
 
     def _notify_announcers(self) -> None:
         for announcer in list(self.announcers.values()):
--- a/sardinestair/sidecar/tests/test_session_lease.py
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -21,7 +21,7 @@
 )
 from sardinestair.observability import Metrics
 from sardinestair.sidecar.link_server import LinkServer
-from sardinestair.tests.fakes import FakeContext, FakeExecutor, FakeUpstream
+from sardinestair.tests.fakes import FakeContext, FakeUpstream
 from sardinestair.upstreams import Announcement
 
 TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
@@ -64,8 +64,6 @@
             FakeContext(), TIMING, lambda _announcement, _lost: self.upstream,
         )  # fmt: skip
         self.server.announce(ANNOUNCEMENT)
-        self.server.workers.shutdown()
-        self.server.workers = FakeExecutor()
         self.sequence = 0
         self.echo_s = 0.0
         self.send(Resume(SIDECAR, []))
@@ -78,7 +76,6 @@
 
     def iterate(self, receives=True):
         """Runs one iteration of the sidecar's loop; returns its messages."""
-        self.server._run_commands()
         self.server._tick()
         self.server._allocate_credits()
         self.server._flush()
@@ -96,9 +93,7 @@
 
 @pytest.fixture
 def entry():
-    entry = FakeEntry()
-    yield entry
-    entry.server.wakeup.close()
+    return FakeEntry()
 
 
 def refused(messages):
@@ -151,7 +146,7 @@
 def test_queued_task_is_not_started_after_the_session(entry):
     entry.start()
     entry.clock.advance(TIMING.session_s + 0.05)
-    entry.server.workers.calls.popleft()()
+    entry.upstream.waiting.popleft()()
     assert entry.upstream.starts == []
 
 
@@ -170,7 +165,6 @@
     assert not [m for m in entry.iterate() if isinstance(m, Grant)]
     entry.upstream.has_no_orphans = True
     assert [m for m in entry.iterate() if isinstance(m, Grant)]
-    entry.server.wakeup.close()
 
 
 def test_capacity_is_never_exceeded_by_starts_without_credit(entry):
@@ -190,7 +184,6 @@
         ANNOUNCEMENT, capacity=Resources(8000, 65536, 0)
     )
     entry.server.announce(smaller)
-    entry.server.workers = FakeExecutor()
     for index in range(8):
         entry.start(index)
     assert entry.server.ledger.occupied_units <= 8000
--- a/sardinestair/tests/fakes.py
+++ b/sardinestair/tests/fakes.py
@@ -1,7 +1,6 @@
-"""Test doubles for ZeroMQ sockets, the thread pool and the upstream."""
+"""Test doubles for ZeroMQ sockets and the upstream."""
 
 import asyncio
-import functools
 from collections import deque
 from collections.abc import Callable
 
@@ -25,6 +24,8 @@
     def get(self, option):
         if option == zmq.LAST_ENDPOINT:
             return b"tcp://127.0.0.1:1"
+        if option == zmq.FD:
+            return -1
         return zmq.POLLIN if self.inbox else 0
 
     def bind(self, _endpoint):
@@ -57,21 +58,11 @@
         return FakeSocket()
 
 
-class FakeExecutor:
-    """Executor that queues submitted calls until the test runs them."""
-
-    def __init__(self):
-        self.calls: deque[Callable] = deque()
-
-    def submit(self, function, *arguments):
-        self.calls.append(functools.partial(function, *arguments))
-
-    def shutdown(self, **_options):
-        self.calls.clear()
-
-
 class FakeUpstream:
-    """Records started tasks; the result of each is its job id and index."""
+    """Queues started tasks until the test runs them.
+
+    The result of each is its job id and index.
+    """
 
     is_leased = False
     has_no_orphans = True
@@ -79,17 +70,30 @@
     def __init__(self, starts):
         self.starts = starts
         self.state = TaskState.DONE
+        self.waiting: deque[Callable] = deque()
 
-    def stop(self, _ref, _reason=b""):
-        pass
-
-    def call(self, ref, _payload, timeout_s):
+    def start(self, ref, _payload, timeout_s, may_start, on_result):
         assert timeout_s > 0
+
+        def run():
+            on_result(self.run(ref, may_start))
+
+        self.waiting.append(run)
+
+    def run(self, ref, may_start):
+        if not may_start():
+            return CallResult(TaskState.NOT_RUN, b"withdrawn", False, 0.0)
         if self.state is not TaskState.NOT_RUN:
             self.starts.append((ref.job, ref.index))
         body = f"{ref.job.hex()}/{ref.index}".encode()
         return CallResult(self.state, body, False, 0.1)
 
+    def stop(self, _ref, _reason=b""):
+        pass
+
+    def close(self):
+        pass
+
 
 def send_request(
     app: WebApp,
--- a/sardinestair/tests/test_links_machine.py
+++ b/sardinestair/tests/test_links_machine.py
@@ -28,7 +28,6 @@
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.tests.fakes import (
     FakeContext,
-    FakeExecutor,
     FakeSocket,
     FakeUpstream,
 )
@@ -92,8 +91,6 @@
         )  # fmt: skip
         self.created.append(server)
         server.announce(ANNOUNCEMENT)
-        server.workers.shutdown()
-        server.workers = FakeExecutor()
         server.caller = FakeUpstream(self.starts)
         return server
 
@@ -114,7 +111,6 @@
         self.connections.append(connection)
 
     def flush_server(self, server):
-        server._run_commands()
         server._allocate_credits()
         server._flush()
         for route, data in server.socket.take_sent():
@@ -242,8 +238,8 @@
     @rule(index=st.integers(0, SIDECAR_COUNT - 1), count=st.integers(1, 4))
     def run_tasks(self, index, count):
         server = self.servers[index]
-        for _ in range(min(count, len(server.workers.calls))):
-            server.workers.calls.popleft()()
+        for _ in range(min(count, len(server.caller.waiting))):
+            server.caller.waiting.popleft()()
         self.flush_server(server)
 
     @rule(index=st.integers(0, SIDECAR_COUNT - 1))
@@ -302,7 +298,7 @@
 
     def teardown(self):
         for server in self.created:
-            server.wakeup.close()
+            server.close()
 
 
 def test_jobs_complete_without_faults():
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -1,19 +1,23 @@
 """Runs tasks at an upstream that starts and stops them under a lease.
 
-One thread renews the lease and fetches the ends of runs. The worker thread of
-each task sends its start and waits for its end. If a start gets no answer, the
-run may or may not have begun; only a later report of the upstream can tell,
-and the worker stops the run meanwhile.
+All of it runs in one event loop: a coroutine that renews the lease and fetches
+the ends of runs, and for each task one that sends its start and waits for its
+end. If a start gets no answer, the run may or may not have begun; only a later
+report of the upstream can tell, and the run is stopped meanwhile.
 """
 
-import threading
+import asyncio
 from collections.abc import Callable
 
 from sardinestair.clock import Clock
 from sardinestair.links.timing import MAX_CLOCK_DRIFT
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog, Metrics
-from sardinestair.upstreams.caller import CallResult
+from sardinestair.upstreams.caller import (
+    CallResult,
+    ResultCallback,
+    run_call,
+)
 from sardinestair.upstreams.orders import (
     EndKind,
     RequestError,
@@ -40,6 +44,7 @@
 DEGRADED_REPORT_ROUND_TRIP_S = 0.05
 DEGRADED_PERIOD_S = 2.0
 REPORT_RETRY_DELAY_S = 0.02
+STOP_RETRY_DELAY_S = 0.02
 MAX_UNANSWERED_RENEWALS = 2
 # A task of 30 s completes one per cent in 0.3 s; one that is slower is better
 # restarted elsewhere.
@@ -71,7 +76,7 @@
         conclusive_from_s: A report that was requested after this time and
             doesn't list the run proves that it isn't active; None until its
             start has been answered or has timed out.
-        is_stop_requested: True if its worker should stop it.
+        is_stop_requested: True if it is to be stopped.
         stops_unanswered: Number of stop requests without an answer.
         reason: Why it is stopped, in UTF-8.
         percent: Share of its work that is done, -1 before the first report.
@@ -90,7 +95,7 @@
         self.reason = b""
         self.percent = -1
         self.last_progress_s = now_s
-        self.wakeup = threading.Event()
+        self.wakeup = asyncio.Event()
 
     def finish(self, how: EndKind) -> None:
         """Records how the run ended; later calls have no effect."""
@@ -99,7 +104,7 @@
             self.wakeup.set()
 
     def request_stop(self, reason: bytes) -> None:
-        """Asks the run's worker to stop it; only the first reason is kept."""
+        """Requests a stop of the run; only the first reason is kept."""
         if not self.is_stop_requested:
             self.is_stop_requested = True
             self.reason = reason
@@ -149,9 +154,9 @@
         self.lease_s = lease_s
         self.metrics = metrics
         self.on_lost = on_lost
-        self.lock = threading.Lock()
         self.runs: dict[RunId, Run] = {}
-        self.stopping = threading.Event()
+        self.calls: set[asyncio.Task[None]] = set()
+        self.stopping = asyncio.Event()
         self.process_started_s = (
             clock.monotonic()
             if process_started_s is None
@@ -168,10 +173,25 @@
         self.last_unanswered_s = -DEGRADED_PERIOD_S
         self.log = EventLog("upstream")
 
-    # Called by worker threads.
+    def start(
+        self,
+        ref: TaskRef,
+        payload: bytes,
+        timeout_s: float,
+        may_start: Callable[[], bool],
+        on_result: ResultCallback,
+    ) -> None:
+        """Starts one task; see `TaskCaller.start`."""
+        run_call(
+            self.calls, self.call(ref, payload, timeout_s, may_start), on_result
+        )
 
-    def call(
-        self, ref: TaskRef, payload: bytes, timeout_s: float
+    async def call(
+        self,
+        ref: TaskRef,
+        payload: bytes,
+        timeout_s: float,
+        may_start: Callable[[], bool],
     ) -> CallResult:
         """Runs one task and waits for its end.
 
@@ -179,6 +199,7 @@
             ref: The attempt.
             payload: The task's payload.
             timeout_s: After this time the run is stopped, in seconds.
+            may_start: See `TaskCaller.start`.
 
         Returns:
             A `CallResult`; its body is empty if the task is done, otherwise
@@ -191,23 +212,20 @@
             return self._make_result(
                 start_s, TaskState.NOT_RUN, b"no contact with the upstream"
             )
-        with self.lock:
-            self.runs[run.run_id] = run
-            self.lease_until_s = max(self.lease_until_s, until_s)
+        self.runs[run.run_id] = run
+        self.lease_until_s = max(self.lease_until_s, until_s)
         try:
-            refusal = self._start(run, payload, until_s)
+            refusal = await self._start(run, payload, until_s, may_start)
             if refusal is not None:
                 return self._make_result(start_s, TaskState.NOT_RUN, refusal)
-            self._await_end(run, start_s + timeout_s)
+            await self._await_end(run, start_s + timeout_s)
         finally:
-            with self.lock:
-                del self.runs[run.run_id]
+            del self.runs[run.run_id]
         return self._result_of(run, start_s)
 
     def stop(self, ref: TaskRef, reason: bytes = b"cancelled") -> None:
         """Requests that an attempt be stopped, if it is active."""
-        with self.lock:
-            run = self.runs.get(self.client.run_id(ref))
+        run = self.runs.get(self.client.run_id(ref))
         if run is not None:
             run.request_stop(reason)
 
@@ -215,9 +233,21 @@
         """Makes `run` return."""
         self.stopping.set()
 
-    def _start(self, run: Run, payload: bytes, until_s: float) -> bytes | None:
+    async def _start(
+        self,
+        run: Run,
+        payload: bytes,
+        until_s: float,
+        may_start: Callable[[], bool],
+    ) -> bytes | None:
         """Sends a start; returns the reason if it certainly did not begin."""
-        reply = self.client.start(run.run_id, payload, until_s, START_TIMEOUT_S)
+        reply = await self.client.start(
+            run.run_id,
+            payload,
+            until_s,
+            START_TIMEOUT_S,
+            lambda: not run.is_stop_requested and may_start(),
+        )
         if reply.is_error():
             return self._handle_unanswered_start(run, reply.error, until_s)
         refusal = reply.ok.refusal
@@ -234,6 +264,8 @@
     def _handle_unanswered_start(
         self, run: Run, error: RequestError, until_s: float
     ) -> bytes | None:
+        if error.is_withdrawn:
+            return b"cancelled or expired"
         self.metrics.count("starts_unanswered_total", {})
         self.last_unanswered_s = self.clock.monotonic()
         self._run_log(run.run_id).warning(
@@ -252,21 +284,23 @@
             run.conclusive_from_s = self.clock.monotonic() + remaining_s
         return None
 
-    def _await_end(self, run: Run, deadline_s: float) -> None:
+    async def _await_end(self, run: Run, deadline_s: float) -> None:
         """Waits for a run to end, and stops it on request or time-out."""
         while run.end is None:
             remaining_s = deadline_s - self.clock.monotonic()
             if remaining_s <= 0:
                 run.request_stop(b"deadline exceeded")
             if not run.is_stop_requested:
-                run.wakeup.wait(remaining_s)
+                await _wait(run.wakeup, remaining_s)
                 continue
             run.wakeup.clear()
-            if run.end is None and self._send_stop(run):
-                run.wakeup.wait(END_GRACE_S)
+            is_answered = await self._send_stop(run)
+            if run.end is None:
+                delay_s = END_GRACE_S if is_answered else STOP_RETRY_DELAY_S
+                await _wait(run.wakeup, delay_s)
 
-    def _send_stop(self, run: Run) -> bool:
-        reply = self.client.stop(run.run_id, STOP_TIMEOUT_S)
+    async def _send_stop(self, run: Run) -> bool:
+        reply = await self.client.stop(run.run_id, STOP_TIMEOUT_S)
         if reply.is_error():
             run.stops_unanswered += 1
             if run.stops_unanswered in LOGGED_UNANSWERED:
@@ -302,17 +336,19 @@
         run_s = self.clock.monotonic() - start_s
         return CallResult(state, body, False, run_s)
 
-    # Run by the thread that renews the lease.
+    # Renewal of the lease.
 
-    def run(self) -> None:
+    async def run(self) -> None:
         """Renews the lease and collects the ends of runs until `close`."""
         while not self.stopping.is_set():
-            self.renew()
-        # Without renewals the upstream ends all runs when the lease expires.
-        threading.Event().wait(self.lease_s * (1 + MAX_CLOCK_DRIFT))
-        self._finish_all(EndKind.LAPSED)
-
-    def renew(self) -> None:
+            await self.renew()
+        if self.runs:
+            # Without renewals the upstream ends all runs when the lease
+            # expires.
+            await asyncio.sleep(self.lease_s * (1 + MAX_CLOCK_DRIFT))
+            self._finish_all(EndKind.LAPSED)
+
+    async def renew(self) -> None:
         """Renews the lease once and handles the upstream's report."""
         sent_s = self.clock.monotonic()
         until_s = None
@@ -321,18 +357,18 @@
             # postpone the time at which the lease has certainly expired.
             until_s = self._next_lease_end()
         wait_s, round_trip_s = self._report_timeouts(sent_s)
-        reply = self.client.report(
+        reply = await self.client.report(
             until_s, self.acknowledged, wait_s, wait_s + round_trip_s
         )
         if reply.is_error():
             if until_s is not None and reply.error.may_have_executed:
                 self.lease_until_s = max(self.lease_until_s, until_s)
             self._handle_missing_report(reply.error)
-            self.stopping.wait(REPORT_RETRY_DELAY_S)
+            await _wait(self.stopping, REPORT_RETRY_DELAY_S)
             return
         if until_s is not None:
             self.lease_until_s = max(self.lease_until_s, until_s)
-        self._handle_report(reply.ok, sent_s)
+        await self._handle_report(reply.ok, sent_s)
 
     def _report_timeouts(self, now_s: float) -> tuple[float, float]:
         """Returns how long a report waits for an end, and its round trip."""
@@ -370,13 +406,12 @@
         return self.lease_until_s - self._remote_now()
 
     def _finish_all(self, how: EndKind) -> int:
-        with self.lock:
-            runs = list(self.runs.values())
+        runs = list(self.runs.values())
         for run in runs:
             run.finish(how)
         return len(runs)
 
-    def _handle_report(self, report: RunReport, sent_s: float) -> None:
+    async def _handle_report(self, report: RunReport, sent_s: float) -> None:
         now_s = self.clock.monotonic()
         self.remote_clock_s, self.remote_clock_read_s = report.clock_s, now_s
         self.unanswered = 0
@@ -385,8 +420,7 @@
             self.log.info("upstream_regained")
         if report.incarnation_ms != self.incarnation_ms:
             self._adopt_incarnation(report.incarnation_ms)
-        with self.lock:
-            known = dict(self.runs)
+        known = dict(self.runs)
         self._handle_ends(report, known)
         self._handle_progress(report, known, now_s)
         listed = {state.run for state in report.active}
@@ -397,7 +431,7 @@
             if conclusive_from_s < sent_s:
                 # It never began, or was lost in a restart of the upstream.
                 run.finish(EndKind.OTHER)
-        self._stop_orphans(report.active, known, now_s)
+        await self._stop_orphans(report.active, known, now_s)
 
     def _adopt_incarnation(self, incarnation_ms: int) -> None:
         self.log.info(
@@ -437,19 +471,15 @@
                 )
                 run.request_stop(STALLED)
 
-    def _stop_orphans(
+    async def _stop_orphans(
         self, active: list[RunState], known: dict[RunId, Run], now_s: float
     ) -> None:
         """Stops runs that an earlier sidecar has left behind."""
-        with self.lock:
-            orphans = [
-                state.run
-                for state in active
-                if state.run not in known and state.run not in self.runs
-            ]
+        orphans = [state.run for state in active if state.run not in known]
         for run_id in orphans[:MAX_STOPS_PER_REPORT]:
             self._run_log(run_id).warning("unknown_run")
-            if self.client.stop(run_id, STOP_TIMEOUT_S).is_error():
+            stopped = await self.client.stop(run_id, STOP_TIMEOUT_S)
+            if stopped.is_error():
                 break
         # A late start of an earlier sidecar can be executed until its lease
         # has expired.
@@ -475,3 +505,12 @@
         if self.remote_clock_s is None:
             return None
         return self._remote_now() + self.lease_s
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Waits for an event, at most for this time in seconds."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        pass
--- a/sardinestair/upstreams/orders.py
+++ b/sardinestair/upstreams/orders.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -127,17 +128,24 @@
         reason: Description of the error.
         may_have_executed: True if the upstream may have executed the request,
             or may still execute it.
+        is_withdrawn: True if the request was withdrawn before it was sent.
     """
 
     reason: str
     may_have_executed: bool
+    is_withdrawn: bool = False
 
 
 class RunClient(Protocol):
     """Client of one upstream; absolute times are on its monotonic clock."""
 
-    def start(
-        self, run: RunId, payload: bytes, until_s: float, timeout_s: float
+    async def start(
+        self,
+        run: RunId,
+        payload: bytes,
+        until_s: float,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> Result[StartReply, RequestError]:
         """Starts a run.
 
@@ -147,10 +155,14 @@
             until_s: Latest time at which the run may start. The start also
                 renews the lease of all runs to this time.
             timeout_s: Longest time for the whole call, in seconds.
+            may_send: Called immediately before the request is sent, which may
+                have waited for a connection; returns False to withdraw it.
         """
         ...
 
-    def stop(self, run: RunId, timeout_s: float) -> Result[None, RequestError]:
+    async def stop(
+        self, run: RunId, timeout_s: float
+    ) -> Result[None, RequestError]:
         """Stops a run.
 
         Once a stop has been answered, the upstream rejects a start of the
@@ -158,7 +170,7 @@
         """
         ...
 
-    def report(
+    async def report(
         self,
         until_s: float | None,
         acknowledged: int,
