--- a/sardinestair/cli/service.py
+++ b/sardinestair/cli/service.py
@@ -15,8 +15,13 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from sardinestair import __version__
+from sardinestair.event_loop import EventLoop
 from sardinestair.launch import SETTINGS_VARIABLE, LaunchContext
-from sardinestair.observability import EventLog, configure_logging
+from sardinestair.observability import (
+    EventLog,
+    configure_logging,
+    flush_logs,
+)
 from sardinestair.settings.process import load_process_settings
 
 __all__ = [
@@ -56,30 +61,12 @@
         """Reports the resource usage; called every second."""
 
 
-def wait_for_stop_signal(
-    poll_settings: Callable[[], object] | None = None,
-) -> None:
-    """Waits for SIGTERM or SIGINT.
-
-    Args:
-        poll_settings: Called on SIGHUP and every `SETTINGS_POLL_INTERVAL_S`
-            seconds, to check for changed settings.
-    """
+def wait_for_stop_signal() -> None:
+    """Waits for SIGTERM or SIGINT."""
     stop_requested = threading.Event()
-    wakeup = threading.Event()
-
-    def request_stop(*_signal: object) -> None:
-        stop_requested.set()
-        wakeup.set()
-
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, request_stop)
-    signal.signal(signal.SIGHUP, lambda *_: wakeup.set())
-    while not stop_requested.is_set():
-        wakeup.wait(SETTINGS_POLL_INTERVAL_S)
-        wakeup.clear()
-        if poll_settings is not None and not stop_requested.is_set():
-            poll_settings()
+        signal.signal(number, lambda *_: stop_requested.set())
+    stop_requested.wait()
 
 
 def tune_interpreter() -> None:
@@ -151,6 +138,95 @@
             return b""
 
 
+class DaemonRunner:
+    """Runs the event loop of a program in the main thread.
+
+    Starting and stopping wait for events of the loop, so each runs in a thread
+    that ends with it.
+
+    Args:
+        daemon: The program.
+        event_loop: The program's event loop.
+        poll_settings: Called every `SETTINGS_POLL_INTERVAL_S` seconds and on
+            SIGHUP, to check for changed settings.
+
+    Attributes:
+        exit_code: The exit code, once the program has stopped.
+    """
+
+    def __init__(
+        self,
+        daemon: Daemon,
+        event_loop: EventLoop,
+        poll_settings: Callable[[], object],
+    ):
+        self.daemon = daemon
+        self.event_loop = event_loop
+        self.poll_settings = poll_settings
+        self.exit_code = EXIT_FAILURE
+        self.is_started = False
+        self.is_stop_requested = False
+        self.is_stopping = False
+        self.log = EventLog("program")
+
+    def run(self) -> int:
+        """Runs the program until SIGTERM or SIGINT; returns the exit code."""
+        loop = self.event_loop.loop
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._poll)
+        self._run_in_thread(self._start)
+        self.event_loop.run()
+        return self.exit_code
+
+    def _run_in_thread(self, function: Callable[[], None]) -> None:
+        def run() -> None:
+            try:
+                function()
+            except Exception:
+                self.log.logger.exception("program_failed")
+                flush_logs()
+                # Open sockets would hold up an orderly exit.
+                os._exit(EXIT_FAILURE)
+
+        threading.Thread(target=run, name="control").start()
+
+    def _start(self) -> None:
+        self.daemon.start()
+        self.event_loop.call_soon(self._handle_started)
+
+    def _stop(self) -> None:
+        self.exit_code = EXIT_OK if self.daemon.stop() else EXIT_FAILURE
+        self.event_loop.stop()
+
+    def _handle_started(self) -> None:
+        self.is_started = True
+        self._poll_periodically()
+        self._stop_if_requested()
+
+    def _request_stop(self) -> None:
+        self.is_stop_requested = True
+        self._stop_if_requested()
+
+    def _stop_if_requested(self) -> None:
+        is_due = self.is_started and self.is_stop_requested
+        if is_due and not self.is_stopping:
+            self.is_stopping = True
+            self._run_in_thread(self._stop)
+
+    def _poll_periodically(self) -> None:
+        if not self.is_stopping:
+            self._poll()
+            self.event_loop.loop.call_later(
+                SETTINGS_POLL_INTERVAL_S, self._poll_periodically
+            )
+
+    def _poll(self) -> None:
+        if self.is_started and not self.is_stopping:
+            self.poll_settings()
+            self.daemon.report_usage()
+
+
 class DaemonCommand(Command, Generic[S]):
     """Runs a program with a settings file until SIGTERM or SIGINT.
 
@@ -176,7 +252,7 @@
         super().__init__()
         self.launched = launched
 
-    def create_daemon(self, settings: S) -> Daemon:
+    def create_daemon(self, settings: S, event_loop: EventLoop) -> Daemon:
         """Returns the program to run with validated settings."""
         raise NotImplementedError
 
@@ -203,18 +279,12 @@
     def _run_daemon(self, file: str, settings) -> int:
         tune_interpreter()
         configure_logging(settings.log_level, sys.stdout)
-        daemon = self.create_daemon(settings)
-        daemon.start()
+        event_loop = EventLoop()
+        daemon = self.create_daemon(settings, event_loop)
         watcher = SettingsWatcher(
             file, self.settings_type, settings, daemon.reload
         )
-
-        def poll() -> None:
-            watcher.reload_if_changed()
-            daemon.report_usage()
-
-        wait_for_stop_signal(poll)
-        return EXIT_OK if daemon.stop() else EXIT_FAILURE
+        return DaemonRunner(daemon, event_loop, watcher.reload_if_changed).run()
 
 
 def run_command(command: Command) -> None:
--- a/sardinestair/entry/command.py
+++ b/sardinestair/entry/command.py
@@ -3,6 +3,7 @@
 from sardinestair.cli.service import DaemonCommand
 from sardinestair.entry.platform_process import PlatformEntryProcess
 from sardinestair.entry.process import EntryProcess
+from sardinestair.event_loop import EventLoop
 from sardinestair.settings import EntrySettings
 
 __all__ = ["EntryCommand"]
@@ -22,12 +23,16 @@
 answered, then it exits with 0 (1 if the drain timeout cut jobs off)."""
     settings_type = EntrySettings
 
-    def create_daemon(self, settings: EntrySettings) -> EntryProcess:
+    def create_daemon(
+        self, settings: EntrySettings, event_loop: EventLoop
+    ) -> EntryProcess:
         """Creates an entry from validated settings."""
         if settings.platform is None:
-            entry = EntryProcess(settings)
+            entry = EntryProcess(settings, event_loop=event_loop)
         else:
-            entry = PlatformEntryProcess(settings, launched=self.launched)
+            entry = PlatformEntryProcess(
+                settings, event_loop=event_loop, launched=self.launched
+            )
         if settings.tree_file is not None:
             loaded = entry.load_tree_file()
             if loaded.is_error():
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -59,7 +59,7 @@
 class Dispatcher:
     """Owns all jobs of an entry from acceptance to completion.
 
-    It is called from HTTP threads, link threads and the timer thread; `lock`
+    It is called in the event loop, and by the thread that writes claims; `lock`
     guards all its state.
 
     Args:
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -14,7 +14,7 @@
 from sardinestair.limits.money import Micros, slot_cost
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import ServiceSettings, SettingsTree
-from sardinestair.settings.tree import resolve_settings
+from sardinestair.settings.tree import SettingsCache
 
 __all__ = ["AdmissionController"]
 
@@ -57,6 +57,7 @@
         self.tree: SettingsTree | None = None
         self.team_quotas: dict[str, TeamQuota] = {}
         self.entry_count = 1
+        self.settings_cache = SettingsCache()
         self.is_draining = False
         self.drain_deadline_s: float | None = None
 
@@ -145,7 +146,7 @@
     def effective_settings(self, request: JobRequest) -> ServiceSettings:
         """Returns the settings in effect for a request."""
         assert self.tree is not None
-        return resolve_settings(
+        return self.settings_cache.resolve(
             self.tree, request.service, self.zone, request.kind
         )
 
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -1,6 +1,5 @@
 """Answers the announcements of sidecars and the hellos of other entries."""
 
-import threading
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -8,10 +7,13 @@
 import zmq
 
 from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.event_loop import LoopHandle
 from sardinestair.ids import Incarnation
 from sardinestair.links.entry_link import EntryLink
+from sardinestair.links.sockets import has_message
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.messages import (
+    DECODE_ERRORS,
     Announce,
     AnnounceReply,
     PeerHello,
@@ -23,7 +25,8 @@
 
 __all__ = ["MembershipServer"]
 
-POLL_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.2
+MAX_MESSAGES_PER_ITERATION = 64
 PAUSE_THRESHOLD_S = 1.0
 RECALL_DELAY_S = {Favour.RESPONSE: 0.0, Favour.MESSAGES: 0.05}
 
@@ -31,7 +34,8 @@
 class MembershipServer:
     """Answers announcements, and opens and removes links accordingly.
 
-    Replies carry the settings in force if the sender's are older.
+    Its methods are called in one thread, that of the event loop. Replies carry
+    the settings in force if the sender's are older.
 
     Args:
         endpoint: ZeroMQ endpoint to listen on.
@@ -44,6 +48,7 @@
     Attributes:
         http_address: Base URL of the entry's HTTP API.
         settings_revision: Revision of the settings tree in force.
+        handle: Calls `run_once` when there is work; None before `start`.
     """
 
     def __init__(
@@ -62,7 +67,7 @@
         self.start_link = start_link
         self.settings_revision = 0
         self.last_check_s = dispatcher.clock.monotonic()
-        self.stopping = threading.Event()
+        self.handle: LoopHandle | None = None
         self.socket = context.socket(zmq.ROUTER)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
@@ -70,25 +75,42 @@
         self.peers.own_endpoint = self.endpoint.removeprefix("tcp://")
         self.log = EventLog("membership")
 
-    def run(self) -> None:
-        """Serves until `stop` is called."""
-        try:
-            while not self.stopping.is_set():
-                if self.socket.poll(int(POLL_INTERVAL_S * 1000)):
-                    self._receive()
-                self._remove_expired_sidecars()
-        finally:
-            self.socket.close(linger=0)
+    def start(self, handle: LoopHandle) -> None:
+        """Starts to serve.
+
+        Args:
+            handle: Calls `run_once`.
+        """
+        self.handle = handle
+        handle.add(int(self.socket.get(zmq.FD)))
+        handle.wake()
+
+    def run_once(self) -> float:
+        """Answers received messages, and removes expired sidecars.
 
-    def stop(self) -> None:
-        """Makes `run` return."""
-        self.stopping.set()
+        Returns:
+            The time until it is due again, in seconds.
+        """
+        for _ in range(MAX_MESSAGES_PER_ITERATION):
+            if not has_message(self.socket):
+                break
+            self._receive()
+        if has_message(self.socket) and self.handle is not None:
+            self.handle.wake()
+        now_s = self.dispatcher.clock.monotonic()
+        if now_s >= self.last_check_s + CHECK_INTERVAL_S:
+            self._remove_expired_sidecars(now_s)
+        return self.last_check_s + CHECK_INTERVAL_S - now_s
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.socket.close(linger=0)
 
     def _receive(self) -> None:
         route, data = self.socket.recv_multipart()[:2]
         try:
             message = self.decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.log.warning("announce_undecodable", reason=str(error))
             return
         reply = self._answer(message)
@@ -141,8 +163,7 @@
             settings,
         )
 
-    def _remove_expired_sidecars(self) -> None:
-        now_s = self.dispatcher.clock.monotonic()
+    def _remove_expired_sidecars(self, now_s: float) -> None:
         if now_s - self.last_check_s > PAUSE_THRESHOLD_S:
             # This process was paused and could not receive announcements, so
             # their age proves nothing.
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -1,7 +1,8 @@
-"""Wires an entry together; starts its threads and stops them gracefully."""
+"""Assembles an entry process: its components and graceful shutdown."""
 
 import threading
 import time
+from collections.abc import Callable
 
 import zmq
 from expression import Result
@@ -18,6 +19,7 @@
 from sardinestair.links import LinkLoop
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics, UsageReporter
+from sardinestair.observability.usage import read_processor_times
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
 from sardinestair.settings.files import SettingsError
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
@@ -42,11 +44,12 @@
 HTTP_CLOSE_TIMEOUT_S = 2.0
 CLAIM_SWEEP_INTERVAL_S = 60.0
 MAX_LINKS = 2048
-MAX_THREADS = 8
+# The settings, the registration and the claims in the store.
+MAX_THREADS = 3
 
 
 class EntryProcess:
-    """Runs an entry in threads of the current process.
+    """Runs an entry in an event loop; calls of the store run in threads.
 
     Args:
         settings: The process's settings.
@@ -79,6 +82,9 @@
         self.context.set(zmq.MAX_SOCKETS, 4 * MAX_LINKS)
         self.stopping = threading.Event()
         self.adoption_lock = threading.Lock()
+        self.next_claim_sweep_s = self.clock.monotonic() + (
+            CLAIM_SWEEP_INTERVAL_S
+        )
         self.log = EventLog(
             "entry",
             entry=format_incarnation(self.incarnation),
@@ -101,7 +107,8 @@
         self.link_loop = LinkLoop(
             self.dispatcher, self.clock, self.dispatcher.timing
         )
-        self.dispatcher.on_links_ready = self.link_loop.wake
+        self.link_task = self._make_task(self.link_loop.run_once, "links")
+        self.dispatcher.on_links_ready = self.link_task.wake
         address = settings.address
         self.peers = PeerDirectory("")
         self.membership = MembershipServer(
@@ -112,12 +119,14 @@
             self.link_loop.add,
             self.context,
         )
+        self.membership_task = self._make_task(
+            self.membership.run_once, "membership"
+        )
+        self.timer_task = self._make_task(self._run_periodic_checks, "timer")
         self.gossip = Gossip(
             self.membership,
             lambda announcer: announcer.start(
-                LoopTask(
-                    self.event_loop, announcer.run_once, self.log, "gossip"
-                )
+                self._make_task(announcer.run_once, "gossip")
             ),
             self.adopt,
         )
@@ -136,7 +145,8 @@
             self.metrics,
             self.log,
             self.dispatcher.link_usage,
-            read_levels=self._read_levels,
+            lambda: read_processor_times(self.event_loop.busy_s),
+            self._read_levels,
         )
 
     @property
@@ -158,12 +168,8 @@
         self.http.start()
         self.membership.http_address = self.http_address
         self.peers.add_static(self._peer_endpoints(), self.clock.monotonic())
-        self.tasks.run(self.link_loop.run, "links")
-        self.tasks.run(self.membership.run, "membership")
-        self.tasks.run(self._run_periodic_checks, "timer")
-        self.event_loop.call(self.gossip.start)
-        if self.store is not None and self.claims is not None:
-            self.tasks.run(self.claims.run, "store/claims")
+        self.event_loop.call(self._start_tasks)
+        if self.store is not None:
             self._follow_store(self.store)
         self.log.info(
             "entry_started",
@@ -171,6 +177,28 @@
             membership=self.membership_endpoint,
         )
 
+    def _make_task(
+        self, run_once: Callable[[], float], purpose: str
+    ) -> LoopTask:
+        return LoopTask(self.event_loop, run_once, self.log, purpose)
+
+    def _start_tasks(self) -> None:
+        self.link_loop.start(self.link_task)
+        self.membership.start(self.membership_task)
+        self.timer_task.wake()
+        self.gossip.start()
+
+    def _stop_tasks(self) -> None:
+        self.gossip.stop()
+        self.timer_task.stop()
+        self.membership_task.stop()
+        self.membership.close()
+        self.dispatcher.close()
+        # Reports the tasks of closed links as lost.
+        self.link_loop.run_once()
+        self.link_loop.close()
+        self.link_task.stop()
+
     def load_tree_file(self) -> Result[None, SettingsError]:
         """Adopts the settings tree of `tree_file`, as revision 1."""
         file = self.settings.tree_file or ""
@@ -214,11 +242,13 @@
                 break
             time.sleep(DRAIN_POLL_INTERVAL_S)
         unanswered = self.dispatcher.count_active_jobs()
-        self.dispatcher.fail_active_jobs("the entry is stopping")
+        self.event_loop.call(
+            lambda: self.dispatcher.fail_active_jobs("the entry is stopping")
+        )
         self._close_http()
         if self.budgets is not None:
             self.budgets.close()
-        self._stop_threads()
+        self._shut_down()
         self.log.info("entry_stopped", unanswered=unanswered)
         return unanswered == 0
 
@@ -241,6 +271,7 @@
             self.clock,
             self.metrics,
             self.settings.claim_wait_s,
+            on_first_claim=self._start_claims,
         )
 
     def _make_budgets(self) -> TeamBudgets | None:
@@ -262,7 +293,10 @@
 
     def _make_settings_follower(self) -> SettingsFollower:
         assert self.store is not None
-        return SettingsFollower(self.store, self.adopt)
+        return SettingsFollower(self.store, self._adopt_from_store)
+
+    def _adopt_from_store(self, revision: int, tree: SettingsTree) -> bool:
+        return self.event_loop.call(lambda: self.adopt(revision, tree))
 
     def _registration_interval_s(self) -> float:
         return RENEWAL_INTERVAL_S
@@ -275,24 +309,32 @@
         registration = Registration(
             store,
             record,
-            self._add_registered_entries,
+            self._handle_registered_entries,
             self._registration_interval_s(),
         )
         self.store_workers = [follower, registration]
         self.tasks.run(follower.run, "store/settings")
         self.tasks.run(registration.run, "store/registration")
-        self.tasks.run(self._delete_old_claims, "store/claims")
 
     def _delete_old_claims(self) -> None:
         assert self.store is not None
-        while not self.stopping.wait(CLAIM_SWEEP_INTERVAL_S):
-            now_s = self.clock.now().timestamp()
-            retention_s = self.settings.claim_retention_s
-            count = delete_old_claims(self.store, now_s, retention_s)
-            if count:
-                self.log.info("claims_deleted", count=count)
-
-    def _add_registered_entries(self, records: list[EntryRecord]) -> None:
+        now_s = self.clock.now().timestamp()
+        retention_s = self.settings.claim_retention_s
+        count = delete_old_claims(self.store, now_s, retention_s)
+        if count:
+            self.log.info("claims_deleted", count=count)
+
+    def _start_claims(self) -> None:
+        """Starts the thread that writes claims, before the first claim."""
+        assert self.claims is not None
+        self.tasks.run(self.claims.run, "store/claims")
+
+    def _handle_registered_entries(self, records: list[EntryRecord]) -> None:
+        """Adds registered entries; called by the thread that renews."""
+        now_s = self.clock.monotonic()
+        if now_s >= self.next_claim_sweep_s:
+            self.next_claim_sweep_s = now_s + CLAIM_SWEEP_INTERVAL_S
+            self._delete_old_claims()
         endpoints = [record.endpoint for record in records]
         self.event_loop.call(lambda: self.gossip.add_endpoints(endpoints))
 
@@ -323,24 +365,21 @@
             return True
         return any(server.app.active_requests for server in self._servers())
 
-    def _stop_threads(self) -> None:
+    def _shut_down(self) -> None:
         self.stopping.set()
-        self.membership.stop()
-        self.event_loop.call(self.gossip.stop)
         for worker in self.store_workers:
             worker.stop()
         if self.claims is not None:
             self.claims.stop()
-        self.dispatcher.close()
-        self.link_loop.stop()
         self.tasks.close()
+        self.event_loop.call(self._stop_tasks)
         if self.owns_loop:
             self.event_loop.stop()
         self.context.term()
 
-    def _run_periodic_checks(self) -> None:
-        while not self.stopping.wait(self.dispatcher.next_check_delay_s()):
-            self.dispatcher.run_periodic_checks()
+    def _run_periodic_checks(self) -> float:
+        self.dispatcher.run_periodic_checks()
+        return self.dispatcher.next_check_delay_s()
 
     def report_usage(self) -> None:
         """Reports the processor time by purpose and the counters of links."""
--- a/sardinestair/entry/run_ends.py
+++ b/sardinestair/entry/run_ends.py
@@ -11,7 +11,7 @@
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.outcomes import ProblemKind
 from sardinestair.settings import SettingsTree
-from sardinestair.settings.tree import resolve_settings
+from sardinestair.settings.tree import SettingsCache
 from sardinestair.upstreams.leased import STALLED
 
 __all__ = ["RunOutcomeHandler"]
@@ -38,6 +38,7 @@
         self.metrics = metrics
         self.log = log
         self.tree: SettingsTree | None = None
+        self.settings_cache = SettingsCache()
 
     def handle_outcome(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles an outcome that a sidecar has reported."""
@@ -142,10 +143,8 @@
     ) -> None:
         assert self.tree is not None
         zone = link.candidate.zone
-        price = resolve_settings(
-            self.tree, state.name, zone
-        ).price_per_slot_hour
-        cost = slot_cost(run_s, price)
+        settings = self.settings_cache.resolve(self.tree, state.name, zone)
+        cost = slot_cost(run_s, settings.price_per_slot_hour)
         if cost:
             labels = {"team": job.team, "service": state.name, "zone": zone}
             self.metrics.count("spent_micros_total", labels, cost)
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -13,7 +13,7 @@
 from sardinestair.jobs import JobState
 from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
 from sardinestair.limits.resources import Resources
-from sardinestair.links.entry_link import LinkState
+from sardinestair.links.entry_link import LinkState, handle_message
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     Announce,
@@ -58,7 +58,7 @@
             announce
         )
         link.state = LinkState.UP
-        link._handle(Grant(16000))
+        handle_message(Grant(16000), link)
 
     def submit(self, tasks=1, best_effort=False):
         return self.dispatcher.submit(self.parsed(tasks, best_effort))
@@ -82,7 +82,9 @@
     def report_outcome(self, index, state, body=b""):
         sidecar, ref = self.in_flight()[index]
         with self.dispatcher.lock:
-            self.links[sidecar]._handle(Outcome(ref, state, body, False, 0.1))
+            handle_message(
+                Outcome(ref, state, body, False, 0.1), self.links[sidecar]
+            )
             self.dispatcher.place_waiting()
         return sidecar
 
@@ -252,7 +254,7 @@
     entry.dispatcher.handle_caller_disconnect(job)
     link.open_epoch(FakeSocket())  # Drops unsent messages.
     assert not [m for m in link.outbox if isinstance(m, Cancel)]
-    link._handle(Resumed(True, [], [ref]))
+    handle_message(Resumed(True, [], [ref]), link)
     assert [m.tasks for m in link.outbox if isinstance(m, Cancel)] == [[ref]]
 
 
@@ -350,7 +352,7 @@
     state = entry.dispatcher.services["quotes"]
     link = entry.links[A]
     state.demand_targets = {A, B}
-    link._handle(Recall(1600))
+    handle_message(Recall(1600), link)
     assert state.demand_targets == {B}
     assert link not in state.add_demand_targets(2)
     entry.submit(tasks=40)
--- a/sardinestair/entry/tests/test_link_threads.py
+++ b/sardinestair/entry/tests/test_link_threads.py
@@ -1,5 +1,6 @@
 """An entry serves all its links in the same threads."""
 
+import functools
 import threading
 
 from sardinestair.entry.process import EntryProcess
@@ -28,9 +29,11 @@
     entry.start()
     before = threading.active_count()
     for number in range(SIDECARS):
-        entry.membership._answer(announce(number))
+        entry.event_loop.call(
+            functools.partial(entry.membership._answer, announce(number))
+        )
     added = threading.active_count() - before
     entry._close_http()
-    entry._stop_threads()
+    entry._shut_down()
     assert len(entry.dispatcher.links) == SIDECARS
     assert added == 0
--- a/sardinestair/event_loop.py
+++ b/sardinestair/event_loop.py
@@ -17,7 +17,7 @@
 from sardinestair.observability import EventLog
 from sardinestair.tasks import abort_process
 
-__all__ = ["DescriptorWatcher", "EventLoop", "LoopTask", "wait_for_result"]
+__all__ = ["EventLoop", "LoopHandle", "LoopTask", "wait_for_result"]
 
 T = TypeVar("T")
 
@@ -147,8 +147,11 @@
         )
 
 
-class DescriptorWatcher(Protocol):
-    """Interface for watching file descriptors."""
+class LoopHandle(Protocol):
+    """Interface of a `LoopTask` for the component that it runs."""
+
+    def wake(self) -> None:
+        """Makes the component run soon; safe to call from other threads."""
 
     def add(self, descriptor: int) -> None:
         """Starts to watch a descriptor for being readable."""
--- a/sardinestair/links/__init__.py
+++ b/sardinestair/links/__init__.py
@@ -5,7 +5,6 @@
 from sardinestair.links.link_loop import LinkLoop
 from sardinestair.links.session import SidecarSession, StartDecision
 from sardinestair.links.timing import LinkTiming
-from sardinestair.links.wakeup import Wakeup
 
 __all__ = [
     "EntryLink",
@@ -16,5 +15,4 @@
     "LinkTiming",
     "SidecarSession",
     "StartDecision",
-    "Wakeup",
 ]
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -1,12 +1,12 @@
 """The entry's end of a link with one sidecar.
 
-`LinkLoop` serves the links of an entry in one thread. The state that placement
-reads is guarded by the lock of the `LinkOwner`.
+`LinkLoop` serves the links of an entry in the event loop. The state that
+placement reads is guarded by the lock of the `LinkOwner`.
 """
 
 import enum
 import threading
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Protocol
 
 import msgspec
@@ -20,6 +20,7 @@
 from sardinestair.links.sockets import has_message
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
+    DECODE_ERRORS,
     Acknowledge,
     Announce,
     Cancel,
@@ -306,14 +307,19 @@
         self.log.info("link_open", epoch=self.epoch, tasks=len(tasks))
 
     def receive(self, socket: zmq.Socket) -> bool:
-        """Handles received frames; returns False if any were lost.
+        """Handles received frames; returns False if any were lost or invalid.
 
         Tasks that can be placed as a result are left to the caller.
         """
         frames: list[SidecarFrame] = []
         while has_message(socket):
-            frames.append(self.decoder.decode(socket.recv()))
+            data = socket.recv()
             self.owner.link_usage.frames_received += 1
+            try:
+                frames.append(self.decoder.decode(data))
+            except DECODE_ERRORS as error:
+                self.log.warning("frame_undecodable", reason=str(error))
+                return False
         if not frames:
             return True
         with self.owner.lock:
@@ -342,65 +348,10 @@
         self.unanswered_since_s = None
         for message in frame.messages:
             if self.state is not LinkState.CLOSED:
-                self._handle(message)
+                handle_message(message, self)
         return True
 
-    @singledispatchmethod
-    def _handle(self, message) -> None:
-        raise AssertionError(f"unexpected message {message!r}")
-
-    @_handle.register
-    def _(self, message: Resumed) -> None:
-        if not message.accepted:
-            self.close()
-            return
-        self.state = LinkState.UP
-        self._drop_not_run(message.not_run)
-        unwanted = self.owner.unwanted_tasks(self)
-        if unwanted:
-            # The cancellation may have been lost with an earlier epoch.
-            self.outbox.append(Cancel(unwanted))
-        self.owner.on_link_changed(self)
-
-    @_handle.register
-    def _(self, message: Outcome) -> None:
-        ref = message.task
-        if message.state is TaskState.NOT_RUN:
-            self._drop_not_run([ref])
-            return
-        self.to_acknowledge.append(ref)
-        if self.outstanding.get((ref.job, ref.index)) != ref:
-            self.owner.count_wasted("outcome_repeated")
-            return
-        del self.outstanding[ref.job, ref.index]
-        self.owner.on_task_finished(self, message)
-
-    @_handle.register
-    def _(self, message: Grant) -> None:
-        self.account.grant(message.total)
-        if self.state is LinkState.LEAVING:
-            self.state = LinkState.UP
-        self.owner.on_link_changed(self)
-
-    @_handle.register
-    def _(self, message: Recall) -> None:
-        idle = self.account.available
-        if idle:
-            self.owner.on_credits_unused(self)
-        else:
-            self.owner.count_wasted("recall_empty")
-        total = self.account.return_unused(min(message.count, idle))
-        self.outbox.append(CreditReturn(total))
-        self.owner.on_link_changed(self)
-
-    @_handle.register
-    def _(self, message: Leaving) -> None:
-        self.state = LinkState.LEAVING
-        total = self.account.return_unused(self.account.available)
-        self.outbox.append(CreditReturn(total))
-        self.owner.on_link_changed(self)
-
-    def _drop_not_run(self, refs: list[TaskRef]) -> None:
+    def drop_not_run(self, refs: list[TaskRef]) -> None:
         """Removes attempts that did not run, and reports them to the owner."""
         current = [
             ref for ref in refs
@@ -490,3 +441,64 @@
                 messages.append(demand)
                 self.last_demand = demand
         return messages
+
+
+@singledispatch
+def handle_message(message, link: EntryLink) -> None:
+    raise AssertionError(f"unexpected message {message!r}")
+
+
+@handle_message.register
+def _(message: Resumed, link: EntryLink) -> None:
+    if not message.accepted:
+        link.close()
+        return
+    link.state = LinkState.UP
+    link.drop_not_run(message.not_run)
+    unwanted = link.owner.unwanted_tasks(link)
+    if unwanted:
+        # The cancellation may have been lost with an earlier epoch.
+        link.outbox.append(Cancel(unwanted))
+    link.owner.on_link_changed(link)
+
+
+@handle_message.register
+def _(message: Outcome, link: EntryLink) -> None:
+    ref = message.task
+    if message.state is TaskState.NOT_RUN:
+        link.drop_not_run([ref])
+        return
+    link.to_acknowledge.append(ref)
+    if link.outstanding.get((ref.job, ref.index)) != ref:
+        link.owner.count_wasted("outcome_repeated")
+        return
+    del link.outstanding[ref.job, ref.index]
+    link.owner.on_task_finished(link, message)
+
+
+@handle_message.register
+def _(message: Grant, link: EntryLink) -> None:
+    link.account.grant(message.total)
+    if link.state is LinkState.LEAVING:
+        link.state = LinkState.UP
+    link.owner.on_link_changed(link)
+
+
+@handle_message.register
+def _(message: Recall, link: EntryLink) -> None:
+    idle = link.account.available
+    if idle:
+        link.owner.on_credits_unused(link)
+    else:
+        link.owner.count_wasted("recall_empty")
+    total = link.account.return_unused(min(message.count, idle))
+    link.outbox.append(CreditReturn(total))
+    link.owner.on_link_changed(link)
+
+
+@handle_message.register
+def _(message: Leaving, link: EntryLink) -> None:
+    link.state = LinkState.LEAVING
+    total = link.account.return_unused(link.account.available)
+    link.outbox.append(CreditReturn(total))
+    link.owner.on_link_changed(link)
--- a/sardinestair/links/link_loop.py
+++ b/sardinestair/links/link_loop.py
@@ -1,10 +1,8 @@
-"""Serves all links of an entry in one thread.
+"""Serves all links of an entry.
 
 The busier the entry is, the more frames and links one wake-up handles.
 """
 
-import select
-import threading
 from collections import deque
 from typing import Protocol
 
@@ -12,17 +10,16 @@
 import zmq
 
 from sardinestair.clock import Clock
+from sardinestair.event_loop import LoopHandle
 from sardinestair.links.entry_link import EntryLink, LinkOwner, LinkState
 from sardinestair.links.sockets import has_message
 from sardinestair.links.timing import LinkTiming
-from sardinestair.links.wakeup import Wakeup
 
 __all__ = ["LinkLoop", "LoopOwner"]
 
 RECONNECT_DELAY_S = 0.1
-# Bounds the delay of an idle entry's answer to a recall, which holds up tasks
-# of another entry.
-IDLE_WAIT_S = 0.02
+# Longest time between two checks of the links while no task depends on them.
+IDLE_TICK_S = 0.2
 
 
 class LoopOwner(LinkOwner, Protocol):
@@ -54,34 +51,41 @@
 class LinkLoop:
     """Connects links, receives and sends their frames, and reconnects them.
 
+    Its methods are called in one thread, that of the event loop.
+
     Args:
         owner: The entry.
         clock: The clock.
         timing: Timeouts of the links.
 
     Attributes:
+        handle: Calls `run_once` when there is work; None before `start`.
         connections: Connections of the links that are served, by link.
         connections_by_descriptor: Those that are connected.
-        unread: Descriptors of sockets with messages that the poller does not
-            report, as sending has consumed the signal.
+        unread: Descriptors of sockets with messages that are not signalled,
+            as sending has consumed the signal.
+        last_tick_s: When the links were last checked.
     """
 
     def __init__(self, owner: LoopOwner, clock: Clock, timing: LinkTiming):
         self.owner = owner
         self.clock = clock
         self.timing = timing
-        self.poller = select.epoll()
-        self.wakeup = Wakeup()
-        self.poller.register(self.wakeup, select.EPOLLIN)
+        self.handle: LoopHandle | None = None
         self.added: deque[EntryLink] = deque()
         self.connections: dict[EntryLink, _Connection] = {}
         self.connections_by_descriptor: dict[int, _Connection] = {}
         self.unread: set[int] = set()
-        self.next_tick_s = 0.0
-        self.thread_id = 0
-        self.stopping = False
+        self.last_tick_s = 0.0
+
+    def start(self, handle: LoopHandle) -> None:
+        """Starts to serve links.
 
-    # Safe to call from other threads.
+        Args:
+            handle: Calls `run_once`.
+        """
+        self.handle = handle
+        self.wake()
 
     def add(self, link: EntryLink) -> None:
         """Serves a link until it is closed and its tasks have ended."""
@@ -89,58 +93,42 @@
         self.wake()
 
     def wake(self) -> None:
-        """Makes the loop serve the links that are ready."""
-        # The loop looks for ready links before it waits.
-        if threading.get_ident() != self.thread_id:
-            self.wakeup.set()
-
-    def stop(self) -> None:
-        """Makes `run` return."""
-        self.stopping = True
-        self.wakeup.set()
-
-    # The loop's thread.
-
-    def run(self) -> None:
-        """Serves links until `stop`."""
-        self.thread_id = threading.get_ident()
-        try:
-            while not self.stopping:
-                self.run_once()
-        finally:
-            for connection in self.connections.values():
-                self._disconnect(connection)
-            self.poller.close()
-            self.wakeup.close()
-
-    def run_once(self) -> None:
-        """Waits for frames, ready links or the next tick, and handles them."""
-        has_work = bool(self.added or self.owner.ready_links or self.unread)
-        wait_s = max(0.0, self.next_tick_s - self.clock.monotonic())
-        if has_work:
-            wait_s = 0.0
-        elif not self._awaits_frames():
-            # Handles the heartbeats of all links together.
-            self.wakeup.wait(min(wait_s, IDLE_WAIT_S))
-            wait_s = 0.0
-        events = self.poller.poll(wait_s)
+        """Makes the loop serve the links that are ready; thread-safe."""
+        if self.handle is not None:
+            self.handle.wake()
+
+    def close(self) -> None:
+        """Disconnects all links."""
+        for connection in self.connections.values():
+            self._disconnect(connection)
+
+    def run_once(self) -> float:
+        """Handles received frames, ready links and expired timeouts.
+
+        Returns:
+            The time until it is due again, in seconds.
+        """
+        assert self.handle is not None
         self.owner.link_usage.wakeups += 1
-        self.wakeup.clear()
         while self.added:
             link = self.added.popleft()
             self.connections[link] = _Connection(link)
             self._connect(self.connections[link])
-        descriptors = self.unread | {descriptor for descriptor, _ in events}
+        descriptors = self.unread | self.handle.take_readable()
         self.unread = set()
         self._serve(self._receive(descriptors) | self._take_ready())
         now_s = self.clock.monotonic()
-        if now_s >= self.next_tick_s:
-            self.next_tick_s = now_s + self.timing.tick_s
+        if now_s >= self.last_tick_s + self._tick_interval_s():
+            self.last_tick_s = now_s
             self._tick(now_s)
+        if self.owner.ready_links or self.unread:
+            self.handle.wake()
+        return self.last_tick_s + self._tick_interval_s() - now_s
 
-    def _awaits_frames(self) -> bool:
-        """Returns True if a frame may arrive that should be handled at once."""
-        return any(link.awaits_frames for link in self.connections)
+    def _tick_interval_s(self) -> float:
+        if any(link.awaits_frames for link in self.connections):
+            return self.timing.tick_s
+        return IDLE_TICK_S
 
     def _receive(self, descriptors: set[int]) -> set[EntryLink]:
         """Handles received frames; returns the links of their connections."""
@@ -201,14 +189,16 @@
         connection.socket = socket
         connection.descriptor = int(socket.get(zmq.FD))
         self.connections_by_descriptor[connection.descriptor] = connection
-        self.poller.register(connection.descriptor, select.EPOLLIN)
+        if self.handle is not None:
+            self.handle.add(connection.descriptor)
         link.notify()
 
     def _disconnect(self, connection: _Connection) -> None:
         socket, connection.socket = connection.socket, None
         if socket is None:
             return
-        self.poller.unregister(connection.descriptor)
+        if self.handle is not None:
+            self.handle.remove(connection.descriptor)
         del self.connections_by_descriptor[connection.descriptor]
         socket.close(linger=0)
         connection.reopen_s = self.clock.monotonic() + RECONNECT_DELAY_S
--- a/sardinestair/links/sockets.py
+++ b/sardinestair/links/sockets.py
@@ -4,6 +4,10 @@
 
 __all__ = ["has_message"]
 
+# Plain integers: operations on the library's enums take microseconds.
+_EVENTS = int(zmq.EVENTS)
+_POLLIN = int(zmq.POLLIN)
+
 
 def has_message(socket: zmq.Socket) -> bool:
     """Returns True if a message can be received without waiting.
@@ -12,4 +16,4 @@
     and sending may consume that. Whoever waits for the descriptor therefore
     calls this first.
     """
-    return bool(int(socket.get(zmq.EVENTS)) & zmq.POLLIN)
+    return int(socket.get(_EVENTS)) & _POLLIN != 0
--- a/sardinestair/links/tests/test_link_loop.py
+++ b/sardinestair/links/tests/test_link_loop.py
@@ -1,5 +1,6 @@
-"""The thread that serves all links, over sockets of one process."""
+"""The loop that serves all links, over sockets of one process."""
 
+import select
 import threading
 from collections import deque
 
@@ -10,7 +11,11 @@
 from sardinestair.clock import ManualClock
 from sardinestair.ids import Incarnation
 from sardinestair.links.entry_link import EntryLink, LinkState
-from sardinestair.links.link_loop import RECONNECT_DELAY_S, LinkLoop
+from sardinestair.links.link_loop import (
+    IDLE_TICK_S,
+    RECONNECT_DELAY_S,
+    LinkLoop,
+)
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     Announce,
@@ -24,6 +29,7 @@
 
 LINKS = 5
 RECEIVE_TIMEOUT_MS = 20_000
+POLL_TIMEOUT_S = 0.01
 MAX_ITERATIONS = 1000
 TIMING = LinkTiming()
 
@@ -83,12 +89,36 @@
         return frame.epoch
 
 
+class EpollHandle:
+    """Polls the descriptors that the loop watches, for a short time."""
+
+    def __init__(self):
+        self.poller = select.epoll()
+        self.is_awake = False
+
+    def wake(self):
+        self.is_awake = True
+
+    def add(self, descriptor):
+        self.poller.register(descriptor, select.EPOLLIN)
+
+    def remove(self, descriptor):
+        self.poller.unregister(descriptor)
+
+    def take_readable(self):
+        timeout_s = 0.0 if self.is_awake else POLL_TIMEOUT_S
+        self.is_awake = False
+        return {descriptor for descriptor, _ in self.poller.poll(timeout_s)}
+
+
 class System:
     def __init__(self, context):
         self.clock = ManualClock()
         self.clock.advance(100.0)
         self.owner = Owner()
         self.loop = LinkLoop(self.owner, self.clock, TIMING)
+        self.handle = EpollHandle()
+        self.loop.start(self.handle)
         self.sidecars = [Sidecar(context, number) for number in range(LINKS)]
         self.links = [self.add_link(s, context) for s in self.sidecars]
 
@@ -126,12 +156,12 @@
     context = zmq.Context()
     system = System(context)
     yield system
-    system.loop.stop()
-    system.loop.run()
+    system.loop.close()
+    system.handle.poller.close()
     context.destroy(linger=0)
 
 
-def test_one_thread_opens_all_links(system):
+def test_one_loop_opens_all_links(system):
     system.open()
     assert system.owner.epochs == LINKS
 
@@ -141,7 +171,7 @@
     system.sidecars[0].send(epochs[0], 3)
     link = system.links[0]
     system.run_until(lambda: system.loop.connections[link].socket is None)
-    system.clock.advance(RECONNECT_DELAY_S + TIMING.tick_s)
+    system.clock.advance(RECONNECT_DELAY_S + IDLE_TICK_S)
     system.run_until(lambda: link.epoch > max(epochs))
     assert link.state is LinkState.CONNECTING
 
@@ -152,7 +182,7 @@
     system.run_until(
         lambda: all(c.socket is None for c in system.loop.connections.values())
     )
-    system.clock.advance(RECONNECT_DELAY_S + TIMING.tick_s)
+    system.clock.advance(RECONNECT_DELAY_S + IDLE_TICK_S)
     system.run_until(lambda: min(link.epoch for link in system.links) > LINKS)
     assert max(epochs) == LINKS
 
@@ -177,6 +207,22 @@
     system.loop._serve({link})
     assert system.loop.unread == {connection.descriptor}
     assert not system.owner.ready_links
+    assert system.handle.poller.poll(0.0) == []
     system.loop.run_once()
     assert link.fence.sequence == 2
     assert not system.loop.unread
+
+
+# Guards against a peer that ends its entry: a frame that could not be decoded
+# raised an error that nothing handled.
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\xc1", b"\x95", b"\x91" * 100_000, b"\xa2\xff\xfe", b"{}" * 9],
+)
+def test_link_with_an_invalid_frame_is_opened_anew(system, data):
+    epochs = system.open()
+    sidecar, link = system.sidecars[0], system.links[0]
+    sidecar.socket.send_multipart([sidecar.route, data])
+    system.run_until(lambda: system.loop.connections[link].socket is None)
+    system.clock.advance(RECONNECT_DELAY_S + IDLE_TICK_S)
+    system.run_until(lambda: link.epoch > max(epochs))
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -95,11 +95,14 @@
         self.items_by_sidecar: dict[Incarnation, tuple] = {}
 
     def update(self, candidate: Candidate, is_eligible: bool) -> None:
-        old = self.items_by_sidecar.pop(candidate.sidecar, None)
+        key = (self.rank(candidate), candidate.sidecar)
+        old = self.items_by_sidecar.get(candidate.sidecar)
         if old is not None:
+            if is_eligible and old[0] == key and old[1] is candidate:
+                return
+            del self.items_by_sidecar[candidate.sidecar]
             self.items.remove(old)
         if is_eligible:
-            key = (self.rank(candidate), candidate.sidecar)
             item = (key, candidate)
             self.items_by_sidecar[candidate.sidecar] = item
             self.items.add(item)
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -32,6 +32,7 @@
     "resolve_settings",
 ]
 
+MAX_CACHED_SETTINGS = 1024
 WILDCARD = "*"
 ROOT = "root"
 
@@ -282,6 +283,39 @@
     return ServiceSettings(**values)
 
 
+class SettingsCache:
+    """Resolves settings, and keeps the results for the latest tree.
+
+    Examples:
+        >>> cache = SettingsCache()
+        >>> tree = parse_tree("services: {quotes: {set: {deadline_s: 2}}}").ok
+        >>> cache.resolve(tree, "quotes") is cache.resolve(tree, "quotes")
+        True
+    """
+
+    def __init__(self) -> None:
+        self.tree: SettingsTree | None = None
+        self.resolved: dict[tuple[str, str, str], ServiceSettings] = {}
+
+    def resolve(
+        self,
+        tree: SettingsTree,
+        service: str,
+        zone: str = WILDCARD,
+        kind: str = WILDCARD,
+    ) -> ServiceSettings:
+        """Returns the effective settings; see `resolve_settings`."""
+        if tree is not self.tree or len(self.resolved) > MAX_CACHED_SETTINGS:
+            self.tree = tree
+            self.resolved.clear()
+        key = (service, zone, kind)
+        settings = self.resolved.get(key)
+        if settings is None:
+            settings = resolve_settings(tree, service, zone, kind)
+            self.resolved[key] = settings
+        return settings
+
+
 def explain(
     tree: SettingsTree, service: str, zone: str = WILDCARD, kind: str = WILDCARD
 ) -> list[Explanation]:
--- a/sardinestair/sidecar/command.py
+++ b/sardinestair/sidecar/command.py
@@ -1,6 +1,7 @@
 """The command of `sardinestair-sidecar`."""
 
 from sardinestair.cli.service import DaemonCommand
+from sardinestair.event_loop import EventLoop
 from sardinestair.settings import SidecarSettings
 from sardinestair.sidecar.platform_process import PlatformSidecarProcess
 from sardinestair.sidecar.process import SidecarProcess
@@ -23,8 +24,12 @@
 outcomes delivered. The exit code is 0, or 1 if the drain timed out first."""
     settings_type = SidecarSettings
 
-    def create_daemon(self, settings: SidecarSettings) -> SidecarProcess:
+    def create_daemon(
+        self, settings: SidecarSettings, event_loop: EventLoop
+    ) -> SidecarProcess:
         """Returns a sidecar process for validated settings."""
         if settings.platform is None:
-            return SidecarProcess(settings)
-        return PlatformSidecarProcess(settings, launched=self.launched)
+            return SidecarProcess(settings, event_loop=event_loop)
+        return PlatformSidecarProcess(
+            settings, event_loop=event_loop, launched=self.launched
+        )
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -4,8 +4,9 @@
 methods are called in one thread, that of the event loop.
 """
 
+import math
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import singledispatch
 
 import msgspec
 import zmq
@@ -45,6 +46,11 @@
 
 SESSION_RETENTION_S = 600.0
 MAX_FRAMES_PER_ITERATION = 64
+# Longest time between two checks of the sessions while none holds a task.
+IDLE_TICK_S = 0.2
+# Part of the heartbeat interval by which a heartbeat may go early, together
+# with that of another session.
+EARLY_HEARTBEAT_SHARE = 0.25
 
 CallerFactory = Callable[[Announcement, Callable[[], None]], TaskCaller]
 
@@ -115,7 +121,7 @@
         self.advertised_endpoint = self.endpoint
         self.decoder = msgspec.msgpack.Decoder(EntryFrame)
         self.encoder = msgspec.msgpack.Encoder()
-        self.next_tick_s = 0.0
+        self.last_tick_s = 0.0
         self.link_usage = LinkUsage()
         self.log = EventLog(
             "sidecar", sidecar=format_incarnation(incarnation), zone=zone
@@ -220,7 +226,7 @@
         if has_message(self.socket):
             # Sending may have consumed the signal of a message.
             self.wake()
-        return self.next_tick_s - self.clock.monotonic()
+        return self._next_due_s() - self.clock.monotonic()
 
     def close(self) -> None:
         """Closes the socket after what has been sent is delivered."""
@@ -259,7 +265,7 @@
         if verdict is FrameStatus.NEW_EPOCH:
             self._open_session(route, session, frame.messages.pop(0))
         for message in frame.messages:
-            self._handle(message, session)
+            handle_message(message, session, self)
 
     def _open_session(self, route, session: SidecarSession, resume) -> None:
         is_accepted = session.resume(route, resume)
@@ -277,84 +283,26 @@
         if self.upstream.state is not UpstreamState.SERVING:
             session.outbox.append(Leaving())
 
-    @singledispatchmethod
-    def _handle(self, message, session: SidecarSession) -> None:
-        self.log.warning("message_unexpected", kind=type(message).__name__)
-
-    @_handle.register
-    def _(self, message: Start, session: SidecarSession) -> None:
-        units = self._credits_needed(message)
-        has_credit = self.ledger.spend(session.entry, units)
-        is_serving = self.upstream.state is UpstreamState.SERVING
-        # Credits may have been granted before the capacity shrank.
-        limit = self.upstream.slots + self.ledger.read_ahead
-        has_capacity = self.ledger.occupied_units + units <= limit
-        if not (has_credit and is_serving and has_capacity):
-            self._refuse(message.task, session, b"no free slot")
-            return
-        if self._is_session_expired(session):
-            # The start was delayed on its way until the session had expired.
-            self._refuse(message.task, session, b"session over")
-            return
-        verdict = session.start(message.task)
-        if verdict is StartDecision.RUN:
-            self._start(message, session)
-        elif verdict is StartDecision.REFUSE:
-            self._refuse(
-                message.task, session, b"an earlier attempt is running"
-            )
-
-    @_handle.register
-    def _(self, message: Demand, session: SidecarSession) -> None:
-        now_s = self.clock.monotonic()
-        urgent_at_s = now_s + message.urgency_s
-        self.ledger.update_demand(
-            session.entry,
-            message.count,
-            urgent_at_s,
-            now_s,
-            message.head_units,
-        )
-
-    @_handle.register
-    def _(self, message: CreditReturn, session: SidecarSession) -> None:
-        self.ledger.update_returned(session.entry, message.total)
-
-    @_handle.register
-    def _(self, message: Acknowledge, session: SidecarSession) -> None:
-        session.acknowledge(message.tasks)
-
-    @_handle.register
-    def _(self, message: Cancel, session: SidecarSession) -> None:
-        session.cancel(message.tasks)
-        if self.caller is not None:
-            for ref in message.tasks:
-                self.caller.stop(ref)
-
-    @_handle.register
-    def _(self, message: Stop, session: SidecarSession) -> None:
-        if self.caller is not None:
-            for ref in message.tasks:
-                self.caller.stop(ref, b"moved")
-
-    def _refuse(
+    def refuse(
         self, ref: TaskRef, session: SidecarSession, reason: bytes
     ) -> None:
+        """Reports that a task did not run."""
         self.metrics.count("starts_refused_total", {})
         session.outbox.append(
             Outcome(ref, TaskState.NOT_RUN, reason, False, 0.0)
         )
 
-    def _start(self, message: Start, session: SidecarSession) -> None:
+    def start_task(self, message: Start, session: SidecarSession) -> None:
+        """Starts a task that the session has accepted."""
         assert self.caller is not None
         caller, ref = self.caller, message.task
-        units = self._credits_needed(message)
+        units = self.credits_needed(message)
         self.ledger.occupied_units += units
         self.metrics.count("starts_total", {})
         held = session.tasks[ref.job, ref.index]
 
         def may_start() -> bool:
-            return held.wanted and not self._is_session_expired(session)
+            return held.wanted and not self.is_session_expired(session)
 
         def on_result(result: CallResult) -> None:
             self._finish(session, ref, result, units)
@@ -405,7 +353,7 @@
             self.upstream.slots,
         )
 
-    def _credits_needed(self, message: Start) -> int:
+    def credits_needed(self, message: Start) -> int:
         """Returns the credits that a task needs.
 
         A task that exceeds the upstream's capacity takes all of them.
@@ -414,7 +362,7 @@
         units = units_needed(message.need, capacity, slots)
         return max(slots, 1) if units is None else units
 
-    def _is_session_expired(self, session: SidecarSession) -> bool:
+    def is_session_expired(self, session: SidecarSession) -> bool:
         """Returns True if the session at a leased upstream has expired."""
         if self.caller is None or not self.caller.is_leased:
             return False
@@ -426,7 +374,7 @@
 
         The entry may consider them lost and start them elsewhere.
         """
-        if not self._is_session_expired(session):
+        if not self.is_session_expired(session):
             session.is_expired = False
             return
         running = session.running()
@@ -454,9 +402,9 @@
 
     def _tick(self) -> None:
         now_s = self.clock.monotonic()
-        if now_s < self.next_tick_s:
+        if now_s < self.last_tick_s + self._tick_interval_s():
             return
-        self.next_tick_s = now_s + self.timing.tick_s
+        self.last_tick_s = now_s
         if self.upstream.expire(now_s):
             self._close_slots("announcement expired")
         for session in list(self.sessions.values()):
@@ -483,13 +431,33 @@
         for entry, count in self.ledger.start_recalls(now_s).items():
             self.sessions[entry].outbox.append(Recall(count))
 
+    def _tick_interval_s(self) -> float:
+        is_idle = all(session.is_idle for session in self.sessions.values())
+        return IDLE_TICK_S if is_idle else self.timing.tick_s
+
+    def _heartbeat_due_s(self, session: SidecarSession) -> float:
+        """Returns when the next heartbeat is due; infinite if it is closed."""
+        if session.fence.is_epoch_invalid:
+            return math.inf
+        interval_s = self.timing.heartbeat_interval_s(session.is_idle)
+        return session.last_sent_s + interval_s
+
+    def _next_due_s(self) -> float:
+        heartbeats = map(self._heartbeat_due_s, self.sessions.values())
+        next_tick_s = self.last_tick_s + self._tick_interval_s()
+        return min(next_tick_s, min(heartbeats, default=math.inf))
+
     def _flush(self) -> None:
         now_s = self.clock.monotonic()
-        for session in self.sessions.values():
-            interval_s = self.timing.heartbeat_interval_s(session.is_idle)
-            due = now_s - session.last_sent_s >= interval_s
-            is_open = not session.fence.is_epoch_invalid
-            if session.has_urgent_messages or (due and is_open):
+        due_s = [self._heartbeat_due_s(s) for s in self.sessions.values()]
+        # One wake-up sends the heartbeats of all sessions.
+        is_any_due = min(due_s, default=math.inf) <= now_s
+        early_s = EARLY_HEARTBEAT_SHARE * self.timing.heartbeat_s
+        limit_s = now_s + early_s if is_any_due else now_s
+        for session, heartbeat_s in zip(
+            self.sessions.values(), due_s, strict=True
+        ):
+            if session.has_urgent_messages or heartbeat_s <= limit_s:
                 session.last_sent_s = now_s
                 self.link_usage.count_sent(session.has_urgent_messages)
                 data = self.encoder.encode(session.next_frame(now_s))
@@ -498,3 +466,75 @@
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
             listener()
+
+
+@singledispatch
+def handle_message(
+    message, session: SidecarSession, server: LinkServer
+) -> None:
+    """Handles a message of an entry."""
+    server.log.warning("message_unexpected", kind=type(message).__name__)
+
+
+@handle_message.register
+def _(message: Start, session: SidecarSession, server: LinkServer) -> None:
+    units = server.credits_needed(message)
+    has_credit = server.ledger.spend(session.entry, units)
+    is_serving = server.upstream.state is UpstreamState.SERVING
+    # Credits may have been granted before the capacity shrank.
+    limit = server.upstream.slots + server.ledger.read_ahead
+    has_capacity = server.ledger.occupied_units + units <= limit
+    if not (has_credit and is_serving and has_capacity):
+        server.refuse(message.task, session, b"no free slot")
+        return
+    if server.is_session_expired(session):
+        # The start was delayed on its way until the session had expired.
+        server.refuse(message.task, session, b"session over")
+        return
+    verdict = session.start(message.task)
+    if verdict is StartDecision.RUN:
+        server.start_task(message, session)
+    elif verdict is StartDecision.REFUSE:
+        server.refuse(message.task, session, b"an earlier attempt is running")
+
+
+@handle_message.register
+def _(message: Demand, session: SidecarSession, server: LinkServer) -> None:
+    now_s = server.clock.monotonic()
+    urgent_at_s = now_s + message.urgency_s
+    server.ledger.update_demand(
+        session.entry,
+        message.count,
+        urgent_at_s,
+        now_s,
+        message.head_units,
+    )
+
+
+@handle_message.register
+def _(
+    message: CreditReturn, session: SidecarSession, server: LinkServer
+) -> None:
+    server.ledger.update_returned(session.entry, message.total)
+
+
+@handle_message.register
+def _(
+    message: Acknowledge, session: SidecarSession, server: LinkServer
+) -> None:
+    session.acknowledge(message.tasks)
+
+
+@handle_message.register
+def _(message: Cancel, session: SidecarSession, server: LinkServer) -> None:
+    session.cancel(message.tasks)
+    if server.caller is not None:
+        for ref in message.tasks:
+            server.caller.stop(ref)
+
+
+@handle_message.register
+def _(message: Stop, session: SidecarSession, server: LinkServer) -> None:
+    if server.caller is not None:
+        for ref in message.tasks:
+            server.caller.stop(ref, b"moved")
--- a/sardinestair/store/claims.py
+++ b/sardinestair/store/claims.py
@@ -138,6 +138,7 @@
         metrics: Metrics of the process.
         wait_s: Longest wait for the store, in seconds.
         max_group_size: Maximum number of claims in one write.
+        on_first_claim: Called before the first claim is queued.
 
     Attributes:
         pending: Claims to write, oldest first.
@@ -154,6 +155,7 @@
         metrics: Metrics,
         wait_s: float = 2.0,
         max_group_size: int = MAX_GROUP_SIZE,
+        on_first_claim: Callable[[], object] = lambda: None,
     ):
         self.store = store
         self.entry = entry
@@ -162,6 +164,8 @@
         self.metrics = metrics
         self.wait_s = wait_s
         self.max_group_size = max_group_size
+        self.on_first_claim = on_first_claim
+        self.has_claimed = False
         self.pending: deque[PendingClaim] = deque()
         self.reusable_claims: OrderedDict[JobId, Claim] = OrderedDict()
         self.condition = threading.Condition()
@@ -170,6 +174,9 @@
 
     def submit(self, job_id: JobId, callback: ClaimCallback) -> None:
         """Queues a claim; the callback is called in the writer's thread."""
+        if not self.has_claimed:
+            self.has_claimed = True
+            self.on_first_claim()
         with self.condition:
             claim = self.reusable_claims.pop(job_id, None) or self._new_claim()
             deadline_s = self.clock.monotonic() + self.wait_s
