Start programs without the library of the command line

Cause: a start takes 0.5 s of processor time, on a VM with 0.12 cores about 4 s in which it serves nobody; cleo and what it imports are a fifth of it. Change: daemon.py runs a program; main only imports the command line if there are arguments. The garbage collector rests during imports, skips what they created afterwards and runs less often. Sockets are drained without asking for events before each message, and looked at again only after something was sent.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -91,8 +91,10 @@
     def connect(self, _endpoint: str) -> None:
         pass
 
-    def recv(self) -> bytes:
-        return self.inbox.pop(0)
+    def recv_multipart(self, _flags: int = 0) -> list[bytes]:
+        if not self.inbox:
+            raise zmq.Again
+        return [self.inbox.pop(0)]
 
     def send(self, data: bytes, _flags: int = 0) -> None:
         self.sent.append(data)
--- a/sardinestair/entry/command.py
+++ b/sardinestair/entry/command.py
@@ -1,8 +1,8 @@
 """The command of `sardinestair-entry`."""
 
 from sardinestair.cli.service import DaemonCommand
-from sardinestair.entry.platform_process import PlatformEntryProcess
 from sardinestair.entry.process import EntryProcess
+from sardinestair.entry.program import create_entry
 from sardinestair.event_loop import EventLoop
 from sardinestair.settings import EntrySettings
 
@@ -27,14 +27,4 @@
         self, settings: EntrySettings, event_loop: EventLoop
     ) -> EntryProcess:
         """Creates an entry from validated settings."""
-        if settings.platform is None:
-            entry = EntryProcess(settings, event_loop=event_loop)
-        else:
-            entry = PlatformEntryProcess(
-                settings, event_loop=event_loop, launched=self.launched
-            )
-        if settings.tree_file is not None:
-            loaded = entry.load_tree_file()
-            if loaded.is_error():
-                raise SystemExit(str(loaded.error))
-        return entry
+        return create_entry(settings, event_loop, self.launched)
--- a/sardinestair/entry/main.py
+++ b/sardinestair/entry/main.py
@@ -1,5 +1,8 @@
 """Entry point of `sardinestair-entry`."""
 
+import gc
+import sys
+
 from sardinestair.launch import prepare_launch
 
 __all__ = ["main"]
@@ -7,12 +10,26 @@
 
 def main() -> None:
     """Runs the program."""
+    # What imports create stays. `tune_interpreter` enables the collector again.
+    gc.disable()
     launched = prepare_launch("platform", "client_address")
-    # Slow imports come after `launch`, which has opened the listener.
-    from sardinestair.cli.service import run_command
-    from sardinestair.entry.command import EntryCommand
+    # Slow imports come after `prepare_launch`, which has opened the listener.
+    # Without arguments the library of the command line is not needed.
+    if len(sys.argv) > 1:
+        from sardinestair.cli.service import run_command
+        from sardinestair.entry.command import EntryCommand
+
+        run_command(EntryCommand(launched))
+    from sardinestair.daemon import run_without_arguments
+    from sardinestair.entry.program import create_entry
+    from sardinestair.settings import EntrySettings
 
-    run_command(EntryCommand(launched))
+    sys.exit(
+        run_without_arguments(
+            EntrySettings,
+            lambda settings, loop: create_entry(settings, loop, launched),
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -10,7 +10,7 @@
 from sardinestair.event_loop import LoopHandle
 from sardinestair.ids import Incarnation
 from sardinestair.links.entry_link import EntryLink
-from sardinestair.links.sockets import has_message
+from sardinestair.links.sockets import has_message, receive
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.messages import (
     DECODE_ERRORS,
@@ -92,11 +92,12 @@
             The time until it is due again, in seconds.
         """
         for _ in range(MAX_MESSAGES_PER_ITERATION):
-            if not has_message(self.socket):
+            parts = receive(self.socket)
+            if parts is None:
                 break
-            self._receive()
-        if has_message(self.socket) and self.handle is not None:
-            self.handle.wake()
+            self._handle(parts[0], parts[-1])
+        else:
+            self._wake()
         now_s = self.dispatcher.clock.monotonic()
         if now_s >= self.last_check_s + CHECK_INTERVAL_S:
             self._remove_expired_sidecars(now_s)
@@ -106,8 +107,11 @@
         """Closes the socket."""
         self.socket.close(linger=0)
 
-    def _receive(self) -> None:
-        route, data = self.socket.recv_multipart()[:2]
+    def _wake(self) -> None:
+        if self.handle is not None:
+            self.handle.wake()
+
+    def _handle(self, route: bytes, data: bytes) -> None:
         try:
             message = self.decoder.decode(data)
         except DECODE_ERRORS as error:
@@ -115,6 +119,8 @@
             return
         reply = self._answer(message)
         self.socket.send_multipart([route, msgspec.msgpack.encode(reply)])
+        if has_message(self.socket):
+            self._wake()
 
     @singledispatchmethod
     def _answer(self, message) -> AnnounceReply | PeerReply:
--- a/sardinestair/event_loop.py
+++ b/sardinestair/event_loop.py
@@ -23,6 +23,8 @@
 
 # Functions that block run in these threads, which start on demand.
 MAX_BLOCKING_THREADS = 4
+# A timer is not set anew for a smaller change.
+TIMER_TOLERANCE_S = 0.002
 
 
 class EventLoop:
@@ -274,8 +276,8 @@
         if self.is_stopped:
             return
         if self.timer is not None:
-            if self.due_s <= due_s:
-                return  # An earlier call does no harm.
+            if abs(self.due_s - due_s) < TIMER_TOLERANCE_S:
+                return
             self.timer.cancel()
         self.due_s = due_s
         self.timer = self.event_loop.loop.call_at(due_s, self._handle_timer)
--- a/sardinestair/ids.py
+++ b/sardinestair/ids.py
@@ -4,8 +4,6 @@
 import uuid
 from typing import NewType
 
-import uuid6
-
 __all__ = [
     "INCARNATION_BYTES",
     "Incarnation",
@@ -68,6 +66,9 @@
         >>> len(new_job_id())
         16
     """
+    # Clients of the platform choose their ids, and its import takes a while.
+    import uuid6
+
     return JobId(uuid6.uuid7().bytes)
 
 
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -17,7 +17,7 @@
 from sardinestair.limits.credits import CreditAccount
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
-from sardinestair.links.sockets import has_message
+from sardinestair.links.sockets import receive
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     DECODE_ERRORS,
@@ -43,6 +43,8 @@
 from sardinestair.observability import EventLog, LinkUsage
 from sardinestair.placement.candidate import Candidate
 
+_NOBLOCK = int(zmq.NOBLOCK)
+
 __all__ = ["EntryLink", "LinkOwner", "LinkState"]
 
 
@@ -312,8 +314,8 @@
         Tasks that can be placed as a result are left to the caller.
         """
         frames: list[SidecarFrame] = []
-        while has_message(socket):
-            data = socket.recv()
+        while (parts := receive(socket)) is not None:
+            data = parts[-1]
             self.owner.link_usage.frames_received += 1
             try:
                 frames.append(self.decoder.decode(data))
@@ -416,7 +418,7 @@
             self.last_sent_s = now_s
             self.owner.link_usage.count_sent(has_messages=bool(messages))
         try:
-            socket.send(self.encoder.encode(frame), zmq.NOBLOCK)
+            socket.send(self.encoder.encode(frame), _NOBLOCK)
         except zmq.Again:
             self.log.warning("link_broken", epoch=self.epoch)
             return False
--- a/sardinestair/links/link_loop.py
+++ b/sardinestair/links/link_loop.py
@@ -162,9 +162,12 @@
             if link.state is LinkState.CLOSED:
                 self._retire(connection)
             elif connection.socket is not None:
+                sent_before = link.frames_sent
                 if link.is_silent() or not link.flush(connection.socket):
                     self._disconnect(connection)
-                elif has_message(connection.socket):
+                elif link.frames_sent > sent_before and has_message(
+                    connection.socket
+                ):
                     self.unread.add(connection.descriptor)
 
     def _tick(self, now_s: float) -> None:
--- a/sardinestair/links/tests/test_link_loop.py
+++ b/sardinestair/links/tests/test_link_loop.py
@@ -204,6 +204,7 @@
     connection = system.loop.connections[link]
     system.sidecars[0].send(epochs[0], 2)
     assert connection.socket.poll(RECEIVE_TIMEOUT_MS)
+    link.cancel([])  # So that a frame is sent.
     system.loop._serve({link})
     assert system.loop.unread == {connection.descriptor}
     assert not system.owner.ready_links
--- a/sardinestair/membership/announcer.py
+++ b/sardinestair/membership/announcer.py
@@ -8,7 +8,7 @@
 
 from sardinestair.clock import Clock
 from sardinestair.event_loop import LoopTask
-from sardinestair.links.sockets import has_message
+from sardinestair.links.sockets import has_message, receive
 from sardinestair.messages import DECODE_ERRORS, Announce, PeerHello
 from sardinestair.observability import EventLog
 
@@ -104,7 +104,6 @@
             self.unanswered += 1
             socket.send(msgspec.msgpack.encode(self.describe()))
             if has_message(socket) and self.task is not None:
-                # Sending may have consumed the signal of a message.
                 self.task.wake()
         return self.due_s - now_s
 
@@ -124,10 +123,9 @@
             socket.close(linger=LINGER_MS)
 
     def _receive(self, socket: zmq.Socket) -> None:
-        while has_message(socket):
-            data = socket.recv()
+        while (parts := receive(socket)) is not None:
             try:
-                reply = self.decoder.decode(data)
+                reply = self.decoder.decode(parts[-1])
             except DECODE_ERRORS as error:
                 self.log.warning("reply_undecodable", reason=str(error))
                 continue
--- a/sardinestair/sidecar/command.py
+++ b/sardinestair/sidecar/command.py
@@ -3,8 +3,8 @@
 from sardinestair.cli.service import DaemonCommand
 from sardinestair.event_loop import EventLoop
 from sardinestair.settings import SidecarSettings
-from sardinestair.sidecar.platform_process import PlatformSidecarProcess
 from sardinestair.sidecar.process import SidecarProcess
+from sardinestair.sidecar.program import create_sidecar
 
 __all__ = ["SidecarCommand"]
 
@@ -27,9 +27,5 @@
     def create_daemon(
         self, settings: SidecarSettings, event_loop: EventLoop
     ) -> SidecarProcess:
-        """Returns a sidecar process for validated settings."""
-        if settings.platform is None:
-            return SidecarProcess(settings, event_loop=event_loop)
-        return PlatformSidecarProcess(
-            settings, event_loop=event_loop, launched=self.launched
-        )
+        """Creates a sidecar from validated settings."""
+        return create_sidecar(settings, event_loop, self.launched)
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -17,7 +17,7 @@
 from sardinestair.limits.resources import units_needed
 from sardinestair.links.fence import FrameStatus
 from sardinestair.links.session import SidecarSession, StartDecision
-from sardinestair.links.sockets import has_message
+from sardinestair.links.sockets import has_message, receive
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     DECODE_ERRORS,
@@ -222,9 +222,7 @@
         self._receive()
         self._tick()
         self._allocate_credits()
-        self._flush()
-        if has_message(self.socket):
-            # Sending may have consumed the signal of a message.
+        if self._flush() and has_message(self.socket):
             self.wake()
         return self._next_due_s() - self.clock.monotonic()
 
@@ -236,9 +234,10 @@
 
     def _receive(self) -> None:
         for _ in range(MAX_FRAMES_PER_ITERATION):
-            if not has_message(self.socket):
+            parts = receive(self.socket)
+            if parts is None:
                 return
-            route, data = self.socket.recv_multipart()[:2]
+            route, data = parts[0], parts[-1]
             self.link_usage.frames_received += 1
             try:
                 frame = self.decoder.decode(data)
@@ -447,7 +446,9 @@
         next_tick_s = self.last_tick_s + self._tick_interval_s()
         return min(next_tick_s, min(heartbeats, default=math.inf))
 
-    def _flush(self) -> None:
+    def _flush(self) -> bool:
+        """Sends the frames that are due; returns True if there were any."""
+        has_sent = False
         now_s = self.clock.monotonic()
         due_s = [self._heartbeat_due_s(s) for s in self.sessions.values()]
         # One wake-up sends the heartbeats of all sessions.
@@ -462,6 +463,8 @@
                 self.link_usage.count_sent(session.has_urgent_messages)
                 data = self.encoder.encode(session.next_frame(now_s))
                 self.socket.send_multipart([session.route, data])
+                has_sent = True
+        return has_sent
 
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
--- a/sardinestair/sidecar/main.py
+++ b/sardinestair/sidecar/main.py
@@ -1,5 +1,8 @@
 """Command line of `sardinestair-sidecar`."""
 
+import gc
+import sys
+
 from sardinestair.launch import prepare_launch
 
 __all__ = ["main"]
@@ -7,13 +10,26 @@
 
 def main() -> None:
     """Runs the program."""
+    # What imports create stays. `tune_interpreter` enables the collector again.
+    gc.disable()
     launched = prepare_launch("platform", "heartbeat_address")
-    # Imported after `launch`, since the import is slow and the socket for
-    # heartbeats should listen first.
-    from sardinestair.cli.service import run_command
-    from sardinestair.sidecar.command import SidecarCommand
+    # Slow imports come after `prepare_launch`, which has opened the listener.
+    # Without arguments the library of the command line is not needed.
+    if len(sys.argv) > 1:
+        from sardinestair.cli.service import run_command
+        from sardinestair.sidecar.command import SidecarCommand
+
+        run_command(SidecarCommand(launched))
+    from sardinestair.daemon import run_without_arguments
+    from sardinestair.settings import SidecarSettings
+    from sardinestair.sidecar.program import create_sidecar
 
-    run_command(SidecarCommand(launched))
+    sys.exit(
+        run_without_arguments(
+            SidecarSettings,
+            lambda settings, loop: create_sidecar(settings, loop, launched),
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/sardinestair/tests/fakes.py
+++ b/sardinestair/tests/fakes.py
@@ -37,8 +37,10 @@
     def close(self, linger=0):
         pass
 
-    def recv(self):
-        return self.inbox.popleft()
+    def recv_multipart(self, _flags=0):
+        if not self.inbox:
+            raise zmq.Again
+        return [self.inbox.popleft()]
 
     def send(self, data, _flags=0):
         self.sent.append(data)
