--- a/benchmarks/bench_http.py
+++ b/benchmarks/bench_http.py
@@ -17,6 +17,12 @@
 HANDLER_WAIT_S = 0.12
 STARTUP_WAIT_S = 1.5
 SILENT_CONNECTIONS = 1000
+SILENT_DATA = {
+    "nothing": b"",
+    "half a header": b"POST /trivial HTTP/1.1\r\nHo",
+    "half a body": b"POST /trivial HTTP/1.1\r\nHost: x\r\n"
+    b"Content-Length: 10\r\n\r\nhalf",
+}
 
 
 def make_app() -> WebApp:
@@ -73,6 +79,31 @@
     return durations, callers * calls - len(durations)
 
 
+def measure_silent(pid: int, port: int, name: str, data: bytes) -> None:
+    """Prints what connections on which a request never ends cost others."""
+    url = f"http://127.0.0.1:{port}/trivial"
+    durations, _ = call_concurrently(url, 8, 200, False)
+    before_ms = percentile(durations, 0.99)
+    before_mb = read_usage(pid).resident_mb
+    silent = [
+        socket.create_connection(("127.0.0.1", port))
+        for _ in range(SILENT_CONNECTIONS)
+    ]
+    for connection in silent:
+        connection.sendall(data)
+    time.sleep(STARTUP_WAIT_S)
+    added_mb = read_usage(pid).resident_mb - before_mb
+    durations, failed = call_concurrently(url, 8, 200, False)
+    print(
+        f"{SILENT_CONNECTIONS} connections with {name}: "
+        f"{1000 * added_mb / SILENT_CONNECTIONS:.1f} KB each; p99 of others "
+        f"{before_ms:.2f} ms before, {percentile(durations, 0.99):.2f} ms "
+        f"beside them, {failed} failed"
+    )
+    for connection in silent:
+        connection.close()
+
+
 def main() -> None:
     """Runs each case and prints a table."""
     port = free_port()
@@ -102,20 +133,8 @@
             f"{percentile(durations, 0.99):8.2f} {cpu_ms:8.3f} "
             f"{usage.resident_mb:6.1f} {failed:6d}"
         )
-    before_mb = read_usage(pid).resident_mb
-    silent = [
-        socket.create_connection(("127.0.0.1", port))
-        for _ in range(SILENT_CONNECTIONS)
-    ]
-    time.sleep(STARTUP_WAIT_S)
-    added_mb = read_usage(pid).resident_mb - before_mb
-    per_connection_kb = 1024 * added_mb / SILENT_CONNECTIONS
-    print(
-        f"{SILENT_CONNECTIONS} silent connections: {per_connection_kb:.1f} KB "
-        f"each"
-    )
-    for connection in silent:
-        connection.close()
+    for name, data in SILENT_DATA.items():
+        measure_silent(pid, port, name, data)
     process.terminate()
     process.join()
 
--- a/sardinestair/web/tests/test_server.py
+++ b/sardinestair/web/tests/test_server.py
@@ -17,6 +17,8 @@
 TIMEOUT_S = 20
 CALLERS = 60
 MAX_BODY_BYTES = 1024
+# Of the server; the test's own ends of the connections are counted as well.
+MAX_BYTES_PER_CONNECTION = 10_000
 WAIT_REQUEST = b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n"
 ECHO_HEAD = b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
 
@@ -315,6 +317,11 @@
     assert data.endswith(b"\r\n\r\n")
 
 
+def resident_bytes():
+    with open("/proc/self/statm", encoding="utf-8") as stream:
+        return int(stream.read().split()[1]) * resource.getpagesize()
+
+
 def wait_for_connections(server, count):
     deadline_s = time.monotonic() + TIMEOUT_S
     while len(server.connections) < count:
@@ -333,9 +340,12 @@
     server = start()
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     count = min(1000, (limit - 200) // 2)
+    before_bytes = resident_bytes()
     silent = [connect(server, data) for _ in range(count)]
     wait_for_connections(server, count)
     threads = threading.active_count()
+    added_bytes = resident_bytes() - before_bytes
+    assert added_bytes <= count * MAX_BYTES_PER_CONNECTION
     for _ in range(20):
         with connect(server, ECHO_HEAD % 2 + b"hi") as caller:
             caller.settimeout(TIMEOUT_S)
