Ignore late messages of runners that have left

Callers would see: tasks sent to a runner that has ended, or a second and a half without one that has just come. Found by reading, for the report that a server that had left was in use again. Cause: a heartbeat that was delayed past the deregistration registered its runner again, and a delayed deregistration of an earlier runner took the next one out. Change: heartbeats of an incarnation that has deregistered have no effect, nor has the deregistration of another runner than the latest. The sidecar's own restart forgets both: then a late heartbeat holds until reports are missing for a lease. Evidence: both new tests of test_heartbeats.py failed before.

--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -27,12 +27,17 @@
 
     Attributes:
         latest_id: Incarnation and sequence number of the latest heartbeat.
+        latest_runner: Id of the runner that sent it.
+        left_born: Incarnation of the runner that has deregistered last; 0 if
+            it is unknown.
     """
 
     def __init__(self, server: LinkServer, ttl_s: float):
         self.server = server
         self.ttl_s = ttl_s
         self.latest_id = (0, -1)
+        self.latest_runner = ""
+        self.left_born = 0
         self.decoder = msgspec.json.Decoder(Heartbeat)
         self.log = EventLog("heartbeats")
 
@@ -55,7 +60,8 @@
             )
             return json_response({}, 400)
         heartbeat_id = (heartbeat.born, heartbeat.sequence)
-        if heartbeat_id <= self.latest_id:
+        has_left = 0 < heartbeat.born <= self.left_born
+        if heartbeat_id <= self.latest_id or has_left:
             self.log.info(
                 "heartbeat_late",
                 runner=runner,
@@ -65,12 +71,21 @@
                 latest_sequence=self.latest_id[1],
             )
             return json_response({})
-        self.latest_id = heartbeat_id
+        self.latest_id, self.latest_runner = heartbeat_id, runner
         return self._apply(runner, heartbeat)
 
     async def deregister(self, _request: Request, runner: str) -> Response:
-        """Deregisters the runner, which gets no new tasks."""
+        """Deregisters the runner, which gets no new tasks.
+
+        A late request of an earlier runner has no effect.
+        """
+        if self.latest_runner not in ("", runner):
+            self.log.info(
+                "deregister_late", runner=runner, latest=self.latest_runner
+            )
+            return json_response({})
         self.log.info("runner_left", runner=runner)
+        self.left_born = self.latest_id[0]
         self.server.leave()
         return json_response({})
 
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -41,9 +41,9 @@
     return WebApp(api.rules(), 1 << 20, EventLog("test"))
 
 
-def send_heartbeat(app, **changes):
+def send_heartbeat(app, runner="i-1", **changes):
     body = {**msgspec.json.decode(HEARTBEAT), **changes}
-    path = "/instances/i-1/heartbeat"
+    path = f"/instances/{runner}/heartbeat"
     return send_request(app, "POST", path, msgspec.json.encode(body)).status
 
 
@@ -106,3 +106,21 @@
 def test_deregistered_runner_gets_no_new_work(app, server):
     assert send_request(app, "POST", "/instances/i-1/deregister").status == 200
     assert server.leave_count == 1
+
+
+# Guards against work for a runner that has left: a heartbeat that was delayed
+# on its way registered it again.
+def test_late_heartbeat_of_a_runner_that_has_left_is_ignored(app, server):
+    send_heartbeat(app, born=1000, sequence=5)
+    send_request(app, "POST", "/instances/i-1/deregister")
+    assert send_heartbeat(app, born=1000, sequence=6) == 200
+    assert len(server.announced) == 1
+    assert send_heartbeat(app, born=2000, sequence=1) == 200
+    assert len(server.announced) == 2
+
+
+def test_late_deregistration_does_not_affect_the_next_runner(app, server):
+    send_heartbeat(app, "i-1", born=1000, sequence=5)
+    send_heartbeat(app, "i-2", born=2000, sequence=1)
+    assert send_request(app, "POST", "/instances/i-1/deregister").status == 200
+    assert server.leave_count == 0
