Keep going when a value in the store can't be decoded

Callers would see: all entries gone at once. Found by reading, for the report that one malformed message took a whole process down. Cause: settings and claims were decoded without a guard, in threads whose errors end the process; so was the text form of a value. Change: unreadable settings leave those in force, and changes are refused as not done; an unreadable claim counts as held by somebody else; an unreadable item is skipped. Each leaves a line. Evidence: the nine new cases of test_claims.py and test_service.py failed before.

--- a/sardinestair/platform/operator.py
+++ b/sardinestair/platform/operator.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog
 from sardinestair.platform.wire import (
     Configuration,
@@ -42,7 +43,7 @@
             continue
         try:
             configuration = msgspec.json.decode(item.value, type=Configuration)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             _log.error(
                 "configuration_unreadable",
                 revision=item.revision,
--- a/sardinestair/platform/store.py
+++ b/sardinestair/platform/store.py
@@ -8,6 +8,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from sardinestair.messages import DECODE_ERRORS
+from sardinestair.observability import EventLog
 from sardinestair.platform.wire import (
     LeaseReply,
     LeaseRequest,
@@ -33,6 +35,7 @@
 __all__ = ["PlatformStore"]
 
 T = TypeVar("T")
+_log = EventLog("store")
 
 JSON_HEADERS = ("Content-Type: application/json",)
 MS_PER_S = 1000
@@ -78,7 +81,7 @@
             page = _decode_reply(reply, RangeReply)
             if page.is_error():
                 return Error(page.error)
-            items += [_to_key_value(item) for item in page.ok.items]
+            items += to_key_values(page.ok.items)
             if not page.ok.more_pages or not page.ok.items:
                 return Ok(Snapshot(page.ok.store_revision, items))
             query["after"] = page.ok.items[-1].key
@@ -104,9 +107,7 @@
         reply = self._call("POST", "/kv-txn", request)
         if isinstance(reply, Reply) and reply.status == 412:
             return _decode_body(reply, TransactionReply).map(
-                lambda body: CommitResult(
-                    False, 0, [_to_key_value(i) for i in body.items]
-                )
+                lambda body: CommitResult(False, 0, to_key_values(body.items))
             )
         return _decode_reply(reply, TransactionReply).map(
             lambda body: CommitResult(True, body.revision, [])
@@ -208,12 +209,21 @@
 def _decode_body(reply: Reply, reply_type: type[T]) -> Result[T, StoreError]:
     try:
         return Ok(msgspec.json.decode(reply.body, type=reply_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
 
-def _to_key_value(item: StoreItem) -> KeyValue:
-    return KeyValue(item.key, base64.b64decode(item.value), item.revision)
+def to_key_values(items: list[StoreItem]) -> list[KeyValue]:
+    """Decodes items; those with an invalid value are logged and skipped."""
+    decoded = []
+    for item in items:
+        try:
+            value = base64.b64decode(item.value, validate=True)
+        except ValueError as error:
+            _log.warning("item_unreadable", key=item.key, reason=str(error))
+            continue
+        decoded.append(KeyValue(item.key, value, item.revision))
+    return decoded
 
 
 def _encode_value(value: bytes) -> str:
--- a/sardinestair/platform/tests/test_store.py
+++ b/sardinestair/platform/tests/test_store.py
@@ -3,9 +3,10 @@
 import pytest
 
 from sardinestair.platform.operator import read_configuration
-from sardinestair.platform.store import PlatformStore
+from sardinestair.platform.store import PlatformStore, to_key_values
 from sardinestair.platform.tests.standins import StoreServer
 from sardinestair.platform.tests.test_wire import CONFIGURATION
+from sardinestair.platform.wire import StoreItem
 from sardinestair.settings.service import SettingsFollower
 from sardinestair.store.port import ABSENT_REVISION, StoreErrorKind, Swap
 from sardinestair.store.registration import EntryRecord, Registration
@@ -147,3 +148,9 @@
     found = []
     Registration(store, record, found.append).renew()
     assert found[-1] == [record]
+
+
+# Guards against one item in the store that ends each process that reads it.
+def test_item_with_an_invalid_value_is_skipped():
+    items = [StoreItem("a/1", "eA==", 5), StoreItem("a/2", "\u00e9!", 6)]
+    assert [item.key for item in to_key_values(items)] == ["a/1"]
--- a/sardinestair/settings/service.py
+++ b/sardinestair/settings/service.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings.edit import difference, edit_node
@@ -58,7 +59,12 @@
     def read(self) -> Result[VersionedTree, Problem]:
         """Reads the tree from the store."""
         result = self.store.read(SETTINGS_PREFIX)
-        return result.map(decode_tree).map_error(_unavailable)
+        if result.is_error():
+            return Error(_unavailable(result.error))
+        try:
+            return Ok(decode_tree(result.ok))
+        except DECODE_ERRORS as error:
+            return Error(_unreadable(str(error)))
 
     def apply(
         self, desired: SettingsTree, expected_revision: int | None, author: str
@@ -236,7 +242,16 @@
         result = self.store.read(self.prefix)
         if result.is_error():
             return Error(result.error)
-        versioned = self.decode(result.ok)
+        try:
+            versioned = self.decode(result.ok)
+        except DECODE_ERRORS as error:
+            # The settings in force stay until a later change can be decoded.
+            self.log.error(
+                "settings_undecodable",
+                revision=result.ok.revision,
+                reason=str(error),
+            )
+            return Ok(result.ok.revision)
         if versioned is not None:
             self.on_tree(versioned.revision, versioned.tree)
         return Ok(result.ok.revision)
@@ -279,6 +294,14 @@
     )
 
 
+def _unreadable(reason: str) -> Problem:
+    return Problem(
+        ProblemKind.UNAVAILABLE,
+        f"the stored settings can't be decoded; nothing was changed: {reason}",
+        not_run=True,
+    )
+
+
 def _outcome_unknown(error: StoreError) -> Problem:
     return Problem(
         ProblemKind.UNAVAILABLE,
--- a/sardinestair/settings/tests/test_service.py
+++ b/sardinestair/settings/tests/test_service.py
@@ -10,6 +10,7 @@
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
 from sardinestair.standins import Faults
 from sardinestair.store.etcd import EtcdStore
+from sardinestair.store.port import Swap
 
 
 @pytest.fixture
@@ -117,3 +118,19 @@
 
 def test_reading_does_not_depend_on_the_clock(store):
     assert SettingsWriter(store, ManualClock()).read().ok.revision == 0
+
+
+# Guards against one value in the store that ends all entries.
+@pytest.mark.parametrize("value", [b"", b"{", b'{"node": 3}', b"[" * 100_000])
+def test_unreadable_settings_leave_those_in_force(store, writer, value):
+    adopted = []
+    follower = SettingsFollower(store, lambda *tree: adopted.append(tree))
+    assert follower.refresh().is_ok()
+    snapshot = store.read("settings/").ok
+    root = snapshot.items[0]
+    assert store.commit([Swap(root.key, value, root.revision)]).ok.succeeded
+    assert follower.refresh().is_ok()
+    assert len(adopted) == 1
+    refused = writer.edit("root", {"read_ahead": 1}, [], None, "a").error
+    assert refused.kind is ProblemKind.UNAVAILABLE
+    assert refused.not_run
--- a/sardinestair/store/claims.py
+++ b/sardinestair/store/claims.py
@@ -18,10 +18,12 @@
 
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, JobId, job_id_time_s
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.store.port import (
     ABSENT_REVISION,
     CommitResult,
+    KeyValue,
     Store,
     StoreError,
     StoreErrorKind,
@@ -58,6 +60,10 @@
     http_address: str
 
 
+UNREADABLE_CLAIM = Claim("", "", "")
+"""Stands for a claim that can't be decoded."""
+
+
 class ClaimOutcome(enum.Enum):
     """Result of an attempt to claim a job.
 
@@ -233,8 +239,7 @@
         self, group: list[PendingClaim], commit: CommitResult
     ) -> None:
         existing = {
-            item.key: msgspec.json.decode(item.value, type=Claim)
-            for item in commit.current
+            item.key: self._decode_claim(item) for item in commit.current
         }
         remaining = []
         for pending in group:
@@ -248,6 +253,16 @@
                 remaining.append(pending)
         self._requeue(remaining)
 
+    def _decode_claim(self, item: KeyValue) -> Claim:
+        try:
+            return msgspec.json.decode(item.value, type=Claim)
+        except DECODE_ERRORS as error:
+            # Somebody holds the job, but it is unknown who.
+            self.log.warning(
+                "claim_unreadable", key=item.key, reason=str(error)
+            )
+            return UNREADABLE_CLAIM
+
     def _handle_error(
         self, group: list[PendingClaim], error: StoreError
     ) -> None:
--- a/sardinestair/store/registration.py
+++ b/sardinestair/store/registration.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Result
 
+from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog
 from sardinestair.store.port import (
     ABSENT_REVISION,
@@ -56,7 +57,7 @@
     for item in items:
         try:
             records.append(msgspec.json.decode(item.value, type=EntryRecord))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             _log.warning("record_unreadable", key=item.key, reason=str(error))
     return records
 
--- a/sardinestair/store/tests/test_claims.py
+++ b/sardinestair/store/tests/test_claims.py
@@ -129,3 +129,15 @@
     submit_claim(writer, job_id, outcomes)
     write_all(writer)
     assert outcomes == [ClaimOutcome.UNAVAILABLE, ClaimOutcome.OWNED]
+
+
+# Guards against one value in the store that ends each entry that reads it.
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b"\xff", b"[" * 100_000])
+def test_job_with_an_unreadable_claim_counts_as_held(store, clock, value):
+    writer = make_writer(store, clock)
+    job_id = new_job_id()
+    store.data[claim_key(job_id)] = value
+    outcomes = []
+    writer.submit(job_id, lambda outcome, _claim: outcomes.append(outcome))
+    writer.write_group([writer.pending.popleft()])
+    assert outcomes == [ClaimOutcome.HELD]
