--- a/sardinestair/tasks.py
+++ b/sardinestair/tasks.py
@@ -19,7 +19,7 @@
 
 
 class TaskPool:
-    """Runs the background tasks of a process, such as serving one link.
+    """Runs the background tasks of a process that block, each in a thread.
 
     A task ends by returning. An exception in a task means a violated
     invariant. The process is then stopped, as it would otherwise run on with
