Don't lose a signal that comes while a program starts

Callers would see: an entry that goes on after SIGTERM until it is killed, and cuts its answers off. Cause: handlers of signals were registered before the event loop ran; a signal in between was recorded and never delivered. The thread that starts the program ran already, so that its first log line could be answered with a signal. Change: handlers are registered, and the program is started, by the running loop. The new test sends the signal at several moments of the start.

--- a/sardinestair/daemon.py
+++ b/sardinestair/daemon.py
@@ -170,13 +170,18 @@
 
     def run(self) -> int:
         """Runs the program until SIGTERM or SIGINT; returns the exit code."""
+        self.event_loop.loop.call_soon(self._begin)
+        self.event_loop.run()
+        return self.exit_code
+
+    def _begin(self) -> None:
+        # A signal that came between the registration of its handler and the
+        # start of the loop would be lost.
         loop = self.event_loop.loop
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._poll)
         self._run_in_thread(self._start)
-        self.event_loop.run()
-        return self.exit_code
 
     def _run_in_thread(self, function: Callable[[], None]) -> None:
         def run() -> None:
--- a/sardinestair/tests/test_daemon.py
+++ b/sardinestair/tests/test_daemon.py
@@ -62,6 +62,19 @@
     assert program.returncode == 0
 
 
+# Guards against a program that goes on after SIGTERM: a signal that came before
+# the event loop ran was lost.
+@pytest.mark.parametrize("delay_s", [0.0, 0.002, 0.01, 0.05, 0.1])
+def test_signal_during_the_start_stops_the_program(settings, delay_s):
+    program = start_program("entry", settings)
+    assert wait_for_line(program, "setting_ignored")  # The first line.
+    time.sleep(delay_s)
+    program.terminate()
+    output, _ = program.communicate(timeout=WAIT_S)
+    assert "entry_stopped" in output
+    assert program.returncode == 0
+
+
 def test_changed_settings_are_read_on_hangup(settings):
     program = start_program("entry", settings)
     assert wait_for_line(program, "entry_started")
