--- a/sardinestair/tests/test_daemon.py
+++ b/sardinestair/tests/test_daemon.py
@@ -62,8 +62,40 @@
     assert program.returncode == 0
 
 
+SIGNAL_FROM_START = """
+import os, signal, sys, time
+from sardinestair.daemon import DaemonRunner
+from sardinestair.event_loop import EventLoop
+
+class SlowLoop(EventLoop):
+    def run(self):
+        time.sleep(0.3)
+        super().run()
+
+class Daemon:
+    def start(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def stop(self):
+        return True
+
+    def reload(self, settings):
+        pass
+
+    def report_usage(self):
+        pass
+
+sys.exit(DaemonRunner(Daemon(), SlowLoop(), lambda: None).run())
+"""
+
+
 # Guards against a program that goes on after SIGTERM: a signal that came before
 # the event loop ran was lost.
+def test_signal_before_the_loop_runs_is_not_lost():
+    program = [sys.executable, "-c", SIGNAL_FROM_START]
+    assert subprocess.run(program, timeout=WAIT_S).returncode == 0
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.002, 0.01, 0.05, 0.1])
 def test_signal_during_the_start_stops_the_program(settings, delay_s):
     program = start_program("entry", settings)
