Don't read on from an announcer that its reply has stopped

Callers saw: nothing served. Cause: a reply that names more entries makes the sidecar choose anew. If the announcer of that reply goes, its socket was closed in the midst of receiving, and used again (ENOTSOCK). Of a class: a callback that ends the loop that called it. Introduced with the event loop (a thread ended after its turn). Change: the announcer looks whether its socket is still its own after each reply.

--- a/sardinestair/membership/announcer.py
+++ b/sardinestair/membership/announcer.py
@@ -95,6 +95,8 @@
         """
         socket = self.socket or self._connect()
         self._receive(socket)
+        if self.socket is not socket:
+            return self.interval_s  # Stopped by a reply.
         now_s = self.clock.monotonic()
         if now_s >= self.due_s:
             if self.unanswered >= MAX_MISSED_REPLIES:
@@ -123,7 +125,8 @@
             socket.close(linger=LINGER_MS)
 
     def _receive(self, socket: zmq.Socket) -> None:
-        while (parts := receive(socket)) is not None:
+        # A reply may name other entries to use, and so stop this announcer.
+        while self.socket is socket and (parts := receive(socket)) is not None:
             try:
                 reply = self.decoder.decode(parts[-1])
             except DECODE_ERRORS as error:
