Share the pool of connections and the start of calls

Cause: callers of upstreams and of the runner each had the same pool of connections and the same start of a call. Change: TransferPool and AsyncCaller, used by both. No change of behaviour, but that a task's run time no longer counts the making of a connection. Measured: the tests of both, of the whole path and of the emulator pass.

--- a/sardinestair/async_transfer.py
+++ b/sardinestair/async_transfer.py
@@ -18,7 +18,7 @@
     TransferFailure,
 )
 
-__all__ = ["WITHDRAWN", "AsyncTransfer"]
+__all__ = ["WITHDRAWN", "AsyncTransfer", "TransferPool"]
 
 CONNECT_TIMEOUT_S = CONNECT_TIMEOUT_MS / 1000
 _LENGTH_FIELDS = frozenset({b"content-length", b"transfer-encoding"})
@@ -137,6 +137,69 @@
         return connection
 
 
+class TransferPool:
+    """Sends requests to one server over a bounded number of connections.
+
+    Further requests wait. Connections are reused last in, first out: servers
+    close idle ones, so that the fewest possible are kept busy.
+
+    Args:
+        host: IP address of the server.
+        port: Port of the server.
+        max_connections: Maximum number of requests in progress.
+        max_idle_s: See `AsyncTransfer`.
+
+    Attributes:
+        idle_transfers: Connections without a request.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_connections: int,
+        max_idle_s: float = MAX_IDLE_S,
+    ):
+        self.host = host
+        self.port = port
+        self.max_idle_s = max_idle_s
+        self.slots = asyncio.BoundedSemaphore(max_connections)
+        self.idle_transfers: list[AsyncTransfer] = []
+
+    async def perform(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        headers: str = "",
+        may_send: Callable[[], bool] | None = None,
+    ) -> Reply | TransferFailure:
+        """Sends one request; see `AsyncTransfer.perform`.
+
+        The timeout starts once a connection is free.
+        """
+        async with self.slots:
+            transfer = (
+                self.idle_transfers.pop()
+                if self.idle_transfers
+                else AsyncTransfer(
+                    self.host, self.port, max_idle_s=self.max_idle_s
+                )
+            )
+            try:
+                return await transfer.perform(
+                    method, target, body, timeout_s, headers, may_send
+                )
+            finally:
+                self.idle_transfers.append(transfer)
+
+    def close(self) -> None:
+        """Closes the idle connections; requests in progress go on."""
+        for transfer in self.idle_transfers:
+            transfer.close()
+
+
 class _ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -1,13 +1,12 @@
 """Client of the runner on the same machine."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 from expression import Error, Ok, Result
 
-from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer
+from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer, TransferPool
 from sardinestair.messages import DECODE_ERRORS, TaskRef
 from sardinestair.observability import EventLog
 from sardinestair.platform.names import format_job_name
@@ -83,9 +82,12 @@
 
     def __init__(self, address: str):
         self.host, self.port = split_address(address)
-        self.report_transfer = self._new_transfer()
-        self.order_slots = asyncio.BoundedSemaphore(MAX_ORDER_CONNECTIONS)
-        self.idle_transfers: list[AsyncTransfer] = []
+        self.report_transfer = AsyncTransfer(
+            self.host, self.port, max_idle_s=MAX_IDLE_S
+        )
+        self.order_transfers = TransferPool(
+            self.host, self.port, MAX_ORDER_CONNECTIONS, MAX_IDLE_S
+        )
         self.report_decoder = msgspec.json.Decoder(ReportReply)
         self.log = EventLog("runner")
 
@@ -113,7 +115,9 @@
             specification,
             int(until_s * MS_PER_S),
         )
-        result = await self._send_order("/run-start", body, timeout_s, may_send)
+        result = await self._send(
+            self.order_transfers, "/run-start", body, timeout_s, may_send
+        )
         if result.is_error():
             return Error(result.error)
         reply = result.ok
@@ -130,7 +134,9 @@
     ) -> Result[None, RequestError]:
         """Stops a run; see `RunClient.stop`."""
         body = StopRequest(_format_task_name(run), run.attempt)
-        result = await self._send_order("/run-stop", body, timeout_s)
+        result = await self._send(
+            self.order_transfers, "/run-stop", body, timeout_s
+        )
         return result.bind(
             lambda reply: (
                 Ok(None) if reply.status == 200 else _unknown_outcome(reply)
@@ -161,11 +167,8 @@
 
     def close(self) -> None:
         """Closes all connections."""
-        for transfer in (self.report_transfer, *self.idle_transfers):
-            transfer.close()
-
-    def _new_transfer(self) -> AsyncTransfer:
-        return AsyncTransfer(self.host, self.port, max_idle_s=MAX_IDLE_S)
+        self.report_transfer.close()
+        self.order_transfers.close()
 
     def _decode_refusal(self, body: bytes) -> Refusal:
         try:
@@ -175,29 +178,9 @@
             return Refusal.INVALID
         return _REFUSALS_BY_REASON.get(reason, Refusal.INVALID)
 
-    async def _send_order(
-        self,
-        path: str,
-        body: msgspec.Struct,
-        timeout_s: float,
-        may_send: Callable[[], bool] | None = None,
-    ) -> Result[Reply, RequestError]:
-        async with self.order_slots:
-            transfer = (
-                self.idle_transfers.pop()
-                if self.idle_transfers
-                else self._new_transfer()
-            )
-            try:
-                return await self._send(
-                    transfer, path, body, timeout_s, may_send
-                )
-            finally:
-                self.idle_transfers.append(transfer)
-
     async def _send(
         self,
-        transfer: AsyncTransfer,
+        transfer: AsyncTransfer | TransferPool,
         path: str,
         body: msgspec.Struct,
         timeout_s: float,
--- a/sardinestair/platform/tests/test_orders.py
+++ b/sardinestair/platform/tests/test_orders.py
@@ -156,7 +156,7 @@
     for number in range(1, 20):
         run = client.run_id(TaskRef(REF.job, 0, number))
         client.stop(run, 1.0)
-    assert len(client.client.idle_transfers) == 1
+    assert len(client.client.order_transfers.idle_transfers) == 1
     assert len(server.http.connections) == 1
 
 
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -1,5 +1,6 @@
 """Calls an upstream over HTTP."""
 
+import abc
 import asyncio
 import time
 from collections.abc import Callable, Collection, Coroutine
@@ -8,7 +9,7 @@
 
 import msgspec
 
-from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer
+from sardinestair.async_transfer import WITHDRAWN, TransferPool
 from sardinestair.ids import format_job_id
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog
@@ -16,11 +17,11 @@
 from sardinestair.transfer import Reply
 
 __all__ = [
+    "AsyncCaller",
     "CallResult",
     "ResultCallback",
     "TaskCaller",
     "UpstreamCaller",
-    "run_call",
 ]
 
 HTTP_PORT = 80
@@ -94,10 +95,59 @@
         """Ends the caller's background activity."""
 
 
-class UpstreamCaller:
-    """Runs tasks as HTTP requests in the running event loop.
+class AsyncCaller(abc.ABC):
+    """Base class of callers whose calls are coroutines of the event loop.
 
-    Connections are reused, last in, first out.
+    Attributes:
+        calls: The calls in progress.
+    """
+
+    def __init__(self) -> None:
+        self.calls: set[asyncio.Task[None]] = set()
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        ref: TaskRef,
+        payload: bytes,
+        timeout_s: float,
+        may_start: Callable[[], bool],
+    ) -> CallResult:
+        """Runs one task and waits for its end; see `TaskCaller.start`."""
+
+    def start(
+        self,
+        ref: TaskRef,
+        payload: bytes,
+        timeout_s: float,
+        may_start: Callable[[], bool],
+        on_result: ResultCallback,
+    ) -> None:
+        """Starts one task; see `TaskCaller.start`."""
+        call = self.call(ref, payload, timeout_s, may_start)
+        task = asyncio.get_running_loop().create_task(_report(call, on_result))
+        # The loop itself keeps only weak references to tasks.
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+
+async def _report(
+    call: Coroutine[Any, Any, CallResult], on_result: ResultCallback
+) -> None:
+    """Reports the result of a call.
+
+    An exception means a violated invariant, and ends the process: the
+    resources of the call would never be released.
+    """
+    try:
+        on_result(await call)
+    except Exception:
+        _log.logger.exception("invariant_broken")
+        abort_process()
+
+
+class UpstreamCaller(AsyncCaller):
+    """Runs tasks as HTTP requests.
 
     Args:
         address: Base URL of the upstream.
@@ -123,25 +173,12 @@
         not_run_statuses: Collection[int] = (),
         max_connections: int = 64,
     ):
+        super().__init__()
         url = urlsplit(address)
-        self.host, self.port = url.hostname or "", url.port or HTTP_PORT
         self.path = url.path.rstrip("/") + TASK_PATH
         self.not_run_statuses = frozenset(not_run_statuses)
-        self.connection_slots = asyncio.Semaphore(max_connections)
-        self.idle_transfers: list[AsyncTransfer] = []
-        self.calls: set[asyncio.Task[None]] = set()
-
-    def start(
-        self,
-        ref: TaskRef,
-        payload: bytes,
-        timeout_s: float,
-        may_start: Callable[[], bool],
-        on_result: ResultCallback,
-    ) -> None:
-        """Starts one task; see `TaskCaller.start`."""
-        run_call(
-            self.calls, self.call(ref, payload, timeout_s, may_start), on_result
+        self.transfers = TransferPool(
+            url.hostname or "", url.port or HTTP_PORT, max_connections
         )
 
     async def call(
@@ -164,22 +201,22 @@
             sent, or the status is one of `not_run_statuses`; otherwise
             FAILED, since the task may have run.
         """
-        async with self.connection_slots:
-            transfer = (
-                self.idle_transfers.pop()
-                if self.idle_transfers
-                else AsyncTransfer(self.host, self.port)
-            )
+        start_s = time.monotonic()
+
+        def may_send() -> bool:
+            # The run time does not include the wait for a connection.
+            nonlocal start_s
             start_s = time.monotonic()
-            reply = await transfer.perform(
-                "POST",
-                self.path,
-                payload,
-                timeout_s,
-                _format_headers(ref),
-                may_start,
-            )
-            self.idle_transfers.append(transfer)
+            return may_start()
+
+        reply = await self.transfers.perform(
+            "POST",
+            self.path,
+            payload,
+            timeout_s,
+            _format_headers(ref),
+            may_send,
+        )
         run_s = time.monotonic() - start_s
         if isinstance(reply, Reply):
             return self._make_result(reply.status, reply.body, run_s)
@@ -194,8 +231,7 @@
 
     def close(self) -> None:
         """Closes the idle connections; tasks in progress go on."""
-        for transfer in self.idle_transfers:
-            transfer.close()
+        self.transfers.close()
 
     def _make_result(
         self, status: int, body: bytes, run_s: float
@@ -209,34 +245,6 @@
         return CallResult(state, reason.encode(), False, run_s)
 
 
-def run_call(
-    calls: set[asyncio.Task[None]],
-    call: Coroutine[Any, Any, CallResult],
-    on_result: ResultCallback,
-) -> None:
-    """Runs a call as a task of the event loop, and reports its result.
-
-    An exception means a violated invariant, and ends the process: the
-    resources of the call would never be released.
-
-    Args:
-        calls: Keeps the task until it has ended.
-        call: The call.
-        on_result: Called with the result.
-    """
-
-    async def run() -> None:
-        try:
-            on_result(await call)
-        except Exception:
-            _log.logger.exception("invariant_broken")
-            abort_process()
-
-    task = asyncio.get_running_loop().create_task(run())
-    calls.add(task)
-    task.add_done_callback(calls.discard)
-
-
 def _format_headers(ref: TaskRef) -> str:
     return (
         "Content-Type: application/json\r\n"
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -13,11 +13,7 @@
 from sardinestair.links.timing import MAX_CLOCK_DRIFT
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog, Metrics
-from sardinestair.upstreams.caller import (
-    CallResult,
-    ResultCallback,
-    run_call,
-)
+from sardinestair.upstreams.caller import AsyncCaller, CallResult
 from sardinestair.upstreams.orders import (
     EndKind,
     RequestError,
@@ -114,7 +110,7 @@
             self.wakeup.set()
 
 
-class LeasedUpstream:
+class LeasedUpstream(AsyncCaller):
     """Runs tasks at one upstream and keeps their common lease.
 
     Args:
@@ -152,13 +148,13 @@
         on_lost: Callable[[], None],
         process_started_s: float | None = None,
     ):
+        super().__init__()
         self.client = client
         self.clock = clock
         self.lease_s = lease_s
         self.metrics = metrics
         self.on_lost = on_lost
         self.runs: dict[RunId, Run] = {}
-        self.calls: set[asyncio.Task[None]] = set()
         self.stopping = asyncio.Event()
         self.process_started_s = (
             clock.monotonic()
@@ -176,19 +172,6 @@
         self.last_unanswered_s = -DEGRADED_PERIOD_S
         self.log = EventLog("upstream")
 
-    def start(
-        self,
-        ref: TaskRef,
-        payload: bytes,
-        timeout_s: float,
-        may_start: Callable[[], bool],
-        on_result: ResultCallback,
-    ) -> None:
-        """Starts one task; see `TaskCaller.start`."""
-        run_call(
-            self.calls, self.call(ref, payload, timeout_s, may_start), on_result
-        )
-
     async def call(
         self,
         ref: TaskRef,
