Restore an assertion of the tests of leases

Cause: the rewrite without threads had dropped the check that the grace period of a stop is shorter than the tests' own limit. Change: it is back, as it was.

--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -12,6 +12,7 @@
 from sardinestair.standins.runner import Mode, RunnerModel
 from sardinestair.upstreams.leased import (
     DEGRADED_PERIOD_S,
+    END_GRACE_S,
     REPORT_RETRY_DELAY_S,
     REPORT_ROUND_TRIP_S,
     STALL_TIMEOUT_S,
@@ -255,6 +256,7 @@
     harness.upstream.stop(REF)
     harness.wait_for("start", "stop")
     assert harness.renew_until_done(result).state is TaskState.INTERRUPTED
+    assert END_GRACE_S < WAIT_S
 
 
 def test_new_sidecar_stops_what_an_earlier_one_started(harness):
