Send no starts to an upstream that refuses connections

Callers saw: jobs failed with 'no retries are left' although nothing of theirs had run. Cause: a crashed upstream stayed in service until its lease was over. Its starts failed within 1 ms and its credits came back at once, so that it drew most starts, and each took a retry from the budget of the service. Change: a refused connection reports the upstream as lost, and it gets no start until it has answered. The class: a fast failure draws work.

--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -123,7 +123,8 @@
         clock: The local clock.
         lease_s: Duration of the lease of all runs, in seconds.
         metrics: The process's metrics.
-        on_lost: Called when the lease has expired without an answer.
+        on_lost: Called when the lease has expired without an answer, and when
+            a connection has been refused.
         process_started_s: When this process started, on the local clock; now
             if not given. Any earlier sidecar of the upstream had ended by
             then.
@@ -202,7 +203,7 @@
         start_s = self.clock.monotonic()
         run = Run(self.client.run_id(ref), start_s, self.incarnation_ms)
         until_s = self._next_lease_end()
-        if until_s is None or self.is_lost:
+        if until_s is None or self.is_lost or self.is_refusing:
             return self._make_result(
                 start_s, TaskState.NOT_RUN, b"no contact with the upstream"
             )
@@ -265,6 +266,7 @@
             return b"cancelled or expired"
         self.metrics.count("starts_unanswered_total", {})
         self.last_unanswered_s = self.clock.monotonic()
+        self._note_refusal(error)
         self._run_log(run.run_id).warning(
             "start_unanswered",
             may_be_done=error.may_have_executed,
@@ -378,8 +380,8 @@
 
     def _handle_missing_report(self, error: RequestError) -> None:
         self.unanswered += 1
-        self.is_refusing |= error.is_refused
         self.last_unanswered_s = self.clock.monotonic()
+        self._note_refusal(error)
         self.metrics.count("reports_missing_total", {})
         if self.unanswered in LOGGED_UNANSWERED:
             self.log.warning(
@@ -405,6 +407,16 @@
             )
             self.on_lost()
 
+    def _note_refusal(self, error: RequestError) -> None:
+        """Accepts no starts while no process listens at the upstream.
+
+        Its runs are given up only with their lease: a process that is about
+        to end may have stopped to listen before.
+        """
+        if error.is_refused:
+            self.is_refusing = True
+            self.on_lost()
+
     def _latest_lease_end(self) -> float:
         """Returns when the lease ends if all starts in progress renew it."""
         pending = [run.start_until_s for run in self.runs.values()]
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -24,7 +24,6 @@
 LEASE_S = 0.45
 REF = TaskRef(JobId(b"j" * 16), 0, 1)
 WAIT_S = 20.0
-KNOWN_RED = "incident BUDGET; listed in KNOWN-RED.txt"
 
 
 class RecordingClient:
@@ -264,7 +263,6 @@
 
 # Guards against starts on a crashed upstream: they were refused one after the
 # other until its lease had expired.
-@pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_upstream_that_refuses_connections_is_reported_lost_at_once(harness):
     result = harness.run(work_s=30.0)
     harness.wait_for("start")
@@ -273,6 +271,19 @@
     harness.renew_after(0.02)
     assert harness.lost
     assert not result.done()  # Its runs are over only with the lease.
+    refused = harness.result_of(harness.run(TaskRef(REF.job, 1, 1)))
+    assert refused.state is TaskState.NOT_RUN
+    assert harness.client.requests == ["start"]
+
+
+def test_upstream_gets_starts_again_once_it_has_answered(harness):
+    harness.runner.crash()
+    harness.renew_after(0.02)
+    harness.runner.restart()
+    harness.renew_after(0.02)
+    result = harness.run()
+    harness.wait_for("start")
+    assert harness.renew_until_done(result).state is TaskState.DONE
 
 
 def test_stalled_task_is_stopped(harness):
