Give up a task under which two upstreams have crashed

Callers saw: one task crashed upstream after upstream, each of which took the tasks of others with it. Cause: an interrupted run counts as no failure of its task, and a crash ended as 'lapsed' like silence, so that nothing bounded the starts. A killed entry took with it what it knew; a resubmission began anew. Change: a run ends as crashed if no process listens at its upstream, or a new one does; not if the upstream was leaving. Sidecars report crashes to all their entries, which count them by task, also for jobs submitted again, and fail the job at max_crashes (2). The field is the last of its message, so that earlier versions read on. Silence, a cut or a pause still count as nothing.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -21,7 +21,7 @@
     JobId,
     format_incarnation,
 )
-from sardinestair.jobs import Job, JobRegistry, JobState
+from sardinestair.jobs import CrashHistory, Job, JobRegistry, JobState
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
@@ -79,6 +79,7 @@
         services: State of each service, by name.
         links: Links by sidecar.
         registry: The known jobs.
+        crashes: Crashes of upstreams, by task.
         deadline_heap: Deadlines of accepted jobs, as a heap.
         services_to_place: Services whose queue or upstreams have changed
             since tasks were last placed.
@@ -118,6 +119,7 @@
         self.services: dict[str, ServiceState] = {}
         self.links: dict[Incarnation, EntryLink] = {}
         self.registry = JobRegistry(retention_s)
+        self.crashes = CrashHistory(retention_s)
         self.claims = claims
         self.deadline_heap: list[tuple[float, int, Job]] = []
         self.tie_breaker = itertools.count()
@@ -139,7 +141,7 @@
             claims,
         )
         self.run_outcome_handler = RunOutcomeHandler(
-            self.job_finalizer, metrics, self.log
+            self.job_finalizer, metrics, self.log, self.crashes
         )
         self.link_usage = LinkUsage()
         self.ready_links: deque[EntryLink] = deque()
@@ -243,6 +245,9 @@
                 return Error(refusal)
             job = self._create_job(parsed, existing)
             job.reservation = charge
+            if not parsed.request.unrepeatable:
+                # It may have run before, here or at another entry.
+                self.run_outcome_handler.fail_if_crashing(job)
             self.place_waiting()
             return Ok(job)
 
@@ -305,6 +310,7 @@
                     detail = "the deadline passed before all tasks ended"
                     self.job_finalizer.fail(job, ProblemKind.DEADLINE, detail)
             self.registry.evict(now_s)
+            self.crashes.evict(now_s)
             is_overdue_check_due = now_s >= self.next_overdue_check_s
             if is_overdue_check_due:
                 self.next_overdue_check_s = now_s + OVERDUE_CHECK_INTERVAL_S
@@ -393,6 +399,10 @@
         self._refresh_link(link)
         self.run_outcome_handler.handle_outcome(link, outcome)
 
+    def on_crash_reported(self, link: EntryLink, outcome: Outcome) -> None:
+        """Records a crash under a task that another entry has started."""
+        self.run_outcome_handler.handle_reported_crash(link, outcome)
+
     def on_tasks_refused(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Requeues tasks that were refused without running."""
         self._refresh_link(link)
--- a/sardinestair/entry/run_ends.py
+++ b/sardinestair/entry/run_ends.py
@@ -3,7 +3,7 @@
 from sardinestair.entry.job_ends import JobFinalizer
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import format_incarnation, format_job_id
-from sardinestair.jobs import Job
+from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.job import TaskAnswer
 from sardinestair.limits.money import slot_cost
 from sardinestair.links.entry_link import EntryLink
@@ -26,22 +26,30 @@
         finalizer: Ends jobs.
         metrics: The process's metrics.
         log: Receives a line for each failed or interrupted run.
+        crashes: Crashes of upstreams, by task.
 
     Attributes:
         tree: The settings tree in force, which holds the prices of slots.
     """
 
     def __init__(
-        self, finalizer: JobFinalizer, metrics: Metrics, log: EventLog
+        self,
+        finalizer: JobFinalizer,
+        metrics: Metrics,
+        log: EventLog,
+        crashes: CrashHistory,
     ):
         self.finalizer = finalizer
         self.metrics = metrics
         self.log = log
+        self.crashes = crashes
         self.tree: SettingsTree | None = None
         self.settings_cache = SettingsCache()
 
     def handle_outcome(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles an outcome that a sidecar has reported."""
+        if outcome.has_crashed:
+            self._record_crash(link, outcome)
         state = self.finalizer.services[link.candidate.service]
         job = self.finalizer.registry.find(outcome.task.job)
         if job is None:
@@ -66,6 +74,34 @@
         reason = outcome.body.decode("utf-8", "replace")
         self._retry_or_fail(state, job, index, outcome.state, reason)
 
+    def handle_reported_crash(self, link: EntryLink, outcome: Outcome) -> None:
+        """Handles a crash under a run that another entry has started."""
+        self._record_crash(link, outcome)
+        job = self.finalizer.registry.find(outcome.task.job)
+        if job is not None and outcome.task.index not in job.in_flight:
+            self.fail_if_crashing(job)
+
+    def fail_if_crashing(self, job: Job) -> None:
+        """Fails a job if too many upstreams have crashed under a task."""
+        if not job.is_active:
+            return
+        limit = self.finalizer.services[job.service].settings.max_crashes
+        for index in range(job.task_count):
+            count = self.crashes.count(job.job_id, index)
+            if count >= limit:
+                job.may_have_run = True
+                detail = f"{count} upstreams crashed while task {index} ran"
+                self.finalizer.fail(job, ProblemKind.FAILED, detail)
+                return
+
+    def _record_crash(self, link: EntryLink, outcome: Outcome) -> None:
+        now_s = self.finalizer.clock.monotonic()
+        ref = outcome.task
+        if self.crashes.record(ref, link.sidecar, outcome.run_s, now_s):
+            self.metrics.count(
+                "crashes_total", {"service": link.candidate.service}
+            )
+
     def handle_not_run(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Requeues tasks that did not run, within the retry budget."""
         state = self.finalizer.services[link.candidate.service]
@@ -128,10 +164,12 @@
             how=end_state.value,
             reason=reason,
             failures=job.failures[index],
+            crashes=self.crashes.count(job.job_id, index),
             repeated=is_retried,
         )
         if is_retried:
             state.queue.requeue(job, index)
+            self.fail_if_crashing(job)
             return
         job.remove_in_flight(index)
         detail = f"task {index} failed: {reason}"
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -6,88 +6,19 @@
 import msgspec
 import pytest
 
-from sardinestair.clock import ManualClock
-from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, Dispatcher
+from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE
 from sardinestair.entry.resubmission import submit_after_earlier_runs
-from sardinestair.ids import Incarnation, JobId, new_incarnation
+from sardinestair.entry.tests.harness import TIMING, A, B, Entry
+from sardinestair.ids import JobId
 from sardinestair.jobs import JobState
 from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
-from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import LinkState, handle_message
-from sardinestair.links.timing import LinkTiming
-from sardinestair.messages import (
-    Announce,
-    Cancel,
-    Grant,
-    Outcome,
-    Recall,
-    Resumed,
-    TaskState,
-)
-from sardinestair.observability import Metrics
+from sardinestair.messages import Cancel, Recall, Resumed, TaskState
 from sardinestair.outcomes import ProblemKind
 from sardinestair.settings import parse_tree
-from sardinestair.tests.fakes import FakeContext, FakeSocket
+from sardinestair.tests.fakes import FakeSocket
 from sardinestair.upstreams.leased import STALLED
 
-TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
-A, B = (Incarnation(bytes([n]) * 16) for n in (1, 2))
-JOB = JobId(b"j" * 16)
-CAPACITY = Resources(16000, 65536, 0)
-
-
-class Entry:
-    def __init__(self, max_attempts):
-        self.clock = ManualClock()
-        self.dispatcher = Dispatcher(
-            new_incarnation(), "z", self.clock, Metrics(), FakeContext(), TIMING
-        )
-        limits = f"set: {{max_attempts: {max_attempts}}}"
-        tree = parse_tree(limits + "\nservices: {quotes: {}}").ok
-        self.dispatcher.configure(tree)
-        self.links = {}
-        for sidecar in (A, B):
-            self.connect_sidecar(sidecar)
-
-    def connect_sidecar(self, sidecar):
-        announce = Announce(
-            sidecar, "tcp://127.0.0.1:1", "z", "quotes", 16000, False, 0,
-            CAPACITY, True,
-        )  # fmt: skip
-        link = self.links[sidecar] = self.dispatcher.handle_announcement(
-            announce
-        )
-        link.state = LinkState.UP
-        handle_message(Grant(16000), link)
-
-    def submit(self, tasks=1, best_effort=False):
-        return self.dispatcher.submit(self.parsed(tasks, best_effort))
-
-    def parsed(self, tasks=1, best_effort=False):
-        request = JobRequest(
-            "quotes", "team", [TaskRequest(msgspec.Raw(b"{}"))] * tasks,
-            deadline_s=10.0, need=Resources(1600, 64, 0),
-            best_effort=best_effort,
-        )  # fmt: skip
-        return ParsedRequest(JOB, request, b"d")
-
-    def in_flight(self):
-        """Returns the sidecar and run of each outstanding task, by index."""
-        return {
-            ref.index: (sidecar, ref)
-            for sidecar, link in self.links.items()
-            for ref in link.outstanding.values()
-        }
-
-    def report_outcome(self, index, state, body=b""):
-        sidecar, ref = self.in_flight()[index]
-        with self.dispatcher.lock:
-            handle_message(
-                Outcome(ref, state, body, False, 0.1), self.links[sidecar]
-            )
-            self.dispatcher.place_waiting()
-        return sidecar
-
 
 @pytest.fixture
 def entry():
--- a/sardinestair/jobs/__init__.py
+++ b/sardinestair/jobs/__init__.py
@@ -1,11 +1,13 @@
 """Jobs: requests, state from acceptance to the end, and the registry."""
 
+from sardinestair.jobs.crashes import CrashHistory
 from sardinestair.jobs.job import Answer, Job, JobState
 from sardinestair.jobs.registry import JobRegistry
 from sardinestair.jobs.request import JobRequest, parse_request
 
 __all__ = [
     "Answer",
+    "CrashHistory",
     "Job",
     "JobRegistry",
     "JobRequest",
--- /dev/null
+++ b/sardinestair/jobs/crashes.py
@@ -0,0 +1,100 @@
+"""Counts the upstreams that have crashed under each task."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from sardinestair.ids import Incarnation, JobId
+from sardinestair.messages import TaskRef
+
+__all__ = ["CrashHistory", "TaskCrashes"]
+
+
+class TaskCrashes(msgspec.Struct):
+    """Crashes under one task.
+
+    Attributes:
+        runs: Sidecar and attempt of each run that ended with a crash.
+        age_s: Age of the latest of these runs at the crash, in seconds.
+        recorded_s: When the latest one was recorded.
+    """
+
+    runs: set[tuple[Incarnation, int]]
+    age_s: float
+    recorded_s: float
+
+
+class CrashHistory:
+    """Crashes of upstreams by the task that was running.
+
+    A crash ends all runs of the upstream, and it is unknown which of them
+    caused it. A task under which several upstreams have crashed is the likely
+    cause. Sidecars report a crash to all their entries, and may repeat it, so
+    each run counts once.
+
+    Args:
+        retention_s: How long a task is remembered after its latest crash, in
+            seconds.
+        max_tasks: Maximum number of tasks; the oldest are evicted first.
+
+    Attributes:
+        tasks: The crashes by job and index, in the order of the latest one.
+
+    Examples:
+        >>> history = CrashHistory()
+        >>> job, sidecar = JobId(bytes(16)), Incarnation(bytes(16))
+        >>> history.record(TaskRef(job, 0, 1), sidecar, 0.01, now_s=0.0)
+        True
+        >>> history.record(TaskRef(job, 0, 1), sidecar, 0.01, now_s=0.1)
+        False
+        >>> history.count(job, 0), history.count(job, 1)
+        (1, 0)
+    """
+
+    def __init__(self, retention_s: float = 300.0, max_tasks: int = 10_000):
+        self.retention_s = retention_s
+        self.max_tasks = max_tasks
+        self.tasks: OrderedDict[tuple[JobId, int], TaskCrashes] = OrderedDict()
+
+    def record(
+        self, ref: TaskRef, sidecar: Incarnation, age_s: float, now_s: float
+    ) -> bool:
+        """Records that an upstream has crashed while a task was running.
+
+        Args:
+            ref: The attempt that was running.
+            sidecar: Sidecar of the upstream.
+            age_s: Age of the run at the crash, in seconds.
+            now_s: Current time in seconds.
+
+        Returns:
+            False if this run is known already.
+        """
+        key = (ref.job, ref.index)
+        crashes = self.tasks.setdefault(key, TaskCrashes(set(), age_s, now_s))
+        run = (sidecar, ref.attempt)
+        if run in crashes.runs:
+            return False
+        crashes.runs.add(run)
+        crashes.age_s, crashes.recorded_s = age_s, now_s
+        self.tasks.move_to_end(key)
+        while len(self.tasks) > self.max_tasks:
+            self.tasks.popitem(last=False)
+        return True
+
+    def find(self, job: JobId, index: int) -> TaskCrashes | None:
+        """Returns the crashes under a task, or None if there are none."""
+        return self.tasks.get((job, index))
+
+    def count(self, job: JobId, index: int) -> int:
+        """Returns the number of upstreams that have crashed under a task."""
+        crashes = self.find(job, index)
+        return len(crashes.runs) if crashes else 0
+
+    def evict(self, now_s: float) -> None:
+        """Evicts the tasks whose retention is over."""
+        while self.tasks:
+            key, crashes = next(iter(self.tasks.items()))
+            if now_s - crashes.recorded_s < self.retention_s:
+                return
+            del self.tasks[key]
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -79,6 +79,9 @@
     def on_task_finished(self, link: "EntryLink", outcome: Outcome) -> None:
         """Handles the end of a task in the state that the outcome names."""
 
+    def on_crash_reported(self, link: "EntryLink", outcome: Outcome) -> None:
+        """Handles a crash under a task that the entry has not outstanding."""
+
     def on_tasks_refused(self, link: "EntryLink", refs: list[TaskRef]) -> None:
         """Handles attempts that did not run and never will."""
 
@@ -472,7 +475,10 @@
         return
     link.to_acknowledge.append(ref)
     if link.outstanding.get((ref.job, ref.index)) != ref:
-        link.owner.count_wasted("outcome_repeated")
+        if message.has_crashed:
+            link.owner.on_crash_reported(link, message)
+        else:
+            link.owner.count_wasted("outcome_repeated")
         return
     del link.outstanding[ref.job, ref.index]
     link.owner.on_task_finished(link, message)
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -168,6 +168,9 @@
         body: The response of the upstream, or a reason in UTF-8.
         is_json: True if the body is a JSON value.
         run_s: Run time at the upstream, in seconds.
+        has_crashed: True if the upstream's process ended while the task ran.
+            Such an outcome is sent to all entries, as the caller may submit
+            the job to another one.
     """
 
     task: TaskRef
@@ -175,6 +178,7 @@
     body: bytes
     is_json: bool
     run_s: float
+    has_crashed: bool = False
 
 
 class Grant(msgspec.Struct, array_like=True, tag="g"):
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -86,6 +86,8 @@
             deadline.
         max_attempts: Failed runs after which a task counts as failed; with 1,
             a task that has started is never started again.
+        max_crashes: Upstreams that may crash while a task runs there before
+            its job fails.
         priority: Priority of jobs when slots are scarce; 0 goes before 1.
             Ignored with the order `least_slack`.
         useful_factor: An answer is useful until this many times its objective;
@@ -113,6 +115,7 @@
     objective_share: float = 0.99
     objective_s: float = 0.0
     max_attempts: int = 1
+    max_crashes: int = 2
     priority: int = 0
     useful_factor: float = 0.0
     objective_stretch: float = 0.0
@@ -140,6 +143,7 @@
     objective_share: Annotated[float, Meta(ge=0, lt=1)] | UnsetType = UNSET
     objective_s: Annotated[float, Meta(ge=0, le=3600)] | UnsetType = UNSET
     max_attempts: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
+    max_crashes: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
     priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
     useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -314,7 +314,7 @@
 
     def _handle_upstream_lost(self, caller: TaskCaller) -> None:
         """Marks the upstream as leaving until its next announcement."""
-        if caller is self.caller and self.upstream.leave():
+        if caller is self.caller and self.upstream.lose():
             self._close_slots("unreachable")
 
     def _finish(
@@ -324,8 +324,18 @@
         result: CallResult,
         units: int,
     ) -> None:
+        # The end of an upstream that was leaving is no fault of its tasks.
+        has_crashed = (
+            result.has_crashed
+            and self.upstream.state is not UpstreamState.LEAVING
+        )
         outcome = Outcome(
-            ref, result.state, result.body, result.is_json, result.run_s
+            ref,
+            result.state,
+            result.body,
+            result.is_json,
+            result.run_s,
+            has_crashed,
         )
         self.ledger.occupied_units -= units
         self.wake()
@@ -335,6 +345,14 @@
             session.outbox.append(outcome)
             return
         session.finish(outcome)
+        if has_crashed:
+            self._report_crash(session, outcome)
+
+    def _report_crash(self, owner: SidecarSession, outcome: Outcome) -> None:
+        """Reports a crash to the entries that did not start the task."""
+        for session in self.sessions.values():
+            if session is not owner and not session.fence.is_epoch_invalid:
+                session.outbox.append(outcome)
 
     def _open_slots(self, announcement: Announcement) -> None:
         previous = self.caller
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -228,6 +228,7 @@
         reasons = {
             UpstreamState.ABSENT: "no upstream has announced itself",
             UpstreamState.LEAVING: "the upstream is leaving",
+            UpstreamState.UNREACHABLE: "the upstream does not answer",
         }
         state = self.server.upstream.state
         return state is UpstreamState.SERVING, reasons.get(state, "")
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -42,6 +42,8 @@
         is_json: True if the body is a JSON value.
         run_s: Duration of the call, in seconds.
         is_unreachable: True if no connection to the upstream could be made.
+        has_crashed: True if the upstream's process ended while the task ran;
+            `run_s` then counts until that end.
     """
 
     state: TaskState
@@ -49,6 +51,7 @@
     is_json: bool
     run_s: float
     is_unreachable: bool = False
+    has_crashed: bool = False
 
 
 ResultCallback = Callable[[CallResult], object]
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -79,6 +79,8 @@
         stops_unanswered: Number of stop requests without an answer.
         reason: Why it is stopped, in UTF-8.
         started_s: When its start was requested.
+        lost_age_s: Its age when the upstream stopped answering, in seconds, if
+            it was lost with it.
         start_until_s: Time to which a start in progress may renew the lease,
             on the upstream's clock; 0 if there is none.
         percent: Share of its work that is done, -1 before the first report.
@@ -96,6 +98,7 @@
         self.stops_unanswered = 0
         self.reason = b""
         self.started_s = now_s
+        self.lost_age_s = 0.0
         self.start_until_s = 0.0
         self.percent = -1
         self.last_progress_s = now_s
@@ -140,6 +143,8 @@
         lease_until_s: Latest time to which the lease may have been renewed,
             on the upstream's clock.
         unanswered: Number of consecutive reports without an answer.
+        silent_since_s: When the first of these failed, or when the last report
+            arrived.
         is_refusing: True if no process has listened at the upstream's address
             since the last report.
         last_unanswered_s: When a start or report last got no answer.
@@ -177,6 +182,7 @@
         self.remote_clock_read_s = 0.0
         self.lease_until_s = 0.0
         self.unanswered = 0
+        self.silent_since_s = clock.monotonic()
         self.is_refusing = False
         self.last_unanswered_s = -DEGRADED_PERIOD_S
         self.log = EventLog("upstream")
@@ -324,6 +330,14 @@
             and is_same_incarnation
         ):
             return self._make_result(start_s, TaskState.NOT_RUN, run.reason)
+        if run.end is EndKind.CRASHED:
+            return CallResult(
+                TaskState.INTERRUPTED,
+                run.end.value.encode(),
+                False,
+                run.lost_age_s,
+                has_crashed=True,
+            )
         state = _TASK_STATES.get(run.end, TaskState.INTERRUPTED)
         reason = run.reason or run.end.value.encode()
         body = b"" if state is TaskState.DONE else reason
@@ -379,8 +393,10 @@
         return wait_s, REPORT_ROUND_TRIP_S
 
     def _handle_missing_report(self, error: RequestError) -> None:
-        self.unanswered += 1
         self.last_unanswered_s = self.clock.monotonic()
+        if not self.unanswered:
+            self.silent_since_s = self.last_unanswered_s
+        self.unanswered += 1
         self._note_refusal(error)
         self.metrics.count("reports_missing_total", {})
         if self.unanswered in LOGGED_UNANSWERED:
@@ -396,7 +412,9 @@
             or self._remote_now() < self._latest_lease_end()
         ):
             return
-        lapsed = self._finish_all(EndKind.LAPSED)
+        lapsed = self._finish_all(
+            EndKind.CRASHED if self.is_refusing else EndKind.LAPSED
+        )
         if not self.is_lost:
             self.is_lost, self.has_no_orphans = True, False
             self.log.error(
@@ -437,10 +455,11 @@
         """Ends a run whose end the upstream has not listed."""
         if run.end is not None:
             return
+        run.lost_age_s = max(0.0, self.silent_since_s - run.started_s)
         self._run_log(run.run_id).info(
             "run_lost",
             how=how.value,
-            age_s=self.clock.monotonic() - run.started_s,
+            age_s=run.lost_age_s,
             confirmed=run.is_confirmed,
             refused=self.is_refusing,
             born_ms=run.incarnation_ms,
@@ -466,9 +485,12 @@
             if conclusive_from_s is None or run.run_id in listed:
                 continue
             if conclusive_from_s < sent_s:
-                # It never began, or was lost in a restart of the upstream.
-                self._finish_lost(run, EndKind.OTHER)
+                is_restarted = run.incarnation_ms != report.incarnation_ms
+                self._finish_lost(
+                    run, EndKind.CRASHED if is_restarted else EndKind.OTHER
+                )
         self.is_refusing = False
+        self.silent_since_s = now_s
         await self._stop_orphans(report.active, known, now_s)
 
     def _adopt_incarnation(self, incarnation_ms: int) -> None:
--- a/sardinestair/upstreams/orders.py
+++ b/sardinestair/upstreams/orders.py
@@ -42,15 +42,16 @@
 class EndKind(enum.Enum):
     """How a run ended.
 
-    STOPPED is the result of a stop request, LAPSED of an expired lease. OTHER
-    stands for any other end, and for a run that the upstream no longer lists
-    because it never began or was lost in a restart.
+    STOPPED is the result of a stop request, LAPSED of an expired lease. CRASHED
+    stands for the end of the upstream's process. OTHER stands for any other
+    end, and for a run that the upstream doesn't list because it never began.
     """
 
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
     LAPSED = "lapsed"
+    CRASHED = "crashed"
     OTHER = "other"
 
 
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -286,6 +286,32 @@
     assert harness.renew_until_done(result).state is TaskState.DONE
 
 
+def test_run_that_ends_with_its_upstream_has_crashed(harness):
+    result = harness.run(work_s=30.0)
+    harness.wait_for("start")
+    harness.renew_after(0.1)
+    harness.runner.crash()
+    done = harness.renew_until_done(result)
+    assert (done.state, done.has_crashed) == (TaskState.INTERRUPTED, True)
+    assert done.run_s == pytest.approx(0.15)  # Not until the lease was over.
+
+
+def test_run_lost_in_a_restart_has_crashed(harness):
+    result = harness.run(work_s=30.0)
+    harness.wait_for("start")
+    harness.renew_after(0.05)
+    harness.runner.restart()
+    assert harness.renew_until_done(result).has_crashed
+
+
+def test_run_of_a_silent_upstream_has_not_crashed(harness):
+    result = harness.run(work_s=30.0)
+    harness.wait_for("start")
+    harness.runner.is_suspended = True
+    done = harness.renew_until_done(result)
+    assert (done.state, done.has_crashed) == (TaskState.INTERRUPTED, False)
+
+
 def test_stalled_task_is_stopped(harness):
     harness.runner.mode = Mode.STALLED
     result = harness.run(work_s=1.0)
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -44,12 +44,14 @@
     """Whether the upstream accepts new tasks.
 
     ABSENT is the state before the first announcement. LEAVING is the state
-    after it has left, or its announcement has expired.
+    after it has left, or its announcement has expired; UNREACHABLE after it
+    has stopped answering.
     """
 
     ABSENT = "absent"
     SERVING = "serving"
     LEAVING = "leaving"
+    UNREACHABLE = "unreachable"
 
 
 class Upstream:
@@ -128,12 +130,23 @@
     def leave(self) -> bool:
         """Stops accepting new tasks.
 
+        Returns:
+            True if the upstream was serving.
+        """
+        was_serving = self.state is UpstreamState.SERVING
+        if was_serving or self.state is UpstreamState.UNREACHABLE:
+            self.state = UpstreamState.LEAVING
+        return was_serving
+
+    def lose(self) -> bool:
+        """Stops accepting new tasks until the next announcement.
+
         Returns:
             True if the upstream was serving.
         """
         if self.state is not UpstreamState.SERVING:
             return False
-        self.state = UpstreamState.LEAVING
+        self.state = UpstreamState.UNREACHABLE
         return True
 
     def expire(self, now_s: float) -> bool:
@@ -145,4 +158,5 @@
         Returns:
             True if the upstream was serving until now.
         """
-        return now_s >= self.expires_s and self.leave()
+        is_serving = self.state is UpstreamState.SERVING
+        return is_serving and now_s >= self.expires_s and self.leave()
