Go by the capacity in force when an upstream's capacity changes

Found by tests against the link server. Cause, one class: values derived from a capacity were kept after it had changed. A task larger than the whole upstream was started if that was idle; running tasks counted by their share of the earlier capacity; an entry noticed only a change of the processor's part; entry and sidecar each computed the credits of a start, and their accounts drifted apart where their capacities differed. Four tests failed before: test_task_that_exceeds_a_shrunk_capacity_is_refused, test_running_tasks_count_by_the_capacity_in_force, test_start_spends_the_credits_that_the_entry_has_spent and test_capacity_that_shrinks_in_memory_alone_is_adopted. That a task being stopped counts, and that a grown capacity is used, held before and is now tested.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -468,7 +468,8 @@
 
     def _update_slots(self, link: EntryLink, announce: Announce) -> None:
         candidate = link.candidate
-        if announce.slots != candidate.slots:
+        offered = (announce.slots, announce.capacity)
+        if offered != (candidate.slots, candidate.capacity):
             candidate.slots = announce.slots
             candidate.capacity = announce.capacity
             self._refresh_link(link)
--- a/sardinestair/entry/tests/harness.py
+++ b/sardinestair/entry/tests/harness.py
@@ -20,6 +20,13 @@
 CAPACITY = Resources(16000, 65536, 0)
 
 
+def make_announce(sidecar, capacity=CAPACITY):
+    return Announce(
+        sidecar, "tcp://127.0.0.1:1", "z", "quotes", capacity.cpu_millis,
+        False, 0, capacity, True,
+    )  # fmt: skip
+
+
 class Entry:
     def __init__(self, max_attempts):
         self.clock = ManualClock()
@@ -34,12 +41,8 @@
             self.connect_sidecar(sidecar)
 
     def connect_sidecar(self, sidecar):
-        announce = Announce(
-            sidecar, "tcp://127.0.0.1:1", "z", "quotes", 16000, False, 0,
-            CAPACITY, True,
-        )  # fmt: skip
         link = self.links[sidecar] = self.dispatcher.handle_announcement(
-            announce
+            make_announce(sidecar)
         )
         link.state = LinkState.UP
         handle_message(Grant(16000), link)
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -8,10 +8,17 @@
 
 from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE
 from sardinestair.entry.resubmission import submit_after_earlier_runs
-from sardinestair.entry.tests.harness import TIMING, A, B, Entry
+from sardinestair.entry.tests.harness import (
+    TIMING,
+    A,
+    B,
+    Entry,
+    make_announce,
+)
 from sardinestair.ids import JobId
 from sardinestair.jobs import JobState
 from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
+from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import LinkState, handle_message
 from sardinestair.messages import Cancel, Recall, Resumed, TaskState
 from sardinestair.outcomes import ProblemKind
@@ -276,6 +283,21 @@
     assert entry.submit().error.kind is ProblemKind.DRAINING
 
 
+# Guards against placing tasks by a capacity that is no longer in force: only a
+# change of the processor's part was noticed.
+def test_capacity_that_shrinks_in_memory_alone_is_adopted(entry):
+    smaller = Resources(16000, 32, 0)
+    for sidecar in (A, B):
+        entry.dispatcher.handle_announcement(
+            make_announce(sidecar, capacity=smaller)
+        )
+    entry.submit()  # Needs 64 MB.
+    assert entry.in_flight() == {}
+    entry.dispatcher.handle_announcement(make_announce(A))
+    entry.dispatcher.place_waiting()
+    assert entry.in_flight()[0][0] == A
+
+
 # Guards against a loop: an entry that waits for a faster upstream was granted
 # the same credits over and over, as another entry's demand recalled them.
 def test_unused_credits_are_requested_once_per_check():
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -218,7 +218,7 @@
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
         self.placed_s[ref.job, ref.index] = self.clock.monotonic()
-        self.outbox.append(Start(ref, remaining_s, payload, need))
+        self.outbox.append(Start(ref, remaining_s, payload, need, units))
 
     def cancel(self, refs: list[TaskRef]) -> None:
         """Queues one message that cancels started tasks."""
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -94,12 +94,14 @@
         remaining_s: Time left until the job's deadline, in seconds.
         payload: The request body for the upstream.
         need: The resources that the task needs, or None if not declared.
+        units: The credits that the entry has spent on it; 0 if it doesn't say.
     """
 
     task: TaskRef
     remaining_s: float
     payload: bytes
     need: Resources | None = None
+    units: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag="C"):
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -14,7 +14,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, format_incarnation
 from sardinestair.limits.credits import CreditLedger
-from sardinestair.limits.resources import units_needed
+from sardinestair.limits.resources import Resources, units_needed
 from sardinestair.links.fence import FrameStatus
 from sardinestair.links.session import SidecarSession, StartDecision
 from sardinestair.links.sockets import has_message, receive
@@ -73,6 +73,8 @@
     Attributes:
         upstream: State of the sidecar's upstream.
         ledger: Allocates the upstream's slots to entries as credits.
+        running: Resources that each running task needs, None if not declared,
+            by entry and attempt.
         sessions: State of the link with each entry, by its incarnation.
         policy: The effective settings.
         policy_revision: Their revision, -1 before the first.
@@ -105,6 +107,7 @@
         self.timing = timing or LinkTiming()
         self.upstream = Upstream()
         self.ledger = CreditLedger(slots=0)
+        self.running: dict[tuple[Incarnation, TaskRef], Resources | None] = {}
         self.sessions: dict[Incarnation, SidecarSession] = {}
         self.policy = SidecarPolicy()
         self.policy_revision = -1
@@ -295,8 +298,8 @@
         """Starts a task that the session has accepted."""
         assert self.caller is not None
         caller, ref = self.caller, message.task
-        units = self.credits_needed(message)
-        self.ledger.occupied_units += units
+        self.running[session.entry, ref] = message.need
+        self.ledger.occupied_units += self._units_occupied(message.need)
         self.metrics.count("starts_total", {})
         held = session.tasks[ref.job, ref.index]
 
@@ -304,7 +307,7 @@
             return held.wanted and not self.is_session_expired(session)
 
         def on_result(result: CallResult) -> None:
-            self._finish(session, ref, result, units)
+            self._finish(session, ref, result)
             if result.is_unreachable:
                 self._handle_upstream_lost(caller)
 
@@ -322,7 +325,6 @@
         session: SidecarSession,
         ref: TaskRef,
         result: CallResult,
-        units: int,
     ) -> None:
         # The end of an upstream that was leaving is no fault of its tasks.
         has_crashed = (
@@ -337,7 +339,8 @@
             result.run_s,
             has_crashed,
         )
-        self.ledger.occupied_units -= units
+        need = self.running.pop((session.entry, ref))
+        self.ledger.occupied_units -= self._units_occupied(need)
         self.wake()
         self.metrics.count("outcomes_total", {"state": outcome.state.value})
         if outcome.state is TaskState.NOT_RUN:
@@ -360,6 +363,10 @@
         if previous is not None and previous is not self.caller:
             previous.close()
         self.ledger.slots = self.upstream.slots
+        # Shares of the capacity in force, which may have changed.
+        self.ledger.occupied_units = sum(
+            map(self._units_occupied, self.running.values())
+        )
 
     def _make_http_caller(
         self, announcement: Announcement, _on_lost: Callable[[], None]
@@ -370,14 +377,17 @@
             self.upstream.slots,
         )
 
-    def credits_needed(self, message: Start) -> int:
-        """Returns the credits that a task needs.
+    def units_needed(self, need: Resources | None) -> int | None:
+        """Returns the credits that a task needs; None if it doesn't fit."""
+        return units_needed(need, self.upstream.capacity, self.upstream.slots)
+
+    def _units_occupied(self, need: Resources | None) -> int:
+        """Returns the credits that a running task occupies.
 
-        A task that exceeds the upstream's capacity takes all of them.
+        All of them if it exceeds a capacity that has shrunk since its start.
         """
-        capacity, slots = self.upstream.capacity, self.upstream.slots
-        units = units_needed(message.need, capacity, slots)
-        return max(slots, 1) if units is None else units
+        units = self.units_needed(need)
+        return max(self.upstream.slots, 1) if units is None else units
 
     def is_session_expired(self, session: SidecarSession) -> bool:
         """Returns True if the session at a leased upstream has expired."""
@@ -499,12 +509,16 @@
 
 @handle_message.register
 def _(message: Start, session: SidecarSession, server: LinkServer) -> None:
-    units = server.credits_needed(message)
-    has_credit = server.ledger.spend(session.entry, units)
+    units = server.units_needed(message.need)
+    has_credit = server.ledger.spend(
+        session.entry, message.units or units or server.upstream.slots
+    )
     is_serving = server.upstream.state is UpstreamState.SERVING
     # Credits may have been granted before the capacity shrank.
     limit = server.upstream.slots + server.ledger.read_ahead
-    has_capacity = server.ledger.occupied_units + units <= limit
+    has_capacity = (
+        units is not None and server.ledger.occupied_units + units <= limit
+    )
     if not (has_credit and is_serving and has_capacity):
         server.refuse(message.task, session, b"no free slot")
         return
--- a/sardinestair/sidecar/tests/test_session_lease.py
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -189,6 +189,67 @@
     assert entry.server.ledger.occupied_units <= 8000
 
 
+def announce_capacity(entry, capacity):
+    entry.server.announce(
+        msgspec.structs.replace(ANNOUNCEMENT, capacity=capacity)
+    )
+
+
+# Guards against a start on an upstream whose capacity has shrunk below what the
+# task needs: such a task was started whenever the upstream was idle.
+def test_task_that_exceeds_a_shrunk_capacity_is_refused(entry):
+    announce_capacity(entry, Resources(1000, 65536, 0))
+    entry.start()
+    assert refused(entry.iterate()) == [b"no free slot"]
+    assert not entry.upstream.waiting
+
+
+# Guards against a start over a capacity of which another resource has shrunk:
+# running tasks went on to count by their share of the earlier capacity.
+def test_running_tasks_count_by_the_capacity_in_force(entry):
+    entry.send(Start(ref(0), 30.0, b"{}", Resources(1600, 32768, 0)))
+    announce_capacity(entry, Resources(16000, 40000, 0))
+    entry.send(Start(ref(1), 30.0, b"{}", Resources(100, 8000, 0)))
+    assert len(entry.upstream.waiting) == 1
+    assert refused(entry.iterate()) == [b"no free slot"]
+
+
+def test_capacity_that_has_grown_again_is_used(entry):
+    announce_capacity(entry, Resources(1600, 65536, 0))
+    entry.start(0)
+    entry.start(1)
+    assert len(entry.upstream.waiting) == 1
+    announce_capacity(entry, ANNOUNCEMENT.capacity)
+    entry.start(2)
+    assert len(entry.upstream.waiting) == 2
+
+
+def test_task_that_is_being_stopped_counts(entry):
+    for index in range(10):
+        entry.start(index)
+    entry.send(Cancel([ref(0)]))
+    entry.start(10)
+    assert len(entry.upstream.waiting) == 10
+    entry.send(Demand(1600, 0.0, 1600))
+    entry.iterate()
+    entry.start(11)
+    assert len(entry.upstream.waiting) == 10
+    entry.upstream.waiting.popleft()()  # The end of the stopped task.
+    entry.iterate()
+    entry.start(12)
+    assert len(entry.upstream.waiting) == 10
+
+
+# Guards against accounts of entry and sidecar that drift apart: the entry spends
+# credits by the capacity that it knows, which may be an earlier one.
+def test_start_spends_the_credits_that_the_entry_has_spent(entry):
+    holder = entry.server.ledger.holders[ENTRY]
+    need = Resources(1600, 32768, 0)
+    announce_capacity(entry, Resources(16000, 32768, 0))
+    entry.send(Start(ref(0), 30.0, b"{}", need, units=8000))
+    assert holder.spent == 8000
+
+
 def test_timing_that_lets_two_runs_overlap_is_refused():
     with pytest.raises(ValueError, match="lost_s must be at least"):
         LinkTiming(0.15, 0.45, lost_s=1.2, session_s=0.75, lease_s=0.45)
