Blame a task only for crashes at about the same age, and emulate them

Callers saw: jobs given up that had only been beside the cause of two crashes. Cause: a run that had been lost at 0.3 s was blamed for a crash at 10 ms as well; only the opposite order cleared it. Evidence: ages of lost runs in the emulator; each task that crashed its upstream did so at the same age, others at ages that differ. Change: two crashes count together only if their ages differ by no more than a half and 20 ms.

--- a/sardinestair/emulator/experiment.py
+++ b/sardinestair/emulator/experiment.py
@@ -21,12 +21,19 @@
     ZoneNode,
 )
 
-__all__ = ["PATTERNS", "make_tree", "make_upstreams", "run_pattern"]
+__all__ = [
+    "CRASH_PATTERN",
+    "PATTERNS",
+    "make_tree",
+    "make_upstreams",
+    "run_pattern",
+]
 
 SLOW_SPEED, FAST_SPEED = 1 / 0.55, 1 / 1.2
 ARRIVALS_S = 18.0
 DRAIN_S = 10.0
 OUTAGE_PATTERN = "back from dark"
+CRASH_PATTERN = "tasks crash upstreams"
 # After an outage at the start, the jobs that arrived during it are resubmitted
 # within a fraction of a second.
 OUTAGE_S = 2.0
@@ -109,6 +116,18 @@
         _change_temporarily(system, index, "unanswered_share", 0.04)
 
 
+def _add_crashing_jobs(jobs: list[EmulatedJob]) -> None:
+    """Lets one in ten jobs of the first kind crash upstreams for a time."""
+    candidates = [
+        job
+        for job in sorted(jobs, key=lambda job: job.arrival_s)
+        if job.kind is BUYBACK[0]
+        and FAULT_START_S <= job.arrival_s < FAULT_END_S
+    ]
+    for job in candidates[::10]:
+        job.crashes = True
+
+
 def inject_nothing(_system: EmulatedSystem) -> None:
     """Injects no fault."""
 
@@ -124,6 +143,7 @@
     "orders unanswered": (leave_starts_unanswered, 1.1),
     "upstreams leave": (remove_upstreams, 1.2),
     OUTAGE_PATTERN: (inject_nothing, 1.1),
+    CRASH_PATTERN: (inject_nothing, 1.0),
 }
 
 
@@ -143,6 +163,8 @@
     jobs = list(Workload(BUYBACK, load_factor, seed).jobs(ARRIVALS_S))
     if pattern == OUTAGE_PATTERN:
         _shift_outage_arrivals(jobs)
+    if pattern == CRASH_PATTERN:
+        _add_crashing_jobs(jobs)
     system.submit(jobs)
     return system.run(ARRIVALS_S + DRAIN_S)
 
--- a/sardinestair/emulator/report.py
+++ b/sardinestair/emulator/report.py
@@ -1,11 +1,12 @@
 """Outcomes of the emulated jobs and the value that they earned."""
 
 import enum
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import msgspec
 
 from sardinestair.emulator.workload import EmulatedJob
+from sardinestair.ids import JobId
 
 __all__ = ["JobOutcome", "Report"]
 
@@ -53,6 +54,11 @@
         by_kind: Totals by kind.
         by_second: Totals by second of submission.
         wasted_run_s: Total duration of unsuccessful runs, in seconds.
+        crashes: Number of crashes of upstreams.
+        crashing_jobs: Number of jobs with a task that crashes upstreams; they
+            count nowhere else.
+        starts_of_crashing: Number of runs of each task that crashes upstreams,
+            by job and index.
     """
 
     def __init__(self) -> None:
@@ -60,6 +66,9 @@
         self.by_kind: dict[str, Tally] = defaultdict(Tally)
         self.by_second: dict[int, Tally] = defaultdict(Tally)
         self.wasted_run_s = 0.0
+        self.crashes = 0
+        self.crashing_jobs = 0
+        self.starts_of_crashing: Counter[tuple[JobId, int]] = Counter()
 
     def record(
         self, job: EmulatedJob, outcome: JobOutcome, response_s: float
@@ -78,6 +87,10 @@
         if outcome is JobOutcome.IN_TIME and response_s > objective_s:
             is_late = response_s <= MAX_LATE_RATIO * objective_s
             outcome = JobOutcome.LATE if is_late else JobOutcome.TOO_LATE
+        if job.crashes:
+            # Nothing is owed for it.
+            self.crashing_jobs += 1
+            return
         self.outcomes[outcome] += 1
         mean_work_s = job.kind.mean_tasks * job.kind.mean_task_s
         size_factor = (
--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -1,6 +1,7 @@
 """Emulated entries, sidecars and upstreams that share one manual clock."""
 
 import enum
+import functools
 import heapq
 import itertools
 from collections.abc import Callable
@@ -38,6 +39,10 @@
 # Duration of a start that gets no reply: its timeout, a stop and a report.
 UNANSWERED_START_S = 0.1
 STOP_DURATION_S = 0.05
+# Payload of a task that crashes its upstream, and the age at which it does so.
+CRASHING_PAYLOAD = b"null"
+CRASH_AGE_S = 0.01
+RESTART_S = 3.3
 REFUSAL_KINDS = frozenset(
     {ProblemKind.OVERLOADED, ProblemKind.UNAVAILABLE, ProblemKind.DRAINING}
 )
@@ -117,7 +122,10 @@
 class _EmulatedRun:
     """A run of a task at an emulated upstream."""
 
-    def __init__(self, result: CallResult, on_result: ResultCallback):
+    def __init__(
+        self, result: CallResult, on_result: ResultCallback, started_s: float
+    ):
+        self.started_s = started_s
         self.result = result
         self.on_result = on_result
         self.is_finished = False
@@ -132,6 +140,8 @@
     def __init__(self, system: "EmulatedSystem", model: UpstreamModel):
         self.system = system
         self.model = model
+        self.server: LinkServer | None = None
+        self.is_down = False
         self.start_count = 0
         self.runs: dict[TaskRef, _EmulatedRun] = {}
 
@@ -144,9 +154,17 @@
         on_result: ResultCallback,
     ) -> None:
         """Starts a run now and schedules its end."""
+        if self.is_down:
+            result = CallResult(TaskState.NOT_RUN, b"refused", False, 0.0)
+            self.system.schedule(0.0, lambda: on_result(result))
+            return
         result = self._plan_result(payload, timeout_s)
-        run = _EmulatedRun(result, on_result)
+        run = _EmulatedRun(result, on_result, self.system.clock.monotonic())
         self.runs[ref] = run
+        if payload == CRASHING_PAYLOAD:
+            self.system.report.starts_of_crashing[ref.job, ref.index] += 1
+            self.system.schedule(CRASH_AGE_S, self._crash)
+            return
         self.system.schedule(result.run_s, lambda: self._finish(ref, run))
 
     def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
@@ -162,6 +180,38 @@
     def close(self) -> None:
         pass
 
+    def _crash(self) -> None:
+        """Crashes with all runs, which end with their lease."""
+        if self.is_down:
+            return
+        assert self.server is not None
+        self.is_down = True
+        self.system.report.crashes += 1
+        now_s = self.system.clock.monotonic()
+        for ref, run in list(self.runs.items()):
+            age_s = now_s - run.started_s
+            self.system.report.wasted_run_s += age_s
+            run.result = CallResult(
+                TaskState.INTERRUPTED,
+                b"crashed",
+                False,
+                age_s,
+                has_crashed=True,
+            )
+            self.system.schedule(
+                TIMING.lease_s, functools.partial(self._finish, ref, run)
+            )
+        self.server.report_upstream_lost()
+        self.system.schedule(RESTART_S, self._restart)
+
+    def _restart(self) -> None:
+        assert self.server is not None
+        self.is_down = False
+        announcement = self.server.upstream.announcement
+        assert announcement is not None
+        self.server.announce(announcement)
+        self.server.upstream.expires_s = float("inf")
+
     def _finish(self, ref: TaskRef, run: _EmulatedRun) -> None:
         if not run.is_finished:
             run.is_finished = True
@@ -170,7 +220,7 @@
 
     def _plan_result(self, payload: bytes, timeout_s: float) -> CallResult:
         """Returns the result of a run, including its duration, in advance."""
-        work_s = float(payload)
+        work_s = 0.0 if payload == CRASHING_PAYLOAD else float(payload)
         state, body = TaskState.DONE, b""
         run_s = min(abs(work_s) * self.model.speed, timeout_s)
         self.start_count += 1
@@ -270,7 +320,8 @@
         return self.report
 
     def _make_server(self, model: UpstreamModel) -> LinkServer:
-        upstream: Any = _EmulatedUpstream(self, model)
+        emulated = _EmulatedUpstream(self, model)
+        upstream: Any = emulated
         context: Any = _FakeContext()
         server = LinkServer(
             "tcp://127.0.0.1:*",
@@ -282,6 +333,7 @@
             TIMING,
             lambda _announcement, _lost: upstream,
         )
+        emulated.server = server
         server.wake = lambda: self.ready_servers.add(server)
         capacity = Resources(model.cpu_millis, MEMORY_MB, 0)
         server.announce(
@@ -335,6 +387,10 @@
                     request.tasks[index], payload=payload
                 )
                 request.tasks[index] = task
+            if emulated.crashes:
+                request.tasks[0] = msgspec.structs.replace(
+                    request.tasks[0], payload=msgspec.Raw(CRASHING_PAYLOAD)
+                )
             job_id = JobId(next(self.sequence).to_bytes(16, "big"))
             parsed = ParsedRequest(job_id, request, b"")
             submitted = dispatcher.submit(parsed)
--- a/sardinestair/emulator/workload.py
+++ b/sardinestair/emulator/workload.py
@@ -63,6 +63,7 @@
         declared_task_s: Declared run time of a task, in seconds.
         deadline_s: How long the caller waits, in seconds.
         always_fails: True if all of its runs fail.
+        crashes: True if its first task crashes each upstream that starts it.
     """
 
     kind: JobKind
@@ -72,6 +73,7 @@
     declared_task_s: float
     deadline_s: float
     always_fails: bool = False
+    crashes: bool = False
 
 
 class Workload:
--- a/sardinestair/jobs/crashes.py
+++ b/sardinestair/jobs/crashes.py
@@ -9,10 +9,10 @@
 
 __all__ = ["CrashHistory", "TaskCrashes"]
 
-# How much later a crash with the same cause may be noticed in a second run: a
-# slow upstream takes longer, and a busy sidecar notices it late.
-AGE_FACTOR = 2.0
-AGE_TOLERANCE_S = 0.05
+# How much the ages of two runs may differ if both ended with a crash of one
+# cause: a slow upstream takes longer, and a busy sidecar notices it late.
+AGE_FACTOR = 1.5
+AGE_TOLERANCE_S = 0.02
 
 
 class TaskCrashes(msgspec.Struct):
@@ -20,7 +20,8 @@
 
     Attributes:
         runs: Sidecar and attempt of each run that ended with a crash.
-        suspected: Number of these crashes that the task may have caused.
+        suspected: Number of consecutive crashes that the task may have caused,
+            up to the latest one.
         age_s: Age of the latest of these runs at the crash, in seconds.
         recorded_s: When the latest one was recorded.
     """
@@ -42,8 +43,9 @@
         self, run: tuple[Incarnation, int], age_s: float, now_s: float
     ) -> None:
         """Adds a run that ended with a crash."""
-        if age_s > self.probation_s:
-            # The earlier crashes had another cause.
+        shorter_s, longer_s = sorted((age_s, self.age_s))
+        if longer_s > AGE_FACTOR * shorter_s + AGE_TOLERANCE_S:
+            # At least one of the two crashes had another cause.
             self.suspected = 0
         self.suspected += 1
         self.runs.add(run)
