--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -317,7 +317,7 @@
         )
 
     def _handle_upstream_lost(self, caller: TaskCaller) -> None:
-        """Marks the upstream as leaving until its next announcement."""
+        """Marks the upstream as unreachable until its next announcement."""
         if caller is self.caller and self.upstream.lose():
             self._close_slots("unreachable")
 
