--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -68,8 +68,6 @@
         created_s: float = 0.0,
         crashes: CrashHistory | None = None,
     ):
-        self.crashes = crashes or CrashHistory()
-        self.probation_until_s: dict[Incarnation, float] = {}
         self.created_s = created_s
         self.last_available_s = created_s
         self.name = name
@@ -82,6 +80,8 @@
         self.speeds_: dict[Incarnation, SlowdownEstimator] = {}
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
+        self.crashes = crashes or CrashHistory()
+        self.probation_until_s: dict[Incarnation, float] = {}
         self.demand_targets: set[Incarnation] = set()
         self.declined: set[Incarnation] = set()
         self.next_target = 0
