Wait for the server's stop in the test of answers that it still writes

The test released the handler without waiting until the stop, in another thread, had begun; an answer written before it rightly keeps the connection. Evidence: with a stop delayed by 0.2 s the test fails in the same way. Change: the handler is released once the application is closing. The assertions are as they were.

--- a/sardinestair/web/tests/test_server.py
+++ b/sardinestair/web/tests/test_server.py
@@ -301,6 +301,9 @@
     assert requests_started.acquire(timeout=TIMEOUT_S)
     with ThreadPoolExecutor(1) as executor:
         stopped = executor.submit(server.stop)
+        deadline_s = time.monotonic() + TIMEOUT_S
+        while not server.app.is_closing and time.monotonic() < deadline_s:
+            time.sleep(0.001)
         release.set()
         data = read_all(caller)
         stopped.result(TIMEOUT_S)
