Don't blame a task for crashes under starts that may not have begun

Cause, by reading: a start without an answer counted like a run if its upstream crashed before a report had shown that it never began. Change: outcomes and reports of crashes say whether the run had certainly begun.

--- a/sardinestair/entry/run_ends.py
+++ b/sardinestair/entry/run_ends.py
@@ -49,7 +49,7 @@
     def handle_outcome(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles an outcome that a sidecar has reported."""
         if outcome.has_crashed:
-            self._record_crash(link, outcome.task, outcome.run_s)
+            self._record_crash(link, outcome)
         state = self.finalizer.services[link.candidate.service]
         job = self.finalizer.registry.find(outcome.task.job)
         if job is None:
@@ -76,7 +76,7 @@
 
     def handle_crash_report(self, link: EntryLink, report: CrashReport) -> None:
         """Handles a crash under a run that another entry has started."""
-        self._record_crash(link, report.task, report.run_s)
+        self._record_crash(link, report)
         job = self.finalizer.registry.find(report.task.job)
         if job is not None and report.task.index not in job.in_flight:
             self.fail_if_crashing(job)
@@ -95,10 +95,15 @@
                 return
 
     def _record_crash(
-        self, link: EntryLink, ref: TaskRef, age_s: float
+        self, link: EntryLink, message: Outcome | CrashReport
     ) -> None:
-        now_s = self.finalizer.clock.monotonic()
-        if self.crashes.record(ref, link.sidecar, age_s, now_s):
+        if self.crashes.record(
+            message.task,
+            link.sidecar,
+            message.run_s,
+            self.finalizer.clock.monotonic(),
+            message.is_confirmed,
+        ):
             self.metrics.count(
                 "crashes_total", {"service": link.candidate.service}
             )
--- a/sardinestair/jobs/crashes.py
+++ b/sardinestair/jobs/crashes.py
@@ -13,6 +13,9 @@
 # cause: a slow upstream takes longer, and a busy sidecar notices it late.
 AGE_FACTOR = 1.5
 AGE_TOLERANCE_S = 0.02
+# A task may crash its upstream before its start is answered, so that these runs
+# must be bounded too.
+MAX_UNCONFIRMED = 2
 
 
 class TaskCrashes(msgspec.Struct):
@@ -20,6 +23,7 @@
 
     Attributes:
         runs: Sidecar and attempt of each run that ended with a crash.
+        unconfirmed: How many of these may not have begun.
         suspected: Number of consecutive crashes that the task may have caused,
             up to the latest one.
         age_s: Age of the latest of these runs at the crash, in seconds.
@@ -27,6 +31,7 @@
     """
 
     runs: set[tuple[Incarnation, int]]
+    unconfirmed: int
     suspected: int
     age_s: float
     recorded_s: float
@@ -40,16 +45,24 @@
         return AGE_FACTOR * self.age_s + AGE_TOLERANCE_S
 
     def add(
-        self, run: tuple[Incarnation, int], age_s: float, now_s: float
+        self,
+        run: tuple[Incarnation, int],
+        age_s: float,
+        now_s: float,
+        is_confirmed: bool,
     ) -> None:
         """Adds a run that ended with a crash."""
+        self.runs.add(run)
+        self.recorded_s = now_s
+        if not is_confirmed:
+            self.unconfirmed += 1
+            return
         shorter_s, longer_s = sorted((age_s, self.age_s))
         if longer_s > AGE_FACTOR * shorter_s + AGE_TOLERANCE_S:
             # At least one of the two crashes had another cause.
             self.suspected = 0
         self.suspected += 1
-        self.runs.add(run)
-        self.age_s, self.recorded_s = age_s, now_s
+        self.age_s = age_s
 
 
 class CrashHistory:
@@ -87,7 +100,12 @@
         self.tasks: OrderedDict[tuple[JobId, int], TaskCrashes] = OrderedDict()
 
     def record(
-        self, ref: TaskRef, sidecar: Incarnation, age_s: float, now_s: float
+        self,
+        ref: TaskRef,
+        sidecar: Incarnation,
+        age_s: float,
+        now_s: float,
+        is_confirmed: bool = True,
     ) -> bool:
         """Records that an upstream has crashed while a task was running.
 
@@ -96,6 +114,7 @@
             sidecar: Sidecar of the upstream.
             age_s: Age of the run at the crash, in seconds.
             now_s: Current time in seconds.
+            is_confirmed: True if the run has certainly begun.
 
         Returns:
             False if this run is known already.
@@ -103,11 +122,11 @@
         key = (ref.job, ref.index)
         crashes = self.tasks.get(key)
         if crashes is None:
-            crashes = self.tasks[key] = TaskCrashes(set(), 0, age_s, now_s)
+            crashes = self.tasks[key] = TaskCrashes(set(), 0, 0, age_s, now_s)
         run = (sidecar, ref.attempt)
         if run in crashes.runs:
             return False
-        crashes.add(run, age_s, now_s)
+        crashes.add(run, age_s, now_s, is_confirmed)
         self.tasks.move_to_end(key)
         while len(self.tasks) > self.max_tasks:
             self.tasks.popitem(last=False)
@@ -129,12 +148,18 @@
             job: The task's job.
             index: Position of the task in the job.
             limit: Number of crashes that it may have caused. One more is
-                allowed in all, whatever the cause.
+                allowed whatever the cause, and two more with runs that may not
+                have begun.
         """
         crashes = self.find(job, index)
         if crashes is None:
             return False
-        return crashes.suspected >= limit or len(crashes.runs) > limit
+        confirmed = len(crashes.runs) - crashes.unconfirmed
+        return (
+            crashes.suspected >= limit
+            or confirmed > limit
+            or len(crashes.runs) > limit + MAX_UNCONFIRMED
+        )
 
     def evict(self, now_s: float) -> None:
         """Evicts the tasks whose retention is over."""
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -173,6 +173,7 @@
         run_s: Run time at the upstream, in seconds.
         has_crashed: True if the upstream's process ended while the task ran;
             `run_s` then counts until that end.
+        is_confirmed: False if the task may not have begun.
     """
 
     task: TaskRef
@@ -181,6 +182,7 @@
     is_json: bool
     run_s: float
     has_crashed: bool = False
+    is_confirmed: bool = True
 
 
 class Grant(msgspec.Struct, array_like=True, tag="g"):
@@ -214,10 +216,12 @@
     Attributes:
         task: The attempt that was running, of another entry.
         run_s: Its run time until the crash, in seconds.
+        is_confirmed: False if the task may not have begun.
     """
 
     task: TaskRef
     run_s: float
+    is_confirmed: bool = True
 
 
 class Leaving(msgspec.Struct, array_like=True, tag="l"):
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -339,6 +339,7 @@
             result.is_json,
             result.run_s,
             has_crashed,
+            result.is_confirmed,
         )
         need = self.running.pop((session.entry, ref))
         self.ledger.occupied_units -= self._units_occupied(need)
@@ -356,7 +357,11 @@
         """Reports a crash to the entries that did not start the task."""
         for session in self.sessions.values():
             if session is not owner and not session.fence.is_epoch_invalid:
-                session.outbox.append(CrashReport(outcome.task, outcome.run_s))
+                session.outbox.append(
+                    CrashReport(
+                        outcome.task, outcome.run_s, outcome.is_confirmed
+                    )
+                )
 
     def _open_slots(self, announcement: Announcement) -> None:
         previous = self.caller
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -44,6 +44,7 @@
         is_unreachable: True if no connection to the upstream could be made.
         has_crashed: True if the upstream's process ended while the task ran;
             `run_s` then counts until that end.
+        is_confirmed: False if the task may not have begun.
     """
 
     state: TaskState
@@ -52,6 +53,7 @@
     run_s: float
     is_unreachable: bool = False
     has_crashed: bool = False
+    is_confirmed: bool = True
 
 
 ResultCallback = Callable[[CallResult], object]
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -337,6 +337,7 @@
                 False,
                 run.lost_age_s,
                 has_crashed=True,
+                is_confirmed=run.is_confirmed,
             )
         state = _TASK_STATES.get(run.end, TaskState.INTERRUPTED)
         reason = run.reason or run.end.value.encode()
