Go on polling the settings after an error

Operators would see: no reload and no usage line after one poll that failed. Cause: DaemonRunner scheduled the next poll after the poll; a stop requested during the start came after it as well. Change: both come before it. test_polls_go_on_after_an_error failed before (it timed out).

--- a/sardinestair/daemon.py
+++ b/sardinestair/daemon.py
@@ -51,10 +51,10 @@
     """A program that runs until it receives a signal to stop."""
 
     def start(self) -> None:
-        """Starts all threads."""
+        """Starts to serve; called in a thread beside the event loop's."""
 
     def stop(self) -> bool:
-        """Stops gracefully; returns True if no work was cut off."""
+        """Stops gracefully, likewise; returns True if no work was cut off."""
         ...
 
     def reload(self, settings: T_contra) -> None:
@@ -205,8 +205,8 @@
 
     def _handle_started(self) -> None:
         self.is_started = True
-        self._poll_periodically()
         self._stop_if_requested()
+        self._poll_periodically()
 
     def _request_stop(self) -> None:
         self.is_stop_requested = True
@@ -220,10 +220,11 @@
 
     def _poll_periodically(self) -> None:
         if not self.is_stopping:
-            self._poll()
+            # Before the poll, so that an error in it doesn't end the polls.
             self.event_loop.loop.call_later(
                 SETTINGS_POLL_INTERVAL_S, self._poll_periodically
             )
+            self._poll()
 
     def _poll(self) -> None:
         if self.is_started and not self.is_stopping:
--- a/sardinestair/tests/test_daemon.py
+++ b/sardinestair/tests/test_daemon.py
@@ -89,6 +89,40 @@
 """
 
 
+FAILING_POLLS = """
+import os, signal, sys
+from sardinestair.daemon import DaemonRunner
+from sardinestair.event_loop import EventLoop
+
+class Daemon:
+    polls = 0
+
+    def start(self):
+        pass
+
+    def stop(self):
+        return True
+
+    def reload(self, settings):
+        pass
+
+    def report_usage(self):
+        self.polls += 1
+        if self.polls == 3:
+            os.kill(os.getpid(), signal.SIGTERM)
+        raise ValueError("a poll failed")
+
+sys.exit(DaemonRunner(Daemon(), EventLoop(), lambda: None).run())
+"""
+
+
+# Guards against a program that reads no settings any more after one poll that
+# failed.
+def test_polls_go_on_after_an_error():
+    program = [sys.executable, "-c", FAILING_POLLS]
+    assert subprocess.run(program, timeout=WAIT_S).returncode == 0
+
+
 # Guards against a program that goes on after SIGTERM: a signal that came before
 # the event loop ran was lost.
 def test_signal_before_the_loop_runs_is_not_lost():
