Let emulated runs on a crashed upstream end with their lease

Cause: a run that would have ended within a lease after the crash kept its earlier end, so that its task was retried too soon. Change: its scheduled end counts no more.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -191,15 +191,19 @@
         for ref, run in list(self.runs.items()):
             age_s = now_s - run.started_s
             self.system.report.wasted_run_s += age_s
-            run.result = CallResult(
+            # Its scheduled end must not come before that of the lease.
+            run.is_finished = True
+            result = CallResult(
                 TaskState.INTERRUPTED,
                 b"crashed",
                 False,
                 age_s,
                 has_crashed=True,
             )
+            lost = _EmulatedRun(result, run.on_result, run.started_s)
+            self.runs[ref] = lost
             self.system.schedule(
-                TIMING.lease_s, functools.partial(self._finish, ref, run)
+                TIMING.lease_s, functools.partial(self._finish, ref, lost)
             )
         self.server.report_upstream_lost()
         self.system.schedule(RESTART_S, self._restart)
