Let tasks that may crash upstreams wait while too many are away

Cause: such tasks were started again however few upstreams were left. Change: they wait while more than max_outage_share of the upstreams is away, the share that may be taken out for failing; other tasks pass them. test_suspects_wait_while_too_many_upstreams_are_away and test_other_tasks_start_while_too_many_upstreams_are_away failed before.

--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -337,11 +337,26 @@
         """
         seen: Counter[tuple[str, bool]] = Counter()
         for job in self.queue.first_jobs(MAX_LOOKAHEAD_JOBS):
+            if self._must_wait(job):
+                continue
             group = (job.kind, job.is_late)
             seen[group] += 1
             if seen[group] <= MAX_LOOKAHEAD_PER_KIND:
                 yield job
 
+    def _must_wait(self, job: Job) -> bool:
+        """Returns True if a job's next task might crash one upstream too many.
+
+        A task that may have caused a crash waits while more upstreams are away
+        than may be taken out for failing, so that the others are spared.
+        """
+        if not self.crashes.find(job.job_id, job.waiting[0]):
+            return False
+        away = sum(
+            link.state is LinkState.LEAVING for link in self.links.values()
+        )
+        return away > self.settings.max_outage_share * len(self.links)
+
     def _placement_run_s(self, job: Job) -> float:
         """Returns the run time that placement assumes, in seconds.
 
--- a/sardinestair/entry/tests/test_crashes.py
+++ b/sardinestair/entry/tests/test_crashes.py
@@ -6,7 +6,14 @@
 from sardinestair.ids import JobId
 from sardinestair.jobs import JobState
 from sardinestair.jobs.request import ParsedRequest
-from sardinestair.messages import CrashReport, Outcome, TaskRef, TaskState
+from sardinestair.messages import (
+    CrashReport,
+    Grant,
+    Leaving,
+    Outcome,
+    TaskRef,
+    TaskState,
+)
 from sardinestair.outcomes import ProblemKind
 
 
@@ -187,3 +194,29 @@
     entry.clock.advance(entry.dispatcher.registry.retention_s + 1.0)
     entry.dispatcher.run_periodic_checks()
     assert entry.dispatcher.crashes.count(JOB, 0) == 0
+
+
+# Guards against crashes that take away one upstream after the other: tasks that
+# may cause them were started however few were left.
+def test_suspects_wait_while_too_many_upstreams_are_away(entry):
+    entry.submit()
+    sidecar = crash(entry)
+    retry = entry.in_flight()[0][0]
+    entry.receive(sidecar, Leaving())  # One of two: more than 0.34 of them.
+    entry.receive(retry, make_crash(entry.in_flight()[0][1], age_s=0.5))
+    assert entry.in_flight() == {}
+    entry.receive(sidecar, Grant(32000))
+    entry.dispatcher.run_periodic_checks()
+    assert 0 in entry.in_flight()
+
+
+def test_other_tasks_start_while_too_many_upstreams_are_away(entry):
+    entry.submit()
+    sidecar = crash(entry)
+    entry.receive(sidecar, Leaving())
+    entry.report_outcome(0, TaskState.INTERRUPTED, b"lapsed")
+    waiting = entry.dispatcher.services["quotes"].queue.waiting_tasks
+    assert waiting == 1
+    other = ParsedRequest(JobId(b"k" * 16), entry.parsed().request, b"d")
+    job = entry.dispatcher.submit(other).ok
+    assert job.in_flight
