--- a/review/cases.py
+++ b/review/cases.py
@@ -1,6 +1,7 @@
 """Runs a case: traffic, verdict, record and exit status."""
 
 import os
+import signal
 import sys
 import threading
 import time
@@ -23,6 +24,7 @@
     "judge_cancelled",
     "judge_recovery",
     "main",
+    "served_share",
     "submit_job",
 ]
 
@@ -282,6 +284,8 @@
         **deployment: Arguments of the deployment.
     """
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    # Ends the processes of the deployment also if the case is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     system = Deployment(**deployment)
     try:
         with system:
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -194,7 +194,7 @@
                 )
             time.sleep(RESTART_DELAY_S)
             with self.lock:
-                if self.is_wanted:
+                if self.is_wanted and self.process is process:
                     self._launch()
 
 
@@ -309,9 +309,13 @@
 
     def __enter__(self) -> "Deployment":
         """Starts all programs, and waits until all entries are ready."""
-        for machine in [*self.entries, *self.sidecars]:
-            machine.start()
-        self.await_ready(self.entries)
+        try:
+            for machine in [*self.entries, *self.sidecars]:
+                machine.start()
+            self.await_ready(self.entries)
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_error: object) -> None:
