--- a/review/cases.py
+++ b/review/cases.py
@@ -1,5 +1,6 @@
 """Runs a case: traffic, verdict, record and exit status."""
 
+import itertools
 import os
 import signal
 import sys
@@ -23,6 +24,7 @@
     "headers",
     "judge_cancelled",
     "judge_recovery",
+    "judge_twice",
     "main",
     "served_share",
     "submit_job",
@@ -33,6 +35,8 @@
 # Bounds of the site files, in seconds: `cancel_ms` and `stop_ms`.
 CANCEL_S, STOP_S = 3.0, 0.05
 CHECK_S, MAX_MISSES = 1.0, 2
+# By so much the timer of a stand-in may record an end late, in seconds.
+TIMER_S = 0.02
 # Bound of the site files, `recovery_s`, and the share that has to be served.
 RECOVERY_S, MIN_SHARE = 12.0, 0.25
 
@@ -115,6 +119,38 @@
     )
 
 
+def judge_twice(record: Record) -> str:
+    """Checks the rule TWICE for jobs that needn't be kept.
+
+    Returns:
+        What broke the rule, or an empty text.
+    """
+    ends = {
+        (e["runner"], e["task"], e["run"]): e["at"]
+        for e in record.find("run_end")
+    }
+    runs: dict[str, list[tuple[float, float, str]]] = {}
+    for event in record.find("run_start"):
+        key = (event["runner"], event["task"], event["run"])
+        end_s = ends.get(key, record.now_s())
+        runs.setdefault(event["task"], []).append(
+            (event["at"], end_s, event["runner"])
+        )
+    overlaps: dict[str, float] = {}
+    for task, spans in runs.items():
+        spans.sort()
+        for earlier, later in itertools.pairwise(spans):
+            overlap_s = min(earlier[1], later[1]) - later[0]
+            if overlap_s > TIMER_S:
+                overlaps[task] = max(overlap_s, overlaps.get(task, 0.0))
+    if not overlaps:
+        return ""
+    return (
+        f"{len(overlaps)} tasks ran twice at the same time, for up to "
+        f"{max(overlaps.values()):.2f} s"
+    )
+
+
 def _is_of(event: dict[str, Any], name: str) -> bool:
     return event["task"].partition(".")[0] == name
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -20,7 +20,6 @@
 HEARTBEAT_INTERVAL_S = 1.5
 HEARTBEAT_TIMEOUT_S = 1.0
 HOLD_MAX_S = 1.0
-STOP_S = 0.02
 MAX_WAIT_S = 2.0
 
 
@@ -334,6 +333,8 @@
 
     Attributes:
         speed: Factor of the duration of tasks.
+        stop_s: How long a stop takes; its answer is sent once the run has
+            ended.
     """
 
     def __init__(
@@ -352,6 +353,7 @@
         self.record = record
         self.capacity = capacity or {"cpu": 16000, "mem_mb": 65536, "gpu": 0}
         self.speed = 1.0
+        self.stop_s = 0.02
         self.state = "ready"
         self.host, self.port = host, port
         self.changed = threading.Condition()
@@ -489,7 +491,7 @@
         if active is not None and active["run"] == run_id:
             self._renew(body["until_ms"])
             return 200, self._reply()
-        if run_id <= self.highest.get(task, 0):
+        if run_id <= self.highest.get(task, 0) or active is not None:
             self._renew(body["until_ms"])
             return 409, self._reply(reason="old")
         if self._clock_ms() > body["until_ms"]:
@@ -514,7 +516,10 @@
         if run is None or run["run"] > run_id:
             self.highest[task] = max(self.highest.get(task, 0), run_id)
         elif run["stop_s"] is None:
-            run["stop_s"] = time.monotonic() + STOP_S
+            run["stop_s"] = time.monotonic() + self.stop_s
+        while run is not None and self.active.get(task) is run:
+            self.changed.wait(0.005)
+            self._advance()
         return 200, self._reply()
 
     def _hold(self, body: Any) -> tuple[int, Any]:
