--- a/review/cases.py
+++ b/review/cases.py
@@ -31,6 +31,8 @@
 ]
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+# A script may take 120 s.
+MAX_CASE_S = 110
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Bounds of the site files, in seconds: `cancel_ms` and `stop_ms`.
 CANCEL_S, STOP_S = 3.0, 0.05
@@ -320,18 +322,21 @@
         **deployment: Arguments of the deployment.
     """
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    # Ends the processes of the deployment also if the case is stopped.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
-    system = Deployment(**deployment)
+    # Ends the processes of the deployment also if the case is stopped, or
+    # takes too long.
+    for number in (signal.SIGTERM, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(EXIT_NOT_RUN))
+    signal.alarm(MAX_CASE_S)
+    record = Record()
     try:
-        with system:
+        with Deployment(record, **deployment) as system:
             time.sleep(4.0)  # Links to all sidecars are up.
             finding = case(system)
         status = EXIT_BROKEN if finding else EXIT_HELD
     except Exception:
         finding, status = traceback.format_exc(), EXIT_NOT_RUN
     verdict = {EXIT_HELD: "held", EXIT_BROKEN: "broken"}.get(status, "not run")
-    system.record.add("verdict", rule=verdict, trouble=HAS_TROUBLE, why=finding)
-    system.record.write(os.path.join(folder, "record.txt"))
+    record.add("verdict", rule=verdict, trouble=HAS_TROUBLE, why=finding)
+    record.write(os.path.join(folder, "record.txt"))
     print(f"{verdict}: {finding or 'nothing found'}")
     sys.exit(status)
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -202,6 +202,7 @@
     """A store, entries, and sidecars with a runner each.
 
     Args:
+        record: Where all events are recorded.
         entries: Number of entries, each in a zone of its own.
         sidecars: Number of sidecars.
         capacity: What each runner says of its capacity.
@@ -211,13 +212,14 @@
 
     def __init__(
         self,
+        record: Record,
         entries: int = 2,
         sidecars: int = 2,
         capacity: dict[str, int] | None = None,
         route: dict[str, Any] | None = None,
         zones: tuple[str, ...] = ZONES,
     ):
-        self.record = Record()
+        self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         net = f"127.{os.getpid() >> 8 & 127 | 64}.{os.getpid() & 255}"
         hosts = [f"{net}.{n}" for n in range(1, entries + sidecars + 2)]
