Log stops that take long, and measure how long orders wait for a connection

Change: a line `stops_slow` for each series of stops of which one took over 0.2 s, a histogram `run_stop_s`, and the longest wait of a start or stop for a connection in the usage line.

--- a/sardinestair/async_transfer.py
+++ b/sardinestair/async_transfer.py
@@ -155,6 +155,8 @@
 
     Attributes:
         idle_transfers: Connections without a request.
+        longest_wait_s: Longest wait of a request for a connection since the
+            last call of `take_longest_wait_s`, in seconds.
     """
 
     def __init__(
@@ -169,6 +171,7 @@
         self.max_idle_s = max_idle_s
         self.slots = asyncio.BoundedSemaphore(max_connections)
         self.idle_transfers: list[AsyncTransfer] = []
+        self.longest_wait_s = 0.0
 
     async def perform(
         self,
@@ -183,7 +186,12 @@
 
         The timeout starts once a connection is free.
         """
+        loop = asyncio.get_running_loop()
+        queued_s = loop.time()
         async with self.slots:
+            self.longest_wait_s = max(
+                self.longest_wait_s, loop.time() - queued_s
+            )
             transfer = (
                 self.idle_transfers.pop()
                 if self.idle_transfers
@@ -198,6 +206,11 @@
             finally:
                 self.idle_transfers.append(transfer)
 
+    def take_longest_wait_s(self) -> float:
+        """Returns the longest wait for a connection since the last call."""
+        longest_s, self.longest_wait_s = self.longest_wait_s, 0.0
+        return longest_s
+
     def close(self) -> None:
         """Closes the idle connections; requests in progress go on."""
         for transfer in self.idle_transfers:
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -100,6 +100,12 @@
         self.platform = settings.platform
         self.event_loop.call(lambda: self._update_announcers([]))
 
+    def _read_levels(self) -> dict[str, float]:
+        pool = self.run_client.order_transfers
+        return super()._read_levels() | {
+            "longest_order_wait_s": pool.take_longest_wait_s()
+        }
+
     def _make_caller(
         self, _announcement: Announcement, _on_lost: Callable[[], None]
     ) -> LeasedUpstream:
--- a/sardinestair/tests/test_async_transfer.py
+++ b/sardinestair/tests/test_async_transfer.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer
+from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer, TransferPool
 from sardinestair.transfer import Reply, TransferFailure
 
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -218,3 +218,17 @@
 
     assert run(server, use) == Reply(200, b"{}")
     assert server.connections == 2
+
+
+def test_longest_wait_for_a_connection_is_reported_once():
+    async def main():
+        pool = TransferPool("127.0.0.1", 1, max_connections=1)
+        async with pool.slots:
+            request = asyncio.create_task(post(pool))
+            await asyncio.sleep(0.05)
+        await request
+        return [pool.take_longest_wait_s() for _ in range(2)]
+
+    first_s, second_s = asyncio.run(main())
+    assert first_s >= 0.04
+    assert second_s == 0.0
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -23,6 +23,7 @@
     RunState,
 )
 from sardinestair.upstreams.run import Run
+from sardinestair.upstreams.stops import PendingStops
 
 __all__ = ["STALLED", "LeasedUpstream"]
 
@@ -81,6 +82,7 @@
 
     Attributes:
         runs: The runs that may be active, by identifier.
+        pending_stops: Those of them that are being stopped.
         has_no_orphans: True once no run of an earlier sidecar can be active.
         is_lost: True from an expiry of the lease until the next report.
         incarnation_ms: The upstream's incarnation as of the last report.
@@ -133,6 +135,7 @@
         self.is_refusing = False
         self.last_unanswered_s = -DEGRADED_PERIOD_S
         self.log = EventLog("upstream")
+        self.pending_stops = PendingStops(metrics, self.log)
 
     async def call(
         self,
@@ -169,18 +172,23 @@
             await self._await_end(run, start_s + timeout_s)
         finally:
             del self.runs[run.run_id]
+            self.pending_stops.remove(run, self.clock.monotonic())
         return self._result_of(run, start_s)
 
     def stop(self, ref: TaskRef, reason: bytes = b"cancelled") -> None:
         """Requests that an attempt be stopped, if it is active."""
         run = self.runs.get(self.client.run_id(ref))
         if run is not None:
-            run.request_stop(reason)
+            self._request_stop(run, reason)
 
     def close(self) -> None:
         """Makes `run` return."""
         self.stopping.set()
 
+    def _request_stop(self, run: Run, reason: bytes) -> None:
+        run.request_stop(reason, self.clock.monotonic())
+        self.pending_stops.add(run)
+
     async def _start(
         self,
         run: Run,
@@ -228,7 +236,7 @@
         if not error.may_have_executed:
             return error.reason.encode()
         if not run.is_confirmed:
-            run.request_stop(b"start unanswered")
+            self._request_stop(run, b"start unanswered")
             # The upstream rejects the start after `until_s` on its clock.
             remaining_s = max(0.0, until_s - self._remote_now()) * (
                 1 + MAX_CLOCK_DRIFT
@@ -241,7 +249,7 @@
         while run.end is None:
             remaining_s = deadline_s - self.clock.monotonic()
             if remaining_s <= 0:
-                run.request_stop(b"deadline exceeded")
+                self._request_stop(run, b"deadline exceeded")
             if not run.is_stop_requested:
                 await _wait(run.wakeup, remaining_s)
                 continue
@@ -477,7 +485,7 @@
                     percent=run.percent,
                     still_s=now_s - run.last_progress_s,
                 )
-                run.request_stop(STALLED)
+                self._request_stop(run, STALLED)
 
     async def _stop_orphans(
         self, active: list[RunState], known: dict[RunId, Run], now_s: float
--- a/sardinestair/upstreams/run.py
+++ b/sardinestair/upstreams/run.py
@@ -19,6 +19,7 @@
             doesn't list the run proves that it isn't active; None until its
             start has been answered or has timed out.
         is_stop_requested: True if it is to be stopped.
+        stop_requested_s: When the stop was requested.
         stops_unanswered: Number of stop requests without an answer.
         reason: Why it is stopped, in UTF-8.
         started_s: When its start was requested.
@@ -38,6 +39,7 @@
         self.is_confirmed = False
         self.conclusive_from_s: float | None = None
         self.is_stop_requested = False
+        self.stop_requested_s = 0.0
         self.stops_unanswered = 0
         self.reason = b""
         self.started_s = now_s
@@ -53,9 +55,10 @@
             self.end = how
             self.wakeup.set()
 
-    def request_stop(self, reason: bytes) -> None:
+    def request_stop(self, reason: bytes, now_s: float) -> None:
         """Requests a stop of the run; only the first reason is kept."""
         if not self.is_stop_requested:
             self.is_stop_requested = True
+            self.stop_requested_s = now_s
             self.reason = reason
             self.wakeup.set()
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -34,6 +34,9 @@
         self.requests = []
         self.waits = []
         self.run_id = model.run_id
+        # Stops that wait for `release`, as for a free connection.
+        self.stops_to_hold = 0
+        self.release = asyncio.Event()
 
     async def start(self, run, payload, until_s, timeout_s, may_send):
         await asyncio.sleep(0)
@@ -44,6 +47,9 @@
 
     async def stop(self, run, timeout_s):
         await asyncio.sleep(0)
+        if self.stops_to_hold:
+            self.stops_to_hold -= 1
+            await self.release.wait()
         self.requests.append("stop")
         return self.model.stop(run, timeout_s)
 
@@ -352,6 +358,22 @@
     assert END_GRACE_S < WAIT_S
 
 
+def test_stops_that_take_long_are_logged_together(harness, caplog):
+    """Otherwise stops that wait for each other look like slow upstreams."""
+    harness.client.stops_to_hold = 3
+    results = [harness.run(TaskRef(REF.job, n, 1), 30.0) for n in range(3)]
+    for index in range(3):
+        harness.upstream.stop(TaskRef(REF.job, index, 1), b"session over")
+    harness.settle()
+    harness.clock.advance(0.7)
+    harness.client.release.set()
+    for result in results:
+        harness.renew_until_done(result)
+    slow = [r for r in caplog.records if r.msg == "stops_slow"]
+    assert [(line.runs, line.reason) for line in slow] == [(3, "session over")]
+    assert slow[0].longest_s >= 0.7
+
+
 def test_new_sidecar_stops_what_an_earlier_one_started(harness):
     harness.run(work_s=30.0)
     harness.wait_for("start")
