End the runs of a lost entry with the lease if their stops take too long

Cause: the bounds of docs/PLATFORM.md (1.26 s) hold only if the runs of a session that is over end within a lease. They were stopped one by one, each stop may take 50 ms and waits for a connection, and meanwhile the lease of all runs of the runner was renewed, those to be stopped among them. So the time to the last end grew with their number, without a bound; a stop that got no answer had none either. All reasons to stop share the path: cancellation, deadline, stall, unanswered start.

Why it works: a run that is being stopped limits the lease to the time by which it must have ended: end of the session + lease, or 1 s after any other reason. The runner itself ends what isn't stopped by then, however many runs there are. Runs of other entries lapse too in that case; they are repeated, as runs that were interrupted. No task is started while less than half of the lease is left.

--- a/model/session_lease.py
+++ b/model/session_lease.py
@@ -6,9 +6,9 @@
 two runs must never be active at the same time.
 
 Time is counted in ticks. Frames and start orders may be delayed for any time,
-the entry may die, and the sidecar may freeze and wake at any time. The
-durations keep the inequalities of `sardinestair.links.timing`, with one tick
-to spare:
+stops may take any time, the entry may die, and the sidecar may freeze and wake
+at any time. The durations keep the inequalities of
+`sardinestair.links.timing`, with one tick to spare:
 
     SESSION_TICKS + LEASE_TICKS < RESUBMISSION_TICKS
     SESSION_TICKS + LEASE_TICKS < LOST_TICKS
@@ -39,6 +39,7 @@
     UNANSWERED_START_IS_NOT_RUN = "unanswered start taken as not run"
     SESSION_FROM_ARRIVAL = "session counted from the arrival of a frame"
     STALE_START_TAKEN = "start in a stale frame taken"
+    LEASE_RENEWED_DURING_STOP = "lease renewed while a stop takes long"
     LONG_LEASE = "lease as long as the session and more"
 
 
@@ -117,7 +118,7 @@
     yield from _frame_steps(state, mutant)
     yield from _sidecar_steps(state, mutant)
     yield from _upstream_steps(state)
-    yield from _time_steps(state, mutant)
+    yield from _time_steps(state)
 
 
 def _entry_steps(state: State, mutant: LeaseMutant | None) -> Iterator[Step]:
@@ -186,7 +187,8 @@
         yield "the sidecar wakes", state._replace(is_frozen=False)
         return
     yield "the sidecar freezes", state._replace(is_frozen=True)
-    if not _must_stop_run(state, mutant):
+    is_renewed_anyway = mutant is LeaseMutant.LEASE_RENEWED_DURING_STOP
+    if not _must_stop_run(state, mutant) or is_renewed_anyway:
         left = max(state.lease_left, _lease_length(mutant))
         yield "the lease is renewed", state._replace(lease_left=left)
     if state.order is StartOrder.PENDING or state.is_running:
@@ -215,10 +217,7 @@
         )
 
 
-def _time_steps(state: State, mutant: LeaseMutant | None) -> Iterator[Step]:
-    """A sidecar that isn't frozen stops overdue runs before time passes."""
-    if not state.is_frozen and _must_stop_run(state, mutant):
-        return
+def _time_steps(state: State) -> Iterator[Step]:
     lease_left = max(0, state.lease_left - 1)
     yield (
         "time passes",
--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -19,7 +19,7 @@
 from sardinestair.jobs.request import ParsedRequest, make_tasks
 from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import EntryLink, LinkState
-from sardinestair.links.timing import LinkTiming
+from sardinestair.links.timing import STOP_LIMIT_S, LinkTiming
 from sardinestair.messages import EntryFrame, TaskRef, TaskState
 from sardinestair.observability import Metrics
 from sardinestair.outcomes import ProblemKind
@@ -136,6 +136,7 @@
 
     is_leased = True
     has_no_orphans = True
+    is_lease_ending = False
 
     def __init__(self, system: "EmulatedSystem", model: UpstreamModel):
         self.system = system
@@ -167,7 +168,12 @@
             return
         self.system.schedule(result.run_s, lambda: self._finish(ref, run))
 
-    def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
+    def stop(
+        self,
+        ref: TaskRef,
+        reason: bytes = b"",
+        within_s: float = STOP_LIMIT_S,
+    ) -> None:
         """Interrupts a run."""
         run = self.runs.get(ref)
         if run is None or run.is_finished:
--- a/sardinestair/links/timing.py
+++ b/sardinestair/links/timing.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["MAX_CLOCK_DRIFT", "LinkTiming"]
+__all__ = ["MAX_CLOCK_DRIFT", "MAX_STOP_S", "STOP_LIMIT_S", "LinkTiming"]
 
 MAX_TICK_S = 0.1
 
@@ -12,6 +12,12 @@
 MAX_STOP_S = 0.05
 """Longest time that an upstream on the platform takes to stop a task."""
 
+STOP_LIMIT_S = 1.0
+"""Time after which the lease ends a run that is being stopped, in seconds.
+
+A caller whose connection broke submits its cancelled job again after 1.3 s.
+"""
+
 
 class LinkTiming(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Heartbeat interval, timeouts and lease lengths of a link.
@@ -27,7 +33,9 @@
         lost_s >= (session_s + lease_s) * (1 + MAX_CLOCK_DRIFT) + stop
 
     The first prevents another entry from starting a task that is still
-    running, the second prevents the same entry from doing so.
+    running, the second prevents the same entry from doing so. They hold for
+    any number of tasks and however long their stops take, as the lease isn't
+    renewed beyond `session_s + lease_s` before all of them have ended.
 
     Attributes:
         heartbeat_s: Longest interval between two frames, in seconds.
--- a/sardinestair/platform/tests/test_deploy.py
+++ b/sardinestair/platform/tests/test_deploy.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sardinestair.ids import Incarnation
-from sardinestair.links.timing import MAX_CLOCK_DRIFT, MAX_STOP_S
+from sardinestair.links.timing import MAX_CLOCK_DRIFT, MAX_STOP_S, STOP_LIMIT_S
 from sardinestair.membership.choice import choose_entries
 from sardinestair.settings import EntrySettings, SidecarSettings
 from sardinestair.settings.files import parse_yaml
@@ -93,6 +93,12 @@
     assert latest_end_s < CLIENT_RETRY_S
 
 
+def test_cancelled_runs_end_before_clients_resubmit():
+    """A connection that breaks cancels its job, and the client resubmits."""
+    latest_end_s = STOP_LIMIT_S * (1 + MAX_CLOCK_DRIFT) + MAX_STOP_S
+    assert latest_end_s < CLIENT_RETRY_S
+
+
 def test_entry_stops_within_the_grace_period():
     settings = load_template("entry.yaml", EntrySettings)
     shutdown_s = settings.platform.leave_s + settings.drain_timeout_s
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -415,15 +415,17 @@
             return
         assert self.caller is not None
         session.is_expired = True
+        echo_age_s = self.clock.monotonic() - session.echo_s
         self.log.warning(
             "session_over",
             entry=format_incarnation(session.entry),
             epoch=session.fence.epoch,
             tasks=len(running),
-            echo_age_s=self.clock.monotonic() - session.echo_s,
+            echo_age_s=echo_age_s,
         )
+        within_s = self.timing.session_s + self.timing.lease_s - echo_age_s
         for ref in running:
-            self.caller.stop(ref, b"session over")
+            self.caller.stop(ref, b"session over", within_s)
 
     def _close_slots(self, reason: str) -> None:
         self.ledger.slots = 0
@@ -454,7 +456,12 @@
     def _allocate_credits(self) -> None:
         if self.upstream.state is not UpstreamState.SERVING:
             return
-        if self.caller is None or not self.caller.has_no_orphans:
+        caller = self.caller
+        if (
+            caller is None
+            or not caller.has_no_orphans
+            or caller.is_lease_ending
+        ):
             return
         now_s = self.clock.monotonic()
         self.ledger.slots = self.upstream.slots
--- a/sardinestair/sidecar/tests/test_session_lease.py
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -44,9 +44,11 @@
     def __init__(self):
         super().__init__([])
         self.stopped = []
+        self.limits_s = []
 
-    def stop(self, ref, reason=b""):
+    def stop(self, ref, reason=b"", within_s=None):
         self.stopped.append((ref, reason))
+        self.limits_s.append(within_s)
 
     def close(self):
         pass
@@ -143,6 +145,27 @@
     assert len(entry.upstream.stopped) == 2
 
 
+# Guards against tasks that run twice (rule TWICE): the lease was renewed as
+# long as stops took, also for the tasks of a session that was over.
+def test_tasks_of_a_silent_entry_end_with_the_lease_at_its_end(entry):
+    entry.start()
+    late_s = 0.06
+    entry.clock.advance(TIMING.session_s + late_s)
+    entry.iterate(receives=False)
+    limit_s = TIMING.lease_s - late_s
+    assert entry.upstream.limits_s == [pytest.approx(limit_s)]
+
+
+def test_no_credit_while_the_lease_is_about_to_end(entry):
+    entry.server.ledger.remove_entry(ENTRY)
+    entry.server.ledger.reset_entry(ENTRY)
+    entry.upstream.is_lease_ending = True
+    entry.send(Demand(3200, 0.0, 1600))
+    assert not [m for m in entry.iterate() if isinstance(m, Grant)]
+    entry.upstream.is_lease_ending = False
+    assert [m for m in entry.iterate() if isinstance(m, Grant)]
+
+
 def test_queued_task_is_not_started_after_the_session(entry):
     entry.start()
     entry.clock.advance(TIMING.session_s + 0.05)
--- a/sardinestair/tests/fakes.py
+++ b/sardinestair/tests/fakes.py
@@ -68,6 +68,7 @@
 
     is_leased = False
     has_no_orphans = True
+    is_lease_ending = False
 
     def __init__(self, starts):
         self.starts = starts
@@ -90,7 +91,7 @@
         body = f"{ref.job.hex()}/{ref.index}".encode()
         return CallResult(self.state, body, False, 0.1)
 
-    def stop(self, _ref, _reason=b""):
+    def stop(self, _ref, _reason=b"", _within_s=0.0):
         pass
 
     def close(self):
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -11,6 +11,7 @@
 
 from sardinestair.async_transfer import WITHDRAWN, TransferPool
 from sardinestair.ids import format_job_id
+from sardinestair.links.timing import STOP_LIMIT_S
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog
 from sardinestair.tasks import abort_process
@@ -72,6 +73,11 @@
     is_leased: bool
     has_no_orphans: bool
 
+    @property
+    def is_lease_ending(self) -> bool:
+        """True if tasks that start now may soon end with their lease."""
+        ...
+
     def start(
         self,
         ref: TaskRef,
@@ -93,8 +99,20 @@
         """
         ...
 
-    def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
-        """Requests that a task be stopped, if the upstream supports it."""
+    def stop(
+        self,
+        ref: TaskRef,
+        reason: bytes = b"",
+        within_s: float = STOP_LIMIT_S,
+    ) -> None:
+        """Requests that a task be stopped, if the upstream supports it.
+
+        Args:
+            ref: The attempt.
+            reason: Why it is stopped, in UTF-8.
+            within_s: Time within which it must have ended, in seconds. The
+                lease isn't renewed beyond, which ends all tasks there.
+        """
 
     def close(self) -> None:
         """Ends the caller's background activity."""
@@ -171,6 +189,7 @@
 
     is_leased = False
     has_no_orphans = True
+    is_lease_ending = False
 
     def __init__(
         self,
@@ -231,7 +250,12 @@
             state, reply.reason.encode(), False, run_s, is_unreachable
         )
 
-    def stop(self, ref: TaskRef, reason: bytes = b"") -> None:
+    def stop(
+        self,
+        ref: TaskRef,
+        reason: bytes = b"",
+        within_s: float = STOP_LIMIT_S,
+    ) -> None:
         """Does nothing: a request in flight can't be stopped."""
 
     def close(self) -> None:
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from sardinestair.clock import Clock
-from sardinestair.links.timing import MAX_CLOCK_DRIFT
+from sardinestair.links.timing import MAX_CLOCK_DRIFT, STOP_LIMIT_S
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.upstreams.caller import AsyncCaller, CallResult
@@ -163,6 +163,10 @@
             return self._make_result(
                 start_s, TaskState.NOT_RUN, b"no contact with the upstream"
             )
+        if self.is_lease_ending:
+            return self._make_result(
+                start_s, TaskState.NOT_RUN, b"the lease is about to end"
+            )
         self.runs[run.run_id] = run
         run.start_until_s = until_s
         try:
@@ -175,19 +179,43 @@
             self.pending_stops.remove(run, self.clock.monotonic())
         return self._result_of(run, start_s)
 
-    def stop(self, ref: TaskRef, reason: bytes = b"cancelled") -> None:
-        """Requests that an attempt be stopped, if it is active."""
+    def stop(
+        self,
+        ref: TaskRef,
+        reason: bytes = b"cancelled",
+        within_s: float = STOP_LIMIT_S,
+    ) -> None:
+        """Requests that an attempt be stopped, if it is active.
+
+        Args:
+            ref: The attempt.
+            reason: Why it is stopped, in UTF-8.
+            within_s: Time after which the lease ends it, in seconds.
+        """
         run = self.runs.get(self.client.run_id(ref))
         if run is not None:
-            self._request_stop(run, reason)
+            self._request_stop(run, reason, within_s)
+
+    @property
+    def is_lease_ending(self) -> bool:
+        """True if less than half of the lease is left for further runs.
+
+        This is so while runs that are being stopped limit its renewal.
+        """
+        if self.remote_clock_s is None:
+            return False
+        left_s = self.pending_stops.lease_limit_s() - self._remote_now()
+        return left_s < self.lease_s / 2
 
     def close(self) -> None:
         """Makes `run` return."""
         self.stopping.set()
 
-    def _request_stop(self, run: Run, reason: bytes) -> None:
+    def _request_stop(
+        self, run: Run, reason: bytes, within_s: float = STOP_LIMIT_S
+    ) -> None:
         run.request_stop(reason, self.clock.monotonic())
-        self.pending_stops.add(run)
+        self.pending_stops.add(run, self._remote_now() + within_s)
 
     async def _start(
         self,
@@ -392,9 +420,18 @@
             self.on_lost()
 
     def _latest_lease_end(self) -> float:
-        """Returns when the lease ends if all starts in progress renew it."""
+        """Returns when the lease ends if all starts in progress renew it.
+
+        An upstream is not lost before a lease has passed since its last
+        report, although renewals may have been limited.
+        """
+        assert self.remote_clock_s is not None
         pending = [run.start_until_s for run in self.runs.values()]
-        return max(self.lease_until_s, max(pending, default=0.0))
+        return max(
+            self.lease_until_s,
+            self.remote_clock_s + self.lease_s,
+            *pending,
+        )
 
     def _lease_remaining(self) -> float | None:
         if self.remote_clock_s is None:
@@ -520,7 +557,10 @@
     def _next_lease_end(self) -> float | None:
         if self.remote_clock_s is None:
             return None
-        return self._remote_now() + self.lease_s
+        return min(
+            self._remote_now() + self.lease_s,
+            self.pending_stops.lease_limit_s(),
+        )
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
--- a/sardinestair/upstreams/run.py
+++ b/sardinestair/upstreams/run.py
@@ -1,6 +1,7 @@
 """One run of a task at a leased upstream."""
 
 import asyncio
+import math
 
 from sardinestair.upstreams.orders import EndKind, RunId
 
@@ -20,6 +21,8 @@
             start has been answered or has timed out.
         is_stop_requested: True if it is to be stopped.
         stop_requested_s: When the stop was requested.
+        lease_limit_s: Time to which the lease may be renewed until it has
+            ended, on the upstream's clock.
         stops_unanswered: Number of stop requests without an answer.
         reason: Why it is stopped, in UTF-8.
         started_s: When its start was requested.
@@ -40,6 +43,7 @@
         self.conclusive_from_s: float | None = None
         self.is_stop_requested = False
         self.stop_requested_s = 0.0
+        self.lease_limit_s = math.inf
         self.stops_unanswered = 0
         self.reason = b""
         self.started_s = now_s
--- a/sardinestair/upstreams/stops.py
+++ b/sardinestair/upstreams/stops.py
@@ -1,5 +1,7 @@
 """Runs of a leased upstream that are being stopped."""
 
+import math
+
 from sardinestair.links.timing import MAX_STOP_S
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.upstreams.orders import RunId
@@ -12,7 +14,12 @@
 
 
 class PendingStops:
-    """Runs of one upstream that are being stopped.
+    """Runs of one upstream that are being stopped, and limits of its lease.
+
+    Stops may wait for each other, take long or get no answer. Each has a time
+    by which its run must have ended, after which the lease isn't renewed while
+    the run may be active. As all runs share the lease, the others end then as
+    well.
 
     Args:
         metrics: The process's metrics.
@@ -32,10 +39,25 @@
         self.run_count = 0
         self.longest_s = 0.0
 
-    def add(self, run: Run) -> None:
-        """Adds a run whose stop has been requested."""
+    def add(self, run: Run, lease_limit_s: float) -> None:
+        """Adds a run whose stop has been requested.
+
+        Args:
+            run: The run; if it was added before, the earlier limit counts.
+            lease_limit_s: Time to which the lease may be renewed until the
+                run has ended, on the upstream's clock.
+        """
+        run.lease_limit_s = min(run.lease_limit_s, lease_limit_s)
         self.runs[run.run_id] = run
 
+    def lease_limit_s(self) -> float:
+        """Returns the time to which the lease may be renewed.
+
+        It is on the upstream's clock, and infinite if no run is being stopped.
+        """
+        limits = [r.lease_limit_s for r in self.runs.values() if r.end is None]
+        return min(limits, default=math.inf)
+
     def remove(self, run: Run, now_s: float) -> None:
         """Removes a run that has ended, if it was being stopped."""
         if self.runs.pop(run.run_id, None) is None:
