Send many slow stops at a time, and starts beside them

Starts of other entries also waited behind these stops.

Cause: starts and stops shared three connections. A stop may take 50 ms, so that 125 of them take 2.1 s and 250 take 4.2 s, and a start that came meanwhile waited as long.

Starts have a limit of their own; both share the connections that are idle, so that none is opened just for a stop.

How it grows: the lease (0.45 s) is enough for some 400 stops of 50 ms at a runner; beyond that all runs there end with it.

--- a/sardinestair/async_transfer.py
+++ b/sardinestair/async_transfer.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from sardinestair.limits.connections import ConnectionLimit
 from sardinestair.transfer import (
     CONNECT_TIMEOUT_MS,
     MAX_IDLE_S,
@@ -150,7 +151,7 @@
     Args:
         host: IP address of the server.
         port: Port of the server.
-        max_connections: Maximum number of requests in progress.
+        limit: Bounds the requests in progress.
         max_idle_s: See `AsyncTransfer`.
 
     Attributes:
@@ -163,13 +164,13 @@
         self,
         host: str,
         port: int,
-        max_connections: int,
+        limit: ConnectionLimit,
         max_idle_s: float = MAX_IDLE_S,
     ):
         self.host = host
         self.port = port
+        self.limit = limit
         self.max_idle_s = max_idle_s
-        self.slots = asyncio.BoundedSemaphore(max_connections)
         self.idle_transfers: list[AsyncTransfer] = []
         self.longest_wait_s = 0.0
 
@@ -181,14 +182,16 @@
         timeout_s: float,
         headers: str = "",
         may_send: Callable[[], bool] | None = None,
+        limit: ConnectionLimit | None = None,
     ) -> Reply | TransferFailure:
         """Sends one request; see `AsyncTransfer.perform`.
 
-        The timeout starts once a connection is free.
+        The timeout starts once a connection is free. A `limit` replaces that
+        of the pool, so that requests of one kind don't wait for another.
         """
         loop = asyncio.get_running_loop()
         queued_s = loop.time()
-        async with self.slots:
+        async with limit or self.limit:
             self.longest_wait_s = max(
                 self.longest_wait_s, loop.time() - queued_s
             )
--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer, TransferPool
+from sardinestair.limits.connections import ConnectionLimit
 from sardinestair.messages import DECODE_ERRORS, TaskRef
 from sardinestair.observability import EventLog
 from sardinestair.platform.names import format_job_name
@@ -18,7 +19,7 @@
     StopRequest,
 )
 from sardinestair.settings.process import split_address
-from sardinestair.transfer import Reply
+from sardinestair.transfer import Reply, TransferFailure
 from sardinestair.upstreams.orders import (
     EndKind,
     Refusal,
@@ -41,6 +42,9 @@
 # An order takes about a millisecond, and one without a reply 50 ms, in which
 # the other connections serve the rest.
 MAX_ORDER_CONNECTIONS = 3
+# A stop may take 50 ms. With one connection for reports and those for starts,
+# fewer than the 64 that a runner accepts.
+MAX_STOP_CONNECTIONS = 48
 
 # Only jobs with one occurrence and one step are supported.
 ONLY_OCCURRENCE = 0
@@ -71,10 +75,11 @@
 class HttpRunClient:
     """Implements `RunClient` over HTTP.
 
-    Reports have a connection of their own, as they wait for ends. Starts and
-    stops share `MAX_ORDER_CONNECTIONS`, reused last in, first out: a runner
-    closes idle connections soon, so with one for each task of a burst most
-    orders would have to open a new one.
+    Reports have a connection of their own, as they wait for ends. Up to
+    `MAX_ORDER_CONNECTIONS` starts and as many stops are sent at a time, over
+    connections reused last in, first out: a runner closes idle ones soon, so
+    with one for each task of a burst most orders would have to open a new one.
+    If many stops take long, up to `MAX_STOP_CONNECTIONS` are sent at a time.
 
     Args:
         address: Address at which the runner accepts requests, host:port.
@@ -86,7 +91,13 @@
             self.host, self.port, max_idle_s=MAX_IDLE_S
         )
         self.order_transfers = TransferPool(
-            self.host, self.port, MAX_ORDER_CONNECTIONS, MAX_IDLE_S
+            self.host,
+            self.port,
+            ConnectionLimit(MAX_ORDER_CONNECTIONS),
+            MAX_IDLE_S,
+        )
+        self.stop_limit = ConnectionLimit(
+            MAX_ORDER_CONNECTIONS, MAX_STOP_CONNECTIONS
         )
         self.report_decoder = msgspec.json.Decoder(ReportReply)
         self.log = EventLog("runner")
@@ -109,14 +120,21 @@
         except DECODE_ERRORS as error:
             self.log.warning("payload_unreadable", reason=str(error))
             return Ok(StartReply(Refusal.INVALID))
-        body = StartRequest(
+        start = StartRequest(
             _format_task_name(run),
             run.attempt,
             specification,
             int(until_s * MS_PER_S),
         )
-        result = await self._send(
-            self.order_transfers, "/run-start", body, timeout_s, may_send
+        result = _to_result(
+            await self.order_transfers.perform(
+                "POST",
+                "/run-start",
+                msgspec.json.encode(start),
+                timeout_s,
+                JSON_HEADERS,
+                may_send,
+            )
         )
         if result.is_error():
             return Error(result.error)
@@ -133,9 +151,16 @@
         self, run: RunId, timeout_s: float
     ) -> Result[None, RequestError]:
         """Stops a run; see `RunClient.stop`."""
-        body = StopRequest(_format_task_name(run), run.attempt)
-        result = await self._send(
-            self.order_transfers, "/run-stop", body, timeout_s
+        stop = StopRequest(_format_task_name(run), run.attempt)
+        result = _to_result(
+            await self.order_transfers.perform(
+                "POST",
+                "/run-stop",
+                msgspec.json.encode(stop),
+                timeout_s,
+                JSON_HEADERS,
+                limit=self.stop_limit,
+            )
         )
         return result.bind(
             lambda reply: (
@@ -152,9 +177,15 @@
     ) -> Result[RunReport, RequestError]:
         """Renews the lease and reports the runs; see `RunClient.report`."""
         until_ms = None if until_s is None else int(until_s * MS_PER_S)
-        body = ReportRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
-        result = await self._send(
-            self.report_transfer, "/hold", body, timeout_s
+        request = ReportRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
+        result = _to_result(
+            await self.report_transfer.perform(
+                "POST",
+                "/hold",
+                msgspec.json.encode(request),
+                timeout_s,
+                JSON_HEADERS,
+            )
         )
         if result.is_error():
             return Error(result.error)
@@ -178,32 +209,18 @@
             return Refusal.INVALID
         return _REFUSALS_BY_REASON.get(reason, Refusal.INVALID)
 
-    async def _send(
-        self,
-        transfer: AsyncTransfer | TransferPool,
-        path: str,
-        body: msgspec.Struct,
-        timeout_s: float,
-        may_send: Callable[[], bool] | None = None,
-    ) -> Result[Reply, RequestError]:
-        reply = await transfer.perform(
-            "POST",
-            path,
-            msgspec.json.encode(body),
-            timeout_s,
-            JSON_HEADERS,
-            may_send,
-        )
-        if isinstance(reply, Reply):
-            return Ok(reply)
-        return Error(
-            RequestError(
-                reply.reason,
-                reply.was_sent,
-                is_withdrawn=reply is WITHDRAWN,
-                is_refused=reply.is_refused,
-            )
+
+def _to_result(reply: Reply | TransferFailure) -> Result[Reply, RequestError]:
+    if isinstance(reply, Reply):
+        return Ok(reply)
+    return Error(
+        RequestError(
+            reply.reason,
+            reply.was_sent,
+            is_withdrawn=reply is WITHDRAWN,
+            is_refused=reply.is_refused,
         )
+    )
 
 
 def _unknown_outcome(reply: Reply) -> Result[Any, RequestError]:
--- a/sardinestair/platform/tests/test_orders.py
+++ b/sardinestair/platform/tests/test_orders.py
@@ -161,7 +161,7 @@
 
 
 class SlowRunnerServer(RunnerServer):
-    """Answers starts once `release` is set, and records their connections."""
+    """Answers orders once `release` is set, and records their connections."""
 
     def __init__(self, model):
         self.release = threading.Event()
@@ -170,10 +170,83 @@
         super().__init__(model)
 
     def start_run(self, request):
+        self._hold(request)
+        return super().start_run(request)
+
+    def _hold(self, request):
         self.ports.add(request.connection.remote_port)
         self.arrived.release()
         assert self.release.wait(TIMEOUT_S)
-        return super().start_run(request)
+
+
+class SlowStopServer(SlowRunnerServer):
+    """Answers stops once `release` is set, and starts at once."""
+
+    def start_run(self, request):
+        return RunnerServer.start_run(self, request)
+
+    def stop_run(self, request):
+        self._hold(request)
+        return super().stop_run(request)
+
+
+@pytest.fixture
+def slow_stops():
+    server = SlowStopServer(RunnerModel(SystemClock()))
+    server.http.max_blocking_requests = 4 * BURST
+    server.http.start()
+    yield server
+    server.release.set()
+    server.http.stop()
+
+
+async def stop_runs(client, count):
+    """Starts to stop runs; returns the tasks."""
+    runs = [client.run_id(TaskRef(REF.job, n, 1)) for n in range(count)]
+    return [asyncio.ensure_future(client.stop(r, TIMEOUT_S)) for r in runs]
+
+
+# Guards against stops that wait for each other until the lease ends all runs of
+# the runner: three were sent at a time, however many waited.
+def test_many_slow_stops_are_sent_at_a_time(slow_stops):
+    client = HttpRunClient(slow_stops.address)
+
+    async def main():
+        stops = await stop_runs(client, 4 * BURST)
+        arrived = [
+            await asyncio.to_thread(slow_stops.arrived.acquire, timeout=5.0)
+            for _ in range(BURST)
+        ]
+        slow_stops.release.set()
+        replies = await asyncio.gather(*stops)
+        client.close()
+        return arrived, replies
+
+    arrived, replies = asyncio.run(main())
+    assert all(arrived)
+    assert all(reply.is_ok() for reply in replies)
+
+
+# Guards against tasks of other entries that start late: starts waited behind
+# stops for a connection, each up to 50 ms.
+def test_starts_do_not_wait_for_stops(slow_stops):
+    client = HttpRunClient(slow_stops.address)
+
+    async def main():
+        stops = await stop_runs(client, MAX_ORDER_CONNECTIONS)
+        for _ in stops:
+            await asyncio.to_thread(slow_stops.arrived.acquire, timeout=5.0)
+        run = client.run_id(TaskRef(REF.job, BURST, 1))
+        latest_s = until_s(slow_stops, TIMEOUT_S)
+        start = client.start(run, SPEC, latest_s, TIMEOUT_S, lambda: True)
+        try:
+            return await asyncio.wait_for(start, 5.0)
+        finally:
+            slow_stops.release.set()
+            await asyncio.gather(*stops)
+            client.close()
+
+    assert asyncio.run(main()).is_ok()
 
 
 # Guards against a connection for each start of a burst: runners close idle
--- a/sardinestair/tests/test_async_transfer.py
+++ b/sardinestair/tests/test_async_transfer.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sardinestair.async_transfer import WITHDRAWN, AsyncTransfer, TransferPool
+from sardinestair.limits.connections import ConnectionLimit
 from sardinestair.transfer import Reply, TransferFailure
 
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -222,8 +223,8 @@
 
 def test_longest_wait_for_a_connection_is_reported_once():
     async def main():
-        pool = TransferPool("127.0.0.1", 1, max_connections=1)
-        async with pool.slots:
+        pool = TransferPool("127.0.0.1", 1, ConnectionLimit(usual=1))
+        async with pool.limit:
             request = asyncio.create_task(post(pool))
             await asyncio.sleep(0.05)
         await request
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -11,6 +11,7 @@
 
 from sardinestair.async_transfer import WITHDRAWN, TransferPool
 from sardinestair.ids import format_job_id
+from sardinestair.limits.connections import ConnectionLimit
 from sardinestair.links.timing import STOP_LIMIT_S
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog
@@ -202,7 +203,9 @@
         self.path = url.path.rstrip("/") + TASK_PATH
         self.not_run_statuses = frozenset(not_run_statuses)
         self.transfers = TransferPool(
-            url.hostname or "", url.port or HTTP_PORT, max_connections
+            url.hostname or "",
+            url.port or HTTP_PORT,
+            ConnectionLimit(max_connections),
         )
 
     async def call(
--- a/sardinestair/upstreams/tests/test_stops.py
+++ b/sardinestair/upstreams/tests/test_stops.py
@@ -10,6 +10,7 @@
 
 from sardinestair.clock import ManualClock
 from sardinestair.ids import JobId
+from sardinestair.limits.connections import ConnectionLimit
 from sardinestair.links.timing import MAX_CLOCK_DRIFT, MAX_STOP_S, STOP_LIMIT_S
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import Metrics
@@ -22,6 +23,8 @@
 LOST = JobId(b"l" * 16)
 KEPT = JobId(b"k" * 16)
 CONNECTIONS = 3
+# As on the users' platform.
+MAX_CONNECTIONS = 48
 POLL_S = 0.005
 ROUND_TRIP_S = 0.001
 # By so much later the poll may see an end.
@@ -31,12 +34,12 @@
 class SlowClient:
     """Client of a model whose stops take long and wait for connections."""
 
-    def __init__(self, model, stop_s, answers_stops):
+    def __init__(self, model, stop_s, answers_stops, stop_limit):
         self.model = model
         self.stop_s = stop_s
         self.answers_stops = answers_stops
         self.run_id = model.run_id
-        self.stop_limit = asyncio.Semaphore(CONNECTIONS)
+        self.stop_limit = stop_limit or ConnectionLimit(CONNECTIONS)
 
     async def start(self, run, payload, until_s, timeout_s, may_send):
         await asyncio.sleep(ROUND_TRIP_S)
@@ -66,10 +69,10 @@
 class Harness:
     """One upstream with runs of a job to be stopped and of one to be kept."""
 
-    def __init__(self, stop_s=MAX_STOP_S, answers_stops=True):
+    def __init__(self, stop_s=MAX_STOP_S, answers_stops=True, stop_limit=None):
         self.loop = VirtualTimeLoop()
         self.model = RunnerModel(self.loop)
-        self.client = SlowClient(self.model, stop_s, answers_stops)
+        self.client = SlowClient(self.model, stop_s, answers_stops, stop_limit)
         self.upstream = LeasedUpstream(
             self.client, self.loop, LEASE_S, Metrics(), lambda: None
         )
@@ -191,12 +194,17 @@
     assert harness.time_to_end(LOST) <= limit_s + TOLERANCE_S
 
 
-def test_runs_beside_stops_in_time_are_kept(make_harness):
-    harness = make_harness()
-    harness.start(LOST, 12)
+# Guards against runs of other entries that lapse, as the lease isn't renewed
+# before many slow stops have ended.
+@pytest.mark.parametrize("count", [12, 125, 250])
+def test_runs_beside_those_being_stopped_are_kept(make_harness, count):
+    limit = ConnectionLimit(CONNECTIONS, MAX_CONNECTIONS)
+    harness = make_harness(stop_limit=limit)
+    harness.start(LOST, count)
     harness.start(KEPT, 5, work_s=3.0)
     harness.run(0.5)
-    harness.stop(LOST, 12, b"session over", LEASE_S)
+    harness.stop(LOST, count, b"session over", LEASE_S)
+    assert harness.time_to_end(LOST) < LEASE_S
     harness.run(4.0)
     states = {harness.calls[KEPT, n].result().state for n in range(5)}
     assert states == {TaskState.DONE}
