Give stops time for their answer

Cause: the time-out of a stop was `stop_ms` itself, without the round trip.

Change: 50 ms more. An unanswered stop is repeated 50 ms later than before.

Evidence: test_stop_that_takes_as_long_as_it_may_is_answered failed before.

--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from sardinestair.clock import Clock
-from sardinestair.links.timing import MAX_CLOCK_DRIFT, STOP_LIMIT_S
+from sardinestair.links.timing import MAX_CLOCK_DRIFT, MAX_STOP_S, STOP_LIMIT_S
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.upstreams.caller import AsyncCaller, CallResult
@@ -30,7 +30,9 @@
 # Several local round trips on a busy machine, but short enough that a task of
 # 120 ms whose start was lost can still run elsewhere in time.
 START_TIMEOUT_S = 0.05
-STOP_TIMEOUT_S = 0.05
+# An upstream may answer a stop once the run has ended; the rest is for the
+# round trip and a new connection.
+STOP_TIMEOUT_S = MAX_STOP_S + 0.05
 # An unanswered renewal must be repeated once within a lease of 0.45 s:
 # 2 x (wait + round trip) < lease.
 REPORT_WAIT_S = 0.1
--- a/sardinestair/upstreams/tests/test_stops.py
+++ b/sardinestair/upstreams/tests/test_stops.py
@@ -39,6 +39,7 @@
         self.stop_s = stop_s
         self.answers_stops = answers_stops
         self.run_id = model.run_id
+        self.stops_given_up = 0
         self.stop_limit = stop_limit or ConnectionLimit(CONNECTIONS)
 
     async def start(self, run, payload, until_s, timeout_s, may_send):
@@ -52,8 +53,18 @@
             if not self.answers_stops:
                 await asyncio.sleep(timeout_s)
                 return Error(RequestError("timed out", True))
-            await asyncio.sleep(self.stop_s)
-            return self.model.stop(run, timeout_s)
+            answer_s = self.stop_s + ROUND_TRIP_S
+            end = asyncio.get_running_loop().create_task(self.end_run(run))
+            if answer_s > timeout_s:
+                self.stops_given_up += 1
+                await asyncio.sleep(timeout_s)
+                return Error(RequestError("timed out", True))
+            await asyncio.sleep(answer_s)
+            return await end
+
+    async def end_run(self, run):
+        await asyncio.sleep(self.stop_s)
+        return self.model.stop(run, 1.0)
 
     async def report(self, until_s, acknowledged, wait_s, timeout_s):
         model = self.model
@@ -210,6 +221,18 @@
     assert states == {TaskState.DONE}
 
 
+# Guards against stops that are given up, with their connection, just before
+# they are answered: the time-out was as long as a stop may take.
+def test_stop_that_takes_as_long_as_it_may_is_answered(make_harness):
+    harness = make_harness(stop_s=MAX_STOP_S)
+    harness.start(LOST, CONNECTIONS)
+    harness.run(0.5)
+    harness.stop(LOST, CONNECTIONS)
+    harness.run(0.3)
+    assert harness.client.stops_given_up == 0
+    assert not harness.active(LOST)
+
+
 def test_no_task_starts_under_a_lease_that_is_about_to_end(make_harness):
     harness = make_harness(answers_stops=False)
     harness.start(LOST, 1)
