Notice the end of a session at once

Of the 0.47 s between the end of a session (0.75 s + 0.08 s of a tick) and a resubmission, up to 83 ms were lost.

Cause: sessions were checked at ticks of 83 ms. The inequality of docs/PLATFORM.md (1.26 s < 1.3 s) has no term for that; a renewal of the lease in the meantime made it 1.34 s. A session that expired, was renewed and expired again between two ticks was not stopped the second time (seen by the reviewer, by reading).

Change: the loop wakes at the end of a session with tasks; sessions are checked before each renewal, also if the loop is late.

Evidence: test_end_of_a_session_is_noticed_at_once, test_session_that_is_renewed_and_expires_again_is_stopped_again and test_sessions_are_checked_before_each_renewal failed before.

--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -63,7 +63,7 @@
         echo_s: When this sidecar sent the latest frame that the entry has
             echoed; the session's length is counted from it.
         is_expired: True once its tasks have been stopped because no echo came
-            in time.
+            in time, until one has come.
         last_sent_s: When the last frame was sent.
         granted: Credits granted in this epoch, if the entry has not been sent
             this number; 0 otherwise.
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -265,6 +265,7 @@
             return
         session.last_received_s = self.clock.monotonic()
         session.echo_s = max(session.echo_s, frame.echo_s)
+        session.is_expired &= self.is_session_expired(session)
         if verdict is FrameStatus.NEW_EPOCH:
             self._open_session(route, session, frame.messages.pop(0))
         for message in frame.messages:
@@ -400,21 +401,24 @@
         if self.caller is None or not self.caller.is_leased:
             return False
         echo_age_s = self.clock.monotonic() - session.echo_s
-        return echo_age_s > self.timing.session_s
+        return echo_age_s >= self.timing.session_s
 
-    def _stop_expired_session(self, session: SidecarSession) -> None:
-        """Stops the tasks of an expired session.
+    def stop_expired_sessions(self) -> None:
+        """Stops the tasks of sessions that have expired.
 
-        The entry may consider them lost and start them elsewhere.
+        Their entries may consider them lost and start them elsewhere.
         """
-        if not self.is_session_expired(session):
-            session.is_expired = False
-            return
+        for session in self.sessions.values():
+            was_expired = session.is_expired
+            session.is_expired = self.is_session_expired(session)
+            if session.is_expired and not was_expired:
+                self._stop_session(session)
+
+    def _stop_session(self, session: SidecarSession) -> None:
         running = session.running()
-        if session.is_expired or not running:
+        if not running:
             return
         assert self.caller is not None
-        session.is_expired = True
         echo_age_s = self.clock.monotonic() - session.echo_s
         self.log.warning(
             "session_over",
@@ -436,6 +440,7 @@
         self.wake()
 
     def _tick(self) -> None:
+        self.stop_expired_sessions()
         now_s = self.clock.monotonic()
         if now_s < self.last_tick_s + self._tick_interval_s():
             return
@@ -443,7 +448,6 @@
         if self.upstream.expire(now_s):
             self._close_slots("announcement expired")
         for session in list(self.sessions.values()):
-            self._stop_expired_session(session)
             silent_s = now_s - session.last_received_s
             limit_s = self.timing.silence_limit_s(session.is_idle)
             if silent_s > SESSION_RETENTION_S and session.drop_outcomes():
@@ -482,10 +486,22 @@
         interval_s = self.timing.heartbeat_interval_s(session.is_idle)
         return session.last_sent_s + interval_s
 
+    def _session_end_s(self, session: SidecarSession) -> float:
+        """Returns when the session ends; infinite if no task depends on it."""
+        if session.is_idle or session.is_expired:
+            return math.inf
+        if self.caller is None or not self.caller.is_leased:
+            return math.inf
+        return session.echo_s + self.timing.session_s
+
     def _next_due_s(self) -> float:
-        heartbeats = map(self._heartbeat_due_s, self.sessions.values())
         next_tick_s = self.last_tick_s + self._tick_interval_s()
-        return min(next_tick_s, min(heartbeats, default=math.inf))
+        sessions = self.sessions.values()
+        return min(
+            next_tick_s,
+            *map(self._heartbeat_due_s, sessions),
+            *map(self._session_end_s, sessions),
+        )
 
     def _flush(self) -> bool:
         """Sends the frames that are due; returns True if there were any."""
--- a/sardinestair/sidecar/tests/test_session_lease.py
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -156,6 +156,44 @@
     assert entry.upstream.limits_s == [pytest.approx(limit_s)]
 
 
+# Guards against tasks that run twice (rule TWICE): the end of a session was
+# noticed up to a tick late, for which the time limits have no room.
+def test_end_of_a_session_is_noticed_at_once(entry):
+    entry.clock.advance(0.07)
+    entry.echo_s = entry.clock.monotonic()
+    entry.start()
+    while not entry.upstream.stopped:
+        delay_s = entry.server._next_due_s() - entry.clock.monotonic()
+        entry.clock.advance(max(delay_s, 0.0))
+        entry.iterate(receives=False)
+    stopped_s = entry.clock.monotonic() - entry.echo_s
+    assert stopped_s == pytest.approx(TIMING.session_s)
+
+
+def test_session_that_is_renewed_and_expires_again_is_stopped_again(entry):
+    entry.start(0)
+    for _ in range(2):
+        entry.clock.advance(TIMING.session_s / 2 + 0.01)
+        entry.iterate(receives=False)
+        entry.send()  # With an old echo, which keeps the link open.
+    entry.echo_s = entry.clock.monotonic() - TIMING.session_s + 0.02
+    entry.start(1)
+    entry.iterate(receives=False)
+    entry.clock.advance(0.03)  # Less than a tick.
+    entry.iterate(receives=False)
+    assert (ref(1), b"session over") in entry.upstream.stopped
+
+
+def test_sidecar_sleeps_after_a_session_without_running_tasks(entry):
+    """Its outcomes are kept, but nothing is due any more."""
+    entry.start()
+    entry.upstream.waiting.popleft()()
+    entry.clock.advance(TIMING.session_s + 0.01)
+    entry.iterate(receives=False)
+    assert not entry.server.sessions[ENTRY].is_idle
+    assert entry.server._next_due_s() > entry.clock.monotonic()
+
+
 def test_no_credit_while_the_lease_is_about_to_end(entry):
     entry.server.ledger.remove_entry(ENTRY)
     entry.server.ledger.reset_entry(ENTRY)
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -85,6 +85,8 @@
     Attributes:
         runs: The runs that may be active, by identifier.
         pending_stops: Those of them that are being stopped.
+        before_renewal: Called before the lease is renewed; requests the stops
+            that are due.
         has_no_orphans: True once no run of an earlier sidecar can be active.
         is_lost: True from an expiry of the lease until the next report.
         incarnation_ms: The upstream's incarnation as of the last report.
@@ -138,6 +140,7 @@
         self.last_unanswered_s = -DEGRADED_PERIOD_S
         self.log = EventLog("upstream")
         self.pending_stops = PendingStops(metrics, self.log)
+        self.before_renewal: Callable[[], None] = lambda: None
 
     async def call(
         self,
@@ -559,6 +562,7 @@
     def _next_lease_end(self) -> float | None:
         if self.remote_clock_s is None:
             return None
+        self.before_renewal()
         return min(
             self._remote_now() + self.lease_s,
             self.pending_stops.lease_limit_s(),
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -358,6 +358,20 @@
     assert END_GRACE_S < WAIT_S
 
 
+# Guards against a renewal for a session that has just ended, while the check
+# of sessions is late as the process is busy.
+def test_sessions_are_checked_before_each_renewal(harness):
+    harness.run(work_s=30.0)
+    harness.wait_for("start")
+    harness.clock.advance(0.1)
+    end_s = harness.clock.monotonic() + 0.4
+    harness.upstream.before_renewal = lambda: harness.upstream.stop(
+        REF, b"session over", 0.4
+    )
+    harness.renew()
+    assert harness.runner.lease_end_s <= end_s
+
+
 def test_stops_that_take_long_are_logged_together(harness, caplog):
     """Otherwise stops that wait for each other look like slow upstreams."""
     harness.client.stops_to_hold = 3
