--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -498,9 +498,11 @@
         next_tick_s = self.last_tick_s + self._tick_interval_s()
         sessions = self.sessions.values()
         return min(
-            next_tick_s,
-            *map(self._heartbeat_due_s, sessions),
-            *map(self._session_end_s, sessions),
+            [
+                next_tick_s,
+                *map(self._heartbeat_due_s, sessions),
+                *map(self._session_end_s, sessions),
+            ]
         )
 
     def _flush(self) -> bool:
--- a/sardinestair/sidecar/tests/test_session_lease.py
+++ b/sardinestair/sidecar/tests/test_session_lease.py
@@ -184,6 +184,12 @@
     assert (ref(1), b"session over") in entry.upstream.stopped
 
 
+# Guards against a sidecar that ends itself before the first entry has found it.
+def test_sidecar_without_sessions_waits_for_its_tick(entry):
+    entry.server.sessions.clear()
+    assert entry.server.run_once() > 0
+
+
 def test_sidecar_sleeps_after_a_session_without_running_tasks(entry):
     """Its outcomes are kept, but nothing is due any more."""
     entry.start()
