Stop the runs of an earlier sidecar at the same time

Callers saw, possibly: after a sidecar was killed and restarted, its entries start the tasks elsewhere 1.3 s later, while some still run (rule TWICE).

The next sidecar stopped what it found one by one, 16 a report, and each report in between renewed the lease of what was left. With stops that take long it did nothing else meanwhile: no report for up to 0.8 s, and no starts for as long as that went on.

Change: runs of an earlier sidecar are stopped like any others, at the same time and repeated if unanswered, and the lease isn't renewed before they have ended: they end at the latest with the lease that the earlier sidecar had requested.

Evidence: test_runs_of_an_earlier_sidecar_end_with_its_lease, in virtual time, failed before for 5 of 9: 250 and 930 runs with stops of 1 ms took 0.71 and 2.12 s (limit 0.51 s); with stops of 50 ms the sidecar was not ready 0.5 s after the last end. test_new_sidecar_stops_what_an_earlier_one_started lets the event loop go on before it checks, as a report no longer waits for the stops; its assertions are the same.

--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -148,23 +148,27 @@
         on_result: ResultCallback,
     ) -> None:
         """Starts one task; see `TaskCaller.start`."""
-        call = self.call(ref, payload, timeout_s, may_start)
-        task = asyncio.get_running_loop().create_task(_report(call, on_result))
+
+        async def call() -> None:
+            on_result(await self.call(ref, payload, timeout_s, may_start))
+
+        self._run_in_background(call())
+
+    def _run_in_background(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(_end_with_process(call))
         # The loop itself keeps only weak references to tasks.
         self.calls.add(task)
         task.add_done_callback(self.calls.discard)
 
 
-async def _report(
-    call: Coroutine[Any, Any, CallResult], on_result: ResultCallback
-) -> None:
-    """Reports the result of a call.
+async def _end_with_process(call: Coroutine[Any, Any, None]) -> None:
+    """Ends the process if a call ends with an exception.
 
-    An exception means a violated invariant, and ends the process: the
-    resources of the call would never be released.
+    It means a violated invariant: the resources of the call would never be
+    released.
     """
     try:
-        on_result(await call)
+        await call
     except Exception:
         _log.logger.exception("invariant_broken")
         abort_process()
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from sardinestair.clock import Clock
@@ -55,13 +56,14 @@
 # How long to wait for the end of a stopped run before stopping it again. A
 # stop takes at most 50 ms, and the next report lists the end.
 END_GRACE_S = 0.5
-MAX_STOPS_PER_REPORT = 16
 # Numbers of consecutive unanswered requests at which a line is logged.
 LOGGED_UNANSWERED = frozenset({1, 2, 10, 100, 1000})
 
 STALLED = b"stalled"
 """Reason given for a task that was interrupted for lack of progress."""
 
+ORPHANED = b"started by an earlier sidecar"
+
 _TASK_STATES = {
     EndKind.DONE: TaskState.DONE,
     EndKind.FAILED: TaskState.FAILED,
@@ -84,7 +86,8 @@
 
     Attributes:
         runs: The runs that may be active, by identifier.
-        pending_stops: Those of them that are being stopped.
+        orphans: Runs that an earlier sidecar has left behind, by identifier.
+        pending_stops: Runs that are being stopped.
         before_renewal: Called before the lease is renewed; requests the stops
             that are due.
         has_no_orphans: True once no run of an earlier sidecar can be active.
@@ -121,6 +124,7 @@
         self.metrics = metrics
         self.on_lost = on_lost
         self.runs: dict[RunId, Run] = {}
+        self.orphans: dict[RunId, Run] = {}
         self.stopping = asyncio.Event()
         self.process_started_s = (
             clock.monotonic()
@@ -344,7 +348,7 @@
         """Renews the lease and collects the ends of runs until `close`."""
         while not self.stopping.is_set():
             await self.renew()
-        if self.runs:
+        if self.runs or self.orphans:
             # Without renewals the upstream ends all runs when the lease
             # expires.
             await asyncio.sleep(self.lease_s * (1 + MAX_CLOCK_DRIFT))
@@ -370,7 +374,7 @@
             return
         if until_s is not None:
             self.lease_until_s = max(self.lease_until_s, until_s)
-        await self._handle_report(reply.ok, sent_s)
+        self._handle_report(reply.ok, sent_s)
 
     def _report_timeouts(self, now_s: float) -> tuple[float, float]:
         """Returns how long a report waits for an end, and its round trip."""
@@ -444,7 +448,7 @@
         return self._latest_lease_end() - self._remote_now()
 
     def _finish_all(self, how: EndKind) -> int:
-        runs = list(self.runs.values())
+        runs = [*self.runs.values(), *self.orphans.values()]
         for run in runs:
             self._finish_lost(run, how)
         return len(runs)
@@ -465,7 +469,7 @@
         )
         run.finish(how)
 
-    async def _handle_report(self, report: RunReport, sent_s: float) -> None:
+    def _handle_report(self, report: RunReport, sent_s: float) -> None:
         now_s = self.clock.monotonic()
         self.remote_clock_s, self.remote_clock_read_s = report.clock_s, now_s
         self.unanswered = 0
@@ -474,7 +478,7 @@
             self.log.info("upstream_regained")
         if report.incarnation_ms != self.incarnation_ms:
             self._adopt_incarnation(report.incarnation_ms)
-        known = dict(self.runs)
+        known = self.orphans | self.runs
         self._handle_ends(report, known)
         self._handle_progress(report, known, now_s)
         listed = {state.run for state in report.active}
@@ -489,7 +493,7 @@
                 )
         self.is_refusing = False
         self.silent_since_s = now_s
-        await self._stop_orphans(report.active, known, now_s)
+        self._stop_orphans(report.active, known, now_s)
 
     def _adopt_incarnation(self, incarnation_ms: int) -> None:
         self.log.info(
@@ -529,25 +533,41 @@
                 )
                 self._request_stop(run, STALLED)
 
-    async def _stop_orphans(
+    def _stop_orphans(
         self, active: list[RunState], known: dict[RunId, Run], now_s: float
     ) -> None:
-        """Stops runs that an earlier sidecar has left behind."""
-        orphans = [state.run for state in active if state.run not in known]
-        for run_id in orphans[:MAX_STOPS_PER_REPORT]:
-            self._run_log(run_id).warning("unknown_run")
-            stopped = await self.client.stop(run_id, STOP_TIMEOUT_S)
-            if stopped.is_error():
-                break
+        """Stops runs that an earlier sidecar has left behind.
+
+        Their entries may have started the tasks elsewhere once the lease that
+        the earlier sidecar had requested is over, so it isn't renewed.
+        """
+        for state in active:
+            if state.run not in known:
+                self._stop_orphan(state.run, now_s)
         # A late start of an earlier sidecar can be executed until its lease
         # has expired.
         is_expired = now_s - self.process_started_s >= self.lease_s * (
             1 + MAX_CLOCK_DRIFT
         )
-        self.has_no_orphans = not orphans and (
+        may_be_active = any(run.end is None for run in self.orphans.values())
+        self.has_no_orphans = not may_be_active and (
             self.has_no_orphans or is_expired
         )
 
+    def _stop_orphan(self, run_id: RunId, now_s: float) -> None:
+        self._run_log(run_id).warning("unknown_run")
+        run = Run(run_id, now_s, self.incarnation_ms)
+        run.is_confirmed = True
+        run.conclusive_from_s = now_s
+        self.orphans[run_id] = run
+        self._request_stop(run, ORPHANED, within_s=0.0)
+        self._run_in_background(self._end_orphan(run))
+
+    async def _end_orphan(self, run: Run) -> None:
+        await self._await_end(run, math.inf)
+        del self.orphans[run.run_id]
+        self.pending_stops.remove(run, self.clock.monotonic())
+
     def _run_log(self, run_id: RunId) -> EventLog:
         return self.log.bind(
             job=run_id.job, task=run_id.index, run=run_id.attempt
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -393,6 +393,7 @@
     harness.wait_for("start")
     later = harness.make_upstream()
     harness.renew(later)
+    harness.settle()
     assert harness.runner.active == {}
     assert not later.has_no_orphans
     harness.clock.advance(LEASE_S / 2)
--- a/sardinestair/upstreams/tests/test_stops.py
+++ b/sardinestair/upstreams/tests/test_stops.py
@@ -84,10 +84,21 @@
         self.loop = VirtualTimeLoop()
         self.model = RunnerModel(self.loop)
         self.client = SlowClient(self.model, stop_s, answers_stops, stop_limit)
+        self.calls = {}
+        self.start_sidecar()
+
+    def start_sidecar(self):
         self.upstream = LeasedUpstream(
             self.client, self.loop, LEASE_S, Metrics(), lambda: None
         )
-        self.calls = {}
+        self.loop.create_task(self.upstream.run())
+
+    def restart_sidecar(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(0)
+        self.calls.clear()
+        self.start_sidecar()
 
     def run(self, seconds):
         """Lets time pass."""
@@ -132,7 +143,6 @@
     def make(**arguments):
         harness = Harness(**arguments)
         harnesses.append(harness)
-        harness.loop.create_task(harness.upstream.run())
         harness.run(0.3)
         return harness
 
@@ -233,6 +243,27 @@
     assert not harness.active(LOST)
 
 
+# Guards against tasks that run twice (rule TWICE) after a sidecar was killed:
+# the next one stopped what it found one by one, and renewed the lease besides.
+@pytest.mark.parametrize("count", [35, 250, 930])
+@pytest.mark.parametrize("stop_s", [0.001, 0.01, MAX_STOP_S])
+def test_runs_of_an_earlier_sidecar_end_with_its_lease(
+    make_harness, count, stop_s
+):
+    harness = make_harness(stop_s=stop_s)
+    harness.start(LOST, count)
+    harness.run(0.5)
+    assert len(harness.active(LOST)) == count
+    harness.restart_sidecar()
+    limit_s = LEASE_S * (1 + MAX_CLOCK_DRIFT) + MAX_STOP_S
+    assert harness.time_to_end(LOST) <= limit_s + TOLERANCE_S
+    harness.run(0.5)
+    assert harness.upstream.has_no_orphans
+    harness.start(KEPT, 1, work_s=0.1)
+    harness.run(0.5)
+    assert harness.calls[KEPT, 0].result().state is TaskState.DONE
+
+
 def test_no_task_starts_under_a_lease_that_is_about_to_end(make_harness):
     harness = make_harness(answers_stops=False)
     harness.start(LOST, 1)
