Refuse a start while a run of the same id has not ended

Callers saw, possibly: capacity of an upstream that is never used again, and stops sent twice a second for ever; if the runs ended in another order, a sidecar that ends itself.

Cause: runs are kept by the runner's id (job, task, attempt), and another entry that gets the job again counts attempts from 1. A start with the id of a run that was still being stopped replaced it. The end of the run then went to the new one, and the earlier call waited for ever, or failed with a KeyError.

The test test_start_beside_an_active_run_of_the_same_id_is_refused ended with the KeyError before.

Change: such a start is answered as not run, which the entry repeats; the runner would have refused it too.

--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -176,6 +176,11 @@
             return self._make_result(
                 start_s, TaskState.NOT_RUN, b"the lease is about to end"
             )
+        if run.run_id in self.runs or run.run_id in self.orphans:
+            # Another entry started it, for an earlier submission of the job.
+            return self._make_result(
+                start_s, TaskState.NOT_RUN, b"an earlier start has not ended"
+            )
         self.runs[run.run_id] = run
         run.start_until_s = until_s
         try:
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -404,6 +404,34 @@
     assert later.has_no_orphans
 
 
+# Guards against capacity that is never freed: after a client had submitted its
+# job to another entry, a start with the same run id replaced the run that was
+# being stopped, whose end then went to the new one.
+def test_start_beside_an_active_run_of_the_same_id_is_refused(harness):
+    first = harness.run(work_s=30.0)
+    harness.wait_for("start")
+    harness.upstream.stop(REF)
+    second = harness.result_of(harness.run(work_s=30.0))
+    assert second.state is TaskState.NOT_RUN
+    done = harness.renew_until_done(first)
+    assert done.state is TaskState.INTERRUPTED
+    assert harness.upstream.runs == {}
+    assert harness.client.requests == ["start", "stop"]
+
+
+def test_start_beside_an_orphan_of_the_same_id_is_refused(harness):
+    harness.run(work_s=30.0)
+    harness.wait_for("start")
+    harness.upstream = harness.make_upstream()
+    harness.client.stops_to_hold = 1
+    harness.renew()
+    second = harness.result_of(harness.run(work_s=30.0))
+    assert second.state is TaskState.NOT_RUN
+    harness.client.release.set()
+    harness.settle()
+    assert harness.runner.active == {}
+
+
 def test_no_task_starts_before_the_first_contact(harness):
     harness.upstream = harness.make_upstream()
     result = harness.result_of(harness.run())
