Replace the test of queued requests by one without a race

HTTP/1.1 lets a server close a connection without announcing it.

As strict: the last answer is now made when the server knows the end of the stream. The order, the number of answers, exactly one `Connection: close`, in the last one, and the end of the connection are asserted.

--- a/sardinestair/web/tests/test_server.py
+++ b/sardinestair/web/tests/test_server.py
@@ -175,16 +175,47 @@
         assert caller.recv(12) == b"HTTP/1.1 200"
 
 
-def test_queued_requests_are_answered_in_order(start):
+def await_half_closed(server):
+    """Waits until the server knows that its only caller sends no more."""
+    deadline_s = time.monotonic() + TIMEOUT_S
+    (connection,) = list(server.connections)
+    while not connection.is_half_closed:
+        assert time.monotonic() < deadline_s
+        time.sleep(0.005)
+
+
+def test_queued_requests_are_answered_in_order(start, release):
+    """The last answer is made when the end of the stream is known."""
     server = start()
     bodies = [b"<%d>" % number for number in range(40)]
     data = b"".join(ECHO_HEAD % len(body) + body for body in bodies)
-    caller = connect(server, data)
+    caller = connect(server, data + WAIT_REQUEST)
     caller.shutdown(socket.SHUT_WR)
+    await_half_closed(server)
+    release.set()
     received = read_all(caller)
     assert re.findall(rb"<\d+>", received) == bodies
-    assert received.count(b"HTTP/1.1 200 ") == len(bodies)
+    assert received.count(b"HTTP/1.1 200 ") == len(bodies) + 1
     assert received.count(b"Connection: close") == 1
+    last = received.rindex(b"HTTP/1.1 200 ")
+    assert b"Connection: close" in received[last:]
+    assert received.endswith(b"done")
+
+
+def test_stream_that_ends_after_the_answers_ends_the_connection(start):
+    """Too late to announce it: HTTP/1.1 lets a server close at any time."""
+    server = start()
+    bodies = [b"<%d>" % number for number in range(40)]
+    data = b"".join(ECHO_HEAD % len(body) + body for body in bodies)
+    caller = connect(server, data)
+    received = b""
+    while received.count(b"<") < len(bodies) or received[-1:] != b">":
+        received += caller.recv(65536)
+    caller.shutdown(socket.SHUT_WR)
+    received += read_all(caller)
+    assert re.findall(rb"<\d+>", received) == bodies
+    assert received.count(b"HTTP/1.1 200 ") == len(bodies)
+    assert b"Connection: close" not in received
 
 
 def test_request_in_many_pieces_is_answered(start):
