Skip endpoints that no socket can be connected to

Cause: an endpoint from outside was any text. A socket that is connected to "tcp://" raises an error, which an announcer, or the link to a sidecar, takes as a violated invariant. Other ways of the same text: entries named by other entries, hellos of entries, announcements of sidecars, and the settings.

Change: records and announcements whose endpoint is not host:port with a port of 1 to 65535 can't be decoded, and are logged and skipped as others are; invalid ones in lists are left out; settings with one are rejected with its value.

A property checks with the library itself that what is accepted can be connected to.

--- a/sardinestair/membership/peers.py
+++ b/sardinestair/membership/peers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sardinestair.endpoints import select_endpoints
 from sardinestair.ids import Incarnation
 
 __all__ = ["Peer", "PeerDirectory"]
@@ -58,13 +59,14 @@
                 self.peers[endpoint] = Peer(endpoint, True, now_s)
 
     def learn(self, endpoints: list[str], now_s: float) -> list[str]:
-        """Adds entries that other processes know.
+        """Adds entries that other processes know; skips invalid endpoints.
 
         Returns:
             The endpoints that were not known before.
         """
         known = {self.own_endpoint, *self.peers}
-        new = [e for e in dict.fromkeys(endpoints) if e not in known]
+        valid = select_endpoints(dict.fromkeys(endpoints))
+        new = [endpoint for endpoint in valid if endpoint not in known]
         for endpoint in new:
             self.peers[endpoint] = Peer(endpoint, False, now_s)
         return new
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from msgspec import Meta
 
+from sardinestair.endpoints import check_endpoint
 from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.files import SettingsError, load_yaml
 from sardinestair.settings.tree import Overrides
@@ -146,6 +147,15 @@
     link: LinkTiming = msgspec.field(default_factory=LinkTiming)
     platform: EntryPlatform | None = None
 
+    def __post_init__(self) -> None:
+        """Checks the endpoints of the other entries.
+
+        Raises:
+            ValueError: If one is not host:port.
+        """
+        for endpoint in self.peers:
+            check_endpoint(endpoint)
+
 
 class SidecarSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Settings of a sidecar.
@@ -182,8 +192,11 @@
         """Checks that the sidecar has a way to find entries.
 
         Raises:
-            ValueError: If neither `entries` nor `platform` is given.
+            ValueError: If neither `entries` nor `platform` is given, or an
+                endpoint is not host:port.
         """
+        for endpoint in [*self.entries, *filter(None, [self.advertise])]:
+            check_endpoint(endpoint)
         if not self.entries and self.platform is None:
             raise ValueError(
                 "entries must list at least one endpoint unless platform is set"
--- a/sardinestair/settings/tests/test_files.py
+++ b/sardinestair/settings/tests/test_files.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from sardinestair.settings import EntrySettings, SettingsTree
+from sardinestair.settings import (
+    EntrySettings,
+    SettingsTree,
+    SidecarSettings,
+)
 from sardinestair.settings.files import parse_yaml
 from sardinestair.settings.process import load_process_settings
 
@@ -45,3 +49,10 @@
     environment = {"SARDINESTAIR_LINK_PORT": "70010"}
     loaded = load_process_settings(str(file), EntrySettings, environment)
     assert "link_port" in str(loaded.error)
+
+
+@pytest.mark.parametrize("endpoint", ["", "abc", "10.0.0.1", "10.0.0.1:70000"])
+def test_endpoints_of_other_processes_are_checked(endpoint):
+    for kind, field in ((EntrySettings, "peers"), (SidecarSettings, "entries")):
+        parsed = parse_yaml(f"{field}: ['{endpoint}']", kind, "x.yaml")
+        assert "endpoint must be host:port" in str(parsed.error)
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -6,6 +6,7 @@
 import zmq
 
 from sardinestair.clock import Clock, SystemClock
+from sardinestair.endpoints import select_endpoints
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.membership import Announcer, choose_entries
@@ -185,7 +186,8 @@
     def _known_entries(self, learned: list[str]) -> list[str]:
         """Returns the configured entries, and those learned recently."""
         now_s = self.clock.monotonic()
-        self.last_learned_s.update(dict.fromkeys(learned, now_s))
+        valid = select_endpoints(learned)
+        self.last_learned_s.update(dict.fromkeys(valid, now_s))
         self.last_learned_s = {
             entry: at_s
             for entry, at_s in self.last_learned_s.items()
--- a/sardinestair/store/registration.py
+++ b/sardinestair/store/registration.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Result
 
+from sardinestair.endpoints import check_endpoint
 from sardinestair.messages import DECODE_ERRORS
 from sardinestair.observability import EventLog
 from sardinestair.store.port import (
@@ -38,6 +39,14 @@
     endpoint: str
     http_address: str
 
+    def __post_init__(self) -> None:
+        """Checks the endpoint.
+
+        Raises:
+            ValueError: If it is not host:port.
+        """
+        check_endpoint(self.endpoint)
+
 
 def read_entries(
     store: Store, may_be_stale: bool = False
--- /dev/null
+++ b/sardinestair/tests/test_endpoints.py
@@ -0,0 +1,82 @@
+"""Endpoints that another process names can be connected to, or are skipped."""
+
+import msgspec
+import pytest
+import zmq
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sardinestair.endpoints import is_endpoint
+from sardinestair.ids import Incarnation
+from sardinestair.membership import PeerDirectory
+from sardinestair.messages import DECODE_ERRORS, Announce
+from sardinestair.store.port import KeyValue
+from sardinestair.store.registration import EntryRecord, _decode_records
+
+VALID = ["10.1.0.13:7101", "localhost:1", "entry-1.example:65535"]
+INVALID = [
+    "", "abc", "127.0.0.1", "127.0.0.1:", ":7101", "127.0.0.1:0",
+    "127.0.0.1:65536", "127.0.0.1:7101/", "tcp://127.0.0.1:7101", "a b:1",
+    "127.0.0.1:7101\n", "127.0.0.1:*", "127.0.0.1:\u0661", "\x00:1", "-:1",
+]  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def context():
+    context = zmq.Context()
+    yield context
+    context.destroy(linger=0)
+
+
+def can_connect(context, endpoint):
+    with context.socket(zmq.DEALER) as socket:
+        try:
+            socket.connect(f"tcp://{endpoint}")
+        except (zmq.ZMQError, ValueError):
+            return False
+    return True
+
+
+@pytest.mark.parametrize("endpoint", VALID)
+def test_valid_endpoint_is_used(context, endpoint):
+    assert is_endpoint(endpoint)
+    assert can_connect(context, endpoint)
+
+
+# Guards against processes that end themselves (rule Fault), again and again, as
+# long as the store holds the record of an entry without an address.
+@pytest.mark.parametrize("endpoint", INVALID)
+def test_record_with_an_invalid_endpoint_is_skipped(endpoint):
+    good = EntryRecord("e2", VALID[0], "")
+    bad = {"entry": "e1", "endpoint": endpoint, "http_address": ""}
+    items = [
+        KeyValue("entries/e1", msgspec.json.encode(bad), 1),
+        KeyValue("entries/e2", msgspec.json.encode(good), 2),
+    ]
+    assert _decode_records(items) == [good]
+
+
+@pytest.mark.parametrize("endpoint", INVALID)
+def test_invalid_endpoint_of_a_peer_is_not_learned(endpoint):
+    peers = PeerDirectory("127.0.0.1:1")
+    assert peers.learn([endpoint, VALID[0]], now_s=0.0) == [VALID[0]]
+
+
+@pytest.mark.parametrize("endpoint", INVALID)
+def test_announcement_with_an_invalid_endpoint_is_undecodable(endpoint):
+    announce = Announce(
+        Incarnation(b"s" * 16), "tcp://127.0.0.1:1", "z", "q", 8, False, 0
+    )
+    row = msgspec.to_builtins(announce)
+    row[row.index("tcp://127.0.0.1:1")] = f"tcp://{endpoint}"
+    with pytest.raises(DECODE_ERRORS):
+        msgspec.msgpack.decode(msgspec.msgpack.encode(row), type=Announce)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.text(max_size=30)
+    | st.from_regex(r"[0-9a-z.:*;/\[\]-]{0,20}:[0-9]{1,6}", fullmatch=True)
+)
+def test_accepted_endpoints_can_be_connected_to(context, endpoint):
+    assert not is_endpoint(endpoint) or can_connect(context, endpoint)
