Set the level of the log in the test of slow stops

The test failed in the whole suite (1 failed, 679 passed) and passed alone: an earlier test may leave the level of the project's logger above warnings. Its assertions are the same.

--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -374,6 +374,7 @@
 
 def test_stops_that_take_long_are_logged_together(harness, caplog):
     """Otherwise stops that wait for each other look like slow upstreams."""
+    caplog.set_level("WARNING", logger="sardinestair")
     harness.client.stops_to_hold = 3
     results = [harness.run(TaskRef(REF.job, n, 1), 30.0) for n in range(3)]
     for index in range(3):
