Serve jobs beside an upstream that has no capacity

Cause: the mean size of a task in credits began as an eighth of the capacity that the first announcement named, 0 here, and only a placement moved it; the number of tasks that fit is a quotient by it. And the wait for faster upstreams is a quotient by their completions, 0 if the only faster one has shrunk to nothing.

Change: before the first task the size follows the capacity in force, and is one unit at least; upstreams without capacity are not waited for.

--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -316,7 +316,7 @@
             return Demand(0, 0.0)
         waiting = self.queue.waiting_tasks
         # Whole tasks: the rest of a grant could only be returned.
-        steps = round(waiting * link.candidate.mean_task_units_ / units)
+        steps = round(waiting * link.candidate.mean_task_units / units)
         wanted = max(1, steps) * units
         return Demand(wanted, job.order_key_s - now_s, units)
 
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -15,7 +15,7 @@
     Entry,
     make_announce,
 )
-from sardinestair.ids import JobId
+from sardinestair.ids import Incarnation, JobId
 from sardinestair.jobs import JobState
 from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
 from sardinestair.limits.resources import Resources
@@ -312,3 +312,32 @@
     entry.dispatcher.run_periodic_checks()
     assert state.queue.waiting_tasks
     assert not state.declined
+
+
+# Guards against entries that answer every job with 500 (rule RECOVER) after a
+# restart while one of their upstreams has no processor.
+def test_job_is_served_beside_an_upstream_without_capacity():
+    entry = Entry(max_attempts=3)
+    empty = Incarnation(b"3" * 16)
+    link = entry.dispatcher.handle_announcement(
+        make_announce(empty, Resources(0, 65536, 0))
+    )
+    link.state = LinkState.UP
+    assert entry.submit(tasks=4).is_ok()
+    sidecars = {sidecar for sidecar, _ in entry.in_flight().values()}
+    assert len(entry.in_flight()) == 4
+    assert empty not in sidecars
+
+
+def test_job_waits_while_no_upstream_has_capacity():
+    entry = Entry(max_attempts=3)
+    for sidecar in (A, B):
+        shrunk = make_announce(sidecar, Resources(0, 65536, 0))
+        entry.dispatcher.handle_announcement(shrunk)
+    assert entry.submit(tasks=4).is_ok()
+    assert not entry.in_flight()
+    for sidecar in (A, B):
+        entry.dispatcher.handle_announcement(make_announce(sidecar))
+    with entry.dispatcher.lock:
+        entry.dispatcher.place_waiting()
+    assert len(entry.in_flight()) == 4
--- a/sardinestair/placement/candidate.py
+++ b/sardinestair/placement/candidate.py
@@ -30,7 +30,8 @@
         slowdown_: Learned run time relative to a typical upstream; 2.0 means
             that tasks take twice as long.
         mean_run_s_: Moving average of the run time of its tasks, in seconds.
-        mean_task_units_: Moving average of the units that one task occupies.
+        mean_task_units_: Moving average of the units that one task occupies;
+            None before the first task.
     """
 
     __slots__ = (
@@ -60,19 +61,33 @@
         self.zone = zone
         self.slots = slots
         self.capacity = capacity
-        self.mean_task_units_ = (
-            1.0 if capacity is None else slots / DEFAULT_CONCURRENCY
-        )
+        self.mean_task_units_: float | None = None
         self.is_usable = True
         self.credits = 0
         self.outstanding = 0
         self.slowdown_ = 1.0
         self.mean_run_s_ = DEFAULT_RUN_S
 
+    @property
+    def mean_task_units(self) -> float:
+        """Units that an average task occupies, at least one.
+
+        Before the first task, a share of the capacity in force. An upstream
+        may announce no capacity for a time.
+        """
+        if self.mean_task_units_ is not None:
+            return self.mean_task_units_
+        if self.capacity is None:
+            return 1.0
+        return max(1.0, self.slots / DEFAULT_CONCURRENCY)
+
     @property
     def concurrency(self) -> float:
-        """Number of average tasks that the upstream runs concurrently."""
-        return self.slots / self.mean_task_units_
+        """Number of average tasks that the upstream runs concurrently.
+
+        It is 0 as long as the upstream has no capacity.
+        """
+        return self.slots / self.mean_task_units
 
     def units_needed(self, need: Resources | None) -> int | None:
         """Returns the credit units of a task, or None if it never fits."""
@@ -85,8 +100,9 @@
 
     def observe_units(self, units: int) -> None:
         """Updates the average units per task with a task that was started."""
-        self.mean_task_units_ += SMOOTHING_FACTOR * (
-            units - self.mean_task_units_
+        mean_units = self.mean_task_units
+        self.mean_task_units_ = mean_units + SMOOTHING_FACTOR * (
+            units - mean_units
         )
 
     def observe_run_time(self, run_s: float) -> None:
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -132,8 +132,8 @@
 
     Attributes:
         available: Candidates with credits, the fastest first.
-        busy: Usable candidates without enough credits for an average task,
-            the fastest first.
+        busy: Usable candidates with a capacity, but without enough credits
+            for an average task, the fastest first.
 
     Examples:
         >>> policy = LeastExpectedFinish()
@@ -158,8 +158,9 @@
         """Adds a candidate, or updates one that has changed."""
         self.available.update(candidate, candidate.credits > 0)
         is_busy = (
-            candidate.credits < candidate.mean_task_units_
-            and candidate.is_usable
+            candidate.is_usable
+            and candidate.concurrency > 0
+            and candidate.credits < candidate.mean_task_units
         )
         self.busy.update(candidate, is_busy)
 
