Let rejected heartbeats have no effect on later ones

Cause: the heartbeat was noted as the latest before it was known whether it can be applied; it was answered with 400, but all of the runner's own came after that as late.

Change: the state is looked up before the heartbeat is noted. A service that is no name, and an address that is not host:port, are rejected too: they reached the announcement as they were.

Open: a heartbeat of another writer that is valid in itself, with a later `born` and another service, still replaces the runner's own.

--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -59,6 +59,20 @@
                 "heartbeat_unreadable", runner=runner, reason=str(error)
             )
             return json_response({}, 400)
+        commands = {
+            READY: lambda: self.server.announce(
+                self._to_announcement(heartbeat)
+            ),
+            DRAINING: self.server.leave,
+        }
+        command = commands.get(heartbeat.state)
+        if command is None:
+            self.log.warning(
+                "heartbeat_unknown_state",
+                runner=runner,
+                state=heartbeat.state,
+            )
+            return json_response({}, 400)
         heartbeat_id = (heartbeat.born, heartbeat.sequence)
         has_left = 0 < heartbeat.born <= self.left_born
         if heartbeat_id <= self.latest_id or has_left:
@@ -72,7 +86,8 @@
             )
             return json_response({})
         self.latest_id, self.latest_runner = heartbeat_id, runner
-        return self._apply(runner, heartbeat)
+        command()
+        return json_response({})
 
     async def deregister(self, _request: Request, runner: str) -> Response:
         """Deregisters the runner, which gets no new tasks.
@@ -89,24 +104,6 @@
         self.server.leave()
         return json_response({})
 
-    def _apply(self, runner: str, heartbeat: Heartbeat) -> Response:
-        commands = {
-            READY: lambda: self.server.announce(
-                self._to_announcement(heartbeat)
-            ),
-            DRAINING: self.server.leave,
-        }
-        command = commands.get(heartbeat.state)
-        if command is None:
-            self.log.warning(
-                "heartbeat_unknown_state",
-                runner=runner,
-                state=heartbeat.state,
-            )
-            return json_response({}, 400)
-        command()
-        return json_response({})
-
     def _to_announcement(self, heartbeat: Heartbeat) -> Announcement:
         return Announcement(
             heartbeat.service,
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -103,6 +103,30 @@
     assert server.leave_count == 0
 
 
+# Guards against runners that get no tasks any more (rule RECOVER): a heartbeat
+# of another writer with a state that is not named made the runner's own late.
+@pytest.mark.parametrize("runner", ["i-1", "i-other"])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"service": ""},
+        {"service": "Not a service"},
+        {"address": ""},
+        {"address": "10.128.0.9"},
+    ],
+)
+def test_rejected_heartbeat_makes_no_other_late(app, server, runner, changes):
+    send_heartbeat(app, born=1000, sequence=1)
+    changes = {"born": 9000, "sequence": 50, **changes}
+    assert send_heartbeat(app, runner, **changes) == 400
+    assert send_heartbeat(app, born=1000, sequence=2) == 200
+    assert len(server.announced) == 2
+    path = "/instances/i-1/deregister"
+    assert send_request(app, "POST", path).status == 200
+    assert server.leave_count == 1
+
+
 def test_deregistered_runner_gets_no_new_work(app, server):
     assert send_request(app, "POST", "/instances/i-1/deregister").status == 200
     assert server.leave_count == 1
--- a/sardinestair/platform/wire.py
+++ b/sardinestair/platform/wire.py
@@ -9,7 +9,9 @@
 import msgspec
 from msgspec import Meta
 
+from sardinestair.endpoints import check_endpoint
 from sardinestair.limits.resources import Resources
+from sardinestair.upstreams.upstream import SERVICE_NAME_PATTERN
 
 __all__ = [
     "Capacity",
@@ -83,7 +85,7 @@
         labels: Kind and rack of the runner.
     """
 
-    service: str
+    service: Annotated[str, Meta(pattern=SERVICE_NAME_PATTERN)]
     address: str
     zone: str
     state: str
@@ -95,6 +97,14 @@
     min_remaining_ms: Count | None = None
     labels: list[str] = []
 
+    def __post_init__(self) -> None:
+        """Checks the address.
+
+        Raises:
+            ValueError: If it is not host:port.
+        """
+        check_endpoint(self.address)
+
 
 class StartRequest(
     msgspec.Struct,
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -8,11 +8,16 @@
 
 from sardinestair.limits.resources import Resources
 
-__all__ = ["Announcement", "Upstream", "UpstreamState"]
+__all__ = [
+    "SERVICE_NAME_PATTERN",
+    "Announcement",
+    "Upstream",
+    "UpstreamState",
+]
 
 MAX_SLOTS = 4096
 MAX_TTL_S = 300.0
-_SERVICE_NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+SERVICE_NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -31,7 +36,7 @@
             slots.
     """
 
-    service: Annotated[str, Meta(pattern=_SERVICE_NAME)]
+    service: Annotated[str, Meta(pattern=SERVICE_NAME_PATTERN)]
     address: Annotated[str, Meta(pattern=r"^http://[^/\s]+$")]
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     connections: Annotated[int, Meta(ge=1, le=65536)] = 64
