Reject heartbeats with a capacity that can't be

Cause: numbers had no upper bound where they are decoded, and can't be encoded in the announcement; missing fields were taken as 0, as for tasks, where fields that are 0 are omitted. A runner names its processors and memory also if they are 0.

--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -127,6 +127,32 @@
     assert server.leave_count == 1
 
 
+# Guards against a sidecar that ends itself, as it can't announce such a number,
+# and against a runner that counts as full for want of a field.
+@pytest.mark.parametrize(
+    "capacity",
+    [
+        {},
+        {"cpu": 16000},
+        {"mem_mb": 32768},
+        {"cpu": 2**64, "mem_mb": 32768, "gpu": 0},
+        {"cpu": 16000, "mem_mb": 2**63, "gpu": 0},
+        {"cpu": 16000, "mem_mb": 32768, "gpu": 2**64},
+        {"cpu": -1, "mem_mb": 32768, "gpu": 0},
+        {"cpu": 1.5, "mem_mb": 32768, "gpu": 0},
+    ],
+)
+def test_capacity_that_can_not_be_is_rejected(app, server, capacity):
+    assert send_heartbeat(app, capacity=capacity) == 400
+    assert server.announced == []
+
+
+def test_runner_may_have_no_processor_for_a_time(app, server):
+    capacity = {"cpu": 0, "mem_mb": 32768, "gpu": 0}
+    assert send_heartbeat(app, capacity=capacity) == 200
+    assert server.announced[0].capacity == Resources(0, 32768, 0)
+
+
 def test_deregistered_runner_gets_no_new_work(app, server):
     assert send_request(app, "POST", "/instances/i-1/deregister").status == 200
     assert server.leave_count == 1
--- a/sardinestair/platform/wire.py
+++ b/sardinestair/platform/wire.py
@@ -24,6 +24,7 @@
     "LeaseRequest",
     "RangeReply",
     "RefusalReply",
+    "RunnerCapacity",
     "ReportReply",
     "ReportRequest",
     "StartRequest",
@@ -36,7 +37,10 @@
     "WatchReply",
 ]
 
-Count = Annotated[int, Meta(ge=0)]
+# Larger numbers are not exact in JSON, and too large ones can't be passed on.
+MAX_COUNT = 2**53
+
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 Milliseconds = Annotated[int, Meta(ge=0)]
 
 
@@ -61,6 +65,13 @@
 # Messages to and from runners.
 
 
+class RunnerCapacity(Capacity, kw_only=True, frozen=True):
+    """Resources of a runner, which names them also if they are 0."""
+
+    cpu_millis: Count
+    mem_mb: Count
+
+
 class Heartbeat(
     msgspec.Struct,
     frozen=True,
@@ -89,7 +100,7 @@
     address: str
     zone: str
     state: str
-    capacity: Capacity
+    capacity: RunnerCapacity
     sequence: Count
     slots: Count = 0
     born: Count = 0
