Don't run a job again whose caller has cancelled it

Cause: a job that needn't be kept may be run again after it has failed or was cancelled, as a broken connection cancels it and the caller submits it again. It was not told apart from a job that the caller has cancelled by a request. Likewise for a job that had failed, or whose caller had left, before the DELETE came.

Change: a DELETE marks the job, whatever its state; a submission after it gets the job's answer (`canceled`, or how it had ended) and runs nothing.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -273,34 +273,41 @@
             return self.registry.find(job_id)
 
     def cancel(self, job_id: JobId) -> Job | None:
-        """Cancels a job at the request of its caller.
+        """Cancels a job at the request of its caller; it never runs again.
 
         Returns:
             The job, or None if it is not known. A job that has already ended
-            is returned unchanged.
+            keeps its answer.
         """
         with self.lock:
             job = self.registry.find(job_id)
-            if job is not None and job.is_active:
-                problem = Problem(
-                    ProblemKind.CANCELLED,
-                    "the caller cancelled the job",
-                    not_run=job.is_not_run,
-                )
-                job.cancel(problem)
-                self.job_finalizer.finalize(job)
-                self.place_waiting()
+            if job is not None:
+                job.is_withdrawn = True
+                self._cancel_if_active(job)
             return job
 
+    def _cancel_if_active(self, job: Job) -> None:
+        if not job.is_active:
+            return
+        problem = Problem(
+            ProblemKind.CANCELLED,
+            "the caller cancelled the job",
+            not_run=job.is_not_run,
+        )
+        job.cancel(problem)
+        self.job_finalizer.finalize(job)
+        self.place_waiting()
+
     def handle_caller_disconnect(self, job: Job) -> None:
         """Cancels a job once the last caller waiting for it has disconnected.
 
-        A resubmission that is still waiting keeps the job active.
+        A resubmission that is still waiting keeps the job active, and a later
+        one may run the job again.
         """
         with self.lock:
             job.waiters -= 1
             if job.waiters <= 0:
-                self.cancel(job.job_id)
+                self._cancel_if_active(job)
 
     def run_periodic_checks(self) -> None:
         """Fails expired jobs and checks the queues; called by the timer."""
@@ -601,6 +608,8 @@
 
 def _can_run_again(existing: Job, parsed: ParsedRequest) -> bool:
     """Returns True if a resubmission starts a new job."""
+    if existing.is_withdrawn:
+        return False
     if existing.ended_not_run:
         return True
     has_failed = existing.state in (JobState.FAILED, JobState.CANCELLED)
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -341,3 +341,32 @@
     with entry.dispatcher.lock:
         entry.dispatcher.place_waiting()
     assert len(entry.in_flight()) == 4
+
+
+# Guards against tasks that start after their job was cancelled (rule UNASKED):
+# a late duplicate of its submission ran the whole job again.
+@pytest.mark.parametrize("ending", ["active", "caller left", "failed"])
+def test_duplicate_of_a_cancelled_job_does_not_run(entry, ending):
+    job = entry.submit(best_effort=True).ok
+    if ending == "caller left":
+        entry.dispatcher.handle_caller_disconnect(job)
+    elif ending == "failed":
+        for _ in range(2):
+            entry.report_outcome(0, TaskState.FAILED)
+        assert job.state is JobState.FAILED
+    entry.dispatcher.cancel(job.job_id)
+    if entry.in_flight():
+        entry.report_outcome(0, TaskState.INTERRUPTED)
+    entry.clock.advance(4.0)
+    assert entry.submit(best_effort=True).ok is job
+    assert not entry.in_flight()
+
+
+def test_cancelling_reaches_a_duplicate_that_waits_for_earlier_runs(entry):
+    job = entry.submit(best_effort=True).ok
+    entry.dispatcher.handle_caller_disconnect(job)
+    assert entry.submit(best_effort=True).error is EARLIER_RUNS_ACTIVE
+    entry.dispatcher.cancel(job.job_id)
+    assert entry.submit(best_effort=True).ok is job
+    entry.report_outcome(0, TaskState.INTERRUPTED)
+    assert not entry.in_flight()
