Cancel a job at whichever entry it is

Callers saw: a client submitted a job on a channel to another entry than its own, and cancelled it on a new channel to its own, which answered 410. By the same cause, a duplicate of a cancelled job's POST at another entry would have run.

Cause: an entry looked only among its own jobs. The entries' own API asks the others; the platform's did not, and asking says nothing of submissions that come later.

Change: entries remember the ids that callers have cancelled, known or not, and send them to all others within 0.5 s, in the messages that they exchange anyway (a field that earlier versions ignore, and that is empty in theirs). The others cancel the job, and answer a later submission as cancelled without running it.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -21,7 +21,13 @@
     JobId,
     format_incarnation,
 )
-from sardinestair.jobs import CrashHistory, Job, JobRegistry, JobState
+from sardinestair.jobs import (
+    CrashHistory,
+    Job,
+    JobRegistry,
+    JobState,
+    WithdrawnJobs,
+)
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
@@ -40,7 +46,7 @@
 from sardinestair.settings.tree import resolve_settings
 from sardinestair.store.claims import Claim, ClaimOutcome, ClaimWriter
 
-__all__ = ["EARLIER_RUNS_ACTIVE", "Dispatcher"]
+__all__ = ["EARLIER_RUNS_ACTIVE", "WITHDRAWN", "Dispatcher"]
 
 EARLIER_RUNS_ACTIVE = Problem(
     ProblemKind.UNAVAILABLE,
@@ -51,6 +57,13 @@
 )
 """Refuses a resubmission while an earlier run of its job may be active."""
 
+WITHDRAWN = Problem(
+    ProblemKind.CANCELLED,
+    "the caller has cancelled the job; this submission did not run",
+    not_run=True,
+)
+"""Refuses a submission of a job that was cancelled before it came."""
+
 BUSY_CHECK_INTERVAL_S = 0.02
 IDLE_CHECK_INTERVAL_S = 0.25
 # Upper bound on the extra delay before an overdue task is detected.
@@ -81,6 +94,8 @@
         links: Links by sidecar.
         registry: The known jobs.
         crashes: Crashes of upstreams, by task.
+        withdrawn: Jobs that callers have cancelled, here or at other entries.
+        on_withdrawn: Called when a caller has cancelled a job here.
         deadline_heap: Deadlines of accepted jobs, as a heap.
         services_to_place: Services whose queue or upstreams have changed
             since tasks were last placed.
@@ -121,6 +136,8 @@
         self.links: dict[Incarnation, EntryLink] = {}
         self.registry = JobRegistry(retention_s)
         self.crashes = CrashHistory(retention_s)
+        self.withdrawn = WithdrawnJobs(retention_s)
+        self.on_withdrawn: Callable[[], None] = lambda: None
         self.claims = claims
         self.deadline_heap: list[tuple[float, int, Job]] = []
         self.tie_breaker = itertools.count()
@@ -234,11 +251,17 @@
         """
         with self.lock:
             existing = self.registry.find(parsed.job_id)
-            if existing is not None and _is_rerun_blocked(existing, parsed):
-                return Error(EARLIER_RUNS_ACTIVE)
-            if existing is not None and not _can_run_again(existing, parsed):
+            is_withdrawn = parsed.job_id in self.withdrawn
+            if existing is None and is_withdrawn:
+                return Error(WITHDRAWN)
+            can_run_again = existing is not None and (
+                not is_withdrawn and _can_run_again(existing, parsed)
+            )
+            if existing is not None and not can_run_again:
                 existing.waiters += 1
                 return _attach(existing, parsed)
+            if existing is not None and existing.in_flight:
+                return Error(EARLIER_RUNS_ACTIVE)
             refusal = self.admission_controller.check(
                 parsed, self._service_state
             )
@@ -280,12 +303,22 @@
             keeps its answer.
         """
         with self.lock:
+            now_s = self.clock.monotonic()
+            self.withdrawn.add([job_id], now_s, is_own=True)
+            self.on_withdrawn()
             job = self.registry.find(job_id)
             if job is not None:
-                job.is_withdrawn = True
                 self._cancel_if_active(job)
             return job
 
+    def handle_withdrawn(self, job_ids: list[JobId]) -> None:
+        """Cancels jobs that callers of another entry have cancelled."""
+        with self.lock:
+            for job_id in self.withdrawn.add(job_ids, self.clock.monotonic()):
+                job = self.registry.find(job_id)
+                if job is not None:
+                    self._cancel_if_active(job)
+
     def _cancel_if_active(self, job: Job) -> None:
         if not job.is_active:
             return
@@ -608,19 +641,12 @@
 
 def _can_run_again(existing: Job, parsed: ParsedRequest) -> bool:
     """Returns True if a resubmission starts a new job."""
-    if existing.is_withdrawn:
-        return False
     if existing.ended_not_run:
         return True
     has_failed = existing.state in (JobState.FAILED, JobState.CANCELLED)
     return parsed.request.best_effort and has_failed
 
 
-def _is_rerun_blocked(existing: Job, parsed: ParsedRequest) -> bool:
-    """Returns True if a new job has to wait for runs of the earlier one."""
-    return _can_run_again(existing, parsed) and bool(existing.in_flight)
-
-
 def _attach(existing: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
     if existing.digest == parsed.digest:
         return Ok(existing)
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -18,6 +18,9 @@
 # two, as each entry passes them on.
 MAX_MESSAGES_PER_S = 4.0
 MIN_PEER_TIMEOUT_S = 5.0
+# Other entries learn within this time which jobs were cancelled; longer would
+# let their tasks run on, shorter would need a message for each job.
+WITHDRAWAL_DELAY_S = 0.5
 
 
 class Gossip:
@@ -86,6 +89,11 @@
             if announcer is not None:
                 announcer.stop()
 
+    def share_withdrawn(self) -> None:
+        """Sends the jobs that were cancelled to the other entries soon."""
+        for announcer in self.announcers.values():
+            announcer.notify_within(WITHDRAWAL_DELAY_S)
+
     def _add_announcer(self, endpoint: str) -> None:
         if self.stopping:
             return
@@ -104,11 +112,16 @@
         self.start_announcer(announcer)
 
     def _make_hello(self) -> PeerHello:
+        dispatcher = self.membership.dispatcher
         return PeerHello(
-            self.membership.dispatcher.incarnation,
+            dispatcher.incarnation,
             self.membership.peers.own_endpoint,
             self.membership.http_address,
             self.membership.settings_revision,
+            # In two messages at least, as one may be lost.
+            dispatcher.withdrawn.recent(
+                dispatcher.clock.monotonic(), 2 * self.interval_s
+            ),
         )
 
     def _adopt(self, reply: PeerReply) -> None:
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -133,6 +133,7 @@
         self.peers.observe(
             hello.endpoint, hello.http_address, hello.entry, now_s
         )
+        self.dispatcher.handle_withdrawn(hello.withdrawn)
         settings = b""
         if hello.settings_revision < self.settings_revision:
             settings = msgspec.json.encode(self.dispatcher.tree)
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -130,6 +130,7 @@
             ),
             self.adopt,
         )
+        self.dispatcher.on_withdrawn = self.gossip.share_withdrawn
         self.budgets = self._make_budgets()
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -6,9 +6,10 @@
 import msgspec
 import pytest
 
-from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE
+from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, WITHDRAWN
 from sardinestair.entry.resubmission import submit_after_earlier_runs
 from sardinestair.entry.tests.harness import (
+    JOB,
     TIMING,
     A,
     B,
@@ -370,3 +371,24 @@
     assert entry.submit(best_effort=True).ok is job
     entry.report_outcome(0, TaskState.INTERRUPTED)
     assert not entry.in_flight()
+
+
+def test_job_that_is_cancelled_at_another_entry_is_stopped(entry):
+    job = entry.submit(best_effort=True, tasks=4).ok
+    entry.dispatcher.handle_withdrawn([job.job_id])
+    assert job.state is JobState.CANCELLED
+    refs = {ref.index for _, ref in entry.in_flight().values()}
+    cancelled = {
+        ref.index
+        for link in entry.links.values()
+        for message in link.outbox
+        if isinstance(message, Cancel)
+        for ref in message.tasks
+    }
+    assert cancelled == refs == {0, 1, 2, 3}
+
+
+def test_job_that_was_cancelled_at_another_entry_does_not_run(entry):
+    entry.dispatcher.handle_withdrawn([JOB])
+    assert entry.submit(best_effort=True).error is WITHDRAWN
+    assert not entry.in_flight()
--- a/sardinestair/jobs/__init__.py
+++ b/sardinestair/jobs/__init__.py
@@ -4,6 +4,7 @@
 from sardinestair.jobs.job import Answer, Job, JobState
 from sardinestair.jobs.registry import JobRegistry
 from sardinestair.jobs.request import JobRequest, parse_request
+from sardinestair.jobs.withdrawn import WithdrawnJobs
 
 __all__ = [
     "Answer",
@@ -12,5 +13,6 @@
     "JobRegistry",
     "JobRequest",
     "JobState",
+    "WithdrawnJobs",
     "parse_request",
 ]
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -93,7 +93,6 @@
         failures: Number of failed runs of each task, by index.
         is_late: True once it can no longer meet its objective.
         waiters: Number of submissions that wait for the answer.
-        is_withdrawn: True once its caller has requested that it be cancelled.
         first_start_s: Time at which the first task was sent, or None.
         last_start_s: Time at which the latest task was sent, or None.
         failed_upstreams: Sidecars of the upstreams on which a task has
@@ -152,7 +151,6 @@
         self.in_flight: dict[int, Incarnation] = {}
         self.attempts = [0] * self.task_count
         self.waiters = 1
-        self.is_withdrawn = False
         self.failures = [0] * self.task_count
         self.failed_upstreams: set[Incarnation] = set()
         self.answers: list[TaskAnswer | None] = [None] * self.task_count
--- a/sardinestair/membership/announcer.py
+++ b/sardinestair/membership/announcer.py
@@ -79,6 +79,14 @@
         if self.task is not None:
             self.task.wake()
 
+    def notify_within(self, delay_s: float) -> None:
+        """Sends an announcement within a time, in seconds."""
+        due_s = self.clock.monotonic() + delay_s
+        if due_s < self.due_s:
+            self.due_s = due_s
+            if self.task is not None:
+                self.task.wake()
+
     def stop(self) -> None:
         """Ends the announcements; a sidecar announces that it leaves."""
         if self.socket is not None:
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -315,12 +315,14 @@
         endpoint: Its membership endpoint, host:port.
         http_address: Base URL of its HTTP API.
         settings_revision: Revision of the settings tree that it has applied.
+        withdrawn: Jobs that its callers have cancelled lately.
     """
 
     entry: Incarnation
     endpoint: str
     http_address: str
     settings_revision: int
+    withdrawn: list[JobId] = []
 
 
 class PeerReply(msgspec.Struct, array_like=True):
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.dispatcher import WITHDRAWN, Dispatcher
 from sardinestair.entry.resubmission import (
     CALLER_LEFT,
     submit_after_earlier_runs,
@@ -146,6 +146,10 @@
         if accepted.is_error():
             if accepted.error is CALLER_LEFT:
                 return self._refusal_response(request, 503, CALLER_LEFT.detail)
+            if accepted.error is WITHDRAWN:
+                return json_response(
+                    {"state": _STATE_NAMES[JobState.CANCELLED]}
+                )
             return self._problem_response(accepted.error)
         return await self._wait_for_job(request, accepted.ok)
 
--- a/sardinestair/platform/tests/test_callers.py
+++ b/sardinestair/platform/tests/test_callers.py
@@ -12,6 +12,7 @@
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.platform import callers
 from sardinestair.platform.callers import ClientApi
+from sardinestair.platform.names import parse_job_name
 from sardinestair.platform.operator import read_configuration
 from sardinestair.platform.tests.test_wire import CONFIGURATION
 from sardinestair.store.port import KeyValue, Snapshot
@@ -119,6 +120,14 @@
     assert not dispatcher.count_active_jobs()
 
 
+def test_duplicate_of_a_cancelled_job_is_answered_as_cancelled(
+    dispatcher, post
+):
+    dispatcher.handle_withdrawn([parse_job_name("5c0e7a21d94b36f8")])
+    assert post().result(20) == 200
+    assert not dispatcher.registry.jobs
+
+
 # Guards against a job of nobody: its client left while it waited for earlier
 # runs to end, and the job was then accepted.
 def test_client_that_leaves_during_earlier_runs_is_not_accepted(
