Repeat interrupted runs on queues with a single attempt

Cause: a `max_attempts` of 1 means two things.

Change: a setting, `repeat_interrupted`, false by default; the platform's configuration sets it. Unrepeatable jobs ignore it.

Evidence: test_interrupted_run_is_no_attempt_if_it_is_to_be_repeated; without the setting, as before, the job fails (test_task_with_one_attempt_is_never_started_again_ by_default).

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -560,6 +560,7 @@
             None if objective_s is None else now_s + objective_s,
             now_s + state.useful_lifetime_s(settings, work.mean_s_, deadline_s),
             settings.priority,
+            settings.repeat_interrupted and not request.unrepeatable,
         )
         if previous is not None:
             job.attempts = previous.attempts
--- a/sardinestair/entry/tests/harness.py
+++ b/sardinestair/entry/tests/harness.py
@@ -28,12 +28,15 @@
 
 
 class Entry:
-    def __init__(self, max_attempts):
+    def __init__(self, max_attempts, repeat_interrupted=False):
         self.clock = ManualClock()
         self.dispatcher = Dispatcher(
             new_incarnation(), "z", self.clock, Metrics(), FakeContext(), TIMING
         )
-        limits = f"set: {{max_attempts: {max_attempts}}}"
+        limits = (
+            f"set: {{max_attempts: {max_attempts}, "
+            f"repeat_interrupted: {str(repeat_interrupted).lower()}}}"
+        )
         tree = parse_tree(limits + "\nservices: {quotes: {}}").ok
         self.dispatcher.configure(tree)
         self.links = {}
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -392,3 +392,24 @@
     entry.dispatcher.handle_withdrawn([JOB])
     assert entry.submit(best_effort=True).error is WITHDRAWN
     assert not entry.in_flight()
+
+
+# Guards against a job that is shown as failed without a failed run (rule LOST):
+# with one attempt, a crash of an upstream counted as the end of the task.
+def test_interrupted_run_is_no_attempt_if_it_is_to_be_repeated():
+    entry = Entry(max_attempts=1, repeat_interrupted=True)
+    job = entry.submit().ok
+    entry.report_outcome(0, TaskState.INTERRUPTED, STALLED)
+    assert job.is_active
+    _, ref = entry.in_flight()[0]
+    assert ref.attempt == 2
+    entry.report_outcome(0, TaskState.FAILED)
+    assert job.state is JobState.FAILED
+
+
+def test_task_with_one_attempt_is_never_started_again_by_default():
+    entry = Entry(max_attempts=1)
+    job = entry.submit().ok
+    entry.report_outcome(0, TaskState.INTERRUPTED, STALLED)
+    assert job.state is JobState.FAILED
+    assert not entry.in_flight()
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -64,7 +64,8 @@
         run_time: Estimate of the run time of its tasks.
         digest: Hash of the request, to recognise a resubmission.
         max_attempts: Number of failed runs after which a task has failed. With
-            1, a task that has started is never started again.
+            1, a task that has started is never started again, unless
+            interrupted runs are repeated.
         need: Resources that each task needs on an upstream with a capacity, or
             None if not specified.
         soft_deadline_s: Time until which an answer meets the objective;
@@ -72,6 +73,8 @@
         useful_until_s: Time until which an answer is useful; the deadline if
             None.
         priority: Priority when slots are scarce; 0 goes before 1.
+        repeat_interrupted: True if an interrupted run is repeated although
+            `max_attempts` is 1.
 
     Attributes:
         task_count: Number of tasks.
@@ -92,6 +95,8 @@
         attempts: Number of starts of each task, by index.
         failures: Number of failed runs of each task, by index.
         is_late: True once it can no longer meet its objective.
+        can_repeat: True if a task may be started again after a run that has
+            started.
         waiters: Number of submissions that wait for the answer.
         first_start_s: Time at which the first task was sent, or None.
         last_start_s: Time at which the latest task was sent, or None.
@@ -126,6 +131,7 @@
         soft_deadline_s: float | None = None,
         useful_until_s: float | None = None,
         priority: int = 0,
+        repeat_interrupted: bool = False,
     ):
         self.job_id = job_id
         self.service = service
@@ -144,6 +150,7 @@
             self.useful_until_s = min(deadline_s, useful_until_s)
         self.is_late = False
         self.max_attempts = max_attempts
+        self.can_repeat = max_attempts > 1 or repeat_interrupted
         self.priority = priority
         self.need = need
         self.task_count = len(payloads)
@@ -187,7 +194,7 @@
     @property
     def can_be_moved(self) -> bool:
         """True if a task may be stopped and started on another upstream."""
-        return self.is_active and self.max_attempts > 1
+        return self.is_active and self.can_repeat
 
     def dequeue(self, sidecar: Incarnation) -> int:
         """Moves the next waiting task to the tasks in flight.
@@ -246,7 +253,7 @@
         if state is TaskState.FAILED:
             self.failures[index] += 1
         has_attempts = self.failures[index] < self.max_attempts
-        return self.is_active and self.max_attempts > 1 and has_attempts
+        return self.is_active and self.can_repeat and has_attempts
 
     def remove_in_flight(self, index: int) -> None:
         """Removes a task from the tasks in flight."""
--- a/sardinestair/platform/operator.py
+++ b/sardinestair/platform/operator.py
@@ -88,6 +88,8 @@
     return Overrides(
         deadline_s=route.timeout_ms / MS_PER_S,
         max_attempts=route.max_attempts,
+        # Only runs that end as failed are attempts.
+        repeat_interrupted=True,
         priority=route.priority,
         objective_stretch=route.objective_stretch,
         objective_s=route.objective_ms / MS_PER_S,
--- a/sardinestair/platform/tests/test_wire.py
+++ b/sardinestair/platform/tests/test_wire.py
@@ -81,6 +81,7 @@
     assert versioned.revision == 7
     settings = resolve_settings(versioned.tree, "huvo11a", "z", "r-73d3zji")
     assert settings.max_attempts == 4
+    assert settings.repeat_interrupted
     assert settings.priority == 2
     assert settings.objective_stretch == 1.6
     assert settings.objective_s == 0.06
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -85,7 +85,11 @@
             `objective_stretch` of 0 accepts any time within the job's
             deadline.
         max_attempts: Failed runs after which a task counts as failed; with 1,
-            a task that has started is never started again.
+            a task that has started is never started again, unless
+            `repeat_interrupted` is set.
+        repeat_interrupted: Whether a run that was interrupted, for example by
+            a crash, is repeated with a `max_attempts` of 1; with more it is
+            in any case. It is not for unrepeatable jobs.
         max_crashes: Crashes of upstreams that a task may have caused before
             its job fails; one more is allowed in all, whatever the cause.
         priority: Priority of jobs when slots are scarce; 0 goes before 1.
@@ -115,6 +119,7 @@
     objective_share: float = 0.99
     objective_s: float = 0.0
     max_attempts: int = 1
+    repeat_interrupted: bool = False
     max_crashes: int = 2
     priority: int = 0
     useful_factor: float = 0.0
@@ -143,6 +148,7 @@
     objective_share: Annotated[float, Meta(ge=0, lt=1)] | UnsetType = UNSET
     objective_s: Annotated[float, Meta(ge=0, le=3600)] | UnsetType = UNSET
     max_attempts: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
+    repeat_interrupted: bool | UnsetType = UNSET
     max_crashes: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
     priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
     useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
