Forget the lease of an earlier incarnation of an upstream

Callers saw: late answers, possibly. An upstream that restarts has a clock that starts anew; the end of its lease was kept on the clock of its earlier incarnation, so that its next loss was not noticed until the new clock had passed it (seen by the reviewer, by reading).

Change: it is forgotten with the incarnation.

Evidence: test_lease_of_an_earlier_incarnation_does_not_count fails before.

--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -1,6 +1,6 @@
 """Client of the runner on the same machine."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -126,15 +126,12 @@
             specification,
             int(until_s * MS_PER_S),
         )
-        result = _to_result(
-            await self.order_transfers.perform(
-                "POST",
-                "/run-start",
-                msgspec.json.encode(start),
-                timeout_s,
-                JSON_HEADERS,
-                may_send,
-            )
+        result = await _post(
+            self.order_transfers.perform,
+            "/run-start",
+            start,
+            timeout_s,
+            may_send=may_send,
         )
         if result.is_error():
             return Error(result.error)
@@ -152,15 +149,12 @@
     ) -> Result[None, RequestError]:
         """Stops a run; see `RunClient.stop`."""
         stop = StopRequest(_format_task_name(run), run.attempt)
-        result = _to_result(
-            await self.order_transfers.perform(
-                "POST",
-                "/run-stop",
-                msgspec.json.encode(stop),
-                timeout_s,
-                JSON_HEADERS,
-                limit=self.stop_limit,
-            )
+        result = await _post(
+            self.order_transfers.perform,
+            "/run-stop",
+            stop,
+            timeout_s,
+            limit=self.stop_limit,
         )
         return result.bind(
             lambda reply: (
@@ -178,14 +172,8 @@
         """Renews the lease and reports the runs; see `RunClient.report`."""
         until_ms = None if until_s is None else int(until_s * MS_PER_S)
         request = ReportRequest(acknowledged, int(wait_s * MS_PER_S), until_ms)
-        result = _to_result(
-            await self.report_transfer.perform(
-                "POST",
-                "/hold",
-                msgspec.json.encode(request),
-                timeout_s,
-                JSON_HEADERS,
-            )
+        result = await _post(
+            self.report_transfer.perform, "/hold", request, timeout_s
         )
         if result.is_error():
             return Error(result.error)
@@ -210,7 +198,21 @@
         return _REFUSALS_BY_REASON.get(reason, Refusal.INVALID)
 
 
-def _to_result(reply: Reply | TransferFailure) -> Result[Reply, RequestError]:
+async def _post(
+    perform: Callable[..., Awaitable[Reply | TransferFailure]],
+    path: str,
+    body: msgspec.Struct,
+    timeout_s: float,
+    **options: Any,
+) -> Result[Reply, RequestError]:
+    reply = await perform(
+        "POST",
+        path,
+        msgspec.json.encode(body),
+        timeout_s,
+        JSON_HEADERS,
+        **options,
+    )
     if isinstance(reply, Reply):
         return Ok(reply)
     return Error(
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -508,6 +508,8 @@
         )
         self.incarnation_ms = incarnation_ms
         self.acknowledged = 0
+        # The clock of the earlier incarnation may have been far ahead.
+        self.lease_until_s = 0.0
 
     def _handle_ends(self, report: RunReport, known: dict[RunId, Run]) -> None:
         for end in report.ends:
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from expression import Error
 
@@ -315,6 +316,34 @@
     assert (done.has_crashed, done.is_confirmed) == (True, False)
 
 
+# Guards against an upstream whose second loss is noticed late: the end of its
+# lease was kept on the clock of an earlier incarnation, which starts anew.
+def test_lease_of_an_earlier_incarnation_does_not_count(harness):
+    harness.renew_after(100.0)
+    harness.renew()
+    restarted_s = harness.clock.monotonic()
+    report = harness.client.report
+
+    async def report_on_a_new_clock(*arguments):
+        reply = await report(*arguments)
+        return reply.map(
+            lambda r: msgspec.structs.replace(
+                r, clock_s=r.clock_s - restarted_s
+            )
+        )
+
+    harness.client.report = report_on_a_new_clock
+    harness.runner.restart()
+    harness.renew()
+    harness.renew_after(0.05)
+    harness.runner.is_suspended = True
+    for _ in range(3):
+        harness.renew_after(0.1)
+    assert not harness.lost
+    harness.renew_after(LEASE_S + 0.1)
+    assert harness.lost
+
+
 def test_run_lost_in_a_restart_has_crashed(harness):
     result = harness.run(work_s=30.0)
     harness.wait_for("start")
