Start programs on the system clock, and not end them by SIGHUP

- The start of a process was read from the monotonic clock, everything else from the clock that goes on while a machine is suspended.
After a suspension a new sidecar did not wait for late starts of the one before it.
- SIGHUP says that settings have changed.
Until its handler is installed, some tenths of a second after the start, it ended the process.
It is ignored until then, as the settings are read later anyway.

Evidence: test_start_of_the_process_is_on_the_system_clock and test_changed_settings_do_not_end_a_program_that_starts fail before.

--- a/sardinestair/entry/main.py
+++ b/sardinestair/entry/main.py
@@ -1,6 +1,7 @@
 """Entry point of `sardinestair-entry`."""
 
 import gc
+import signal
 import sys
 
 from sardinestair.launch import prepare_launch
@@ -12,6 +13,9 @@
     """Runs the program."""
     # What imports create stays. `tune_interpreter` enables the collector again.
     gc.disable()
+    # Would end the process until its handler is installed. Settings that have
+    # changed are read at the start anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     launched = prepare_launch("platform", "client_address")
     # Slow imports come after `prepare_launch`, which has opened the listener.
     # Without arguments the library of the command line is not needed.
--- a/sardinestair/launch.py
+++ b/sardinestair/launch.py
@@ -7,11 +7,12 @@
 
 import os
 import socket
-import time
 from typing import NamedTuple
 
 import yaml
 
+from sardinestair.clock import SystemClock
+
 __all__ = [
     "LISTEN_BACKLOG",
     "SETTINGS_VARIABLE",
@@ -29,8 +30,8 @@
     """Start time and early listener of a program.
 
     Attributes:
-        process_start_s: Monotonic time at or shortly after the start of the
-            process; an earlier process on the machine had ended by then.
+        process_start_s: Time at or shortly after the start of the process, on
+            `SystemClock`; an earlier process on the machine had ended by then.
         listener: The socket that already listens on the program's platform
             address, or None.
     """
@@ -51,7 +52,7 @@
         >>> prepare_launch("platform", "client_address").listener is None
         True
     """
-    return LaunchContext(time.monotonic(), _listen(section, key))
+    return LaunchContext(SystemClock().monotonic(), _listen(section, key))
 
 
 def _listen(section: str, key: str) -> socket.socket | None:
--- a/sardinestair/tests/test_launch.py
+++ b/sardinestair/tests/test_launch.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sardinestair.clock import SystemClock
 from sardinestair.launch import SETTINGS_VARIABLE, prepare_launch
 
 
@@ -55,6 +56,28 @@
         assert prepare_launch("platform", "client_address").listener is None
 
 
+# Guards against late starts of an earlier sidecar that nobody waits for: on a
+# machine that was suspended, the start of the process was on another clock.
+def test_start_of_the_process_is_on_the_system_clock(monkeypatch):
+    monkeypatch.setattr(SystemClock, "monotonic", lambda _self: 123.0)
+    assert prepare_launch("platform", "x").process_start_s == 123.0
+
+
+# Guards against a process that ends if its settings change while it starts.
+@pytest.mark.parametrize("program", ["entry", "sidecar"])
+def test_changed_settings_do_not_end_a_program_that_starts(program):
+    code = (
+        f"import os, signal, sys, sardinestair.{program}.main as program\n"
+        "def launch(*_arguments):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    sys.exit(0)\n"
+        "program.prepare_launch = launch\n"
+        "program.main()"
+    )
+    completed = subprocess.run([sys.executable, "-c", code])
+    assert completed.returncode == 0
+
+
 @pytest.mark.parametrize("program", ["entry", "sidecar"])
 def test_large_libraries_are_not_imported_before_listening(program):
     """Listening must not wait for the import of large libraries."""
