Check the endpoint of an announcement where it is received

Change: the membership server checks it, and drops the announcement as one that can't be decoded. The test now goes through the server, so that it also sees that no link is opened and that later announcements are answered.

--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -6,6 +6,7 @@
 import msgspec
 import zmq
 
+from sardinestair.endpoints import check_endpoint
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.event_loop import LoopHandle
 from sardinestair.ids import Incarnation
@@ -27,6 +28,7 @@
 
 CHECK_INTERVAL_S = 0.2
 MAX_MESSAGES_PER_ITERATION = 64
+LINK_SCHEME = "tcp://"
 PAUSE_THRESHOLD_S = 1.0
 RECALL_DELAY_S = {Favour.RESPONSE: 0.0, Favour.MESSAGES: 0.05}
 
@@ -114,7 +116,9 @@
     def _handle(self, route: bytes, data: bytes) -> None:
         try:
             message = self.decoder.decode(data)
-        except DECODE_ERRORS as error:
+            if isinstance(message, Announce):
+                check_endpoint(message.endpoint.removeprefix(LINK_SCHEME))
+        except (*DECODE_ERRORS, ValueError) as error:
             self.log.warning("announce_undecodable", reason=str(error))
             return
         reply = self._answer(message)
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from sardinestair.endpoints import check_endpoint
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.limits.resources import Resources
 
@@ -43,7 +42,6 @@
     "TaskState",
 ]
 
-LINK_SCHEME = "tcp://"
 
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 """What a decoder raises for invalid data; the last one if values are nested too
@@ -298,14 +296,6 @@
     capacity: Resources | None = None
     is_leased: bool = False
 
-    def __post_init__(self) -> None:
-        """Checks the endpoint.
-
-        Raises:
-            ValueError: If no socket can be connected to it.
-        """
-        check_endpoint(self.endpoint.removeprefix(LINK_SCHEME))
-
 
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
     """Announces an entry to another entry.
--- a/sardinestair/tests/test_endpoints.py
+++ b/sardinestair/tests/test_endpoints.py
@@ -6,12 +6,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sardinestair.clock import ManualClock
 from sardinestair.endpoints import is_endpoint
-from sardinestair.ids import Incarnation
-from sardinestair.membership import PeerDirectory
-from sardinestair.messages import DECODE_ERRORS, Announce
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.membership_server import MembershipServer
+from sardinestair.ids import new_incarnation
+from sardinestair.membership import PeerDirectory, Roster
+from sardinestair.messages import Announce
+from sardinestair.observability import Metrics
 from sardinestair.store.port import KeyValue
 from sardinestair.store.registration import EntryRecord, _decode_records
+from sardinestair.tests.fakes import FakeContext
 
 VALID = ["10.1.0.13:7101", "localhost:1", "entry-1.example:65535"]
 INVALID = [
@@ -63,14 +68,22 @@
 
 
 @pytest.mark.parametrize("endpoint", INVALID)
-def test_announcement_with_an_invalid_endpoint_is_undecodable(endpoint):
-    announce = Announce(
-        Incarnation(b"s" * 16), "tcp://127.0.0.1:1", "z", "q", 8, False, 0
+def test_announcement_with_an_invalid_endpoint_is_dropped(endpoint):
+    dispatcher = Dispatcher(
+        new_incarnation(), "z", ManualClock(), Metrics(), FakeContext()
     )
-    row = msgspec.to_builtins(announce)
-    row[row.index("tcp://127.0.0.1:1")] = f"tcp://{endpoint}"
-    with pytest.raises(DECODE_ERRORS):
-        msgspec.msgpack.decode(msgspec.msgpack.encode(row), type=Announce)
+    links = []
+    server = MembershipServer(
+        "tcp://127.0.0.1:*", dispatcher, Roster(), PeerDirectory(""),
+        links.append, FakeContext(),
+    )  # fmt: skip
+    for text in (endpoint, VALID[0]):
+        announce = Announce(
+            new_incarnation(), f"tcp://{text}", "z", "q", 8, False, 0
+        )
+        server._handle(b"r", msgspec.msgpack.encode(announce))
+    assert [link.endpoint for link in links] == [f"tcp://{VALID[0]}"]
+    assert len(server.socket.take_sent()) == 1
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
