--- a/sardinestair/platform/wire.py
+++ b/sardinestair/platform/wire.py
@@ -11,7 +11,6 @@
 
 from sardinestair.endpoints import check_endpoint
 from sardinestair.limits.resources import Resources
-from sardinestair.upstreams.upstream import SERVICE_NAME_PATTERN
 
 __all__ = [
     "Capacity",
@@ -96,7 +95,7 @@
         labels: Kind and rack of the runner.
     """
 
-    service: Annotated[str, Meta(pattern=SERVICE_NAME_PATTERN)]
+    service: Annotated[str, Meta(min_length=1)]
     address: str
     zone: str
     state: str
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -8,16 +8,11 @@
 
 from sardinestair.limits.resources import Resources
 
-__all__ = [
-    "SERVICE_NAME_PATTERN",
-    "Announcement",
-    "Upstream",
-    "UpstreamState",
-]
+__all__ = ["Announcement", "Upstream", "UpstreamState"]
 
 MAX_SLOTS = 4096
 MAX_TTL_S = 300.0
-SERVICE_NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+_SERVICE_NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -36,7 +31,7 @@
             slots.
     """
 
-    service: Annotated[str, Meta(pattern=SERVICE_NAME_PATTERN)]
+    service: Annotated[str, Meta(pattern=_SERVICE_NAME)]
     address: Annotated[str, Meta(pattern=r"^http://[^/\s]+$")]
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     connections: Annotated[int, Meta(ge=1, le=65536)] = 64
