--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -18,8 +18,8 @@
 # two, as each entry passes them on.
 MAX_MESSAGES_PER_S = 4.0
 MIN_PEER_TIMEOUT_S = 5.0
-# Other entries learn within this time which jobs were cancelled; longer would
-# let their tasks run on, shorter would need a message for each job.
+# Cancelled jobs reach other entries within this time. Their tasks run on
+# meanwhile, but one message serves many jobs.
 WITHDRAWAL_DELAY_S = 0.5
 
 
--- a/sardinestair/limits/connections.py
+++ b/sardinestair/limits/connections.py
@@ -1,4 +1,4 @@
-"""Bounds the connections to one server, with more of them in a rush."""
+"""Bounds the connections to one server, with more of them in a burst."""
 
 import asyncio
 import math
@@ -8,7 +8,7 @@
 
 # Interval after which the rate of requests that finish is known.
 GROW_INTERVAL_S = 0.01
-# In a rush, requests should wait no longer than this.
+# In a burst, requests should wait no longer than this.
 MAX_WAIT_S = 0.2
 # Requests that one connection serves in that time if each takes 50 ms.
 MAX_WAITING_PER_CONNECTION = 4
@@ -22,8 +22,8 @@
     further connections are used, one for each `MAX_WAITING_PER_CONNECTION`.
 
     Args:
-        usual: Connections without a rush, at least 1.
-        most: Connections in a rush; as many as usual if not given.
+        usual: Connections outside of a burst, at least 1.
+        most: Connections in a burst; as many as usual if not given.
 
     Attributes:
         active: Number of requests admitted and not finished.
--- a/sardinestair/limits/tests/test_connections.py
+++ b/sardinestair/limits/tests/test_connections.py
@@ -10,7 +10,7 @@
 USUAL, MOST = 3, 48
 
 
-class Rush:
+class Burst:
     """Requests of equal duration that come at once, in virtual time."""
 
     def __init__(self, count, request_s, limit=None):
@@ -40,43 +40,43 @@
 
 
 @pytest.mark.parametrize("count", [1, 12, 125, 190])
-def test_rush_of_slow_requests_is_served_in_time(count):
-    rush = Rush(count, request_s=0.05)
-    assert rush.finish() <= MAX_WAIT_S + 2 * 0.05
-    assert rush.order == list(range(count))
+def test_burst_of_slow_requests_is_served_in_time(count):
+    burst = Burst(count, request_s=0.05)
+    assert burst.finish() <= MAX_WAIT_S + 2 * 0.05
+    assert burst.order == list(range(count))
 
 
 def test_connections_never_exceed_the_limit():
-    rush = Rush(930, request_s=0.05)
-    rush.finish()
-    assert rush.most_active == MOST
+    burst = Burst(930, request_s=0.05)
+    burst.finish()
+    assert burst.most_active == MOST
 
 
 @pytest.mark.parametrize(("count", "request_s"), [(12, 0.05), (125, 0.001)])
 def test_usual_connections_serve_few_or_short_requests(count, request_s):
-    rush = Rush(count, request_s)
-    rush.finish()
-    assert rush.most_active <= USUAL
+    burst = Burst(count, request_s)
+    burst.finish()
+    assert burst.most_active <= USUAL
 
 
-def test_limit_without_a_rush_is_never_exceeded():
-    rush = Rush(125, request_s=0.05, limit=ConnectionLimit(USUAL))
-    rush.finish()
-    assert rush.most_active == USUAL
+def test_limit_without_more_connections_is_never_exceeded():
+    burst = Burst(125, request_s=0.05, limit=ConnectionLimit(USUAL))
+    burst.finish()
+    assert burst.most_active == USUAL
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.005, 0.025, 0.05])
 def test_cancelled_requests_leave_their_connections_to_others(delay_s):
-    rush = Rush(60, request_s=0.05)
+    burst = Burst(60, request_s=0.05)
 
     async def cancel():
         await asyncio.sleep(delay_s)
-        for request in rush.requests[::2]:
+        for request in burst.requests[::2]:
             request.cancel()
 
-    rush.requests.append(rush.loop.create_task(cancel()))
-    rush.finish()
-    assert set(range(1, 60, 2)) <= set(rush.order)
+    burst.requests.append(burst.loop.create_task(cancel()))
+    burst.finish()
+    assert set(range(1, 60, 2)) <= set(burst.order)
 
 
 def test_request_cancelled_as_it_is_admitted_gives_its_connection_on():
--- a/sardinestair/membership/peers.py
+++ b/sardinestair/membership/peers.py
@@ -59,7 +59,7 @@
                 self.peers[endpoint] = Peer(endpoint, True, now_s)
 
     def learn(self, endpoints: list[str], now_s: float) -> list[str]:
-        """Adds entries that other processes know; skips invalid endpoints.
+        """Adds entries named by other processes; skips invalid endpoints.
 
         Returns:
             The endpoints that were not known before.
--- a/sardinestair/tests/test_launch.py
+++ b/sardinestair/tests/test_launch.py
@@ -56,8 +56,8 @@
         assert prepare_launch("platform", "client_address").listener is None
 
 
-# Guards against late starts of an earlier sidecar that nobody waits for: on a
-# machine that was suspended, the start of the process was on another clock.
+# Guards against late starts of an earlier sidecar, for which the next one did
+# not wait on a machine that had been suspended.
 def test_start_of_the_process_is_on_the_system_clock(monkeypatch):
     monkeypatch.setattr(SystemClock, "monotonic", lambda _self: 123.0)
     assert prepare_launch("platform", "x").process_start_s == 123.0
