Spend less on what is looked up for each frame and placement

Change: the number is kept and updated with the capacity and the mean size, which also saves the division of before; sessions are compared with one time.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -512,8 +512,7 @@
         candidate = link.candidate
         offered = (announce.slots, announce.capacity)
         if offered != (candidate.slots, candidate.capacity):
-            candidate.slots = announce.slots
-            candidate.capacity = announce.capacity
+            candidate.resize(*offered)
             self._refresh_link(link)
 
     def _enqueue_claimed(self, job: Job, claim: Claim | None) -> None:
--- a/sardinestair/placement/candidate.py
+++ b/sardinestair/placement/candidate.py
@@ -32,13 +32,19 @@
         mean_run_s_: Moving average of the run time of its tasks, in seconds.
         mean_task_units_: Moving average of the units that one task occupies;
             None before the first task.
+        mean_task_units: The same, at least one; before the first task a share
+            of the capacity in force.
+        concurrency: Number of average tasks that the upstream runs
+            concurrently; 0 as long as it has no capacity.
     """
 
     __slots__ = (
         "capacity",
+        "concurrency",
         "credits",
         "is_usable",
         "mean_run_s_",
+        "mean_task_units",
         "mean_task_units_",
         "outstanding",
         "service",
@@ -59,35 +65,28 @@
         self.sidecar = sidecar
         self.service = service
         self.zone = zone
-        self.slots = slots
-        self.capacity = capacity
         self.mean_task_units_: float | None = None
+        self.resize(slots, capacity)
         self.is_usable = True
         self.credits = 0
         self.outstanding = 0
         self.slowdown_ = 1.0
         self.mean_run_s_ = DEFAULT_RUN_S
 
-    @property
-    def mean_task_units(self) -> float:
-        """Units that an average task occupies, at least one.
+    def resize(self, slots: int, capacity: Resources | None) -> None:
+        """Updates the capacity, which may be nothing for a time."""
+        self.slots = slots
+        self.capacity = capacity
+        self._update_concurrency()
 
-        Before the first task, a share of the capacity in force. An upstream
-        may announce no capacity for a time.
-        """
+    def _update_concurrency(self) -> None:
         if self.mean_task_units_ is not None:
-            return self.mean_task_units_
-        if self.capacity is None:
-            return 1.0
-        return max(1.0, self.slots / DEFAULT_CONCURRENCY)
-
-    @property
-    def concurrency(self) -> float:
-        """Number of average tasks that the upstream runs concurrently.
-
-        It is 0 as long as the upstream has no capacity.
-        """
-        return self.slots / self.mean_task_units
+            self.mean_task_units = self.mean_task_units_
+        elif self.capacity is None:
+            self.mean_task_units = 1.0
+        else:
+            self.mean_task_units = max(1.0, self.slots / DEFAULT_CONCURRENCY)
+        self.concurrency = self.slots / self.mean_task_units
 
     def units_needed(self, need: Resources | None) -> int | None:
         """Returns the credit units of a task, or None if it never fits."""
@@ -104,6 +103,7 @@
         self.mean_task_units_ = mean_units + SMOOTHING_FACTOR * (
             units - mean_units
         )
+        self._update_concurrency()
 
     def observe_run_time(self, run_s: float) -> None:
         """Updates the average run time with a task that ended."""
--- a/sardinestair/placement/tests/test_capacity.py
+++ b/sardinestair/placement/tests/test_capacity.py
@@ -25,7 +25,7 @@
 
 
 def resize(candidate, capacity):
-    candidate.slots, candidate.capacity = capacity.cpu_millis, capacity
+    candidate.resize(capacity.cpu_millis, capacity)
 
 
 # Guards against entries that answer every job with 500 (rule RECOVER): the link
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -265,7 +265,8 @@
             return
         session.last_received_s = self.clock.monotonic()
         session.echo_s = max(session.echo_s, frame.echo_s)
-        session.is_expired &= self.is_session_expired(session)
+        if session.is_expired:
+            session.is_expired = self.is_session_expired(session)
         if verdict is FrameStatus.NEW_EPOCH:
             self._open_session(route, session, frame.messages.pop(0))
         for message in frame.messages:
@@ -408,9 +409,12 @@
 
         Their entries may consider them lost and start them elsewhere.
         """
+        if self.caller is None or not self.caller.is_leased:
+            return
+        latest_echo_s = self.clock.monotonic() - self.timing.session_s
         for session in self.sessions.values():
             was_expired = session.is_expired
-            session.is_expired = self.is_session_expired(session)
+            session.is_expired = session.echo_s <= latest_echo_s
             if session.is_expired and not was_expired:
                 self._stop_session(session)
 
@@ -486,24 +490,20 @@
         interval_s = self.timing.heartbeat_interval_s(session.is_idle)
         return session.last_sent_s + interval_s
 
-    def _session_end_s(self, session: SidecarSession) -> float:
-        """Returns when the session ends; infinite if no task depends on it."""
-        if session.is_idle or session.is_expired:
-            return math.inf
+    def _session_ends_s(self) -> list[float]:
+        """Returns when sessions end on which tasks depend."""
         if self.caller is None or not self.caller.is_leased:
-            return math.inf
-        return session.echo_s + self.timing.session_s
+            return []
+        return [
+            session.echo_s + self.timing.session_s
+            for session in self.sessions.values()
+            if session.tasks and not session.is_expired
+        ]
 
     def _next_due_s(self) -> float:
+        heartbeats = map(self._heartbeat_due_s, self.sessions.values())
         next_tick_s = self.last_tick_s + self._tick_interval_s()
-        sessions = self.sessions.values()
-        return min(
-            [
-                next_tick_s,
-                *map(self._heartbeat_due_s, sessions),
-                *map(self._session_end_s, sessions),
-            ]
-        )
+        return min([next_tick_s, *heartbeats, *self._session_ends_s()])
 
     def _flush(self) -> bool:
         """Sends the frames that are due; returns True if there were any."""
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -216,7 +216,7 @@
 
         This is so while runs that are being stopped limit its renewal.
         """
-        if self.remote_clock_s is None:
+        if not self.pending_stops.runs:
             return False
         left_s = self.pending_stops.lease_limit_s() - self._remote_now()
         return left_s < self.lease_s / 2
--- a/sardinestair/upstreams/stops.py
+++ b/sardinestair/upstreams/stops.py
@@ -55,6 +55,8 @@
 
         It is on the upstream's clock, and infinite if no run is being stopped.
         """
+        if not self.runs:
+            return math.inf
         limits = [r.lease_limit_s for r in self.runs.values() if r.end is None]
         return min(limits, default=math.inf)
 
