--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -27,6 +27,7 @@
     "EntryFrame",
     "EntryMessage",
     "Grant",
+    "KindSlowdown",
     "Leaving",
     "Outcome",
     "PeerHello",
@@ -40,6 +41,7 @@
     "Stop",
     "TaskRef",
     "TaskState",
+    "UpstreamStatus",
 ]
 
 
@@ -96,6 +98,8 @@
         payload: The request body for the upstream.
         need: The resources that the task needs, or None if not declared.
         units: The credits that the entry has spent on it; 0 if it doesn't say.
+        kind: The kind of its job.
+        priority: Priority of its job; 0 goes before 1.
     """
 
     task: TaskRef
@@ -103,6 +107,8 @@
     payload: bytes
     need: Resources | None = None
     units: int = 0
+    kind: str = ""
+    priority: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag="C"):
@@ -125,11 +131,13 @@
         urgency_s: Sort key of the first waiting task relative to now, in
             seconds; a smaller one is served first.
         head_units: Credits that this task needs.
+        priority: Priority of its job; 0 goes before 1.
     """
 
     count: int
     urgency_s: float
     head_units: int = 1
+    priority: int = 0
 
 
 class CreditReturn(msgspec.Struct, array_like=True, tag="B"):
@@ -269,6 +277,39 @@
     sent_s: float = 0.0
 
 
+class KindSlowdown(msgspec.Struct, array_like=True, frozen=True):
+    """Run times of one kind of job at an upstream.
+
+    Attributes:
+        kind: The kind of job.
+        slowdown: Run time relative to a typical upstream.
+        samples: Number of runs that the estimate rests on.
+    """
+
+    kind: str
+    slowdown: float
+    samples: int
+
+
+class UpstreamStatus(msgspec.Struct, array_like=True, frozen=True):
+    """What a sidecar reports of its upstream beside its capacity.
+
+    Attributes:
+        leaves_in_s: Time until the upstream leaves, in seconds, or None if it
+            has not said that it will.
+        cold_s: Time for which it is still slow after its start, in seconds.
+        rack: Its rack, or empty if unknown.
+        slowdowns: Observed run times by kind of job.
+        observed_ago_s: Age of the latest of these observations, in seconds.
+    """
+
+    leaves_in_s: float | None = None
+    cold_s: float = 0.0
+    rack: str = ""
+    slowdowns: list[KindSlowdown] = []
+    observed_ago_s: float = 0.0
+
+
 class Announce(msgspec.Struct, array_like=True, tag="N"):
     """Announces a sidecar and its upstream to an entry.
 
@@ -284,6 +325,8 @@
         capacity: Resources of the upstream, or None if it only counts slots.
         is_leased: True if the upstream's tasks end with the session of the
             entry that started them.
+        status: Further state of the upstream, or None from sidecars of earlier
+            versions.
     """
 
     sidecar: Incarnation
@@ -295,6 +338,7 @@
     settings_revision: int
     capacity: Resources | None = None
     is_leased: bool = False
+    status: UpstreamStatus | None = None
 
 
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
