Measure each part of a job's way, as histograms by kind

Change: histograms task_part_s (wait, order, run, report) and job_answer_s by service and kind; job_late has the longest parts of the job's runs, the sidecar of the longest run, and the parts of the run that ended last. A sidecar reports when the upstream had confirmed a start (Outcome.start_s). FrameLag measures how late frames are handled, without a common clock. Histograms are added up outside the library, like counters, with finer buckets.

--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -258,6 +258,7 @@
         if not await wait_for_result(self.event_loop, job.done, timeout_s):
             self.log.error("answer_overdue", job=_format_id(job))
             return self._progress_response(job)
+        self.dispatcher.recorder.way.record_answer(job)
         return self._answer_response(job)
 
     def _progress_response(self, job: Job) -> Response:
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -597,6 +597,7 @@
             payloads = job.payloads
             index = state.queue.dequeue(job, link.sidecar)
             job.record_start(now_s)
+            job.way.record_placement(index, now_s)
             state.record_placement(job, index, link, now_s)
             if job.attempts[index] == 1:
                 state.retries.deposit()
--- a/sardinestair/entry/recorder.py
+++ b/sardinestair/entry/recorder.py
@@ -2,9 +2,11 @@
 
 from sardinestair.clock import Clock
 from sardinestair.entry.service_state import ServiceState
+from sardinestair.entry.way_recorder import WayRecorder
 from sardinestair.ids import format_job_id
 from sardinestair.jobs import Job, JobState
 from sardinestair.jobs.request import ParsedRequest
+from sardinestair.jobs.way import JobWay
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.observability.burn import is_system_error
 from sardinestair.observability.dropped import DroppedJob, DroppedJobBuffer
@@ -23,6 +25,7 @@
 
     Attributes:
         dropped: The most recent jobs that got no complete answer.
+        way: Records where the time of jobs goes.
     """
 
     def __init__(self, clock: Clock, metrics: Metrics, log: EventLog):
@@ -30,6 +33,7 @@
         self.metrics = metrics
         self.log = log
         self.dropped = DroppedJobBuffer()
+        self.way = WayRecorder(clock, metrics)
 
     def record_end(self, job: Job, state: ServiceState, now_s: float) -> None:
         """Records a job that has ended.
@@ -130,6 +134,7 @@
             expected_task_s=job.run_time.mean_s_,
             first_start_s=first_s - job.accepted_s,
             last_start_s=last_s - job.accepted_s,
+            **_split_lateness(job.way),
         )
 
     def _log_end(self, job: Job, response_s: float) -> None:
@@ -165,3 +170,20 @@
                 problem.not_run,
             )
         )
+
+
+def _split_lateness(way: JobWay) -> dict[str, float | str]:
+    """Returns the longest parts of a job's runs, and those of its last run."""
+    longest, last = way.longest_run, way.last_run
+    if longest is None or last is None:
+        return {}
+    return {
+        "longest_wait_s": way.longest_wait_s,
+        "longest_run_s": longest.run_s,
+        "longest_overhead_s": way.longest_overhead_s,
+        "slowest_sidecar": longest.endpoint,
+        "last_wait_s": last.wait_s,
+        "last_order_s": last.order_s,
+        "last_run_s": last.run_s,
+        "last_report_s": last.report_s,
+    }
--- a/sardinestair/entry/run_ends.py
+++ b/sardinestair/entry/run_ends.py
@@ -55,6 +55,7 @@
         if job is None:
             return
         index = outcome.task.index
+        self.finalizer.recorder.way.record_outcome(job, link, outcome)
         if outcome.state is TaskState.DONE:
             self._charge(state, job, link, outcome.run_s)
             state.observe_run(job, link, outcome.run_s)
--- a/sardinestair/entry/tests/test_recorder.py
+++ b/sardinestair/entry/tests/test_recorder.py
@@ -51,8 +51,11 @@
             soft_deadline_s=TARGET_S,
         )  # fmt: skip
         for started_s in (100.125, 100.25):
+            index = job.dequeue(SIDECAR)
             job.record_start(started_s)
-            job.record_answer(job.dequeue(SIDECAR), TaskAnswer(b"", False))
+            job.way.record_placement(index, started_s)
+            job.way.record_end(index, 100.75, 0.25, 0.125, "slow:1")
+            job.record_answer(index, TaskAnswer(b"", False))
         recorder.record_end(job, state, ended_s)
 
     return record
@@ -70,6 +73,13 @@
         "last_start_s": 0.25,
         "runs": 2,
         "tasks": 2,
+        "longest_wait_s": 0.25,
+        "longest_run_s": 0.25,
+        "longest_overhead_s": 0.375,
+        "slowest_sidecar": "slow:1",
+        "last_wait_s": 0.25,
+        "last_order_s": 0.125,
+        "last_report_s": 0.125,
     }
     assert expected.items() <= fields.items()
 
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from sardinestair.ids import Incarnation, JobId
+from sardinestair.jobs.way import JobWay
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits.budget import JobReservation
 from sardinestair.limits.resources import Resources
@@ -100,6 +101,7 @@
         waiters: Number of submissions that wait for the answer.
         first_start_s: Time at which the first task was sent, or None.
         last_start_s: Time at which the latest task was sent, or None.
+        way: Where the time of its runs went.
         failed_upstreams: Sidecars of the upstreams on which a task has
             failed or stalled.
 
@@ -165,6 +167,7 @@
         self.may_have_run = False
         self.first_start_s: float | None = None
         self.last_start_s: float | None = None
+        self.way = JobWay(accepted_s)
         self.state = JobState.ACTIVE
         self.done: Future[Answer] = Future()
         self.ended_s = 0.0
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -17,6 +17,7 @@
 from sardinestair.limits.credits import CreditAccount
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
+from sardinestair.links.lag import FrameLag
 from sardinestair.links.sockets import receive
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -147,6 +148,7 @@
         echo_s: When the sidecar sent the latest frame that has arrived, on
             its clock.
         echo_received_s: When that frame arrived, on the entry's clock.
+        lag: Measures how late frames of the sidecar are handled.
         is_ready: True from `notify` until the link is served.
     """
 
@@ -190,6 +192,7 @@
         self.unanswered_since_s: float | None = None
         self.echo_s = 0.0
         self.echo_received_s = clock.monotonic()
+        self.lag = FrameLag()
         self.is_ready = False
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
@@ -351,6 +354,7 @@
                 frame.sent_s,
                 self.silent_since_s,
             )
+            self.lag.observe(self.echo_s, self.echo_received_s)
         self.unanswered_since_s = None
         for message in frame.messages:
             if self.state is not LinkState.CLOSED:
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -182,6 +182,8 @@
         has_crashed: True if the upstream's process ended while the task ran;
             `run_s` then counts until that end.
         is_confirmed: False if the task may not have begun.
+        start_s: Part of `run_s` until the upstream had taken the start, in
+            seconds.
     """
 
     task: TaskRef
@@ -191,6 +193,7 @@
     run_s: float
     has_crashed: bool = False
     is_confirmed: bool = True
+    start_s: float = 0.0
 
 
 class Grant(msgspec.Struct, array_like=True, tag="g"):
--- a/sardinestair/observability/metrics.py
+++ b/sardinestair/observability/metrics.py
@@ -1,23 +1,60 @@
 """Metrics in the Prometheus text format."""
 
+import bisect
+import itertools
 import threading
-from typing import Any
+from typing import Any, TypeAlias
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import histogram as aio_histogram
 
 __all__ = ["Metrics"]
 
 # Bounds of the buckets of every histogram: seconds, or a ratio for the stretch.
 HISTOGRAM_BUCKETS = (
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.25, 0.35, 0.5,
+    0.75, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0,
 )  # fmt: skip
 
+_Key: TypeAlias = tuple[str, tuple[tuple[str, str], ...]]
+
+
+class _Distribution:
+    """Values of one histogram that are counted by bucket.
+
+    Attributes:
+        counts: Number of values in each bucket, the last one unbounded.
+        total: Sum of the values.
+    """
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(HISTOGRAM_BUCKETS) + 1)
+        self.total = 0.0
+
+    def observe(self, value: float) -> None:
+        """Adds a value."""
+        self.counts[bisect.bisect_left(HISTOGRAM_BUCKETS, value)] += 1
+        self.total += value
+
+    def to_histogram(self) -> aio_histogram.Histogram:
+        """Returns the library's form of it."""
+        converted = aio_histogram.Histogram(*HISTOGRAM_BUCKETS)
+        cumulative = list(itertools.accumulate(self.counts))
+        converted.buckets.update(
+            zip(converted.buckets, cumulative, strict=True)
+        )
+        converted.observations = cumulative[-1]
+        converted.sum = self.total
+        return converted
+
 
 class Metrics:
     """The metrics of one process, in a separate registry.
 
-    Counters are added up here, and passed on to the library when they are
-    shown, as its counters are slow. Thread-safe.
+    Counters and histograms are added up here, and passed on to the library
+    when they are shown, as its own are slow. Thread-safe.
 
     Examples:
         >>> metrics = Metrics()
@@ -31,7 +68,9 @@
         self.collectors: dict[str, Counter | Gauge | Histogram] = {}
         self.lock = threading.Lock()
         # Amounts by name and labels that have not been passed on.
-        self.counts: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
+        self.counts: dict[_Key, float] = {}
+        # Histograms by name and labels, since the start of the process.
+        self.distributions: dict[_Key, _Distribution] = {}
 
     def count(
         self, name: str, labels: dict[str, str], amount: float = 1
@@ -53,12 +92,23 @@
 
     def observe(self, name: str, labels: dict[str, str], value: float) -> None:
         """Adds a value to a histogram."""
-        self._collector(name, Histogram).observe(labels, value)
+        key = (name, tuple(labels.items()))
+        with self.lock:
+            distribution = self.distributions.get(key)
+            if distribution is None:
+                distribution = self.distributions[key] = _Distribution()
+            distribution.observe(value)
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics as text, and the HTTP headers for it."""
         with self.lock:
             counts, self.counts = self.counts, {}
+            histograms = {
+                key: distribution.to_histogram()
+                for key, distribution in self.distributions.items()
+            }
+        for (name, labels), histogram in histograms.items():
+            self._collector(name, Histogram).set_value(dict(labels), histogram)
         for (name, labels), amount in counts.items():
             self._collector(name, Counter).add(dict(labels), amount)
         body, headers = render(self.registry, ["text/plain"])
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -165,6 +165,7 @@
         if not is_done:
             self.log.error("answer_overdue", job=format_job_name(job.job_id))
             return json_response({"state": _state_name(job)}, 504)
+        self.dispatcher.recorder.way.record_answer(job)
         return self._job_response(job)
 
     def _on_disconnect(self, job: Job) -> None:
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -342,6 +342,7 @@
             result.run_s,
             has_crashed,
             result.is_confirmed,
+            result.start_s,
         )
         need = self.running.pop((session.entry, ref))
         self.ledger.occupied_units -= self._units_occupied(need)
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -47,6 +47,8 @@
         has_crashed: True if the upstream's process ended while the task ran;
             `run_s` then counts until that end.
         is_confirmed: False if the task may not have begun.
+        start_s: Part of `run_s` until the upstream had taken the start, in
+            seconds.
     """
 
     state: TaskState
@@ -56,6 +58,7 @@
     is_unreachable: bool = False
     has_crashed: bool = False
     is_confirmed: bool = True
+    start_s: float = 0.0
 
 
 ResultCallback = Callable[[CallResult], object]
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -260,6 +260,7 @@
             return refusal.value.encode()
         run.is_confirmed = True
         run.conclusive_from_s = self.clock.monotonic()
+        run.start_took_s = run.conclusive_from_s - run.started_s
         return None
 
     def _handle_unanswered_start(
@@ -339,13 +340,17 @@
         state = _TASK_STATES.get(run.end, TaskState.INTERRUPTED)
         reason = run.reason or run.end.value.encode()
         body = b"" if state is TaskState.DONE else reason
-        return self._make_result(start_s, state, body)
+        return self._make_result(start_s, state, body, run.start_took_s)
 
     def _make_result(
-        self, start_s: float, state: TaskState, body: bytes
+        self,
+        start_s: float,
+        state: TaskState,
+        body: bytes,
+        start_took_s: float = 0.0,
     ) -> CallResult:
         run_s = self.clock.monotonic() - start_s
-        return CallResult(state, body, False, run_s)
+        return CallResult(state, body, False, run_s, start_s=start_took_s)
 
     # Renewal of the lease.
 
--- a/sardinestair/upstreams/run.py
+++ b/sardinestair/upstreams/run.py
@@ -26,6 +26,8 @@
         stops_unanswered: Number of stop requests without an answer.
         reason: Why it is stopped, in UTF-8.
         started_s: When its start was requested.
+        start_took_s: Time until the upstream had confirmed the start, in
+            seconds; 0 if it has not.
         lost_age_s: Its age when the upstream stopped answering, in seconds, if
             it was lost with it.
         start_until_s: Time to which a start in progress may renew the lease,
@@ -47,6 +49,7 @@
         self.stops_unanswered = 0
         self.reason = b""
         self.started_s = now_s
+        self.start_took_s = 0.0
         self.lost_age_s = 0.0
         self.start_until_s = 0.0
         self.percent = -1
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -137,6 +137,19 @@
     assert harness.renew_until_done(result).state is TaskState.DONE
 
 
+def test_time_until_the_start_was_confirmed_is_reported(harness):
+    start = harness.client.start
+
+    async def start_slowly(*arguments):
+        harness.clock.advance(0.0625)
+        return await start(*arguments)
+
+    harness.client.start = start_slowly
+    result = harness.renew_until_done(harness.run())
+    assert result.start_s == pytest.approx(0.0625)
+    assert result.run_s > result.start_s
+
+
 def test_task_that_fails_has_failed(harness):
     harness.runner.mode = Mode.FAILING
     result = harness.run()
