Grant room to the most urgent class of all entries; share the view of load

Change: a sidecar grants free units by class and then by order key, with a twentieth of the room sure for each less urgent class; credits that lie unspent with less urgent demand are recalled. Entries report their waiting work by class in frames that are sent anyway, sidecars pass on the sum of the others (LoadView, ServiceState.load_view). Sites of one priority decide as before.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -31,6 +31,8 @@
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
+from sardinestair.limits.credit_priority import REST_CLASS
+from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -401,6 +403,21 @@
                 link.state is LinkState.UP for link in self.links.values()
             )
 
+    def longest_backlog_s(self) -> float | None:
+        """Returns the longest backlog of a service at all entries, in seconds.
+
+        Late jobs are not counted. It is None if none is known.
+        """
+        with self.lock:
+            now_s = self.clock.monotonic()
+            known = [
+                backlog_s
+                for state in self.services.values()
+                if (backlog_s := state.load_view.backlog_s(REST_CLASS, now_s))
+                is not None
+            ]
+        return max(known, default=None)
+
     def next_check_delay_s(self) -> float:
         """Returns the time until the next periodic checks, in seconds."""
         with self.lock:
@@ -475,6 +492,11 @@
         state = self.services[link.candidate.service]
         return state.demand(link, self.clock.monotonic())
 
+    def backlog_for(self, link: EntryLink) -> list[ClassLoad]:
+        """Returns the waiting work of a link's service, for each link."""
+        state = self.services[link.candidate.service]
+        return state.queue.backlog.per_link(len(state.links))
+
     def unwanted_tasks(self, link: EntryLink) -> list[TaskRef]:
         """Returns the outstanding runs of a link whose jobs have ended."""
         refs = list(link.outstanding.values())
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -387,10 +387,14 @@
         self.usage.report_if_due()
 
     def _read_levels(self) -> dict[str, float]:
-        return {
+        levels = {
             "longest_request_wait_s": self.event_loop.take_longest_delay_s(),
             "active_jobs": self.dispatcher.count_active_jobs(),
         }
+        backlog_s = self.dispatcher.longest_backlog_s()
+        if backlog_s is not None:
+            levels["backlog_s"] = backlog_s
+        return levels
 
     def reload(self, settings: EntrySettings) -> None:
         """Adds new peers; other changed settings apply after a restart."""
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -7,6 +7,8 @@
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits import AdmissionControl, RetryBudget, ServiceLoad
+from sardinestair.limits.credit_priority import demand_class
+from sardinestair.limits.load_view import LoadView
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import Demand
 from sardinestair.observability.burn import BurnRecorder
@@ -44,6 +46,7 @@
 
     Attributes:
         queue: Jobs with tasks that have not started.
+        load_view: Estimates the work that waits at all entries.
         links: Links to the sidecars of the service's upstreams.
         policy: Chooses an upstream for each task.
         retries: Retry budget for starts that ended as NOT_RUN.
@@ -73,6 +76,7 @@
         self.name = name
         self.settings = settings
         self.queue = ReadyQueue(settings.order)
+        self.load_view = LoadView(self.queue.backlog, self._serving_links)
         self.links: dict[Incarnation, EntryLink] = {}
         self.policy = make_policy(settings.policy, settings.wait_margin)
         self.retries = RetryBudget(settings.retry_ratio)
@@ -187,6 +191,12 @@
         else:
             self.policy.update(candidate)
 
+    def _serving_links(self) -> Iterator[EntryLink]:
+        """Yields the links that accept work."""
+        for link in self.links.values():
+            if link.state in (LinkState.UP, LinkState.CONNECTING):
+                yield link
+
     @property
     def slots(self) -> int:
         """Number of slots of the upstreams that accept work."""
@@ -318,7 +328,29 @@
         # Whole tasks: the rest of a grant could only be returned.
         steps = round(waiting * link.candidate.mean_task_units / units)
         wanted = max(1, steps) * units
-        return Demand(wanted, job.order_key_s - now_s, units)
+        return Demand(
+            wanted,
+            job.order_key_s - now_s,
+            units,
+            demand_class(job.priority, job.is_late),
+            self._class_units(job, wanted, units),
+        )
+
+    def _class_units(self, job: Job, wanted: int, units: int) -> int:
+        """Returns the credits wanted for tasks of a job's class.
+
+        It is 0 for all of them, if all waiting jobs have the same priority.
+
+        Args:
+            job: The first job that would start at an upstream.
+            wanted: Credits wanted for all waiting tasks.
+            units: Credits that one of its tasks needs.
+        """
+        if self.queue.backlog.count_priorities() < 2:
+            return 0
+        number = demand_class(job.priority, job.is_late)
+        share = self.queue.backlog.task_share(number)
+        return max(units, round(wanted * share / units) * units)
 
     def _first_job_for(self, link: EntryLink) -> Job | None:
         """Returns the first queued job that the policy would start there."""
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -9,12 +9,20 @@
 """
 
 from sardinestair.ids import Incarnation
+from sardinestair.limits.credit_priority import (
+    REST_CLASS,
+    ClassGuarantee,
+    priority_of,
+)
 
 __all__ = ["CreditAccount", "CreditHolder", "CreditLedger"]
 
 # Idle capacity is granted in this many parts, so that the shares of the entries
 # differ by a few percent at most.
 IDLE_GRANT_PARTS = 64
+# Age at which unspent credits of an entry with demand count as idle, in
+# seconds. Until then, a frame with the grant or the start may be on its way.
+UNSPENT_AGE_S = 0.1
 
 
 class CreditAccount:
@@ -92,6 +100,9 @@
         unmet_since_s: Time since which demand is unmet, on the sidecar's
             clock.
         recall_pending: True while a `Recall` is unanswered.
+        head_class: Class of its first waiting task.
+        class_units: Units of `demand` that are of this class.
+        granted_s: When credits were granted last, on the sidecar's clock.
     """
 
     def __init__(self) -> None:
@@ -104,6 +115,17 @@
         self.head_order_key_s = 0.0
         self.unmet_since_s = 0.0
         self.recall_pending = False
+        self.head_class = 0
+        self.class_units = 0
+        self.granted_s = 0.0
+
+    @property
+    def current_class(self) -> int:
+        """Class of its next unmet demand."""
+        if self.granted_since_report < self.class_units:
+            return self.head_class
+        # The report says nothing of the tasks behind those of the first class.
+        return max(self.head_class, REST_CLASS)
 
     @property
     def unmet(self) -> int:
@@ -119,10 +141,12 @@
 class CreditLedger:
     """Allocates the credits of one upstream to the entries.
 
-    Free units are granted to the entry whose first waiting task has the
-    smallest order key, in steps of the units that this task needs. If fewer
-    are free, they are kept until there are enough. If demand is unmet, idle
-    credits of other entries are recalled.
+    Free units are granted to the entry whose first waiting task is of the most
+    urgent class, and among these to the smallest order key, in steps of the
+    units that this task needs. If fewer are free, they are kept until there
+    are enough. If demand is unmet, idle credits of other entries are recalled:
+    those of entries without demand, and those that an entry with less urgent
+    demand has left unspent.
 
     While any entry has demand, free units beyond the unmet demand are kept for
     the next report. Without any demand, they are granted in advance, evenly to
@@ -141,6 +165,9 @@
         occupied_units: Units that running tasks occupy.
         task_units: Units of the largest task so far. Idle units are granted in
             such steps, since fewer can't start a task and must be recalled.
+        guarantee: Keeps a small share of the room for less urgent classes.
+        priorities: The priorities that entries have reported, `REST_CLASS` for
+            unnamed ones. With only one, classes have no effect.
 
     Examples:
         >>> ledger = CreditLedger(slots=2)
@@ -161,6 +188,8 @@
         self.holders: dict[Incarnation, CreditHolder] = {}
         self.occupied_units = 0
         self.task_units = 1
+        self.guarantee = ClassGuarantee()
+        self.priorities: set[int] = set()
 
     @property
     def free(self) -> int:
@@ -183,6 +212,8 @@
         head_order_key_s: float,
         now_s: float = 0.0,
         head_units: int = 1,
+        head_class: int = 0,
+        class_units: int = 0,
     ) -> None:
         """Records an entry's report of its demand.
 
@@ -193,6 +224,8 @@
                 sidecar's clock.
             now_s: Current time in seconds.
             head_units: Credits that this task needs.
+            head_class: Class of this task; a smaller one goes first.
+            class_units: Credits that tasks of this class need; 0 if all are.
         """
         holder = self.holders[entry]
         if not holder.unmet:
@@ -201,6 +234,12 @@
         holder.head_units = max(1, head_units)
         holder.granted_since_report = 0
         holder.head_order_key_s = head_order_key_s
+        holder.head_class = head_class
+        holder.class_units = class_units or count
+        if count:
+            self.priorities.add(priority_of(head_class))
+        if holder.class_units < count:
+            self.priorities.add(REST_CLASS)
 
     def update_returned(self, entry: Incarnation, total: int) -> None:
         """Records an entry's cumulative count of returned credits."""
@@ -221,24 +260,33 @@
         self.task_units = max(self.task_units, units)
         return True
 
-    def allocate(self) -> set[Incarnation]:
+    def allocate(self, now_s: float = 0.0) -> set[Incarnation]:
         """Grants free credits.
 
+        Args:
+            now_s: Current time in seconds.
+
         Returns:
             The entries whose count of granted credits has changed.
         """
         granted: set[Incarnation] = set()
         free = self.free
         while free > 0:
-            entry = self._next_entry()
+            wanted = self._wanted_by_class()
+            entry = self._next_entry(wanted)
             if entry is None:
                 break
-            units = self._grant_size(self.holders[entry])
+            holder = self.holders[entry]
+            units = self._grant_size(holder)
             if units > free:
                 break
-            holder = self.holders[entry]
+            if len(wanted) > 1:
+                self.guarantee.observe_grant(
+                    self._class_of(holder), units, wanted
+                )
             holder.granted += units
             holder.granted_since_report += units
+            holder.granted_s = now_s
             free -= units
             granted.add(entry)
         return granted
@@ -260,24 +308,67 @@
         Returns:
             The number of credits to recall from each entry.
         """
-        unmet = sum(
-            holder.unmet
+        waiting = [
+            holder
             for holder in self.holders.values()
-            if now_s - holder.unmet_since_s >= self.recall_delay_s
-        )
+            if holder.unmet
+            and now_s - holder.unmet_since_s >= self.recall_delay_s
+        ]
+        unmet = sum(holder.unmet for holder in waiting)
+        most_urgent = min(map(self._class_of, waiting), default=0)
         recalls: dict[Incarnation, int] = {}
         for entry, holder in self.holders.items():
-            idle = 0 if holder.demand else holder.held
-            if unmet <= 0 or idle <= 0 or holder.recall_pending:
+            if unmet <= 0:
+                break
+            idle = self._idle_units(holder, most_urgent, now_s)
+            if idle <= 0 or holder.recall_pending:
                 continue
             recalls[entry] = min(idle, unmet)
             holder.recall_pending = True
             unmet -= recalls[entry]
         return recalls
 
-    def _next_entry(self) -> Incarnation | None:
-        asking = [e for e, h in self.holders.items() if h.unmet > 0]
-        if asking:
+    def _idle_units(
+        self, holder: CreditHolder, most_urgent: int, now_s: float
+    ) -> int:
+        """Returns the credits of an entry that can be recalled.
+
+        Args:
+            holder: The entry.
+            most_urgent: The most urgent class that wants room.
+            now_s: Current time in seconds.
+        """
+        if not holder.demand:
+            return holder.held
+        if len(self.priorities) < 2:
+            return 0
+        is_unspent = now_s - holder.granted_s >= UNSPENT_AGE_S
+        is_less_urgent = holder.head_class > most_urgent
+        return holder.held if is_less_urgent and is_unspent else 0
+
+    def _class_of(self, holder: CreditHolder) -> int:
+        """Returns the class of an entry's next unmet demand."""
+        return holder.current_class if len(self.priorities) > 1 else 0
+
+    def _wanted_by_class(self) -> dict[int, int]:
+        """Returns the units of the next grant to each class with demand."""
+        wanted: dict[int, int] = {}
+        for holder in self.holders.values():
+            if holder.unmet > 0:
+                units = self._grant_size(holder)
+                number = self._class_of(holder)
+                wanted[number] = max(wanted.get(number, 0), units)
+        return wanted
+
+    def _next_entry(self, wanted: dict[int, int]) -> Incarnation | None:
+        """Returns the entry that the next grant goes to, or None."""
+        if wanted:
+            number = self.guarantee.next_class(wanted)
+            asking = [
+                entry
+                for entry, holder in self.holders.items()
+                if holder.unmet > 0 and self._class_of(holder) == number
+            ]
             return min(asking, key=lambda e: self.holders[e].head_order_key_s)
         if any(holder.demand for holder in self.holders.values()):
             return None
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -15,6 +15,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, JobId, format_incarnation
 from sardinestair.limits.credits import CreditAccount
+from sardinestair.limits.load_view import ClassLoad, LinkLoad, has_changed
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
 from sardinestair.links.lag import FrameLag
@@ -103,6 +104,10 @@
         """Returns the entry's demand for credits of this sidecar."""
         ...
 
+    def backlog_for(self, link: "EntryLink") -> list[ClassLoad]:
+        """Returns the waiting work of the link's service, for each link."""
+        ...
+
     def unwanted_tasks(self, link: "EntryLink") -> list[TaskRef]:
         """Returns the outstanding attempts whose jobs have ended."""
         ...
@@ -149,6 +154,9 @@
             its clock.
         echo_received_s: When that frame arrived, on the entry's clock.
         lag: Measures how late frames of the sidecar are handled.
+        load: What the sidecar has reported of the other entries' work.
+        sent_backlog: The last report of the entry's own work; None if there
+            is none in this epoch.
         is_ready: True from `notify` until the link is served.
     """
 
@@ -193,6 +201,8 @@
         self.echo_s = 0.0
         self.echo_received_s = clock.monotonic()
         self.lag = FrameLag()
+        self.load = LinkLoad()
+        self.sent_backlog: list[ClassLoad] | None = None
         self.is_ready = False
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
@@ -274,6 +284,11 @@
         """True if no task at the sidecar depends on frames of this link."""
         return not (self.outstanding or self.to_acknowledge)
 
+    @property
+    def rate(self) -> float:
+        """Seconds of work that the upstream completes per second."""
+        return self.candidate.concurrency / self.candidate.slowdown_
+
     @property
     def awaits_frames(self) -> bool:
         """True if a task depends on the next frame of the sidecar."""
@@ -307,6 +322,8 @@
             self.to_acknowledge.clear()
             self.account.reset()
             self.last_demand = Demand(0, 0.0)
+            self.load.reset()
+            self.sent_backlog = None
             self.silent_since_s = self.clock.monotonic()
             if self.unanswered_since_s is None:
                 self.unanswered_since_s = self.silent_since_s
@@ -356,6 +373,7 @@
             )
             self.lag.observe(self.echo_s, self.echo_received_s)
         self.unanswered_since_s = None
+        self.load.observe(frame.load, self.silent_since_s)
         for message in frame.messages:
             if self.state is not LinkState.CLOSED:
                 handle_message(message, self)
@@ -422,6 +440,7 @@
                 self.frames_sent,
                 messages,
                 self.echo_s,
+                self._changed_backlog(),
             )
             self.last_sent_s = now_s
             self.owner.link_usage.count_sent(has_messages=bool(messages))
@@ -432,6 +451,14 @@
             return False
         return True
 
+    def _changed_backlog(self) -> list[ClassLoad] | None:
+        """Returns the entry's waiting work, or None if it changed little."""
+        backlog = self.owner.backlog_for(self)
+        if not has_changed(self.sent_backlog, backlog):
+            return None
+        self.sent_backlog = backlog
+        return backlog
+
     def _collect_messages(self) -> list[EntryMessage]:
         """Returns the messages that are to be sent at once."""
         messages, self.outbox = self.outbox, []
--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sardinestair.ids import Incarnation, JobId
+from sardinestair.limits.load_view import ClassLoad, has_changed
 from sardinestair.links.fence import FrameFence
 from sardinestair.messages import (
     Grant,
@@ -68,6 +69,9 @@
         granted: Credits granted in this epoch, if the entry has not been sent
             this number; 0 otherwise.
         is_grant_urgent: True if the entry has tasks that wait for them.
+        backlog: The entry's waiting work by class, from its last report.
+        sent_load: The last report to the entry on the others' work; None if
+            there is none in this epoch.
     """
 
     def __init__(self, entry: Incarnation, sidecar: Incarnation):
@@ -84,6 +88,8 @@
         self.last_sent_s = 0.0
         self.granted = 0
         self.is_grant_urgent = False
+        self.backlog: list[ClassLoad] = []
+        self.sent_load: list[ClassLoad] | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -108,6 +114,7 @@
         self.outbox.clear()
         self.granted = 0
         self.is_grant_urgent = False
+        self.backlog, self.sent_load = [], None
         if message.sidecar != self.sidecar:
             self.outbox.append(Resumed(False, [], []))
             return False
@@ -200,15 +207,33 @@
         """True if a frame is to be sent at once."""
         return bool(self.outbox) or self.is_grant_urgent
 
-    def next_frame(self, now_s: float) -> SidecarFrame:
-        """Returns a frame with all queued messages, and clears the queue."""
+    def next_frame(
+        self, now_s: float, load: list[ClassLoad] | None = None
+    ) -> SidecarFrame:
+        """Returns a frame with all queued messages, and clears the queue.
+
+        Args:
+            now_s: The current time, on the sidecar's clock.
+            load: The waiting work of the other entries; None to report
+                nothing.
+        """
         self.frames_sent += 1
         if self.granted:
             self.outbox.append(Grant(self.granted))
             self.granted, self.is_grant_urgent = 0, False
         messages, self.outbox = self.outbox, []
+        if load is not None:
+            if has_changed(self.sent_load, load):
+                self.sent_load = load
+            else:
+                load = None
         return SidecarFrame(
-            self.sidecar, self.fence.epoch, self.frames_sent, messages, now_s
+            self.sidecar,
+            self.fence.epoch,
+            self.frames_sent,
+            messages,
+            now_s,
+            load,
         )
 
     def _holds(self, ref: TaskRef) -> bool:
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -46,6 +46,9 @@
     def on_tasks_lost(self, _link, refs):
         self.lost += refs
 
+    def backlog_for(self, _link):
+        return []
+
     def demand_for(self, _link):
         return self.demand
 
--- a/sardinestair/links/tests/test_link_loop.py
+++ b/sardinestair/links/tests/test_link_loop.py
@@ -56,6 +56,9 @@
     def unwanted_tasks(self, _link):
         return []
 
+    def backlog_for(self, _link):
+        return []
+
     def demand_for(self, _link):
         return Demand(0, 0.0)
 
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from sardinestair.ids import Incarnation, JobId
+from sardinestair.limits.load_view import ClassLoad
 from sardinestair.limits.resources import Resources
 
 __all__ = [
@@ -131,13 +132,16 @@
         urgency_s: Sort key of the first waiting task relative to now, in
             seconds; a smaller one is served first.
         head_units: Credits that this task needs.
-        priority: Priority of its job; 0 goes before 1.
+        priority: Priority of its job, or above 100 if the job is late; 0 goes
+            before 1.
+        class_units: Part of `count` for tasks of this priority; 0 if all are.
     """
 
     count: int
     urgency_s: float
     head_units: int = 1
     priority: int = 0
+    class_units: int = 0
 
 
 class CreditReturn(msgspec.Struct, array_like=True, tag="B"):
@@ -257,6 +261,8 @@
         messages: The messages; a frame without any is a heartbeat.
         echo_s: `sent_s` of the latest frame received from this sidecar, on
             the sidecar's clock; the session's length is counted from it.
+        backlog: The entry's waiting work by class, divided by the number of
+            its links; None if it has changed little.
     """
 
     sender: Incarnation
@@ -264,6 +270,7 @@
     sequence: int
     messages: list[EntryMessage]
     echo_s: float = 0.0
+    backlog: list[ClassLoad] | None = None
 
 
 class SidecarFrame(msgspec.Struct, array_like=True):
@@ -271,6 +278,8 @@
 
     Attributes:
         sent_s: When it was sent, on the sidecar's clock.
+        load: Sum of the `backlog` of all other entries; None if it has changed
+            little.
     """
 
     sender: Incarnation
@@ -278,6 +287,7 @@
     sequence: int
     messages: list[SidecarMessage]
     sent_s: float = 0.0
+    load: list[ClassLoad] | None = None
 
 
 class KindSlowdown(msgspec.Struct, array_like=True, frozen=True):
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -8,6 +8,8 @@
 
 from sardinestair.ids import Incarnation
 from sardinestair.jobs.job import Job
+from sardinestair.limits.credit_priority import demand_class
+from sardinestair.limits.load_view import ClassBacklog
 
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamVirtualTime"]
 
@@ -85,6 +87,7 @@
         waiting_tasks: Number of waiting tasks.
         waiting_bytes: Size of their payloads in bytes.
         waiting_work_s: Sum of their expected run times in seconds.
+        backlog: The same by class.
     """
 
     def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
@@ -94,6 +97,7 @@
         self.waiting_tasks = 0
         self.waiting_bytes = 0
         self.waiting_work_s = 0.0
+        self.backlog = ClassBacklog()
 
     def add(self, job: Job, now_s: float, throughput: float) -> None:
         """Adds a job with all its tasks.
@@ -167,7 +171,9 @@
         while self.jobs and self.jobs[0].order_key_s < now_s:
             job = self.jobs.pop(0)
             job.order_key_s += LATE_OFFSET_S
+            self._update_backlog(job, len(job.waiting), -1)
             job.is_late = True
+            self._update_backlog(job, len(job.waiting), 1)
             self.jobs.add(job)
             late.append(job)
         return late
@@ -238,6 +244,14 @@
         # The prior does not change while the job waits, so that the sum
         # returns to zero.
         self.waiting_work_s += sign * len(indices) * job.run_time.prior_s
+        self._update_backlog(job, len(indices), sign)
+
+    def _update_backlog(self, job: Job, tasks: int, sign: int) -> None:
+        self.backlog.add(
+            demand_class(job.priority, job.is_late),
+            sign * tasks,
+            sign * tasks * job.run_time.prior_s,
+        )
 
     def _virtual_start(
         self, job: Job, now_s: float, work_s: float, throughput: float
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -14,6 +14,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, format_incarnation
 from sardinestair.limits.credits import CreditLedger
+from sardinestair.limits.load_view import LoadSum
 from sardinestair.limits.resources import Resources, units_needed
 from sardinestair.links.fence import FrameStatus
 from sardinestair.links.session import SidecarSession, StartDecision
@@ -269,6 +270,8 @@
             session.is_expired = self.is_session_expired(session)
         if verdict is FrameStatus.NEW_EPOCH:
             self._open_session(route, session, frame.messages.pop(0))
+        if frame.backlog is not None:
+            session.backlog = frame.backlog
         for message in frame.messages:
             handle_message(message, session, self)
 
@@ -474,7 +477,7 @@
             return
         now_s = self.clock.monotonic()
         self.ledger.slots = self.upstream.slots
-        for entry in self.ledger.allocate():
+        for entry in self.ledger.allocate(now_s):
             holder = self.ledger.holders[entry]
             self.sessions[entry].grant(holder.granted, holder.demand > 0)
         for entry, count in self.ledger.start_recalls(now_s).items():
@@ -515,17 +518,28 @@
         is_any_due = min(due_s, default=math.inf) <= now_s
         early_s = EARLY_HEARTBEAT_SHARE * self.timing.heartbeat_s
         limit_s = now_s + early_s if is_any_due else now_s
+        load: LoadSum | None = None
         for session, heartbeat_s in zip(
             self.sessions.values(), due_s, strict=True
         ):
             if session.has_urgent_messages or heartbeat_s <= limit_s:
                 session.last_sent_s = now_s
                 self.link_usage.count_sent(session.has_urgent_messages)
-                data = self.encoder.encode(session.next_frame(now_s))
+                if load is None:
+                    load = self._sum_backlogs()
+                others = load.without(session.backlog)
+                data = self.encoder.encode(session.next_frame(now_s, others))
                 self.socket.send_multipart([session.route, data])
                 has_sent = True
         return has_sent
 
+    def _sum_backlogs(self) -> LoadSum:
+        return LoadSum(
+            session.backlog
+            for session in self.sessions.values()
+            if not session.fence.is_epoch_invalid
+        )
+
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
             listener()
@@ -575,6 +589,8 @@
         urgent_at_s,
         now_s,
         message.head_units,
+        message.priority,
+        message.class_units,
     )
 
 
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -169,7 +169,13 @@
         return self.event_loop.call(self.server.unsettled)
 
     def _read_levels(self) -> dict[str, float]:
-        return {"loop_delay_s": self.event_loop.take_longest_delay_s()}
+        granted = self.server.ledger.guarantee.granted_units
+        return {
+            "loop_delay_s": self.event_loop.take_longest_delay_s(),
+            **{
+                f"class_{n}_units": units for n, units in granted.copy().items()
+            },
+        }
 
     def _update_announcers(self, learned: list[str]) -> None:
         if self.is_stopping:
