Report load at most ten times a second, keep handles of histograms

Change: a report is due every 0.1 s; histograms are looked up once a kind; the classes of a grant are determined once.

--- a/sardinestair/entry/way_recorder.py
+++ b/sardinestair/entry/way_recorder.py
@@ -5,6 +5,7 @@
 from sardinestair.links.entry_link import EntryLink
 from sardinestair.messages import Outcome
 from sardinestair.observability import Metrics
+from sardinestair.observability.metrics import Distribution
 
 __all__ = ["WayRecorder"]
 
@@ -15,6 +16,22 @@
 ANSWER_METRIC = "job_answer_s"
 
 
+class _KindHistograms:
+    """The histograms of one kind of job."""
+
+    __slots__ = ("answer", "order", "report", "run", "wait")
+
+    def __init__(self, metrics: Metrics, labels: dict[str, str]):
+        def make(part: str) -> Distribution:
+            return metrics.distribution(RUN_METRIC, {**labels, "part": part})
+
+        self.wait = make("wait")
+        self.order = make("order")
+        self.run = make("run")
+        self.report = make("report")
+        self.answer = metrics.distribution(ANSWER_METRIC, labels)
+
+
 class WayRecorder:
     """Records the parts of the ways of runs and answers.
 
@@ -23,13 +40,13 @@
         metrics: The process's metrics.
 
     Attributes:
-        kinds: The services and kinds that have labels of their own.
+        histograms: The histograms by service and kind.
     """
 
     def __init__(self, clock: Clock, metrics: Metrics):
         self.clock = clock
         self.metrics = metrics
-        self.kinds: set[tuple[str, str]] = set()
+        self.histograms: dict[tuple[str, str], _KindHistograms] = {}
 
     def record_outcome(
         self, job: Job, link: EntryLink, outcome: Outcome
@@ -43,12 +60,11 @@
             link.lag.excess_s,
             link.endpoint,
         )
-        labels = self._labels(job)
-        observe = self.metrics.observe
-        observe(RUN_METRIC, {**labels, "part": "wait"}, parts.wait_s)
-        observe(RUN_METRIC, {**labels, "part": "order"}, parts.order_s)
-        observe(RUN_METRIC, {**labels, "part": "run"}, parts.run_s)
-        observe(RUN_METRIC, {**labels, "part": "report"}, parts.report_s)
+        histograms = self._histograms(job)
+        histograms.wait.observe(parts.wait_s)
+        histograms.order.observe(parts.order_s)
+        histograms.run.observe(parts.run_s)
+        histograms.report.observe(parts.report_s)
 
     def record_answer(self, job: Job) -> None:
         """Records the time from the end of a job to its first response."""
@@ -56,12 +72,16 @@
             return
         job.way.is_answered = True
         answer_s = self.clock.monotonic() - job.ended_s
-        self.metrics.observe(ANSWER_METRIC, self._labels(job), answer_s)
+        self._histograms(job).answer.observe(answer_s)
 
-    def _labels(self, job: Job) -> dict[str, str]:
+    def _histograms(self, job: Job) -> _KindHistograms:
         key = (job.service, job.kind)
-        if key not in self.kinds:
-            if len(self.kinds) >= MAX_KINDS:
-                return {"service": job.service, "kind": OTHER_KIND}
-            self.kinds.add(key)
-        return {"service": job.service, "kind": job.kind}
+        found = self.histograms.get(key)
+        if found is None and len(self.histograms) >= MAX_KINDS:
+            key = (job.service, OTHER_KIND)
+            found = self.histograms.get(key)
+        if found is None:
+            labels = {"service": key[0], "kind": key[1]}
+            found = _KindHistograms(self.metrics, labels)
+            self.histograms[key] = found
+        return found
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -130,7 +130,8 @@
     @property
     def unmet(self) -> int:
         """Number of credits that are wanted and have not been granted."""
-        return max(0, self.demand - self.granted_since_report)
+        unmet = self.demand - self.granted_since_report
+        return unmet if unmet > 0 else 0
 
     @property
     def held(self) -> int:
@@ -271,9 +272,12 @@
         """
         granted: set[Incarnation] = set()
         free = self.free
+        if free <= 0:
+            return granted
+        asking = {e: h for e, h in self.holders.items() if h.unmet > 0}
         while free > 0:
-            wanted = self._wanted_by_class()
-            entry = self._next_entry(wanted)
+            wanted = self._wanted_by_class(asking)
+            entry = self._next_entry(asking, wanted)
             if entry is None:
                 break
             holder = self.holders[entry]
@@ -282,13 +286,15 @@
                 break
             if len(wanted) > 1:
                 self.guarantee.observe_grant(
-                    self._class_of(holder), units, wanted
+                    holder.current_class, units, wanted
                 )
             holder.granted += units
             holder.granted_since_report += units
             holder.granted_s = now_s
             free -= units
             granted.add(entry)
+            if holder.unmet <= 0:
+                asking.pop(entry, None)
         return granted
 
     def _grant_size(self, holder: CreditHolder) -> int:
@@ -311,12 +317,14 @@
         waiting = [
             holder
             for holder in self.holders.values()
-            if holder.unmet
+            if holder.unmet > 0
             and now_s - holder.unmet_since_s >= self.recall_delay_s
         ]
-        unmet = sum(holder.unmet for holder in waiting)
-        most_urgent = min(map(self._class_of, waiting), default=0)
         recalls: dict[Incarnation, int] = {}
+        if not waiting:
+            return recalls
+        unmet = sum(holder.unmet for holder in waiting)
+        most_urgent = min(holder.current_class for holder in waiting)
         for entry, holder in self.holders.items():
             if unmet <= 0:
                 break
@@ -340,36 +348,54 @@
         """
         if not holder.demand:
             return holder.held
-        if len(self.priorities) < 2:
+        if not self.has_classes:
             return 0
         is_unspent = now_s - holder.granted_s >= UNSPENT_AGE_S
         is_less_urgent = holder.head_class > most_urgent
         return holder.held if is_less_urgent and is_unspent else 0
 
-    def _class_of(self, holder: CreditHolder) -> int:
-        """Returns the class of an entry's next unmet demand."""
-        return holder.current_class if len(self.priorities) > 1 else 0
+    @property
+    def has_classes(self) -> bool:
+        """True if entries have reported jobs of different priorities."""
+        return len(self.priorities) > 1
 
-    def _wanted_by_class(self) -> dict[int, int]:
-        """Returns the units of the next grant to each class with demand."""
+    def _wanted_by_class(
+        self, asking: dict[Incarnation, CreditHolder]
+    ) -> dict[int, int]:
+        """Returns the units of the next grant to each class with demand.
+
+        It is empty if there is no choice between classes.
+        """
         wanted: dict[int, int] = {}
-        for holder in self.holders.values():
-            if holder.unmet > 0:
-                units = self._grant_size(holder)
-                number = self._class_of(holder)
-                wanted[number] = max(wanted.get(number, 0), units)
+        if len(asking) < 2 or not self.has_classes:
+            return wanted
+        for holder in asking.values():
+            units = self._grant_size(holder)
+            number = holder.current_class
+            if units > wanted.get(number, 0):
+                wanted[number] = units
         return wanted
 
-    def _next_entry(self, wanted: dict[int, int]) -> Incarnation | None:
-        """Returns the entry that the next grant goes to, or None."""
-        if wanted:
+    def _next_entry(
+        self,
+        asking: dict[Incarnation, CreditHolder],
+        wanted: dict[int, int],
+    ) -> Incarnation | None:
+        """Returns the entry that the next grant goes to, or None.
+
+        Args:
+            asking: The entries with unmet demand.
+            wanted: Units of the next grant to each class.
+        """
+        if len(wanted) > 1:
             number = self.guarantee.next_class(wanted)
-            asking = [
-                entry
-                for entry, holder in self.holders.items()
-                if holder.unmet > 0 and self._class_of(holder) == number
-            ]
-            return min(asking, key=lambda e: self.holders[e].head_order_key_s)
+            asking = {
+                entry: holder
+                for entry, holder in asking.items()
+                if holder.current_class == number
+            }
+        if asking:
+            return min(asking, key=lambda e: asking[e].head_order_key_s)
         if any(holder.demand for holder in self.holders.values()):
             return None
         if not self.holders:
--- a/sardinestair/limits/load_view.py
+++ b/sardinestair/limits/load_view.py
@@ -17,6 +17,7 @@
     "ClassBacklog",
     "ClassLoad",
     "LinkLoad",
+    "LoadReporter",
     "LoadSum",
     "LoadView",
     "has_changed",
@@ -33,6 +34,8 @@
 MIN_CHANGE_S = 0.05
 # Classes reported one by one; less urgent ones are added up.
 MAX_CLASSES = 8
+# Shortest time between two reports on a link.
+REPORT_INTERVAL_S = 0.1
 ROUNDING_S = 1e-6
 
 
@@ -155,6 +158,8 @@
     """
     if sent is None:
         return True
+    if not sent and not current:
+        return False
     before = {load.priority: load.work_s for load in sent}
     after = {load.priority: load.work_s for load in current}
     for priority in before.keys() | after.keys():
@@ -165,6 +170,51 @@
     return False
 
 
+class LoadReporter:
+    """Decides when one end of a link reports its load to the other.
+
+    Attributes:
+        sent: The last report; None if there is none in this epoch.
+        next_s: Earliest time of the next one.
+
+    Examples:
+        >>> reporter = LoadReporter()
+        >>> reporter.report([ClassLoad(0, 1.0)], now_s=0.0)
+        [ClassLoad(priority=0, work_s=1.0)]
+        >>> reporter.is_due(now_s=9.0)
+        True
+        >>> reporter.report([ClassLoad(0, 1.05)], now_s=9.0) is None
+        True
+    """
+
+    def __init__(self) -> None:
+        self.sent: list[ClassLoad] | None = None
+        self.next_s = 0.0
+
+    def reset(self) -> None:
+        """Forgets the last report at the start of a new epoch."""
+        self.sent = None
+
+    def is_due(self, now_s: float) -> bool:
+        """Returns True if a frame that is sent now may have a report."""
+        return self.sent is None or now_s >= self.next_s
+
+    def report(
+        self, current: list[ClassLoad], now_s: float
+    ) -> list[ClassLoad] | None:
+        """Returns the report for a frame, or None if it changed little.
+
+        Args:
+            current: The current load.
+            now_s: The current time.
+        """
+        self.next_s = now_s + REPORT_INTERVAL_S
+        if not has_changed(self.sent, current):
+            return None
+        self.sent = current
+        return current
+
+
 class LinkLoad:
     """What a sidecar has reported of the work of the other entries.
 
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -15,7 +15,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, JobId, format_incarnation
 from sardinestair.limits.credits import CreditAccount
-from sardinestair.limits.load_view import ClassLoad, LinkLoad, has_changed
+from sardinestair.limits.load_view import ClassLoad, LinkLoad, LoadReporter
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
 from sardinestair.links.lag import FrameLag
@@ -155,8 +155,7 @@
         echo_received_s: When that frame arrived, on the entry's clock.
         lag: Measures how late frames of the sidecar are handled.
         load: What the sidecar has reported of the other entries' work.
-        sent_backlog: The last report of the entry's own work; None if there
-            is none in this epoch.
+        reporter: Decides when the entry's own work is reported.
         is_ready: True from `notify` until the link is served.
     """
 
@@ -202,7 +201,7 @@
         self.echo_received_s = clock.monotonic()
         self.lag = FrameLag()
         self.load = LinkLoad()
-        self.sent_backlog: list[ClassLoad] | None = None
+        self.reporter = LoadReporter()
         self.is_ready = False
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
@@ -323,7 +322,7 @@
             self.account.reset()
             self.last_demand = Demand(0, 0.0)
             self.load.reset()
-            self.sent_backlog = None
+            self.reporter.reset()
             self.silent_since_s = self.clock.monotonic()
             if self.unanswered_since_s is None:
                 self.unanswered_since_s = self.silent_since_s
@@ -440,7 +439,7 @@
                 self.frames_sent,
                 messages,
                 self.echo_s,
-                self._changed_backlog(),
+                self._report_backlog(now_s),
             )
             self.last_sent_s = now_s
             self.owner.link_usage.count_sent(has_messages=bool(messages))
@@ -451,13 +450,10 @@
             return False
         return True
 
-    def _changed_backlog(self) -> list[ClassLoad] | None:
-        """Returns the entry's waiting work, or None if it changed little."""
-        backlog = self.owner.backlog_for(self)
-        if not has_changed(self.sent_backlog, backlog):
+    def _report_backlog(self, now_s: float) -> list[ClassLoad] | None:
+        if not self.reporter.is_due(now_s):
             return None
-        self.sent_backlog = backlog
-        return backlog
+        return self.reporter.report(self.owner.backlog_for(self), now_s)
 
     def _collect_messages(self) -> list[EntryMessage]:
         """Returns the messages that are to be sent at once."""
--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from sardinestair.ids import Incarnation, JobId
-from sardinestair.limits.load_view import ClassLoad, has_changed
+from sardinestair.limits.load_view import ClassLoad, LoadReporter
 from sardinestair.links.fence import FrameFence
 from sardinestair.messages import (
     Grant,
@@ -70,8 +70,7 @@
             this number; 0 otherwise.
         is_grant_urgent: True if the entry has tasks that wait for them.
         backlog: The entry's waiting work by class, from its last report.
-        sent_load: The last report to the entry on the others' work; None if
-            there is none in this epoch.
+        reporter: Decides when the entry is sent the others' work.
     """
 
     def __init__(self, entry: Incarnation, sidecar: Incarnation):
@@ -89,7 +88,7 @@
         self.granted = 0
         self.is_grant_urgent = False
         self.backlog: list[ClassLoad] = []
-        self.sent_load: list[ClassLoad] | None = None
+        self.reporter = LoadReporter()
 
     @property
     def is_idle(self) -> bool:
@@ -114,7 +113,8 @@
         self.outbox.clear()
         self.granted = 0
         self.is_grant_urgent = False
-        self.backlog, self.sent_load = [], None
+        self.backlog = []
+        self.reporter.reset()
         if message.sidecar != self.sidecar:
             self.outbox.append(Resumed(False, [], []))
             return False
@@ -214,19 +214,13 @@
 
         Args:
             now_s: The current time, on the sidecar's clock.
-            load: The waiting work of the other entries; None to report
-                nothing.
+            load: Report of the other entries' waiting work, if it is due.
         """
         self.frames_sent += 1
         if self.granted:
             self.outbox.append(Grant(self.granted))
             self.granted, self.is_grant_urgent = 0, False
         messages, self.outbox = self.outbox, []
-        if load is not None:
-            if has_changed(self.sent_load, load):
-                self.sent_load = load
-            else:
-                load = None
         return SidecarFrame(
             self.sidecar,
             self.fence.epoch,
--- a/sardinestair/observability/metrics.py
+++ b/sardinestair/observability/metrics.py
@@ -8,7 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from aioprometheus import histogram as aio_histogram
 
-__all__ = ["Metrics"]
+__all__ = ["Distribution", "Metrics"]
 
 # Bounds of the buckets of every histogram: seconds, or a ratio for the stretch.
 HISTOGRAM_BUCKETS = (
@@ -19,9 +19,11 @@
 _Key: TypeAlias = tuple[str, tuple[tuple[str, str], ...]]
 
 
-class _Distribution:
+class Distribution:
     """Values of one histogram that are counted by bucket.
 
+    It is not thread-safe.
+
     Attributes:
         counts: Number of values in each bucket, the last one unbounded.
         total: Sum of the values.
@@ -70,7 +72,7 @@
         # Amounts by name and labels that have not been passed on.
         self.counts: dict[_Key, float] = {}
         # Histograms by name and labels, since the start of the process.
-        self.distributions: dict[_Key, _Distribution] = {}
+        self.distributions: dict[_Key, Distribution] = {}
 
     def count(
         self, name: str, labels: dict[str, str], amount: float = 1
@@ -92,13 +94,19 @@
 
     def observe(self, name: str, labels: dict[str, str], value: float) -> None:
         """Adds a value to a histogram."""
-        key = (name, tuple(labels.items()))
+        distribution = self.distribution(name, labels)
         with self.lock:
-            distribution = self.distributions.get(key)
-            if distribution is None:
-                distribution = self.distributions[key] = _Distribution()
             distribution.observe(value)
 
+    def distribution(self, name: str, labels: dict[str, str]) -> Distribution:
+        """Returns the values of a histogram, to add many in one thread."""
+        key = (name, tuple(labels.items()))
+        with self.lock:
+            found = self.distributions.get(key)
+            if found is None:
+                found = self.distributions[key] = Distribution()
+            return found
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics as text, and the HTTP headers for it."""
         with self.lock:
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -525,10 +525,12 @@
             if session.has_urgent_messages or heartbeat_s <= limit_s:
                 session.last_sent_s = now_s
                 self.link_usage.count_sent(session.has_urgent_messages)
-                if load is None:
-                    load = self._sum_backlogs()
-                others = load.without(session.backlog)
-                data = self.encoder.encode(session.next_frame(now_s, others))
+                report = None
+                if session.reporter.is_due(now_s):
+                    load = load or self._sum_backlogs()
+                    others = load.without(session.backlog)
+                    report = session.reporter.report(others, now_s)
+                data = self.encoder.encode(session.next_frame(now_s, report))
                 self.socket.send_multipart([session.route, data])
                 has_sent = True
         return has_sent
