--- a/sardinestair/emulator/tests/test_load_view.py
+++ b/sardinestair/emulator/tests/test_load_view.py
@@ -53,7 +53,7 @@
 def test_burst_at_one_entry_is_seen_by_all_soon(system):
     system.run(BURST_S + REPORT_S)
     burdened, *others = states(system)
-    waiting_s = burdened.queue.backlog.work_until(LARGE)
+    waiting_s = burdened.queue.waiting_by_class.work_until(LARGE)
     assert waiting_s > 100.0
     for other, seen_s in zip(others, predict(system, LARGE)[1:], strict=True):
         assert other.queue.waiting_tasks == 0
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -76,7 +76,9 @@
         self.name = name
         self.settings = settings
         self.queue = ReadyQueue(settings.order)
-        self.load_view = LoadView(self.queue.backlog, self._serving_links)
+        self.load_view = LoadView(
+            self.queue.waiting_by_class, self._serving_links
+        )
         self.links: dict[Incarnation, EntryLink] = {}
         self.policy = make_policy(settings.policy, settings.wait_margin)
         self.retries = RetryBudget(settings.retry_ratio)
@@ -346,10 +348,10 @@
             wanted: Credits wanted for all waiting tasks.
             units: Credits that one of its tasks needs.
         """
-        if self.queue.backlog.count_priorities() < 2:
+        if self.queue.waiting_by_class.count_priorities() < 2:
             return 0
         number = demand_class(job.priority, job.is_late)
-        share = self.queue.backlog.task_share(number)
+        share = self.queue.waiting_by_class.task_share(number)
         return max(units, round(wanted * share / units) * units)
 
     def _first_job_for(self, link: EntryLink) -> Job | None:
--- a/sardinestair/limits/load_view.py
+++ b/sardinestair/limits/load_view.py
@@ -14,7 +14,7 @@
 from sardinestair.limits.credit_priority import priority_of
 
 __all__ = [
-    "ClassBacklog",
+    "WaitingByClass",
     "ClassLoad",
     "LinkLoad",
     "LoadReporter",
@@ -51,7 +51,7 @@
     work_s: float
 
 
-class ClassBacklog:
+class WaitingByClass:
     """Waiting tasks of one entry, by class.
 
     Attributes:
@@ -59,7 +59,7 @@
         work_s: Sum of their expected run times by class, in seconds.
 
     Examples:
-        >>> backlog = ClassBacklog()
+        >>> backlog = WaitingByClass()
         >>> backlog.add(0, tasks=2, work_s=0.5)
         >>> backlog.add(1, tasks=2, work_s=4.0)
         >>> backlog.task_share(0)
@@ -266,14 +266,14 @@
         links: Returns the entry's links that accept work.
 
     Examples:
-        >>> view = LoadView(ClassBacklog(), lambda: [])
+        >>> view = LoadView(WaitingByClass(), lambda: [])
         >>> view.backlog_s(0, now_s=1.0) is None
         True
     """
 
     def __init__(
         self,
-        own: ClassBacklog,
+        own: WaitingByClass,
         links: Callable[[], Iterable[LoadedLink]],
     ):
         self.own = own
--- a/sardinestair/limits/tests/test_load_view.py
+++ b/sardinestair/limits/tests/test_load_view.py
@@ -11,11 +11,11 @@
 from sardinestair.limits.load_view import (
     MAX_AGE_S,
     MAX_CLASSES,
-    ClassBacklog,
     ClassLoad,
     LinkLoad,
     LoadSum,
     LoadView,
+    WaitingByClass,
     has_changed,
 )
 
@@ -31,7 +31,7 @@
 
 
 def make_backlog(work_s):
-    backlog = ClassBacklog()
+    backlog = WaitingByClass()
     for priority, seconds in work_s.items():
         backlog.add(priority, 1, seconds)
     return backlog
@@ -66,7 +66,7 @@
 
 def test_entry_with_an_empty_queue_sees_the_work_of_all_others():
     backlogs = [make_backlog({0: 30.0}), make_backlog({0: 10.0, 2: 40.0})]
-    backlogs.append(ClassBacklog())
+    backlogs.append(WaitingByClass())
     everywhere = [range(4)] * 3
     view = share_load(backlogs, everywhere)[2]
     assert view.backlog_s(0, now_s=0.0) == pytest.approx(1.0)
@@ -82,7 +82,11 @@
 
 def test_only_work_for_the_same_upstreams_counts():
     """Of three entries one shares half of its links, one none."""
-    backlogs = [ClassBacklog(), make_backlog({0: 40.0}), make_backlog({0: 9.0})]
+    backlogs = [
+        WaitingByClass(),
+        make_backlog({0: 40.0}),
+        make_backlog({0: 9.0}),
+    ]
     views = share_load(backlogs, [range(4), range(2, 6), range(6, 10)])
     assert views[0].backlog_s(0, now_s=0.0) == pytest.approx(20.0 / 40.0)
 
@@ -94,7 +98,7 @@
 
 
 def test_load_is_unknown_without_reports():
-    view = LoadView(ClassBacklog(), lambda: [FakeLink()])
+    view = LoadView(WaitingByClass(), lambda: [FakeLink()])
     assert view.backlog_s(0, now_s=0.0) is None
 
 
@@ -105,7 +109,7 @@
 
 
 def test_load_is_unknown_after_most_links_were_opened_anew():
-    views = share_load([ClassBacklog()] * 2, [range(4)] * 2)
+    views = share_load([WaitingByClass()] * 2, [range(4)] * 2)
     links = views[0].links()
     for link in links[:2]:
         link.load.reset()
@@ -116,7 +120,7 @@
 
 def test_sidecars_without_a_report_are_taken_to_be_loaded_like_others():
     views = share_load(
-        [ClassBacklog(), make_backlog({0: 40.0})], [range(4)] * 2
+        [WaitingByClass(), make_backlog({0: 40.0})], [range(4)] * 2
     )
     views[0].links()[0].load.reset()
     assert views[0].backlog_s(0, now_s=0.0) == pytest.approx(1.0)
@@ -151,7 +155,7 @@
 
 
 def test_backlog_is_empty_again_after_all_tasks_have_started():
-    backlog = ClassBacklog()
+    backlog = WaitingByClass()
     backlog.add(0, 3, 0.3)
     for _ in range(3):
         backlog.add(0, -1, -0.1)
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -9,7 +9,7 @@
 from sardinestair.ids import Incarnation
 from sardinestair.jobs.job import Job
 from sardinestair.limits.credit_priority import demand_class
-from sardinestair.limits.load_view import ClassBacklog
+from sardinestair.limits.load_view import WaitingByClass
 
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamVirtualTime"]
 
@@ -87,7 +87,7 @@
         waiting_tasks: Number of waiting tasks.
         waiting_bytes: Size of their payloads in bytes.
         waiting_work_s: Sum of their expected run times in seconds.
-        backlog: The same by class.
+        waiting_by_class: The same by class, with the number of tasks.
     """
 
     def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
@@ -97,7 +97,7 @@
         self.waiting_tasks = 0
         self.waiting_bytes = 0
         self.waiting_work_s = 0.0
-        self.backlog = ClassBacklog()
+        self.waiting_by_class = WaitingByClass()
 
     def add(self, job: Job, now_s: float, throughput: float) -> None:
         """Adds a job with all its tasks.
@@ -247,7 +247,7 @@
         self._update_backlog(job, len(indices), sign)
 
     def _update_backlog(self, job: Job, tasks: int, sign: int) -> None:
-        self.backlog.add(
+        self.waiting_by_class.add(
             demand_class(job.priority, job.is_late),
             sign * tasks,
             sign * tasks * job.run_time.prior_s,
