--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -625,7 +625,11 @@
                 state.retries.deposit()
             remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
             link.place(
-                job.task_ref(index), remaining_s, payloads[index], job.need
+                job.task_ref(index),
+                remaining_s,
+                payloads[index],
+                job.need,
+                priority=job.priority,
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -220,6 +220,7 @@
         remaining_s: float,
         payload: bytes,
         need: Resources | None = None,
+        priority: int = 0,
     ) -> None:
         """Queues the start of a task, and spends its credits."""
         units = self.candidate.units_needed(need)
@@ -231,7 +232,8 @@
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
         self.placed_s[ref.job, ref.index] = self.clock.monotonic()
-        self.outbox.append(Start(ref, remaining_s, payload, need, units))
+        start = Start(ref, remaining_s, payload, need, units, priority=priority)
+        self.outbox.append(start)
 
     def cancel(self, refs: list[TaskRef]) -> None:
         """Queues one message that cancels started tasks."""
