--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -171,11 +171,10 @@
         while self.jobs and self.jobs[0].order_key_s < now_s:
             job = self.jobs.pop(0)
             job.order_key_s += LATE_OFFSET_S
-            self._update_backlog(job, len(job.waiting), -1)
             job.is_late = True
-            self._update_backlog(job, len(job.waiting), 1)
             self.jobs.add(job)
             late.append(job)
+        self._count_as_late(late)
         return late
 
     def no_longer_useful(self, now_s: float) -> list[Job]:
@@ -244,15 +243,23 @@
         # The prior does not change while the job waits, so that the sum
         # returns to zero.
         self.waiting_work_s += sign * len(indices) * job.run_time.prior_s
-        self._update_backlog(job, len(indices), sign)
+        self._update_classes(job, len(indices), job.is_late, sign)
 
-    def _update_backlog(self, job: Job, tasks: int, sign: int) -> None:
+    def _update_classes(
+        self, job: Job, tasks: int, is_late: bool, sign: int
+    ) -> None:
         self.waiting_by_class.add(
-            demand_class(job.priority, job.is_late),
+            demand_class(job.priority, is_late),
             sign * tasks,
             sign * tasks * job.run_time.prior_s,
         )
 
+    def _count_as_late(self, jobs: list[Job]) -> None:
+        """Counts the waiting tasks of jobs that have become late as such."""
+        for job in jobs:
+            self._update_classes(job, len(job.waiting), False, -1)
+            self._update_classes(job, len(job.waiting), True, 1)
+
     def _virtual_start(
         self, job: Job, now_s: float, work_s: float, throughput: float
     ) -> float:
--- a/sardinestair/placement/tests/test_queue.py
+++ b/sardinestair/placement/tests/test_queue.py
@@ -5,6 +5,7 @@
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.jobs.job import Job
 from sardinestair.jobs.work import JobRunTimeEstimator
+from sardinestair.limits.credit_priority import demand_class
 from sardinestair.placement.queue import OrderPolicy, ReadyQueue
 
 SIDECAR = Incarnation(b"s" * 16)
@@ -173,3 +174,14 @@
     queue.demote_late(0.5)
     assert queue.no_longer_useful(1.9) == []
     assert queue.no_longer_useful(2.1) == [late]
+
+
+def test_waiting_work_moves_to_the_class_of_late_jobs():
+    late = timed_job(1, soft_deadline_s=1.0, task_s=0.5)
+    on_time = timed_job(2, soft_deadline_s=3.0, task_s=0.5)
+    queue = slack_queue(late, on_time)
+    queue.demote_late(0.6)
+    late_class = demand_class(late.priority, is_late=True)
+    assert queue.waiting_by_class.work_s == {0: 0.5, late_class: 0.5}
+    drain(queue)
+    assert queue.waiting_by_class.work_s == {}
