--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -31,7 +31,6 @@
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
-from sardinestair.limits.credit_priority import REST_CLASS
 from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
@@ -403,21 +402,6 @@
                 link.state is LinkState.UP for link in self.links.values()
             )
 
-    def longest_backlog_s(self) -> float | None:
-        """Returns the longest backlog of a service at all entries, in seconds.
-
-        Late jobs are not counted. It is None if none is known.
-        """
-        with self.lock:
-            now_s = self.clock.monotonic()
-            known = [
-                backlog_s
-                for state in self.services.values()
-                if (backlog_s := state.load_view.backlog_s(REST_CLASS, now_s))
-                is not None
-            ]
-        return max(known, default=None)
-
     def next_check_delay_s(self) -> float:
         """Returns the time until the next periodic checks, in seconds."""
         with self.lock:
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -16,6 +16,7 @@
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
+from sardinestair.limits.credit_priority import REST_CLASS
 from sardinestair.links import LinkLoop
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics, UsageReporter
@@ -391,9 +392,13 @@
             "longest_request_wait_s": self.event_loop.take_longest_delay_s(),
             "active_jobs": self.dispatcher.count_active_jobs(),
         }
-        backlog_s = self.dispatcher.longest_backlog_s()
-        if backlog_s is not None:
-            levels["backlog_s"] = backlog_s
+        with self.dispatcher.lock:
+            now_s = self.clock.monotonic()
+            for state in self.dispatcher.services.values():
+                backlog_s = state.load_view.backlog_s(REST_CLASS, now_s)
+                if backlog_s is not None:
+                    longest_s = levels.get("backlog_s", 0.0)
+                    levels["backlog_s"] = max(longest_s, backlog_s)
         return levels
 
     def reload(self, settings: EntrySettings) -> None:
