Stop starting tasks in zones that the operator has evacuated

Entries read it together with the configuration, sidecars with their poll of the store, and both pass it on with the messages that they exchange anyway. Entries place no tasks there, and sidecars of the zone refuse starts and grant no credits. A view is ordered by the revision of the store, so that an older one never replaces a newer one. A service that lies in evacuated zones as a whole refuses jobs at once.

A read of several pages now has the revision of its first page, as a key may be written between two pages.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -33,10 +33,12 @@
 from sardinestair.limits.budget import JobReservation
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
+from sardinestair.membership.evacuation import EvacuationRegister
 from sardinestair.messages import (
     Announce,
     CrashReport,
     Demand,
+    EvacuationView,
     Outcome,
     TaskRef,
 )
@@ -96,6 +98,7 @@
         crashes: Crashes of upstreams, by task.
         withdrawn: Jobs that callers have cancelled, here or at other entries.
         on_withdrawn: Called when a caller has cancelled a job here.
+        evacuations: The evacuated availability zones.
         deadline_heap: Deadlines of accepted jobs, as a heap.
         services_to_place: Services whose queue or upstreams have changed
             since tasks were last placed.
@@ -138,6 +141,7 @@
         self.crashes = CrashHistory(retention_s)
         self.withdrawn = WithdrawnJobs(retention_s)
         self.on_withdrawn: Callable[[], None] = lambda: None
+        self.evacuations = EvacuationRegister()
         self.claims = claims
         self.deadline_heap: list[tuple[float, int, Job]] = []
         self.tie_breaker = itertools.count()
@@ -185,6 +189,33 @@
                 self.services_to_place.add(name)
             self.place_waiting()
 
+    def observe_evacuations(self, view: EvacuationView) -> None:
+        """Merges a view of the evacuated zones, and places tasks accordingly.
+
+        Running tasks are not affected. Jobs that have not begun are refused if
+        all upstreams of their service are in evacuated zones.
+        """
+        with self.lock:
+            if not self.evacuations.observe(view):
+                return
+            zones = self.evacuations.zones
+            self.metrics.gauge("evacuated_zones", {}, len(zones))
+            now_s = self.clock.monotonic()
+            for state in self.services.values():
+                state.set_evacuated_zones(zones, now_s)
+                self.services_to_place.add(state.name)
+                self._refuse_evacuated_jobs(state, now_s)
+            self.place_waiting()
+
+    def _refuse_evacuated_jobs(self, state: ServiceState, now_s: float) -> None:
+        refusal = state.evacuation_refusal(now_s)
+        if refusal is None:
+            return
+        for job in [job for job in state.queue.jobs if job.is_not_run]:
+            self.job_finalizer.fail(
+                job, refusal.kind, refusal.detail, refusal.retry_after_s
+            )
+
     def handle_announcement(self, announce: Announce) -> EntryLink | None:
         """Opens, updates or removes the link to an announced sidecar.
 
@@ -398,7 +429,9 @@
         """Returns True if any upstream accepts work."""
         with self.lock:
             return any(
-                link.state is LinkState.UP for link in self.links.values()
+                link.state is LinkState.UP
+                and link.candidate.zone not in self.evacuations.zones
+                for link in self.links.values()
             )
 
     def next_check_delay_s(self) -> float:
@@ -505,6 +538,7 @@
             settings = resolve_settings(tree, service, self.zone)
             now_s = self.clock.monotonic()
             state = ServiceState(service, settings, now_s, self.crashes)
+            state.set_evacuated_zones(self.evacuations.zones, now_s)
             self.services[service] = state
         return state
 
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -171,9 +171,12 @@
                 not_run=True,
                 field="deadline_s",
             )
+        now_s = self.clock.monotonic()
+        refusal = state.evacuation_refusal(now_s)
+        if refusal is not None:
+            return refusal
         size = sum(len(p) for p in request.payloads)
         estimate = state.estimate(request.kind, request.declared_task_s)
-        now_s = self.clock.monotonic()
         objective_s = state.response_objective_s(settings, estimate.mean_s_)
         load = state.load(
             request.team,
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -122,6 +122,7 @@
             dispatcher.withdrawn.recent(
                 dispatcher.clock.monotonic(), 2 * self.interval_s
             ),
+            dispatcher.evacuations.view,
         )
 
     def _adopt(self, reply: PeerReply) -> None:
@@ -141,6 +142,7 @@
             self._adopt(reply)
         self.add_endpoints(reply.entries)
         dispatcher = self.membership.dispatcher
+        dispatcher.observe_evacuations(reply.evacuations)
         dispatcher.admission_controller.entry_count = 1 + len(
             self.membership.peers.recently_seen(now_s, self.peer_timeout_s)
         )
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -138,6 +138,7 @@
             hello.endpoint, hello.http_address, hello.entry, now_s
         )
         self.dispatcher.handle_withdrawn(hello.withdrawn)
+        self.dispatcher.observe_evacuations(hello.evacuations)
         settings = b""
         if hello.settings_revision < self.settings_revision:
             settings = msgspec.json.encode(self.dispatcher.tree)
@@ -147,12 +148,14 @@
             self.peers.endpoints(),
             self.settings_revision,
             settings,
+            self.dispatcher.evacuations.view,
         )
 
     @_answer.register
     def _(self, announce: Announce) -> AnnounceReply:
         now_s = self.dispatcher.clock.monotonic()
         self.roster.observe(announce, now_s)
+        self.dispatcher.observe_evacuations(announce.evacuations)
         link = self.dispatcher.handle_announcement(announce)
         if link is not None:
             self.start_link(link)
@@ -172,6 +175,7 @@
             self.peers.endpoints(),
             self.settings_revision,
             settings,
+            self.dispatcher.evacuations.view,
         )
 
     def _remove_expired_sidecars(self, now_s: float) -> None:
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -7,10 +7,12 @@
 from sardinestair.entry.process import EntryProcess
 from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LaunchContext
+from sardinestair.membership.evacuation import read_view
 from sardinestair.platform.callers import ClientApi
 from sardinestair.platform.names import link_endpoints
 from sardinestair.platform.operator import (
-    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_PREFIX,
     read_configuration,
 )
 from sardinestair.platform.store import PlatformStore
@@ -146,9 +148,15 @@
         return SettingsFollower(
             self.store,
             self.adopt,
-            CONFIGURATION_KEY,
+            OPERATOR_PREFIX,
             self._read_tree,
             REREAD_INTERVAL_S,
+            self._read_evacuations,
+        )
+
+    def _read_evacuations(self, snapshot: Snapshot) -> None:
+        self.dispatcher.observe_evacuations(
+            read_view(snapshot, EVACUATION_PREFIX)
         )
 
     def _read_tree(self, snapshot: Snapshot) -> VersionedTree | None:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -10,6 +10,7 @@
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import Demand
 from sardinestair.observability.burn import BurnRecorder
+from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.placement import (
     HealthRegistry,
     ReadyQueue,
@@ -31,6 +32,8 @@
 # Upstreams announce themselves within two heartbeats of 1.5 s. Until then the
 # throughput is unknown and no wait can be predicted.
 DISCOVERY_GRACE_S = 3.0
+# An evacuation usually lasts for seconds to hours.
+EVACUATION_RETRY_S = 5.0
 
 
 class ServiceState:
@@ -59,6 +62,7 @@
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
+        evacuated_zones: Availability zones whose upstreams get no tasks.
     """
 
     def __init__(
@@ -85,6 +89,44 @@
         self.demand_targets: set[Incarnation] = set()
         self.declined: set[Incarnation] = set()
         self.next_target = 0
+        self.evacuated_zones: frozenset[str] = frozenset()
+
+    def set_evacuated_zones(self, zones: frozenset[str], now_s: float) -> None:
+        """Applies a change of the evacuated zones."""
+        changed = self.evacuated_zones ^ zones
+        self.evacuated_zones = zones
+        for link in self.links.values():
+            if link.candidate.zone in changed:
+                self.refresh_candidate(link, now_s)
+                link.notify()
+
+    def evacuation_refusal(self, now_s: float) -> Problem | None:
+        """Returns why no job can run, or None if some upstream may take tasks.
+
+        Upstreams that have not announced themselves yet may be in another
+        zone, so that nothing is refused soon after the start.
+        """
+        if not self.evacuated_zones or not self.links:
+            return None
+        if now_s - self.created_s < DISCOVERY_GRACE_S:
+            return None
+        if not all(map(self._is_evacuated, self.links.values())):
+            return None
+        return Problem(
+            ProblemKind.UNAVAILABLE,
+            f"all upstreams of {self.name} are in evacuated zones",
+            not_run=True,
+            retry_after_s=EVACUATION_RETRY_S,
+        )
+
+    def _is_evacuated(self, link: EntryLink) -> bool:
+        return link.candidate.zone in self.evacuated_zones
+
+    def _open_links(self, *states: LinkState) -> Iterator[EntryLink]:
+        """Yields the links in these states outside evacuated zones."""
+        for link in self.links.values():
+            if link.state in states and not self._is_evacuated(link):
+                yield link
 
     def configure(self, settings: ServiceSettings) -> None:
         """Applies changed settings; learned estimates are kept."""
@@ -177,8 +219,12 @@
         """Updates the placement candidate of a link from the link's state."""
         candidate = link.candidate
         candidate.outstanding = len(link.outstanding)
-        is_usable = link.state is LinkState.UP and self.health.allows_start(
-            link.sidecar, candidate.outstanding, now_s
+        is_usable = (
+            link.state is LinkState.UP
+            and not self._is_evacuated(link)
+            and self.health.allows_start(
+                link.sidecar, candidate.outstanding, now_s
+            )
         )
         candidate.is_usable = is_usable
         candidate.credits = link.account.available if is_usable else 0
@@ -192,8 +238,7 @@
         """Number of slots of the upstreams that accept work."""
         return sum(
             round(link.candidate.concurrency)
-            for link in self.links.values()
-            if link.state is LinkState.UP
+            for link in self._open_links(LinkState.UP)
         )
 
     def throughput(self) -> float:
@@ -204,8 +249,7 @@
         """
         return sum(
             link.candidate.concurrency / link.candidate.slowdown_
-            for link in self.links.values()
-            if link.state in (LinkState.UP, LinkState.CONNECTING)
+            for link in self._open_links(LinkState.UP, LinkState.CONNECTING)
         )
 
     def entry_throughput(self, share: float) -> float:
@@ -303,7 +347,7 @@
         It is zero if the sidecar is not a demand target, if no queued task
         would start there, or if the credits held already cover the next one.
         """
-        if link.sidecar not in self.demand_targets:
+        if link.sidecar not in self.demand_targets or self._is_evacuated(link):
             return Demand(0, 0.0)
         job = self._first_job_for(link)
         if job is None:
@@ -353,7 +397,8 @@
         if not self.crashes.find(job.job_id, job.waiting[0]):
             return False
         away = sum(
-            link.state is LinkState.LEAVING for link in self.links.values()
+            link.state is LinkState.LEAVING and not self._is_evacuated(link)
+            for link in self.links.values()
         )
         return away > self.settings.max_outage_share * len(self.links)
 
--- a/sardinestair/membership/__init__.py
+++ b/sardinestair/membership/__init__.py
@@ -2,7 +2,15 @@
 
 from sardinestair.membership.announcer import Announcer
 from sardinestair.membership.choice import choose_entries
+from sardinestair.membership.evacuation import EvacuationRegister
 from sardinestair.membership.peers import Peer, PeerDirectory
 from sardinestair.membership.roster import Roster
 
-__all__ = ["Announcer", "Peer", "PeerDirectory", "Roster", "choose_entries"]
+__all__ = [
+    "Announcer",
+    "EvacuationRegister",
+    "Peer",
+    "PeerDirectory",
+    "Roster",
+    "choose_entries",
+]
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -26,6 +26,7 @@
     "Demand",
     "EntryFrame",
     "EntryMessage",
+    "EvacuationView",
     "Grant",
     "KindSlowdown",
     "Leaving",
@@ -310,6 +311,20 @@
     observed_ago_s: float = 0.0
 
 
+class EvacuationView(msgspec.Struct, array_like=True, frozen=True):
+    """The evacuated availability zones as far as the sender was informed.
+
+    Attributes:
+        revision: Revision of the store at which all zones were read; 0 if they
+            never were.
+        zones: The evacuated zones, each with the revision of the store at which
+            its evacuation was requested. It may be above `revision`.
+    """
+
+    revision: int = 0
+    zones: dict[str, int] = {}
+
+
 class Announce(msgspec.Struct, array_like=True, tag="N"):
     """Announces a sidecar and its upstream to an entry.
 
@@ -327,6 +342,7 @@
             entry that started them.
         status: Further state of the upstream, or None from sidecars of earlier
             versions.
+        evacuations: The evacuated zones.
     """
 
     sidecar: Incarnation
@@ -339,6 +355,7 @@
     capacity: Resources | None = None
     is_leased: bool = False
     status: UpstreamStatus | None = None
+    evacuations: EvacuationView = EvacuationView()
 
 
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
@@ -350,6 +367,7 @@
         http_address: Base URL of its HTTP API.
         settings_revision: Revision of the settings tree that it has applied.
         withdrawn: Jobs that its callers have cancelled lately.
+        evacuations: The evacuated zones.
     """
 
     entry: Incarnation
@@ -357,6 +375,7 @@
     http_address: str
     settings_revision: int
     withdrawn: list[JobId] = []
+    evacuations: EvacuationView = EvacuationView()
 
 
 class PeerReply(msgspec.Struct, array_like=True):
@@ -368,6 +387,7 @@
         entries: Membership endpoints of all entries that it knows.
         settings_revision: Revision of the settings tree that it has applied.
         settings: The tree as JSON, or empty if the other entry is up to date.
+        evacuations: The evacuated zones.
     """
 
     entry: Incarnation
@@ -375,6 +395,7 @@
     entries: list[str]
     settings_revision: int
     settings: bytes
+    evacuations: EvacuationView = EvacuationView()
 
 
 class AnnounceReply(msgspec.Struct, array_like=True):
@@ -386,9 +407,11 @@
         settings_revision: Revision of `settings`.
         settings: The sidecar's effective settings as JSON, or empty if it
             is up to date.
+        evacuations: The evacuated zones.
     """
 
     entry: Incarnation
     entries: list[str]
     settings_revision: int
     settings: bytes
+    evacuations: EvacuationView = EvacuationView()
--- a/sardinestair/platform/operator.py
+++ b/sardinestair/platform/operator.py
@@ -20,9 +20,17 @@
 )
 from sardinestair.store.port import Snapshot
 
-__all__ = ["CONFIGURATION_KEY", "read_configuration", "to_tree"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_PREFIX",
+    "read_configuration",
+    "to_tree",
+]
 
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 MS_PER_S = 1000.0
 
 _log = EventLog("operator")
@@ -32,7 +40,7 @@
     """Decodes the configuration in a snapshot of the store.
 
     Args:
-        snapshot: Items whose keys start with `CONFIGURATION_KEY`.
+        snapshot: Items whose keys start with `OPERATOR_PREFIX`.
 
     Returns:
         The settings tree with the configuration's version, or None if the
--- a/sardinestair/platform/store.py
+++ b/sardinestair/platform/store.py
@@ -73,6 +73,8 @@
     ) -> Result[Snapshot, StoreError]:
         """Reads all pages of the keys with a prefix; see `Store.read`."""
         items: list[KeyValue] = []
+        # A change between two pages may be missing from the earlier one.
+        revisions: list[int] = []
         query = {"prefix": prefix}
         if may_be_stale:
             query["stale_ok"] = "1"
@@ -82,8 +84,9 @@
             if page.is_error():
                 return Error(page.error)
             items += to_key_values(page.ok.items)
+            revisions.append(page.ok.store_revision)
             if not page.ok.more_pages or not page.ok.items:
-                return Ok(Snapshot(page.ok.store_revision, items))
+                return Ok(Snapshot(min(revisions), items))
             query["after"] = page.ok.items[-1].key
 
     def commit(self, swaps: Sequence[Swap]) -> Result[CommitResult, StoreError]:
--- a/sardinestair/platform/tests/test_store.py
+++ b/sardinestair/platform/tests/test_store.py
@@ -154,3 +154,25 @@
 def test_item_with_an_invalid_value_is_skipped():
     items = [StoreItem("a/1", "eA==", 5), StoreItem("a/2", "\u00e9!", 6)]
     assert [item.key for item in to_key_values(items)] == ["a/1"]
+
+
+class RevisionSkew(StoreServer):
+    """Changes between two pages of a read."""
+
+    def read_range(self, request):
+        reply = super().read_range(request)
+        if "after" not in request.args:
+            self.put("a/00", b"between pages")
+        return reply
+
+
+# Guards against an evacuated zone that counts as returned (rule EVAC): a key in
+# an earlier page was written while a later one was read.
+def test_revision_of_a_paged_read_is_that_of_its_first_page():
+    server = RevisionSkew(page_size=3)
+    server.http.start()
+    for number in range(5):
+        server.put(f"a/{number}", b"")
+    first = server.revision
+    assert PlatformStore(server.address).read("a/").ok.revision == first
+    server.http.stop()
--- a/sardinestair/settings/service.py
+++ b/sardinestair/settings/service.py
@@ -197,6 +197,8 @@
         decode: Decodes the tree from its keys; returns None if there is none.
         watch_duration_s: Duration of one watch, in seconds; the tree is read
             again before each watch.
+        on_snapshot: Called with all keys that were read, before the tree is
+            decoded.
 
     Attributes:
         is_watching: True while a watch is established.
@@ -209,12 +211,14 @@
         prefix: str = SETTINGS_PREFIX,
         decode: Callable[[Snapshot], VersionedTree | None] = decode_stored_tree,
         watch_duration_s: float = WATCH_DURATION_S,
+        on_snapshot: Callable[[Snapshot], Any] = lambda _snapshot: None,
     ):
         self.store = store
         self.on_tree = on_tree
         self.prefix = prefix
         self.decode = decode
         self.watch_duration_s = watch_duration_s
+        self.on_snapshot = on_snapshot
         self.is_watching = False
         self.stopping = threading.Event()
         self.log = EventLog("settings")
@@ -242,6 +246,7 @@
         result = self.store.read(self.prefix)
         if result.is_error():
             return Error(result.error)
+        self.on_snapshot(result.ok)
         try:
             versioned = self.decode(result.ok)
         except DECODE_ERRORS as error:
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -19,6 +19,7 @@
 from sardinestair.links.session import SidecarSession, StartDecision
 from sardinestair.links.sockets import has_message, receive
 from sardinestair.links.timing import LinkTiming
+from sardinestair.membership.evacuation import EvacuationRegister
 from sardinestair.messages import (
     DECODE_ERRORS,
     Acknowledge,
@@ -28,6 +29,7 @@
     CreditReturn,
     Demand,
     EntryFrame,
+    EvacuationView,
     Leaving,
     Outcome,
     Recall,
@@ -36,6 +38,7 @@
     Stop,
     TaskRef,
     TaskState,
+    UpstreamStatus,
 )
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
@@ -87,6 +90,7 @@
         descriptor: Descriptor that signals events of the socket.
         advertised_endpoint: Endpoint at which entries reach the sidecar.
         link_usage: Counters of all links.
+        evacuations: The evacuated availability zones.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         self.policy = SidecarPolicy()
         self.policy_revision = -1
         self.is_draining = False
+        self.evacuations = EvacuationRegister()
         self.caller: TaskCaller | None = None
         self.wake: Callable[[], None] = lambda: None
         self.listeners: list[Callable[[], None]] = []
@@ -144,8 +149,43 @@
             self.policy_revision,
             self.upstream.capacity,
             self.caller is not None and self.caller.is_leased,
+            self._status(),
+            self.evacuations.view,
         )
 
+    def _status(self) -> UpstreamStatus:
+        return UpstreamStatus()
+
+    @property
+    def is_evacuated(self) -> bool:
+        """True if the sidecar's zone is evacuated."""
+        return self.zone in self.evacuations.view.zones
+
+    @property
+    def accepts_tasks(self) -> bool:
+        """True if the upstream serves and its zone is not evacuated."""
+        is_serving = self.upstream.state is UpstreamState.SERVING
+        return is_serving and not self.is_evacuated
+
+    def observe_evacuations(self, view: EvacuationView) -> None:
+        """Merges a view of the evacuated zones.
+
+        While its own zone is evacuated, the sidecar starts no tasks and grants
+        no credits, whatever its entries assume. Running tasks continue.
+        """
+        was_evacuated = self.is_evacuated
+        self.evacuations.observe(view)
+        if self.is_evacuated == was_evacuated:
+            return
+        self.metrics.gauge("evacuated", {}, self.is_evacuated)
+        if self.is_evacuated:
+            self._close_slots("zone evacuated")
+            return
+        for session in self.sessions.values():
+            # Entries place no tasks here until they receive credits.
+            session.is_grant_urgent = True
+        self.wake()
+
     def report_upstream_lost(self) -> None:
         """Reports that the current caller's upstream stopped answering."""
         if self.caller is not None:
@@ -285,14 +325,14 @@
             return
         self.link_usage.connections += 1
         self.ledger.reset_entry(session.entry)
-        if self.upstream.state is not UpstreamState.SERVING:
+        if not self.accepts_tasks:
             session.outbox.append(Leaving())
 
     def refuse(
         self, ref: TaskRef, session: SidecarSession, reason: bytes
     ) -> None:
         """Reports that a task did not run."""
-        self.metrics.count("starts_refused_total", {})
+        self.metrics.count("starts_refused_total", {"reason": reason.decode()})
         session.outbox.append(
             Outcome(ref, TaskState.NOT_RUN, reason, False, 0.0)
         )
@@ -307,7 +347,11 @@
         held = session.tasks[ref.job, ref.index]
 
         def may_start() -> bool:
-            return held.wanted and not self.is_session_expired(session)
+            return (
+                held.wanted
+                and not self.is_evacuated
+                and not self.is_session_expired(session)
+            )
 
         def on_result(result: CallResult) -> None:
             self._finish(session, ref, result)
@@ -462,7 +506,7 @@
                 self.ledger.remove_entry(session.entry)
 
     def _allocate_credits(self) -> None:
-        if self.upstream.state is not UpstreamState.SERVING:
+        if not self.accepts_tasks:
             return
         caller = self.caller
         if (
@@ -544,6 +588,10 @@
     has_credit = server.ledger.spend(
         session.entry, message.units or units or server.upstream.slots
     )
+    if server.is_evacuated:
+        # An entry that has not been informed yet, or a start that was delayed.
+        server.refuse(message.task, session, b"zone evacuated")
+        return
     is_serving = server.upstream.state is UpstreamState.SERVING
     # Credits may have been granted before the capacity shrank.
     limit = server.upstream.slots + server.ledger.read_ahead
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -8,8 +8,10 @@
 from sardinestair.clock import Clock
 from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LaunchContext
+from sardinestair.membership.evacuation import read_view
 from sardinestair.platform.heartbeats import HeartbeatApi
 from sardinestair.platform.names import link_endpoints
+from sardinestair.platform.operator import EVACUATION_PREFIX
 from sardinestair.platform.orders import HttpRunClient
 from sardinestair.platform.store import PlatformStore
 from sardinestair.settings import SidecarSettings
@@ -23,8 +25,9 @@
 __all__ = ["PlatformSidecarProcess"]
 
 MAX_HEARTBEAT_BYTES = 4 << 20
-# New entries are usually learned sooner, from the replies of other entries.
-ENTRY_POLL_INTERVAL_S = 2.0
+# New entries and evacuations are usually learned sooner, from the replies of
+# entries. An evacuation must be in force within 5 s (platform figure).
+STORE_POLL_INTERVAL_S = 2.0
 
 
 class PlatformSidecarProcess(SidecarProcess):
@@ -84,7 +87,7 @@
         super().start()
         self.renewals = self.event_loop.run_coroutine(self._run_runner())
         self.heartbeats.start()
-        self.tasks.run(self._poll_entries, "store/entries")
+        self.tasks.run(self._poll_store, "store/entries")
 
     def stop(self) -> bool:
         """Accepts no new tasks, finishes those that run, and ends all threads.
@@ -116,18 +119,39 @@
         link_port = self.settings.address.link_port
         return link_endpoints(self.platform.seeds, link_port)
 
-    def _poll_entries(self) -> None:
-        """Reads the registered entries from the store periodically."""
+    def _poll_store(self) -> None:
+        """Reads entries and evacuated zones from the store periodically."""
         while not self.stopping.is_set():
-            found = read_entries(self.store, may_be_stale=True)
-            if found.is_ok():
-                endpoints = [record.endpoint for record in found.ok]
-                self.event_loop.call(
-                    functools.partial(self._update_announcers, endpoints)
-                )
-            else:
-                self.log.warning("store_unanswered", reason=found.error.reason)
-            self.stopping.wait(ENTRY_POLL_INTERVAL_S)
+            self._read_entries()
+            self._read_evacuations()
+            self.stopping.wait(STORE_POLL_INTERVAL_S)
+
+    def _read_entries(self) -> None:
+        found = read_entries(self.store, may_be_stale=True)
+        if found.is_error():
+            self.log.warning("store_unanswered", reason=found.error.reason)
+            return
+        endpoints = [record.endpoint for record in found.ok]
+        self.event_loop.call(
+            functools.partial(self._update_announcers, endpoints)
+        )
+
+    def _read_evacuations(self, may_be_stale: bool = True) -> None:
+        """Reads the evacuated zones, in case that no entry reports them.
+
+        Entries usually report them sooner, and also when they end. A stale read
+        costs little, but can't show that an evacuation has ended.
+        """
+        found = self.store.read(EVACUATION_PREFIX, may_be_stale)
+        if found.is_error():
+            self.log.warning("store_unanswered", reason=found.error.reason)
+            return
+        view = read_view(found.ok, EVACUATION_PREFIX, may_be_stale)
+        self.event_loop.call(
+            functools.partial(self.server.observe_evacuations, view)
+        )
+        if may_be_stale and self.server.evacuations.is_outdated_by(view):
+            self._read_evacuations(may_be_stale=False)
 
     async def _run_runner(self) -> None:
         try:
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -214,6 +214,7 @@
 
     def _handle_reply(self, reply: AnnounceReply) -> None:
         self._update_announcers(reply.entries)
+        self.server.observe_evacuations(reply.evacuations)
         if reply.settings:
             try:
                 policy = msgspec.json.decode(reply.settings, type=SidecarPolicy)
