Let operators evacuate zones by command outside the platform

Cause: an evacuation could only be requested in the users' platform's store.

On the platform the command is refused: its operator evacuates there.

--- a/sardinestair/cli/ctl.py
+++ b/sardinestair/cli/ctl.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 
 from sardinestair import __version__
+from sardinestair.cli.ctl_evacuate import EvacuateCommand
 from sardinestair.cli.ctl_finance import ForecastCommand
 from sardinestair.cli.ctl_jobs import (
     CancelCommand,
@@ -33,6 +34,7 @@
     CancelCommand,
     StatusCommand,
     UpstreamsCommand,
+    EvacuateCommand,
     GetCommand,
     SetCommand,
     ApplyCommand,
--- a/sardinestair/cli/ctl_jobs.py
+++ b/sardinestair/cli/ctl_jobs.py
@@ -143,6 +143,8 @@
         for name in ("entry", "zone", "draining", "settings_revision"):
             self.line(f"{name}: {status[name]}")
         self.line(f"active_jobs: {status['active_jobs']}")
+        zones = ", ".join(status.get("evacuated_zones", []))
+        self.line(f"evacuated_zones: {zones or 'none'}")
         self.show_rows(status["services"])
         return EXIT_OK
 
--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -147,6 +147,7 @@
                 "draining": dispatcher.admission_controller.is_draining,
                 "settings_revision": self.revision(),
                 "active_jobs": dispatcher.count_active_jobs(),
+                "evacuated_zones": sorted(dispatcher.evacuations.zones),
                 "services": services,
             }
         return json_response(body)
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -154,6 +154,12 @@
             self._read_evacuations,
         )
 
+    def _make_evacuation_writer(self) -> None:
+        """Returns None: the platform's operator evacuates zones."""
+
+    def _make_evacuation_follower(self) -> None:
+        """Returns None: evacuations are read with the configuration."""
+
     def _read_evacuations(self, snapshot: Snapshot) -> None:
         self.dispatcher.observe_evacuations(
             read_view(snapshot, EVACUATION_PREFIX)
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -11,6 +11,7 @@
 from sardinestair.entry.admin import AdminApi
 from sardinestair.entry.api import CallerApi
 from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.evacuations import EvacuationApi
 from sardinestair.entry.gossip import Gossip
 from sardinestair.entry.membership_server import MembershipServer
 from sardinestair.event_loop import EventLoop, LoopTask
@@ -18,6 +19,7 @@
 from sardinestair.limits.budget import TeamBudgets
 from sardinestair.links import LinkLoop
 from sardinestair.membership import PeerDirectory, Roster
+from sardinestair.membership.evacuation import read_view
 from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.observability.usage import read_processor_times
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
@@ -25,7 +27,12 @@
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
 from sardinestair.store.claims import ClaimWriter, delete_old_claims
 from sardinestair.store.etcd import EtcdStore
-from sardinestair.store.port import Store
+from sardinestair.store.evacuations import (
+    EVACUATIONS_PREFIX,
+    EvacuationFollower,
+    EvacuationWriter,
+)
+from sardinestair.store.port import Snapshot, Store
 from sardinestair.store.registration import (
     RENEWAL_INTERVAL_S,
     EntryRecord,
@@ -44,8 +51,8 @@
 HTTP_CLOSE_TIMEOUT_S = 2.0
 CLAIM_SWEEP_INTERVAL_S = 60.0
 MAX_LINKS = 2048
-# The settings, the registration and the claims in the store.
-MAX_THREADS = 3
+# The settings, the evacuations, the registration and the claims in the store.
+MAX_THREADS = 4
 
 
 class EntryProcess:
@@ -140,7 +147,9 @@
             self.event_loop,
             limits=settings.http,
         )
-        self.store_workers: list[SettingsFollower | Registration] = []
+        self.store_workers: list[
+            SettingsFollower | EvacuationFollower | Registration
+        ] = []
         self.usage = UsageReporter(
             self.clock,
             self.metrics,
@@ -290,12 +299,26 @@
             self.dispatcher, self.event_loop, self._live_peers, self.budgets
         ).rules()
         rules += admin.rules()
+        evacuations = self._make_evacuation_writer()
+        rules += EvacuationApi(self.dispatcher, evacuations).rules()
         return rules + monitoring_rules(self.metrics, self._readiness)
 
     def _make_settings_follower(self) -> SettingsFollower:
         assert self.store is not None
         return SettingsFollower(self.store, self._adopt_from_store)
 
+    def _make_evacuation_writer(self) -> EvacuationWriter | None:
+        return EvacuationWriter(self.store, self.clock) if self.store else None
+
+    def _make_evacuation_follower(self) -> EvacuationFollower | None:
+        assert self.store is not None
+        return EvacuationFollower(self.store, self._read_evacuations)
+
+    def _read_evacuations(self, snapshot: Snapshot) -> None:
+        self.dispatcher.observe_evacuations(
+            read_view(snapshot, EVACUATIONS_PREFIX)
+        )
+
     def _adopt_from_store(self, revision: int, tree: SettingsTree) -> bool:
         return self.event_loop.call(lambda: self.adopt(revision, tree))
 
@@ -314,6 +337,10 @@
             self._registration_interval_s(),
         )
         self.store_workers = [follower, registration]
+        evacuations = self._make_evacuation_follower()
+        if evacuations is not None:
+            self.store_workers.append(evacuations)
+            self.tasks.run(evacuations.run, "store/evacuations")
         self.tasks.run(follower.run, "store/settings")
         self.tasks.run(registration.run, "store/registration")
 
