Move tasks that can't end before their upstream leaves

Cause: the time left that a draining upstream reports, and the time for which a new one is cold, reached no decision. A task of 1.8 s stayed on an upstream that left in 1.6 s, and was lost with it.

Sidecars pass both on with their announcement, at once only when the upstream begins to leave or leaves notably sooner than it said. The entry stops a task and starts it elsewhere if that is expected to end sooner than staying, given the spread of run times, and what still runs shortly before the departure (move_before_departure). A cold upstream gets a share of its capacity that rises from cold_share to 1; its sidecar hands out no more credits.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
+from sardinestair.entry.departure import DepartureMonitor
 from sardinestair.entry.gate import AdmissionController
 from sardinestair.entry.job_ends import JobFinalizer
 from sardinestair.entry.overdue import OverdueTaskMonitor
@@ -108,6 +109,7 @@
         job_finalizer: Ends jobs and releases what they hold.
         run_outcome_handler: Processes the outcomes of runs.
         overdue_monitor: Detects and moves tasks that take too long.
+        departures: Moves tasks off upstreams that are about to leave.
         link_usage: Counters of all links.
         ready_links: Links to be served soon.
         on_links_ready: Called when a link has been added to them.
@@ -171,6 +173,7 @@
         self.overdue_monitor = OverdueTaskMonitor(
             self.registry, metrics, self.log
         )
+        self.departures = DepartureMonitor(self.registry, metrics, self.log)
 
     @property
     def tree(self) -> SettingsTree | None:
@@ -232,6 +235,9 @@
                 return None
             is_leaving = announce.leaving or not announce.service
             if link is not None and link.state is not LinkState.CLOSED:
+                state = self.services[link.candidate.service]
+                now_s = self.clock.monotonic()
+                self.departures.observe(state, link, announce, now_s)
                 if is_leaving and not link.outstanding:
                     self.remove_sidecar(announce.sidecar)
                 else:
@@ -390,6 +396,7 @@
             for state in self.services.values():
                 if is_overdue_check_due:
                     self.overdue_monitor.check(state, now_s)
+                    self.departures.check(state, now_s)
                 if state.queue.waiting_tasks:
                     self._shed_useless_jobs(state, now_s)
                     # Time alone can end an upstream's outage.
@@ -472,6 +479,7 @@
     def on_task_finished(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles the outcome of a run."""
         self._refresh_link(link)
+        self.departures.handle_outcome(link, outcome)
         self.run_outcome_handler.handle_outcome(link, outcome)
 
     def on_crash_reported(self, link: EntryLink, report: CrashReport) -> None:
@@ -482,11 +490,13 @@
         """Requeues tasks that were refused without running."""
         self._refresh_link(link)
         self.count_wasted("start_refused", len(refs))
+        self.departures.handle_not_run(refs)
         self.run_outcome_handler.handle_not_run(link, refs)
 
     def on_tasks_lost(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Fails or retries tasks whose outcome will never be known."""
         self._refresh_link(link)
+        self.departures.handle_lost(link, refs)
         self.run_outcome_handler.handle_lost(link, refs)
 
     def on_link_changed(self, link: EntryLink) -> None:
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -168,6 +168,7 @@
                 values.not_run_statuses,
                 values.read_ahead,
                 RECALL_DELAY_S[values.favour],
+                values.cold_share,
             )
             settings = msgspec.json.encode(policy)
         return AnnounceReply(
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -414,6 +414,11 @@
         ratio = run_times.tail_ratio if run_times else 1.0
         return job.run_time.mean_s_ * ratio
 
+    def run_time_spread_s(self, kind: str) -> float:
+        """Returns the standard deviation of a kind's run times, in seconds."""
+        run_times = self.run_times_.get(kind)
+        return run_times.spread_s if run_times else 0.0
+
     def _excluded_upstreams(self, job: Job, now_s: float) -> set[Incarnation]:
         """Returns the upstreams to avoid for a job's next task.
 
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -148,6 +148,8 @@
             its clock.
         echo_received_s: When that frame arrived, on the entry's clock.
         is_ready: True from `notify` until the link is served.
+        leaves_at_s: When the upstream leaves at the earliest, on the entry's
+            clock; None if it has not said when.
     """
 
     def __init__(
@@ -191,6 +193,7 @@
         self.echo_s = 0.0
         self.echo_received_s = clock.monotonic()
         self.is_ready = False
+        self.leaves_at_s: float | None = None
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.log = EventLog(
--- a/sardinestair/placement/estimators.py
+++ b/sardinestair/placement/estimators.py
@@ -52,6 +52,11 @@
         ratio = self.mean_square_ / max(self.mean_s_**2, 1e-12)
         return min(max(ratio, 1.0), MAX_TAIL_RATIO)
 
+    @property
+    def spread_s(self) -> float:
+        """Standard deviation of the run times, in seconds."""
+        return math.sqrt(max(self.mean_square_ - self.mean_s_**2, 0.0))
+
     def observe(self, run_s: float) -> None:
         """Adds the run time of a completed task.
 
--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -7,12 +7,14 @@
 from sardinestair.platform.wire import Heartbeat
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.upstreams import Announcement
+from sardinestair.upstreams.upstream import MAX_COLD_S
 from sardinestair.web import Request, Response, Rule, json_response
 
 __all__ = ["HeartbeatApi"]
 
 READY = "ready"
 DRAINING = "draining"
+MS_PER_S = 1000.0
 
 
 class HeartbeatApi:
@@ -63,7 +65,7 @@
             READY: lambda: self.server.announce(
                 self._to_announcement(heartbeat)
             ),
-            DRAINING: self.server.leave,
+            DRAINING: lambda: self.server.leave(_leaves_in_s(heartbeat)),
         }
         command = commands.get(heartbeat.state)
         if command is None:
@@ -111,4 +113,11 @@
             max(1, heartbeat.slots),
             ttl_s=self.ttl_s,
             capacity=heartbeat.capacity.to_resources(),
+            cold_s=min(heartbeat.cold_ms / MS_PER_S, MAX_COLD_S),
         )
+
+
+def _leaves_in_s(heartbeat: Heartbeat) -> float | None:
+    if heartbeat.min_remaining_ms is None:
+        return None
+    return heartbeat.min_remaining_ms / MS_PER_S
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.announced = []
         self.leave_count = 0
+        self.leaves_in_s = []
 
     def submit(self, command):
         result = Future()
@@ -26,8 +27,9 @@
     def announce(self, announcement):
         self.announced.append(announcement)
 
-    def leave(self):
+    def leave(self, leaves_in_s=None):
         self.leave_count += 1
+        self.leaves_in_s.append(leaves_in_s)
 
 
 @pytest.fixture
@@ -60,6 +62,17 @@
     assert server.leave_count == 1
 
 
+def test_draining_runner_says_when_it_leaves(app, server):
+    send_heartbeat(app, sequence=5, state="draining", drain_remaining_ms=1600)
+    send_heartbeat(app, sequence=6, state="draining")
+    assert server.leaves_in_s == [1.6, None]
+
+
+def test_cold_runner_is_announced_as_cold(app, server):
+    send_heartbeat(app, sequence=5, cold_left_ms=2500)
+    assert server.announced[0].cold_s == 2.5
+
+
 def test_late_heartbeat_is_ignored(app, server):
     send_heartbeat(app, sequence=5, state="draining")
     assert send_heartbeat(app, sequence=4) == 200
--- a/sardinestair/platform/wire.py
+++ b/sardinestair/platform/wire.py
@@ -74,7 +74,10 @@
 class Heartbeat(
     msgspec.Struct,
     frozen=True,
-    rename={"min_remaining_ms": "drain_remaining_ms"},
+    rename={
+        "min_remaining_ms": "drain_remaining_ms",
+        "cold_ms": "cold_left_ms",
+    },
 ):
     """Status that a runner reports periodically.
 
@@ -93,6 +96,8 @@
         min_remaining_ms: While draining, the minimum time until the runner
             leaves, in milliseconds.
         labels: Kind and rack of the runner.
+        cold_ms: Time for which the runner is still slow after its start, in
+            milliseconds.
     """
 
     service: Annotated[str, Meta(min_length=1)]
@@ -106,6 +111,7 @@
     clock_ms: Count = 0
     min_remaining_ms: Count | None = None
     labels: list[str] = []
+    cold_ms: Count = 0
 
     def __post_init__(self) -> None:
         """Checks the address.
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -98,6 +98,12 @@
             with 0, until the deadline.
         objective_stretch: Adds this many times the expected run time of a
             task to `objective_s`.
+        cold_share: Share of its capacity that an upstream gets when it is
+            coldest, just after its start; it rises evenly until the upstream
+            is warm.
+        move_before_departure: Whether tasks that are not expected to end before
+            their upstream leaves are stopped and started elsewhere, if their
+            job may run again.
     """
 
     deadline_s: float = 30.0
@@ -124,6 +130,8 @@
     priority: int = 0
     useful_factor: float = 0.0
     objective_stretch: float = 0.0
+    cold_share: float = 1.0
+    move_before_departure: bool = False
 
 
 class Overrides(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
@@ -153,6 +161,8 @@
     priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
     useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
+    cold_share: Annotated[float, Meta(gt=0, le=1)] | UnsetType = UNSET
+    move_before_departure: bool | UnsetType = UNSET
 
 
 class KindNode(msgspec.Struct, forbid_unknown_fields=True):
--- a/sardinestair/sidecar/api.py
+++ b/sardinestair/sidecar/api.py
@@ -16,6 +16,8 @@
 
 __all__ = ["UpstreamApi"]
 
+MAX_NOTICE_S = 3600
+
 
 class UpstreamApi:
     """Handlers with which an upstream announces itself and leaves.
@@ -52,7 +54,12 @@
 
     async def leave(self, request: Request) -> Response:
         """Marks the upstream as leaving; tasks that run are finished."""
-        self.server.leave()
+        try:
+            leaves_in_s = _parse_leaves_in_s(request)
+        except ValueError as error:
+            problem = Problem(ProblemKind.INVALID, str(error), not_run=True)
+            return problem_response(problem)
+        self.server.leave(leaves_in_s)
         return await self.show(request)
 
     async def show(self, _request: Request) -> Response:
@@ -66,3 +73,18 @@
             "unsettled": self.server.unsettled(),
         }
         return json_response(body)
+
+
+def _parse_leaves_in_s(request: Request) -> float | None:
+    """Returns the time after which the upstream leaves, in seconds.
+
+    Raises:
+        ValueError: If it is not a number from 0 to `MAX_NOTICE_S`.
+    """
+    text = request.args.get("leaves_in_s")
+    if text is None:
+        return None
+    leaves_in_s = float(text)
+    if not 0 <= leaves_in_s <= MAX_NOTICE_S:
+        raise ValueError(f"leaves_in_s must be 0 to {MAX_NOTICE_S}, got {text}")
+    return leaves_in_s
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -44,6 +44,7 @@
 from sardinestair.sidecar.policy import SidecarPolicy
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
 from sardinestair.upstreams.caller import CallResult, TaskCaller
+from sardinestair.upstreams.departure import is_notably_sooner
 from sardinestair.upstreams.upstream import UpstreamState
 
 __all__ = ["LinkServer"]
@@ -154,7 +155,12 @@
         )
 
     def _status(self) -> UpstreamStatus:
-        return UpstreamStatus()
+        now_s = self.clock.monotonic()
+        leaves_at_s = self.upstream.leaves_at_s
+        return UpstreamStatus(
+            None if leaves_at_s is None else max(0.0, leaves_at_s - now_s),
+            self.upstream.warmup.left_s(now_s),
+        )
 
     @property
     def is_evacuated(self) -> bool:
@@ -215,16 +221,28 @@
         self.wake()
         return True
 
-    def leave(self) -> bool:
+    def leave(self, leaves_in_s: float | None = None) -> bool:
         """Marks the upstream as leaving, so that no new tasks are accepted.
 
+        Args:
+            leaves_in_s: Time after which it leaves at the earliest, in
+                seconds, if it has said when.
+
         Returns:
             True if the upstream was serving.
         """
-        if not self.upstream.leave():
-            return False
-        self._close_slots("left")
-        return True
+        leaves_at_s = (
+            None
+            if leaves_in_s is None
+            else self.clock.monotonic() + leaves_in_s
+        )
+        announced_s = self.upstream.leaves_at_s
+        was_serving = self.upstream.leave(leaves_at_s)
+        if was_serving:
+            self._close_slots("left")
+        elif is_notably_sooner(leaves_at_s, announced_s):
+            self._notify_listeners()
+        return was_serving
 
     def drain(self) -> None:
         """Marks the upstream as leaving, and rejects further announcements."""
@@ -516,13 +534,20 @@
         ):
             return
         now_s = self.clock.monotonic()
-        self.ledger.slots = self.upstream.slots
+        self.ledger.slots = self._granted_slots(now_s)
         for entry in self.ledger.allocate():
             holder = self.ledger.holders[entry]
             self.sessions[entry].grant(holder.granted, holder.demand > 0)
         for entry, count in self.ledger.start_recalls(now_s).items():
             self.sessions[entry].outbox.append(Recall(count))
 
+    def _granted_slots(self, now_s: float) -> int:
+        """Returns the credits to grant: fewer while the upstream is cold."""
+        slots = self.upstream.slots
+        share = self.upstream.warmup.share(now_s, self.policy.cold_share)
+        # At least one task at a time.
+        return min(slots, max(round(share * slots), self.ledger.task_units))
+
     def _tick_interval_s(self) -> float:
         is_idle = all(session.is_idle for session in self.sessions.values())
         return IDLE_TICK_S if is_idle else self.timing.tick_s
--- a/sardinestair/sidecar/policy.py
+++ b/sardinestair/sidecar/policy.py
@@ -14,8 +14,11 @@
         read_ahead: Credits granted beyond the upstream's slots.
         recall_delay_s: How long tasks must wait before idle credits of other
             entries are recalled, in seconds.
+        cold_share: Share of its capacity that an upstream gets when it is
+            coldest.
     """
 
     not_run_statuses: list[int] = []
     read_ahead: int = 0
     recall_delay_s: float = 0.0
+    cold_share: float = 1.0
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -7,11 +7,13 @@
 from msgspec import Meta
 
 from sardinestair.limits.resources import Resources
+from sardinestair.upstreams.warmup import Warmup
 
 __all__ = ["Announcement", "Upstream", "UpstreamState"]
 
 MAX_SLOTS = 4096
 MAX_TTL_S = 300.0
+MAX_COLD_S = 3600.0
 _SERVICE_NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 
 
@@ -29,6 +31,7 @@
             empty if it has none.
         capacity: Its resources, for an upstream without a fixed number of
             slots.
+        cold_s: Time for which it is still slow after its start, in seconds.
     """
 
     service: Annotated[str, Meta(pattern=_SERVICE_NAME)]
@@ -38,6 +41,7 @@
     ttl_s: Annotated[float, Meta(gt=0, le=MAX_TTL_S)] = 5.0
     health_path: Annotated[str, Meta(pattern=r"^(/\S*)?$")] = ""
     capacity: Resources | None = None
+    cold_s: Annotated[float, Meta(ge=0, le=MAX_COLD_S)] = 0.0
 
 
 class UpstreamState(enum.Enum):
@@ -62,8 +66,12 @@
 
     Attributes:
         state: Whether it accepts new tasks.
-        announcement: The last announcement, or None before the first.
+        announcement: The last announcement without its `cold_s`, or None
+            before the first.
         expires_s: When the announcement expires, on the sidecar's clock.
+        leaves_at_s: When it leaves at the earliest, on the sidecar's clock;
+            None if it has not said when.
+        warmup: Time for which it is still slow.
 
     Examples:
         >>> upstream = Upstream()
@@ -83,6 +91,8 @@
         self.state = UpstreamState.ABSENT
         self.announcement: Announcement | None = None
         self.expires_s = 0.0
+        self.leaves_at_s: float | None = None
+        self.warmup = Warmup()
 
     @property
     def slots(self) -> int:
@@ -118,21 +128,29 @@
             True if it changed the state or differs from the last one, False
             if it only extended the expiry.
         """
-        changed = (
-            self.state is not UpstreamState.SERVING
-            or announcement != self.announcement
-        )
-        self.announcement = announcement
+        was_serving = self.state is UpstreamState.SERVING
+        self.warmup.observe(announcement.cold_s, now_s)
+        # The rest of the cold time differs in each announcement.
+        lasting = msgspec.structs.replace(announcement, cold_s=0.0)
+        changed = not was_serving or lasting != self.announcement
+        self.announcement = lasting
         self.expires_s = now_s + announcement.ttl_s
+        self.leaves_at_s = None
         self.state = UpstreamState.SERVING
         return changed
 
-    def leave(self) -> bool:
+    def leave(self, leaves_at_s: float | None = None) -> bool:
         """Stops accepting new tasks.
 
+        Args:
+            leaves_at_s: When it leaves at the earliest, on the sidecar's
+                clock, if it has said when.
+
         Returns:
             True if the upstream was serving.
         """
+        if leaves_at_s is not None:
+            self.leaves_at_s = leaves_at_s
         was_serving = self.state is UpstreamState.SERVING
         if was_serving or self.state is UpstreamState.UNREACHABLE:
             self.state = UpstreamState.LEAVING
