--- a/model/check.py
+++ b/model/check.py
@@ -13,6 +13,7 @@
 
 from model.answers import AnswerMutant, make_answers
 from model.claims import ClaimMutant, make_claims
+from model.evacuation import EvacuationMutant, make_evacuation
 from model.session_lease import LeaseMutant, make_session_lease
 from model.start_protocol import StartMutant, make_start_protocol
 
@@ -31,7 +32,14 @@
     """
 
     make_protocol: Callable
-    mutant: StartMutant | ClaimMutant | AnswerMutant | LeaseMutant | None = None
+    mutant: (
+        StartMutant
+        | ClaimMutant
+        | AnswerMutant
+        | LeaseMutant
+        | EvacuationMutant
+        | None
+    ) = None
 
 
 class CheckResult(msgspec.Struct, frozen=True):
@@ -55,10 +63,12 @@
     Case(make_claims),
     Case(make_answers),
     Case(make_session_lease),
+    Case(make_evacuation),
     *(Case(make_start_protocol, mutant) for mutant in StartMutant),
     *(Case(make_claims, mutant) for mutant in ClaimMutant),
     *(Case(make_answers, mutant) for mutant in AnswerMutant),
     *(Case(make_session_lease, mutant) for mutant in LeaseMutant),
+    *(Case(make_evacuation, mutant) for mutant in EvacuationMutant),
 ]
 
 
