--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -144,6 +144,7 @@
         self.withdrawn = WithdrawnJobs(retention_s)
         self.on_withdrawn: Callable[[], None] = lambda: None
         self.evacuations = EvacuationRegister()
+        metrics.gauge("evacuated_zones", {}, 0)
         self.claims = claims
         self.deadline_heap: list[tuple[float, int, Job]] = []
         self.tie_breaker = itertools.count()
@@ -238,6 +239,7 @@
                 state = self.services[link.candidate.service]
                 now_s = self.clock.monotonic()
                 self.departures.observe(state, link, announce, now_s)
+                state.observe_warmth(link, announce.status, now_s)
                 if is_leaving and not link.outstanding:
                     self.remove_sidecar(announce.sidecar)
                 else:
@@ -254,7 +256,9 @@
                 self.context,
             )
             self.links[announce.sidecar] = link
-            self._service_state(announce.service).links[announce.sidecar] = link
+            state = self._service_state(announce.service)
+            state.links[announce.sidecar] = link
+            state.observe_warmth(link, announce.status, self.clock.monotonic())
             return link
 
     def remove_sidecar(self, sidecar: Incarnation) -> None:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -8,7 +8,7 @@
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits import AdmissionControl, RetryBudget, ServiceLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
-from sardinestair.messages import Demand
+from sardinestair.messages import Demand, UpstreamStatus
 from sardinestair.observability.burn import BurnRecorder
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.placement import (
@@ -100,6 +100,15 @@
                 self.refresh_candidate(link, now_s)
                 link.notify()
 
+    def observe_warmth(
+        self, link: EntryLink, status: UpstreamStatus | None, now_s: float
+    ) -> None:
+        """Records the time for which an upstream is still slow."""
+        link.warmup.observe(0.0 if status is None else status.cold_s, now_s)
+        link.candidate.warm_share = link.warmup.share(
+            now_s, self.settings.cold_share
+        )
+
     def evacuation_refusal(self, now_s: float) -> Problem | None:
         """Returns why no job can run, or None if some upstream may take tasks.
 
@@ -248,7 +257,9 @@
         that are reconnecting count, because they are back shortly.
         """
         return sum(
-            link.candidate.concurrency / link.candidate.slowdown_
+            link.candidate.warm_share
+            * link.candidate.concurrency
+            / link.candidate.slowdown_
             for link in self._open_links(LinkState.UP, LinkState.CONNECTING)
         )
 
--- a/sardinestair/entry/tests/test_departure.py
+++ b/sardinestair/entry/tests/test_departure.py
@@ -4,7 +4,7 @@
 import pytest
 
 from sardinestair.entry.departure import STOP_AHEAD_S, should_move
-from sardinestair.entry.tests.harness import Entry, make_announce
+from sardinestair.entry.tests.harness import A, Entry, make_announce
 from sardinestair.messages import (
     Grant,
     Leaving,
@@ -168,3 +168,18 @@
 ):
     moved = should_move(leaves_in_s, left_s, spread_s, restart_s=1.8)
     assert moved is is_moved
+
+
+def test_room_of_a_cold_upstream_is_counted_by_its_share():
+    entry = Entry(max_attempts=1)
+    tree = "set: {cold_share: 0.5}\nservices: {quotes: {}}"
+    entry.dispatcher.configure(parse_tree(tree).ok)
+    state = entry.dispatcher._service_state("quotes")
+    warm = state.throughput()
+    for cold_s, expected in ((4.0, 0.75), (2.0, 0.875), (0.0, 1.0)):
+        announce = msgspec.structs.replace(
+            make_announce(A), status=UpstreamStatus(cold_s=cold_s)
+        )
+        entry.dispatcher.handle_announcement(announce)
+        assert state.throughput() == pytest.approx(warm * expected)
+        entry.clock.advance(2.0)
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -43,6 +43,7 @@
 )
 from sardinestair.observability import EventLog, LinkUsage
 from sardinestair.placement.candidate import Candidate
+from sardinestair.upstreams.warmup import Warmup
 
 _NOBLOCK = int(zmq.NOBLOCK)
 
@@ -150,6 +151,7 @@
         is_ready: True from `notify` until the link is served.
         leaves_at_s: When the upstream leaves at the earliest, on the entry's
             clock; None if it has not said when.
+        warmup: Time for which the upstream is still slow after its start.
     """
 
     def __init__(
@@ -194,6 +196,7 @@
         self.echo_received_s = clock.monotonic()
         self.is_ready = False
         self.leaves_at_s: float | None = None
+        self.warmup = Warmup()
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.log = EventLog(
--- a/sardinestair/placement/candidate.py
+++ b/sardinestair/placement/candidate.py
@@ -36,6 +36,8 @@
             of the capacity in force.
         concurrency: Number of average tasks that the upstream runs
             concurrently; 0 as long as it has no capacity.
+        warm_share: Share of the capacity that its sidecar grants while the
+            upstream is cold.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "sidecar",
         "slots",
         "slowdown_",
+        "warm_share",
         "zone",
     )
 
@@ -71,6 +74,7 @@
         self.credits = 0
         self.outstanding = 0
         self.slowdown_ = 1.0
+        self.warm_share = 1.0
         self.mean_run_s_ = DEFAULT_RUN_S
 
     def resize(self, slots: int, capacity: Resources | None) -> None:
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -119,6 +119,7 @@
         self.policy_revision = -1
         self.is_draining = False
         self.evacuations = EvacuationRegister()
+        metrics.gauge("evacuated", {}, 0)
         self.caller: TaskCaller | None = None
         self.wake: Callable[[], None] = lambda: None
         self.listeners: list[Callable[[], None]] = []
@@ -183,7 +184,7 @@
         self.evacuations.observe(view)
         if self.is_evacuated == was_evacuated:
             return
-        self.metrics.gauge("evacuated", {}, self.is_evacuated)
+        self.metrics.gauge("evacuated", {}, int(self.is_evacuated))
         if self.is_evacuated:
             self._close_slots("zone evacuated")
             return
