--- a/model/evacuation.py
+++ b/model/evacuation.py
@@ -36,7 +36,7 @@
 
 
 class View(NamedTuple):
-    """What a process has been told of the zone.
+    """What a process has read or received about the zone.
 
     Attributes:
         complete_at: Revision of the latest complete read that it rests on.
@@ -99,11 +99,11 @@
     )
 
 
-def _merge(view: View, news: View, mutant: EvacuationMutant | None) -> View:
+def _merge(view: View, received: View, mutant: EvacuationMutant | None) -> View:
     """Merges views as `sardinestair.membership.evacuation` does."""
     if mutant is EvacuationMutant.LATEST_MESSAGE_WINS:
-        return news
-    older, newer = sorted((view, news))
+        return received
+    older, newer = sorted((view, received))
     requested_at = newer.requested_at
     if mutant is EvacuationMutant.NO_REQUEST_REVISION:
         return View(newer.complete_at, requested_at)
--- a/sardinestair/entry/departure.py
+++ b/sardinestair/entry/departure.py
@@ -81,7 +81,7 @@
         self._check_link(state, link, now_s)
 
     def check(self, state: ServiceState, now_s: float) -> None:
-        """Checks the tasks at all upstreams that have said when they leave."""
+        """Checks the tasks at all upstreams that have given notice."""
         for link in state.links.values():
             self._check_link(state, link, now_s)
 
@@ -106,7 +106,7 @@
             self._count_lost(link, [outcome.task])
 
     def handle_lost(self, link: EntryLink, refs: list[TaskRef]) -> None:
-        """Counts tasks whose sidecar is gone."""
+        """Counts tasks whose sidecar was lost."""
         self.moved.difference_update(refs)
         self._count_lost(link, refs)
 
--- a/sardinestair/entry/tests/test_evacuation.py
+++ b/sardinestair/entry/tests/test_evacuation.py
@@ -112,7 +112,7 @@
 
 
 # Guards against tasks in an evacuated zone (rule EVAC): a restarted entry has
-# an old view or none while the store is away. That of a sidecar decides.
+# an old view or none while the store is down. That of a sidecar decides.
 def test_restarted_entry_adopts_the_view_of_a_sidecar(entry):
     announce = msgspec.structs.replace(make_announce(A), evacuations=EVACUATED)
     server = MembershipServer(
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -150,7 +150,7 @@
         echo_received_s: When that frame arrived, on the entry's clock.
         is_ready: True from `notify` until the link is served.
         leaves_at_s: When the upstream leaves at the earliest, on the entry's
-            clock; None if it has not said when.
+            clock; None if it has not announced when.
         warmup: Time for which the upstream is still slow after its start.
     """
 
--- a/sardinestair/membership/evacuation.py
+++ b/sardinestair/membership/evacuation.py
@@ -59,8 +59,8 @@
     """The evacuated zones as far as this process has been informed.
 
     Views come from the store, from other entries and from sidecars, in any
-    order. An older view never replaces a newer one. Without news, the last
-    accepted view stays in force.
+    order. An older view never replaces a newer one. The last accepted view
+    stays in force until a newer one arrives.
 
     Attributes:
         view: All views so far, merged.
@@ -112,6 +112,6 @@
         """Returns True if a stale read lacks a zone that is evacuated here.
 
         The evacuation may have ended since; only a read that is not stale can
-        tell.
+        confirm that.
         """
         return bool(self.view.zones.keys() - snapshot.zones.keys())
--- a/sardinestair/platform/tests/test_evacuation.py
+++ b/sardinestair/platform/tests/test_evacuation.py
@@ -68,7 +68,7 @@
     wait_for(lambda: entry.dispatcher.evacuations.zones == {"z"})
 
 
-def test_last_view_holds_while_the_store_is_away(entry, store):
+def test_last_view_holds_while_the_store_is_down(entry, store):
     store.put(KEY, b"{}")
     wait_for(lambda: entry.dispatcher.evacuations.zones == {"z"})
     calls = len(store.calls)
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -62,7 +62,7 @@
     assert server.leave_count == 1
 
 
-def test_draining_runner_says_when_it_leaves(app, server):
+def test_notice_of_a_draining_runner_is_passed_on(app, server):
     send_heartbeat(app, sequence=5, state="draining", drain_remaining_ms=1600)
     send_heartbeat(app, sequence=6, state="draining")
     assert server.leaves_in_s == [1.6, None]
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -227,7 +227,7 @@
 
         Args:
             leaves_in_s: Time after which it leaves at the earliest, in
-                seconds, if it has said when.
+                seconds, if announced.
 
         Returns:
             True if the upstream was serving.
--- a/sardinestair/store/tests/test_evacuations.py
+++ b/sardinestair/store/tests/test_evacuations.py
@@ -62,7 +62,7 @@
     assert register.zones == {"munster-2"}
 
 
-def test_last_view_holds_while_the_store_is_away(
+def test_last_view_holds_while_the_store_is_down(
     standin, writer, follower, register
 ):
     writer.begin("munster", "ann")
--- a/sardinestair/upstreams/departure.py
+++ b/sardinestair/upstreams/departure.py
@@ -15,9 +15,9 @@
     A notice whose remaining time merely counts down names the same time.
 
     Args:
-        leaves_at_s: When the upstream now says that it leaves, or None if it
-            doesn't say when.
-        announced_s: When it said so before, or None.
+        leaves_at_s: When the upstream leaves according to its latest notice, or
+            None if that names no time.
+        announced_s: When it leaves according to the notice before, or None.
 
     Examples:
         >>> is_notably_sooner(leaves_at_s=12.05, announced_s=12.0)
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -70,7 +70,7 @@
             before the first.
         expires_s: When the announcement expires, on the sidecar's clock.
         leaves_at_s: When it leaves at the earliest, on the sidecar's clock;
-            None if it has not said when.
+            None if it has not announced when.
         warmup: Time for which it is still slow.
 
     Examples:
@@ -144,7 +144,7 @@
 
         Args:
             leaves_at_s: When it leaves at the earliest, on the sidecar's
-                clock, if it has said when.
+                clock, if announced.
 
         Returns:
             True if the upstream was serving.
