--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
+from sardinestair.entry.departure import DepartureMonitor
 from sardinestair.entry.gate import AdmissionController
 from sardinestair.entry.job_ends import JobFinalizer
 from sardinestair.entry.overdue import OverdueTaskMonitor
@@ -33,10 +34,12 @@
 from sardinestair.limits.budget import JobReservation
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
+from sardinestair.membership.evacuation import EvacuationRegister
 from sardinestair.messages import (
     Announce,
     CrashReport,
     Demand,
+    EvacuationView,
     Outcome,
     TaskRef,
 )
@@ -96,6 +99,7 @@
         crashes: Crashes of upstreams, by task.
         withdrawn: Jobs that callers have cancelled, here or at other entries.
         on_withdrawn: Called when a caller has cancelled a job here.
+        evacuations: The evacuated availability zones.
         deadline_heap: Deadlines of accepted jobs, as a heap.
         services_to_place: Services whose queue or upstreams have changed
             since tasks were last placed.
@@ -105,6 +109,7 @@
         job_finalizer: Ends jobs and releases what they hold.
         run_outcome_handler: Processes the outcomes of runs.
         overdue_monitor: Detects and moves tasks that take too long.
+        departures: Moves tasks off upstreams that are about to leave.
         link_usage: Counters of all links.
         ready_links: Links to be served soon.
         on_links_ready: Called when a link has been added to them.
@@ -138,6 +143,8 @@
         self.crashes = CrashHistory(retention_s)
         self.withdrawn = WithdrawnJobs(retention_s)
         self.on_withdrawn: Callable[[], None] = lambda: None
+        self.evacuations = EvacuationRegister()
+        metrics.gauge("evacuated_zones", {}, 0)
         self.claims = claims
         self.deadline_heap: list[tuple[float, int, Job]] = []
         self.tie_breaker = itertools.count()
@@ -167,6 +174,7 @@
         self.overdue_monitor = OverdueTaskMonitor(
             self.registry, metrics, self.log
         )
+        self.departures = DepartureMonitor(self.registry, metrics, self.log)
 
     @property
     def tree(self) -> SettingsTree | None:
@@ -185,6 +193,33 @@
                 self.services_to_place.add(name)
             self.place_waiting()
 
+    def observe_evacuations(self, view: EvacuationView) -> None:
+        """Merges a view of the evacuated zones, and places tasks accordingly.
+
+        Running tasks are not affected. Jobs that have not begun are refused if
+        all upstreams of their service are in evacuated zones.
+        """
+        with self.lock:
+            if not self.evacuations.observe(view):
+                return
+            zones = self.evacuations.zones
+            self.metrics.gauge("evacuated_zones", {}, len(zones))
+            now_s = self.clock.monotonic()
+            for state in self.services.values():
+                state.set_evacuated_zones(zones, now_s)
+                self.services_to_place.add(state.name)
+                self._refuse_evacuated_jobs(state, now_s)
+            self.place_waiting()
+
+    def _refuse_evacuated_jobs(self, state: ServiceState, now_s: float) -> None:
+        refusal = state.evacuation_refusal(now_s)
+        if refusal is None:
+            return
+        for job in [job for job in state.queue.jobs if job.is_not_run]:
+            self.job_finalizer.fail(
+                job, refusal.kind, refusal.detail, refusal.retry_after_s
+            )
+
     def handle_announcement(self, announce: Announce) -> EntryLink | None:
         """Opens, updates or removes the link to an announced sidecar.
 
@@ -201,6 +236,10 @@
                 return None
             is_leaving = announce.leaving or not announce.service
             if link is not None and link.state is not LinkState.CLOSED:
+                state = self.services[link.candidate.service]
+                now_s = self.clock.monotonic()
+                self.departures.observe(state, link, announce, now_s)
+                state.observe_warmth(link, announce.status, now_s)
                 if is_leaving and not link.outstanding:
                     self.remove_sidecar(announce.sidecar)
                 else:
@@ -217,7 +256,9 @@
                 self.context,
             )
             self.links[announce.sidecar] = link
-            self._service_state(announce.service).links[announce.sidecar] = link
+            state = self._service_state(announce.service)
+            state.links[announce.sidecar] = link
+            state.observe_warmth(link, announce.status, self.clock.monotonic())
             return link
 
     def remove_sidecar(self, sidecar: Incarnation) -> None:
@@ -359,6 +400,7 @@
             for state in self.services.values():
                 if is_overdue_check_due:
                     self.overdue_monitor.check(state, now_s)
+                    self.departures.check(state, now_s)
                 if state.queue.waiting_tasks:
                     self._shed_useless_jobs(state, now_s)
                     # Time alone can end an upstream's outage.
@@ -398,7 +440,9 @@
         """Returns True if any upstream accepts work."""
         with self.lock:
             return any(
-                link.state is LinkState.UP for link in self.links.values()
+                link.state is LinkState.UP
+                and link.candidate.zone not in self.evacuations.zones
+                for link in self.links.values()
             )
 
     def next_check_delay_s(self) -> float:
@@ -439,6 +483,7 @@
     def on_task_finished(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles the outcome of a run."""
         self._refresh_link(link)
+        self.departures.handle_outcome(link, outcome)
         self.run_outcome_handler.handle_outcome(link, outcome)
 
     def on_crash_reported(self, link: EntryLink, report: CrashReport) -> None:
@@ -449,11 +494,13 @@
         """Requeues tasks that were refused without running."""
         self._refresh_link(link)
         self.count_wasted("start_refused", len(refs))
+        self.departures.handle_not_run(refs)
         self.run_outcome_handler.handle_not_run(link, refs)
 
     def on_tasks_lost(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Fails or retries tasks whose outcome will never be known."""
         self._refresh_link(link)
+        self.departures.handle_lost(link, refs)
         self.run_outcome_handler.handle_lost(link, refs)
 
     def on_link_changed(self, link: EntryLink) -> None:
@@ -505,6 +552,7 @@
             settings = resolve_settings(tree, service, self.zone)
             now_s = self.clock.monotonic()
             state = ServiceState(service, settings, now_s, self.crashes)
+            state.set_evacuated_zones(self.evacuations.zones, now_s)
             self.services[service] = state
         return state
 
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -43,6 +43,7 @@
 )
 from sardinestair.observability import EventLog, LinkUsage
 from sardinestair.placement.candidate import Candidate
+from sardinestair.upstreams.warmup import Warmup
 
 _NOBLOCK = int(zmq.NOBLOCK)
 
@@ -148,6 +149,9 @@
             its clock.
         echo_received_s: When that frame arrived, on the entry's clock.
         is_ready: True from `notify` until the link is served.
+        leaves_at_s: When the upstream leaves at the earliest, on the entry's
+            clock; None if it has not announced when.
+        warmup: Time for which the upstream is still slow after its start.
     """
 
     def __init__(
@@ -191,6 +195,8 @@
         self.echo_s = 0.0
         self.echo_received_s = clock.monotonic()
         self.is_ready = False
+        self.leaves_at_s: float | None = None
+        self.warmup = Warmup()
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.log = EventLog(
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -19,6 +19,7 @@
 from sardinestair.links.session import SidecarSession, StartDecision
 from sardinestair.links.sockets import has_message, receive
 from sardinestair.links.timing import LinkTiming
+from sardinestair.membership.evacuation import EvacuationRegister
 from sardinestair.messages import (
     DECODE_ERRORS,
     Acknowledge,
@@ -28,6 +29,7 @@
     CreditReturn,
     Demand,
     EntryFrame,
+    EvacuationView,
     Leaving,
     Outcome,
     Recall,
@@ -36,11 +38,13 @@
     Stop,
     TaskRef,
     TaskState,
+    UpstreamStatus,
 )
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
 from sardinestair.upstreams.caller import CallResult, TaskCaller
+from sardinestair.upstreams.departure import is_notably_sooner
 from sardinestair.upstreams.upstream import UpstreamState
 
 __all__ = ["LinkServer"]
@@ -87,6 +91,7 @@
         descriptor: Descriptor that signals events of the socket.
         advertised_endpoint: Endpoint at which entries reach the sidecar.
         link_usage: Counters of all links.
+        evacuations: The evacuated availability zones.
     """
 
     def __init__(
@@ -113,6 +118,8 @@
         self.policy = SidecarPolicy()
         self.policy_revision = -1
         self.is_draining = False
+        self.evacuations = EvacuationRegister()
+        metrics.gauge("evacuated", {}, 0)
         self.caller: TaskCaller | None = None
         self.wake: Callable[[], None] = lambda: None
         self.listeners: list[Callable[[], None]] = []
@@ -144,8 +151,48 @@
             self.policy_revision,
             self.upstream.capacity,
             self.caller is not None and self.caller.is_leased,
+            self._status(),
+            self.evacuations.view,
         )
 
+    def _status(self) -> UpstreamStatus:
+        now_s = self.clock.monotonic()
+        leaves_at_s = self.upstream.leaves_at_s
+        return UpstreamStatus(
+            None if leaves_at_s is None else max(0.0, leaves_at_s - now_s),
+            self.upstream.warmup.left_s(now_s),
+        )
+
+    @property
+    def is_evacuated(self) -> bool:
+        """True if the sidecar's zone is evacuated."""
+        return self.zone in self.evacuations.view.zones
+
+    @property
+    def accepts_tasks(self) -> bool:
+        """True if the upstream serves and its zone is not evacuated."""
+        is_serving = self.upstream.state is UpstreamState.SERVING
+        return is_serving and not self.is_evacuated
+
+    def observe_evacuations(self, view: EvacuationView) -> None:
+        """Merges a view of the evacuated zones.
+
+        While its own zone is evacuated, the sidecar starts no tasks and grants
+        no credits, whatever its entries assume. Running tasks continue.
+        """
+        was_evacuated = self.is_evacuated
+        self.evacuations.observe(view)
+        if self.is_evacuated == was_evacuated:
+            return
+        self.metrics.gauge("evacuated", {}, int(self.is_evacuated))
+        if self.is_evacuated:
+            self._close_slots("zone evacuated")
+            return
+        for session in self.sessions.values():
+            # Entries place no tasks here until they receive credits.
+            session.is_grant_urgent = True
+        self.wake()
+
     def report_upstream_lost(self) -> None:
         """Reports that the current caller's upstream stopped answering."""
         if self.caller is not None:
@@ -175,16 +222,28 @@
         self.wake()
         return True
 
-    def leave(self) -> bool:
+    def leave(self, leaves_in_s: float | None = None) -> bool:
         """Marks the upstream as leaving, so that no new tasks are accepted.
 
+        Args:
+            leaves_in_s: Time after which it leaves at the earliest, in
+                seconds, if announced.
+
         Returns:
             True if the upstream was serving.
         """
-        if not self.upstream.leave():
-            return False
-        self._close_slots("left")
-        return True
+        leaves_at_s = (
+            None
+            if leaves_in_s is None
+            else self.clock.monotonic() + leaves_in_s
+        )
+        announced_s = self.upstream.leaves_at_s
+        was_serving = self.upstream.leave(leaves_at_s)
+        if was_serving:
+            self._close_slots("left")
+        elif is_notably_sooner(leaves_at_s, announced_s):
+            self._notify_listeners()
+        return was_serving
 
     def drain(self) -> None:
         """Marks the upstream as leaving, and rejects further announcements."""
@@ -285,14 +344,14 @@
             return
         self.link_usage.connections += 1
         self.ledger.reset_entry(session.entry)
-        if self.upstream.state is not UpstreamState.SERVING:
+        if not self.accepts_tasks:
             session.outbox.append(Leaving())
 
     def refuse(
         self, ref: TaskRef, session: SidecarSession, reason: bytes
     ) -> None:
         """Reports that a task did not run."""
-        self.metrics.count("starts_refused_total", {})
+        self.metrics.count("starts_refused_total", {"reason": reason.decode()})
         session.outbox.append(
             Outcome(ref, TaskState.NOT_RUN, reason, False, 0.0)
         )
@@ -307,7 +366,11 @@
         held = session.tasks[ref.job, ref.index]
 
         def may_start() -> bool:
-            return held.wanted and not self.is_session_expired(session)
+            return (
+                held.wanted
+                and not self.is_evacuated
+                and not self.is_session_expired(session)
+            )
 
         def on_result(result: CallResult) -> None:
             self._finish(session, ref, result)
@@ -462,7 +525,7 @@
                 self.ledger.remove_entry(session.entry)
 
     def _allocate_credits(self) -> None:
-        if self.upstream.state is not UpstreamState.SERVING:
+        if not self.accepts_tasks:
             return
         caller = self.caller
         if (
@@ -472,13 +535,20 @@
         ):
             return
         now_s = self.clock.monotonic()
-        self.ledger.slots = self.upstream.slots
+        self.ledger.slots = self._granted_slots(now_s)
         for entry in self.ledger.allocate():
             holder = self.ledger.holders[entry]
             self.sessions[entry].grant(holder.granted, holder.demand > 0)
         for entry, count in self.ledger.start_recalls(now_s).items():
             self.sessions[entry].outbox.append(Recall(count))
 
+    def _granted_slots(self, now_s: float) -> int:
+        """Returns the credits to grant: fewer while the upstream is cold."""
+        slots = self.upstream.slots
+        share = self.upstream.warmup.share(now_s, self.policy.cold_share)
+        # At least one task at a time.
+        return min(slots, max(round(share * slots), self.ledger.task_units))
+
     def _tick_interval_s(self) -> float:
         is_idle = all(session.is_idle for session in self.sessions.values())
         return IDLE_TICK_S if is_idle else self.timing.tick_s
@@ -544,6 +614,10 @@
     has_credit = server.ledger.spend(
         session.entry, message.units or units or server.upstream.slots
     )
+    if server.is_evacuated:
+        # An entry that has not been informed yet, or a start that was delayed.
+        server.refuse(message.task, session, b"zone evacuated")
+        return
     is_serving = server.upstream.state is UpstreamState.SERVING
     # Credits may have been granted before the capacity shrank.
     limit = server.upstream.slots + server.ledger.read_ahead
