--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -45,6 +45,7 @@
 )
 from sardinestair.observability import EventLog, LinkUsage
 from sardinestair.placement.candidate import Candidate
+from sardinestair.upstreams.warmup import Warmup
 
 _NOBLOCK = int(zmq.NOBLOCK)
 
@@ -157,6 +158,9 @@
         load: What the sidecar has reported of the other entries' work.
         reporter: Decides when the entry's own work is reported.
         is_ready: True from `notify` until the link is served.
+        leaves_at_s: When the upstream leaves at the earliest, on the entry's
+            clock; None if it has not announced when.
+        warmup: Time for which the upstream is still slow after its start.
     """
 
     def __init__(
@@ -203,6 +207,8 @@
         self.load = LinkLoad()
         self.reporter = LoadReporter()
         self.is_ready = False
+        self.leaves_at_s: float | None = None
+        self.warmup = Warmup()
         self.decoder = msgspec.msgpack.Decoder(SidecarFrame)
         self.encoder = msgspec.msgpack.Encoder()
         self.log = EventLog(
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -27,6 +27,7 @@
     "Demand",
     "EntryFrame",
     "EntryMessage",
+    "EvacuationView",
     "Grant",
     "KindSlowdown",
     "Leaving",
@@ -323,6 +324,20 @@
     observed_ago_s: float = 0.0
 
 
+class EvacuationView(msgspec.Struct, array_like=True, frozen=True):
+    """The evacuated availability zones as far as the sender was informed.
+
+    Attributes:
+        revision: Revision of the store at which all zones were read; 0 if they
+            never were.
+        zones: The evacuated zones, each with the revision of the store at which
+            its evacuation was requested. It may be above `revision`.
+    """
+
+    revision: int = 0
+    zones: dict[str, int] = {}
+
+
 class Announce(msgspec.Struct, array_like=True, tag="N"):
     """Announces a sidecar and its upstream to an entry.
 
@@ -340,6 +355,7 @@
             entry that started them.
         status: Further state of the upstream, or None from sidecars of earlier
             versions.
+        evacuations: The evacuated zones.
     """
 
     sidecar: Incarnation
@@ -352,6 +368,7 @@
     capacity: Resources | None = None
     is_leased: bool = False
     status: UpstreamStatus | None = None
+    evacuations: EvacuationView = EvacuationView()
 
 
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
@@ -363,6 +380,7 @@
         http_address: Base URL of its HTTP API.
         settings_revision: Revision of the settings tree that it has applied.
         withdrawn: Jobs that its callers have cancelled lately.
+        evacuations: The evacuated zones.
     """
 
     entry: Incarnation
@@ -370,6 +388,7 @@
     http_address: str
     settings_revision: int
     withdrawn: list[JobId] = []
+    evacuations: EvacuationView = EvacuationView()
 
 
 class PeerReply(msgspec.Struct, array_like=True):
@@ -381,6 +400,7 @@
         entries: Membership endpoints of all entries that it knows.
         settings_revision: Revision of the settings tree that it has applied.
         settings: The tree as JSON, or empty if the other entry is up to date.
+        evacuations: The evacuated zones.
     """
 
     entry: Incarnation
@@ -388,6 +408,7 @@
     entries: list[str]
     settings_revision: int
     settings: bytes
+    evacuations: EvacuationView = EvacuationView()
 
 
 class AnnounceReply(msgspec.Struct, array_like=True):
@@ -399,9 +420,11 @@
         settings_revision: Revision of `settings`.
         settings: The sidecar's effective settings as JSON, or empty if it
             is up to date.
+        evacuations: The evacuated zones.
     """
 
     entry: Incarnation
     entries: list[str]
     settings_revision: int
     settings: bytes
+    evacuations: EvacuationView = EvacuationView()
