--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -32,6 +32,7 @@
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
+from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.membership.evacuation import EvacuationRegister
@@ -522,6 +523,11 @@
         state = self.services[link.candidate.service]
         return state.demand(link, self.clock.monotonic())
 
+    def backlog_for(self, link: EntryLink) -> list[ClassLoad]:
+        """Returns the waiting work of a link's service, for each link."""
+        state = self.services[link.candidate.service]
+        return state.queue.waiting_by_class.per_link(len(state.links))
+
     def unwanted_tasks(self, link: EntryLink) -> list[TaskRef]:
         """Returns the outstanding runs of a link whose jobs have ended."""
         refs = list(link.outstanding.values())
@@ -645,12 +651,17 @@
             payloads = job.payloads
             index = state.queue.dequeue(job, link.sidecar)
             job.record_start(now_s)
+            job.way.record_placement(index, now_s)
             state.record_placement(job, index, link, now_s)
             if job.attempts[index] == 1:
                 state.retries.deposit()
             remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
             link.place(
-                job.task_ref(index), remaining_s, payloads[index], job.need
+                job.task_ref(index),
+                remaining_s,
+                payloads[index],
+                job.need,
+                priority=job.priority,
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
--- a/sardinestair/limits/credits.py
+++ b/sardinestair/limits/credits.py
@@ -9,12 +9,21 @@
 """
 
 from sardinestair.ids import Incarnation
+from sardinestair.limits.credit_holder import CreditHolder
+from sardinestair.limits.credit_priority import (
+    REST_CLASS,
+    ClassGuarantee,
+    priority_of,
+)
 
-__all__ = ["CreditAccount", "CreditHolder", "CreditLedger"]
+__all__ = ["CreditAccount", "CreditLedger"]
 
 # Idle capacity is granted in this many parts, so that the shares of the entries
 # differ by a few percent at most.
 IDLE_GRANT_PARTS = 64
+# Age at which unspent credits of an entry with demand count as idle, in
+# seconds. Until then, a frame with the grant or the start may be on its way.
+UNSPENT_AGE_S = 0.1
 
 
 class CreditAccount:
@@ -77,52 +86,15 @@
         return self.returned
 
 
-class CreditHolder:
-    """Credits and demand of one entry, as tracked by a sidecar.
-
-    Attributes:
-        granted: Credits granted in this epoch.
-        spent: Credits spent on starts, whether accepted or refused.
-        returned: Credits returned unused.
-        demand: Credits that the entry wants, from its last report.
-        head_units: Credits that its first waiting task needs.
-        granted_since_report: Credits granted since the last report.
-        head_order_key_s: Order key of its first waiting task, on the
-            sidecar's clock.
-        unmet_since_s: Time since which demand is unmet, on the sidecar's
-            clock.
-        recall_pending: True while a `Recall` is unanswered.
-    """
-
-    def __init__(self) -> None:
-        self.granted = 0
-        self.spent = 0
-        self.returned = 0
-        self.demand = 0
-        self.head_units = 1
-        self.granted_since_report = 0
-        self.head_order_key_s = 0.0
-        self.unmet_since_s = 0.0
-        self.recall_pending = False
-
-    @property
-    def unmet(self) -> int:
-        """Number of credits that are wanted and have not been granted."""
-        return max(0, self.demand - self.granted_since_report)
-
-    @property
-    def held(self) -> int:
-        """Number of credits granted and neither spent nor returned."""
-        return self.granted - self.spent - self.returned
-
-
 class CreditLedger:
     """Allocates the credits of one upstream to the entries.
 
-    Free units are granted to the entry whose first waiting task has the
-    smallest order key, in steps of the units that this task needs. If fewer
-    are free, they are kept until there are enough. If demand is unmet, idle
-    credits of other entries are recalled.
+    Free units are granted to the entry whose first waiting task is of the most
+    urgent class, and among these to the smallest order key, in steps of the
+    units that this task needs. If fewer are free, they are kept until there
+    are enough. If demand is unmet, idle credits of other entries are recalled:
+    those of entries without demand, and those that an entry with less urgent
+    demand has left unspent.
 
     While any entry has demand, free units beyond the unmet demand are kept for
     the next report. Without any demand, they are granted in advance, evenly to
@@ -141,6 +113,9 @@
         occupied_units: Units that running tasks occupy.
         task_units: Units of the largest task so far. Idle units are granted in
             such steps, since fewer can't start a task and must be recalled.
+        guarantee: Keeps a small share of the room for less urgent classes.
+        priorities: The priorities that entries have reported, `REST_CLASS` for
+            unnamed ones. With only one, classes have no effect.
 
     Examples:
         >>> ledger = CreditLedger(slots=2)
@@ -161,6 +136,8 @@
         self.holders: dict[Incarnation, CreditHolder] = {}
         self.occupied_units = 0
         self.task_units = 1
+        self.guarantee = ClassGuarantee()
+        self.priorities: set[int] = set()
 
     @property
     def free(self) -> int:
@@ -183,6 +160,8 @@
         head_order_key_s: float,
         now_s: float = 0.0,
         head_units: int = 1,
+        head_class: int = 0,
+        class_units: int = 0,
     ) -> None:
         """Records an entry's report of its demand.
 
@@ -193,6 +172,8 @@
                 sidecar's clock.
             now_s: Current time in seconds.
             head_units: Credits that this task needs.
+            head_class: Class of this task; a smaller one goes first.
+            class_units: Credits that tasks of this class need; 0 if all are.
         """
         holder = self.holders[entry]
         if not holder.unmet:
@@ -201,6 +182,12 @@
         holder.head_units = max(1, head_units)
         holder.granted_since_report = 0
         holder.head_order_key_s = head_order_key_s
+        holder.head_class = head_class
+        holder.class_units = class_units or count
+        if count:
+            self.priorities.add(priority_of(head_class))
+        if holder.class_units < count:
+            self.priorities.add(REST_CLASS)
 
     def update_returned(self, entry: Incarnation, total: int) -> None:
         """Records an entry's cumulative count of returned credits."""
@@ -221,26 +208,40 @@
         self.task_units = max(self.task_units, units)
         return True
 
-    def allocate(self) -> set[Incarnation]:
+    def allocate(self, now_s: float = 0.0) -> set[Incarnation]:
         """Grants free credits.
 
+        Args:
+            now_s: Current time in seconds.
+
         Returns:
             The entries whose count of granted credits has changed.
         """
         granted: set[Incarnation] = set()
         free = self.free
+        if free <= 0:
+            return granted
+        asking = {e: h for e, h in self.holders.items() if h.unmet > 0}
         while free > 0:
-            entry = self._next_entry()
+            wanted = self._wanted_by_class(asking)
+            entry = self._next_entry(asking, wanted)
             if entry is None:
                 break
-            units = self._grant_size(self.holders[entry])
+            holder = self.holders[entry]
+            units = self._grant_size(holder)
             if units > free:
                 break
-            holder = self.holders[entry]
+            if len(wanted) > 1:
+                self.guarantee.observe_grant(
+                    holder.current_class, units, wanted
+                )
             holder.granted += units
             holder.granted_since_report += units
+            holder.granted_s = now_s
             free -= units
             granted.add(entry)
+            if holder.unmet <= 0:
+                asking.pop(entry, None)
         return granted
 
     def _grant_size(self, holder: CreditHolder) -> int:
@@ -260,25 +261,88 @@
         Returns:
             The number of credits to recall from each entry.
         """
-        unmet = sum(
-            holder.unmet
+        waiting = [
+            holder
             for holder in self.holders.values()
-            if now_s - holder.unmet_since_s >= self.recall_delay_s
-        )
+            if holder.unmet > 0
+            and now_s - holder.unmet_since_s >= self.recall_delay_s
+        ]
         recalls: dict[Incarnation, int] = {}
+        if not waiting:
+            return recalls
+        unmet = sum(holder.unmet for holder in waiting)
+        most_urgent = min(holder.current_class for holder in waiting)
         for entry, holder in self.holders.items():
-            idle = 0 if holder.demand else holder.held
-            if unmet <= 0 or idle <= 0 or holder.recall_pending:
+            if unmet <= 0:
+                break
+            idle = self._idle_units(holder, most_urgent, now_s)
+            if idle <= 0 or holder.recall_pending:
                 continue
             recalls[entry] = min(idle, unmet)
             holder.recall_pending = True
             unmet -= recalls[entry]
         return recalls
 
-    def _next_entry(self) -> Incarnation | None:
-        asking = [e for e, h in self.holders.items() if h.unmet > 0]
+    def _idle_units(
+        self, holder: CreditHolder, most_urgent: int, now_s: float
+    ) -> int:
+        """Returns the credits of an entry that can be recalled.
+
+        Args:
+            holder: The entry.
+            most_urgent: The most urgent class that wants room.
+            now_s: Current time in seconds.
+        """
+        if not holder.demand:
+            return holder.held
+        if not self.has_classes:
+            return 0
+        is_unspent = now_s - holder.granted_s >= UNSPENT_AGE_S
+        is_less_urgent = holder.head_class > most_urgent
+        return holder.held if is_less_urgent and is_unspent else 0
+
+    @property
+    def has_classes(self) -> bool:
+        """True if entries have reported jobs of different priorities."""
+        return len(self.priorities) > 1
+
+    def _wanted_by_class(
+        self, asking: dict[Incarnation, CreditHolder]
+    ) -> dict[int, int]:
+        """Returns the units of the next grant to each class with demand.
+
+        It is empty if there is no choice between classes.
+        """
+        wanted: dict[int, int] = {}
+        if len(asking) < 2 or not self.has_classes:
+            return wanted
+        for holder in asking.values():
+            units = self._grant_size(holder)
+            number = holder.current_class
+            if units > wanted.get(number, 0):
+                wanted[number] = units
+        return wanted
+
+    def _next_entry(
+        self,
+        asking: dict[Incarnation, CreditHolder],
+        wanted: dict[int, int],
+    ) -> Incarnation | None:
+        """Returns the entry that the next grant goes to, or None.
+
+        Args:
+            asking: The entries with unmet demand.
+            wanted: Units of the next grant to each class.
+        """
+        if len(wanted) > 1:
+            number = self.guarantee.next_class(wanted)
+            asking = {
+                entry: holder
+                for entry, holder in asking.items()
+                if holder.current_class == number
+            }
         if asking:
-            return min(asking, key=lambda e: self.holders[e].head_order_key_s)
+            return min(asking, key=lambda e: asking[e].head_order_key_s)
         if any(holder.demand for holder in self.holders.values()):
             return None
         if not self.holders:
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -15,8 +15,10 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, JobId, format_incarnation
 from sardinestair.limits.credits import CreditAccount
+from sardinestair.limits.load_view import ClassLoad, LinkLoad, LoadReporter
 from sardinestair.limits.resources import Resources
 from sardinestair.links.fence import FrameFence, FrameStatus
+from sardinestair.links.lag import FrameLag
 from sardinestair.links.sockets import receive
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -103,6 +105,10 @@
         """Returns the entry's demand for credits of this sidecar."""
         ...
 
+    def backlog_for(self, link: "EntryLink") -> list[ClassLoad]:
+        """Returns the waiting work of the link's service, for each link."""
+        ...
+
     def unwanted_tasks(self, link: "EntryLink") -> list[TaskRef]:
         """Returns the outstanding attempts whose jobs have ended."""
         ...
@@ -148,6 +154,9 @@
         echo_s: When the sidecar sent the latest frame that has arrived, on
             its clock.
         echo_received_s: When that frame arrived, on the entry's clock.
+        lag: Measures how late frames of the sidecar are handled.
+        load: What the sidecar has reported of the other entries' work.
+        reporter: Decides when the entry's own work is reported.
         is_ready: True from `notify` until the link is served.
         leaves_at_s: When the upstream leaves at the earliest, on the entry's
             clock; None if it has not announced when.
@@ -194,6 +203,9 @@
         self.unanswered_since_s: float | None = None
         self.echo_s = 0.0
         self.echo_received_s = clock.monotonic()
+        self.lag = FrameLag()
+        self.load = LinkLoad()
+        self.reporter = LoadReporter()
         self.is_ready = False
         self.leaves_at_s: float | None = None
         self.warmup = Warmup()
@@ -214,6 +226,7 @@
         remaining_s: float,
         payload: bytes,
         need: Resources | None = None,
+        priority: int = 0,
     ) -> None:
         """Queues the start of a task, and spends its credits."""
         units = self.candidate.units_needed(need)
@@ -225,7 +238,8 @@
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
         self.placed_s[ref.job, ref.index] = self.clock.monotonic()
-        self.outbox.append(Start(ref, remaining_s, payload, need, units))
+        start = Start(ref, remaining_s, payload, need, units, priority=priority)
+        self.outbox.append(start)
 
     def cancel(self, refs: list[TaskRef]) -> None:
         """Queues one message that cancels started tasks."""
@@ -277,6 +291,11 @@
         """True if no task at the sidecar depends on frames of this link."""
         return not (self.outstanding or self.to_acknowledge)
 
+    @property
+    def rate(self) -> float:
+        """Seconds of work that the upstream completes per second."""
+        return self.candidate.concurrency / self.candidate.slowdown_
+
     @property
     def awaits_frames(self) -> bool:
         """True if a task depends on the next frame of the sidecar."""
@@ -310,6 +329,8 @@
             self.to_acknowledge.clear()
             self.account.reset()
             self.last_demand = Demand(0, 0.0)
+            self.load.reset()
+            self.reporter.reset()
             self.silent_since_s = self.clock.monotonic()
             if self.unanswered_since_s is None:
                 self.unanswered_since_s = self.silent_since_s
@@ -357,7 +378,9 @@
                 frame.sent_s,
                 self.silent_since_s,
             )
+            self.lag.observe(self.echo_s, self.echo_received_s)
         self.unanswered_since_s = None
+        self.load.observe(frame.load, self.silent_since_s)
         for message in frame.messages:
             if self.state is not LinkState.CLOSED:
                 handle_message(message, self)
@@ -424,6 +447,7 @@
                 self.frames_sent,
                 messages,
                 self.echo_s,
+                self._report_backlog(now_s),
             )
             self.last_sent_s = now_s
             self.owner.link_usage.count_sent(has_messages=bool(messages))
@@ -434,6 +458,11 @@
             return False
         return True
 
+    def _report_backlog(self, now_s: float) -> list[ClassLoad] | None:
+        if not self.reporter.is_due(now_s):
+            return None
+        return self.reporter.report(self.owner.backlog_for(self), now_s)
+
     def _collect_messages(self) -> list[EntryMessage]:
         """Returns the messages that are to be sent at once."""
         messages, self.outbox = self.outbox, []
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -8,6 +8,8 @@
 
 from sardinestair.ids import Incarnation
 from sardinestair.jobs.job import Job
+from sardinestair.limits.credit_priority import demand_class
+from sardinestair.limits.load_view import WaitingByClass
 
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamVirtualTime"]
 
@@ -85,6 +87,7 @@
         waiting_tasks: Number of waiting tasks.
         waiting_bytes: Size of their payloads in bytes.
         waiting_work_s: Sum of their expected run times in seconds.
+        waiting_by_class: The same by class, with the number of tasks.
     """
 
     def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
@@ -94,6 +97,7 @@
         self.waiting_tasks = 0
         self.waiting_bytes = 0
         self.waiting_work_s = 0.0
+        self.waiting_by_class = WaitingByClass()
 
     def add(self, job: Job, now_s: float, throughput: float) -> None:
         """Adds a job with all its tasks.
@@ -170,6 +174,7 @@
             job.is_late = True
             self.jobs.add(job)
             late.append(job)
+        self._count_as_late(late)
         return late
 
     def no_longer_useful(self, now_s: float) -> list[Job]:
@@ -238,6 +243,22 @@
         # The prior does not change while the job waits, so that the sum
         # returns to zero.
         self.waiting_work_s += sign * len(indices) * job.run_time.prior_s
+        self._update_classes(job, len(indices), job.is_late, sign)
+
+    def _update_classes(
+        self, job: Job, tasks: int, is_late: bool, sign: int
+    ) -> None:
+        self.waiting_by_class.add(
+            demand_class(job.priority, is_late),
+            sign * tasks,
+            sign * tasks * job.run_time.prior_s,
+        )
+
+    def _count_as_late(self, jobs: list[Job]) -> None:
+        """Counts the waiting tasks of jobs that have become late as such."""
+        for job in jobs:
+            self._update_classes(job, len(job.waiting), False, -1)
+            self._update_classes(job, len(job.waiting), True, 1)
 
     def _virtual_start(
         self, job: Job, now_s: float, work_s: float, throughput: float
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -14,6 +14,7 @@
 from sardinestair.clock import Clock
 from sardinestair.ids import Incarnation, format_incarnation
 from sardinestair.limits.credits import CreditLedger
+from sardinestair.limits.load_view import LoadSum
 from sardinestair.limits.resources import Resources, units_needed
 from sardinestair.links.fence import FrameStatus
 from sardinestair.links.session import SidecarSession, StartDecision
@@ -328,6 +329,8 @@
             session.is_expired = self.is_session_expired(session)
         if verdict is FrameStatus.NEW_EPOCH:
             self._open_session(route, session, frame.messages.pop(0))
+        if frame.backlog is not None:
+            session.backlog = frame.backlog
         for message in frame.messages:
             handle_message(message, session, self)
 
@@ -405,6 +408,7 @@
             result.run_s,
             has_crashed,
             result.is_confirmed,
+            result.start_s,
         )
         need = self.running.pop((session.entry, ref))
         self.ledger.occupied_units -= self._units_occupied(need)
@@ -536,7 +540,7 @@
             return
         now_s = self.clock.monotonic()
         self.ledger.slots = self._granted_slots(now_s)
-        for entry in self.ledger.allocate():
+        for entry in self.ledger.allocate(now_s):
             holder = self.ledger.holders[entry]
             self.sessions[entry].grant(holder.granted, holder.demand > 0)
         for entry, count in self.ledger.start_recalls(now_s).items():
@@ -584,17 +588,30 @@
         is_any_due = min(due_s, default=math.inf) <= now_s
         early_s = EARLY_HEARTBEAT_SHARE * self.timing.heartbeat_s
         limit_s = now_s + early_s if is_any_due else now_s
+        load: LoadSum | None = None
         for session, heartbeat_s in zip(
             self.sessions.values(), due_s, strict=True
         ):
             if session.has_urgent_messages or heartbeat_s <= limit_s:
                 session.last_sent_s = now_s
                 self.link_usage.count_sent(session.has_urgent_messages)
-                data = self.encoder.encode(session.next_frame(now_s))
+                report = None
+                if session.reporter.is_due(now_s):
+                    load = load or self._sum_backlogs()
+                    others = load.without(session.backlog)
+                    report = session.reporter.report(others, now_s)
+                data = self.encoder.encode(session.next_frame(now_s, report))
                 self.socket.send_multipart([session.route, data])
                 has_sent = True
         return has_sent
 
+    def _sum_backlogs(self) -> LoadSum:
+        return LoadSum(
+            session.backlog
+            for session in self.sessions.values()
+            if not session.fence.is_epoch_invalid
+        )
+
     def _notify_listeners(self) -> None:
         for listener in self.listeners:
             listener()
@@ -648,6 +665,8 @@
         urgent_at_s,
         now_s,
         message.head_units,
+        message.priority,
+        message.class_units,
     )
 
 
