Let a task wait for an upstream on which its job is in time

A job is late if one of its tasks runs on an upstream that is too slow for its objective, also while faster ones have room whose credits other entries hold. The policy meet_objective leaves such a task waiting while a faster upstream should have room in time, by the share of the completions that the entry can expect, and asks those sidecars first that keep the first job in time. In a shortage, slow upstreams are used as before.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -591,6 +591,7 @@
 
     def _place_tasks(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
+        state.share = 1 / self.admission_controller.entry_count
         sidecars_to_wake: set[Incarnation] = set()
         while (placement := state.next_placement(now_s)) is not None:
             job, link = placement
@@ -615,7 +616,10 @@
 
     def _add_demand_targets(self, state: ServiceState, count: int) -> None:
         """Sends the demand of the queued tasks to further sidecars."""
-        for link in state.add_demand_targets(count):
+        if count <= 0:
+            return
+        now_s = self.clock.monotonic()
+        for link in state.add_demand_targets(count, now_s):
             link.notify()
 
     def _refresh_link(self, link: EntryLink) -> None:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -1,7 +1,8 @@
 """State that an entry keeps for each service."""
 
+import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
@@ -12,12 +13,14 @@
 from sardinestair.observability.burn import BurnRecorder
 from sardinestair.placement import (
     HealthRegistry,
+    MeetObjective,
     ReadyQueue,
     RunTimeEstimator,
     SlowdownEstimator,
     WaitingTask,
     make_policy,
 )
+from sardinestair.placement.objective import MESSAGING_S
 from sardinestair.settings import ServiceSettings
 
 __all__ = ["ServiceState"]
@@ -56,6 +59,8 @@
         demand_targets: Sidecars that receive the demand of the queued tasks.
         declined: Sidecars whose credits no task has used since the last
             periodic check.
+        share: This entry's share of the upstreams when all entries have
+            demand.
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
@@ -85,6 +90,7 @@
         self.demand_targets: set[Incarnation] = set()
         self.declined: set[Incarnation] = set()
         self.next_target = 0
+        self.share = 1.0
 
     def configure(self, settings: ServiceSettings) -> None:
         """Applies changed settings; learned estimates are kept."""
@@ -274,29 +280,47 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
-    def add_demand_targets(self, count: int) -> list[EntryLink]:
+    def add_demand_targets(
+        self, count: int, now_s: float = 0.0
+    ) -> list[EntryLink]:
         """Adds sidecars to the demand targets, in turn.
 
         Args:
             count: Maximum number of sidecars to add.
+            now_s: The current time, on the entry's clock.
 
         Returns:
             Their links.
         """
         links = list(self.links.values())
-        chosen: list[EntryLink] = []
         skipped = self.demand_targets | self.declined
-        for offset in range(len(links)):
-            if len(chosen) >= count:
-                break
-            link = links[(self.next_target + offset) % len(links)]
-            if link.sidecar not in skipped and link.candidate.is_usable:
-                chosen.append(link)
+        rotated = itertools.chain(
+            links[self.next_target :], links[: self.next_target]
+        )
+        open_links = [
+            link
+            for link in rotated
+            if link.sidecar not in skipped and link.candidate.is_usable
+        ]
+        chosen = self._prefer_in_time(open_links, now_s)[:count]
         if chosen:
             self.next_target = (links.index(chosen[-1]) + 1) % len(links)
             self.demand_targets.update(link.sidecar for link in chosen)
         return chosen
 
+    def _prefer_in_time(
+        self, links: list[EntryLink], now_s: float
+    ) -> list[EntryLink]:
+        """Moves the upstreams that would make the first job late to the end.
+
+        The others keep their order.
+        """
+        job = self.queue.head()
+        if job is None or not isinstance(self.policy, MeetObjective):
+            return links
+        limit = self._waiting_task(job, 0, now_s).max_slowdown
+        return sorted(links, key=lambda link: link.candidate.slowdown_ > limit)
+
     def demand(self, link: EntryLink, now_s: float) -> Demand:
         """Returns the demand for credits of a link's upstream.
 
@@ -305,7 +329,7 @@
         """
         if link.sidecar not in self.demand_targets:
             return Demand(0, 0.0)
-        job = self._first_job_for(link)
+        job = self._first_job_for(link, now_s)
         if job is None:
             return Demand(0, 0.0)
         units = link.candidate.units_needed(job.need)
@@ -320,15 +344,34 @@
         wanted = max(1, steps) * units
         return Demand(wanted, job.order_key_s - now_s, units)
 
-    def _first_job_for(self, link: EntryLink) -> Job | None:
+    def _first_job_for(self, link: EntryLink, now_s: float) -> Job | None:
         """Returns the first queued job that the policy would start there."""
         tasks_ahead = self.queue.waiting_tasks - 1
         for job in self._lookahead_jobs():
-            task = WaitingTask(self._placement_run_s(job), tasks_ahead)
-            if job.is_late or self.policy.should_start(link.candidate, task):
+            task = self._waiting_task(job, tasks_ahead, now_s)
+            if task.is_late or self.policy.should_start(link.candidate, task):
                 return job
         return None
 
+    def _waiting_task(
+        self,
+        job: Job,
+        tasks_ahead: int,
+        now_s: float,
+        excluded: Container[Incarnation] = frozenset(),
+    ) -> WaitingTask:
+        """Returns the properties of a job's next task, for placement."""
+        return WaitingTask(
+            self._placement_run_s(job),
+            tasks_ahead,
+            job.need,
+            excluded,
+            job.is_late,
+            job.run_time.mean_s_,
+            job.soft_deadline_s - now_s - MESSAGING_S,
+            self.share,
+        )
+
     def _lookahead_jobs(self) -> Iterator[Job]:
         """Yields the first jobs of each kind, in queue order.
 
@@ -428,13 +471,8 @@
         tasks_ahead = -1
         for job in self._lookahead_jobs():
             tasks_ahead += len(job.waiting)
-            task = WaitingTask(
-                self._placement_run_s(job),
-                tasks_ahead,
-                job.need,
-                self._excluded_upstreams(job, now_s),
-                job.is_late,
-            )
+            excluded = self._excluded_upstreams(job, now_s)
+            task = self._waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/placement/__init__.py
+++ b/sardinestair/placement/__init__.py
@@ -5,7 +5,9 @@
     RunTimeEstimator,
     SlowdownEstimator,
 )
+from sardinestair.placement.factory import make_policy
 from sardinestair.placement.health import HealthRegistry, HealthState
+from sardinestair.placement.objective import MeetObjective
 from sardinestair.placement.policies import (
     LeastExpectedFinish,
     LeastOutstanding,
@@ -14,7 +16,6 @@
     PowerOfTwoChoices,
     RoundRobin,
     WaitingTask,
-    make_policy,
 )
 from sardinestair.placement.queue import OrderPolicy, ReadyQueue
 
@@ -24,6 +25,7 @@
     "HealthState",
     "LeastExpectedFinish",
     "LeastOutstanding",
+    "MeetObjective",
     "OrderPolicy",
     "PlacementPolicy",
     "PolicyName",
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -7,8 +7,9 @@
 
 import enum
 import itertools
+import math
 import random
-from collections.abc import Callable, Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from typing import Protocol
 
 import msgspec
@@ -26,7 +27,6 @@
     "PowerOfTwoChoices",
     "RoundRobin",
     "WaitingTask",
-    "make_policy",
 ]
 
 
@@ -35,6 +35,7 @@
 
     LEAST_EXPECTED_FINISH = "least_expected_finish"
     LEAST_OUTSTANDING = "least_outstanding"
+    MEET_OBJECTIVE = "meet_objective"
     POWER_OF_TWO_CHOICES = "power_of_two_choices"
     ROUND_ROBIN = "round_robin"
 
@@ -48,6 +49,11 @@
         need: Resources that it needs, or None if not specified.
         excluded: Sidecars whose upstreams must not be chosen.
         is_late: True if its job can no longer meet its objective.
+        mean_run_s: Mean run time of its job's tasks on a typical upstream, in
+            seconds.
+        remaining_s: Time left in which it must end for its job to meet the
+            objective, in seconds.
+        share: Share of the upstreams' completions that this entry can expect.
     """
 
     expected_run_s: float
@@ -55,6 +61,19 @@
     need: Resources | None = None
     excluded: Container[Incarnation] = frozenset()
     is_late: bool = False
+    mean_run_s: float = 0.0
+    remaining_s: float = math.inf
+    share: float = 1.0
+
+    @property
+    def max_slowdown(self) -> float:
+        """Greatest slowdown with which its job meets the objective.
+
+        It is below zero if the time has passed.
+        """
+        if self.mean_run_s <= 0:
+            return math.inf
+        return self.remaining_s / self.mean_run_s
 
 
 class PlacementPolicy(Protocol):
@@ -115,6 +134,9 @@
         ranked = (candidate for _, candidate in reversed(self.items))
         return next(_eligible(ranked, task), None)
 
+    def count_below(self, rank: float) -> int:
+        return self.items.bisect_key_left((rank, b""))
+
 
 class LeastExpectedFinish:
     """Chooses the upstream with the earliest expected completion.
@@ -322,26 +344,3 @@
 def _relative_load(candidate: Candidate) -> float:
     """Returns this entry's in-flight tasks relative to the concurrency."""
     return candidate.outstanding / max(1.0, candidate.concurrency)
-
-
-def make_policy(name: PolicyName, wait_margin: float) -> PlacementPolicy:
-    """Creates a policy.
-
-    Args:
-        name: Value of the setting `policy`.
-        wait_margin: Value of the setting `wait_margin`; only used by
-            `LeastExpectedFinish`.
-
-    Examples:
-        >>> type(make_policy(PolicyName.ROUND_ROBIN, 0.6)).__name__
-        'RoundRobin'
-    """
-    factories: dict[PolicyName, Callable[[], PlacementPolicy]] = {
-        PolicyName.LEAST_EXPECTED_FINISH: lambda: LeastExpectedFinish(
-            wait_margin
-        ),
-        PolicyName.LEAST_OUTSTANDING: LeastOutstanding,
-        PolicyName.POWER_OF_TWO_CHOICES: PowerOfTwoChoices,
-        PolicyName.ROUND_ROBIN: RoundRobin,
-    }
-    return factories[name]()
