Estimate the speed of an upstream at its sidecar

Each entry learned the speed of each upstream from its own tasks alone: with 8 entries and 24 upstreams it took longer than a load peak lasts, and a restart forgot it. The ratio was taken against the moving mean of the job, so that a run of seven times the usual time read as a slow upstream.

A start now names the kind of its job and the expected run time. The sidecar takes the interquartile mean of the ratios of the latest runs of each kind, counts runs in progress once they are overdue, and announces the result with the number and the age of the runs. With the setting shared_speeds an entry starts from it and corrects it by its own tasks until the next announcement.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -35,6 +35,7 @@
 TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
 TICK_INTERVAL_S = 0.02
 HEARTBEAT_INTERVAL_S = 0.1
+ANNOUNCE_INTERVAL_S = 1.0
 MEMORY_MB = 65536
 # Duration of a start that gets no reply: its timeout, a stop and a report.
 UNANSWERED_START_S = 0.1
@@ -323,10 +324,13 @@
                 event()
                 self._deliver_all()
             self._advance_to(next_tick_s)
+            tick = next(ticks)
             is_heartbeat = (
-                next(ticks) % round(HEARTBEAT_INTERVAL_S / TICK_INTERVAL_S) == 0
+                tick % round(HEARTBEAT_INTERVAL_S / TICK_INTERVAL_S) == 0
             )
             self._tick(is_heartbeat)
+            if tick % round(ANNOUNCE_INTERVAL_S / TICK_INTERVAL_S) == 0:
+                self._announce()
         return self.report
 
     def _make_server(self, model: UpstreamModel) -> LinkServer:
@@ -437,6 +441,16 @@
                 connection.link.notify()
         self._deliver_all()
 
+    def _announce(self) -> None:
+        """Announces the upstreams that serve to the entries linked to them."""
+        for server in self.servers:
+            announce = server.description()
+            for dispatcher in self.dispatchers:
+                link = dispatcher.links.get(server.incarnation)
+                is_up = link is not None and link.state is LinkState.UP
+                if is_up and not announce.leaving:
+                    dispatcher.handle_announcement(announce)
+
     def _deliver_all(self) -> None:
         """Delivers frames until none is in flight."""
         while self._deliver_to_sidecars() or self._deliver_to_entries():
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -205,6 +205,7 @@
                     self.remove_sidecar(announce.sidecar)
                 else:
                     self._update_slots(link, announce)
+                    self._adopt_status(link, announce)
                 return None
             if is_leaving:
                 return None
@@ -218,6 +219,7 @@
             )
             self.links[announce.sidecar] = link
             self._service_state(announce.service).links[announce.sidecar] = link
+            self._adopt_status(link, announce)
             return link
 
     def remove_sidecar(self, sidecar: Incarnation) -> None:
@@ -229,7 +231,7 @@
             link.close()
             state = self.services[link.candidate.service]
             state.links.pop(sidecar, None)
-            state.speeds_.pop(sidecar, None)
+            state.speeds.remove(sidecar)
             state.probation_until_s.pop(sidecar, None)
             state.health.remove(sidecar)
             self.place_waiting()
@@ -515,6 +517,14 @@
             candidate.resize(*offered)
             self._refresh_link(link)
 
+    def _adopt_status(self, link: EntryLink, announce: Announce) -> None:
+        candidate = link.candidate
+        slowdown = candidate.slowdown_
+        speeds = self.services[candidate.service].speeds
+        speeds.adopt(candidate, announce.status)
+        if candidate.slowdown_ != slowdown:
+            self._refresh_link(link)
+
     def _enqueue_claimed(self, job: Job, claim: Claim | None) -> None:
         assert self.claims is not None and claim is not None
         if not job.is_active:
@@ -603,7 +613,12 @@
                 state.retries.deposit()
             remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
             link.place(
-                job.task_ref(index), remaining_s, payloads[index], job.need
+                job.task_ref(index),
+                remaining_s,
+                payloads[index],
+                job.need,
+                job.kind,
+                state.speeds.expected_s(job),
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Container, Iterator
 
+from sardinestair.entry.speeds import UpstreamSpeeds
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
@@ -16,7 +17,6 @@
     MeetObjective,
     ReadyQueue,
     RunTimeEstimator,
-    SlowdownEstimator,
     WaitingTask,
     make_policy,
 )
@@ -51,7 +51,7 @@
         policy: Chooses an upstream for each task.
         retries: Retry budget for starts that ended as NOT_RUN.
         run_times_: Learned run times by kind of job.
-        speeds_: Learned speed factors by sidecar.
+        speeds: Estimates of the speed of each upstream.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
         probation_until_s: Until when an upstream runs a task that may have
@@ -82,7 +82,7 @@
         self.policy = make_policy(settings.policy, settings.wait_margin)
         self.retries = RetryBudget(settings.retry_ratio)
         self.run_times_: dict[str, RunTimeEstimator] = {}
-        self.speeds_: dict[Incarnation, SlowdownEstimator] = {}
+        self.speeds = UpstreamSpeeds(settings.shared_speeds)
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
         self.crashes = crashes or CrashHistory()
@@ -98,6 +98,7 @@
         if settings == old:
             return
         self.queue.order = settings.order
+        self.speeds.is_shared = settings.shared_speeds
         self.retries.ratio = settings.retry_ratio
         self.health.max_ejected_share = settings.max_outage_share
         self.policy = make_policy(settings.policy, settings.wait_margin)
@@ -156,16 +157,13 @@
     ) -> JobRunTimeEstimator:
         """Returns the run time estimate for the tasks of a new job."""
         run_times = self.run_times_.setdefault(kind, RunTimeEstimator())
-        return JobRunTimeEstimator(run_times.predict(declared_s))
+        return self.speeds.estimate_job(run_times, declared_s)
 
     def observe_run(self, job: Job, link: EntryLink, run_s: float) -> None:
         """Updates run time and speed estimates from a completed task."""
         candidate = link.candidate
-        speed = self.speeds_.setdefault(link.sidecar, SlowdownEstimator())
-        speed.observe(run_s, job.run_time.mean_s_)
-        candidate.slowdown_ = speed.factor_
+        typical_s = self.speeds.observe_run(candidate, job, run_s)
         candidate.observe_run_time(run_s)
-        typical_s = run_s / speed.factor_
         job.run_time.observe(typical_s)
         run_times = self.run_times_.setdefault(job.kind, RunTimeEstimator())
         run_times.observe(typical_s)
@@ -174,9 +172,7 @@
         self, link: EntryLink, job: Job, age_s: float, now_s: float
     ) -> None:
         """Updates the speed estimate of an upstream from an overdue task."""
-        speed = self.speeds_.setdefault(link.sidecar, SlowdownEstimator())
-        speed.observe(age_s, job.run_time.mean_s_)
-        link.candidate.slowdown_ = speed.factor_
+        self.speeds.observe_overdue(link.candidate, job, age_s)
         self.refresh_candidate(link, now_s)
 
     def refresh_candidate(self, link: EntryLink, now_s: float) -> None:
--- a/sardinestair/jobs/work.py
+++ b/sardinestair/jobs/work.py
@@ -9,6 +9,8 @@
     Args:
         prior_s: Estimate before any task of the job has ended, in seconds.
         prior_weight: Number of observed tasks that the prior counts for.
+        reference_s: Estimate that stays the same while tasks of the job end,
+            in seconds; the prior if None.
 
     Attributes:
         mean_s_: Current estimate in seconds.
@@ -20,8 +22,14 @@
         2.0
     """
 
-    def __init__(self, prior_s: float, prior_weight: float = 2.0):
+    def __init__(
+        self,
+        prior_s: float,
+        prior_weight: float = 2.0,
+        reference_s: float | None = None,
+    ):
         self.prior_s = prior_s
+        self.reference_s = prior_s if reference_s is None else reference_s
         self.prior_weight = prior_weight
         self.count = 0
         self.total_s = 0.0
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -208,6 +208,8 @@
         remaining_s: float,
         payload: bytes,
         need: Resources | None = None,
+        kind: str = "",
+        expected_s: float = 0.0,
     ) -> None:
         """Queues the start of a task, and spends its credits."""
         units = self.candidate.units_needed(need)
@@ -219,7 +221,9 @@
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
         self.placed_s[ref.job, ref.index] = self.clock.monotonic()
-        self.outbox.append(Start(ref, remaining_s, payload, need, units))
+        start = Start(ref, remaining_s, payload, need, units, kind)
+        start.expected_s = expected_s
+        self.outbox.append(start)
 
     def cancel(self, refs: list[TaskRef]) -> None:
         """Queues one message that cancels started tasks."""
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -100,6 +100,8 @@
         units: The credits that the entry has spent on it; 0 if it doesn't say.
         kind: The kind of its job.
         priority: Priority of its job; 0 goes before 1.
+        expected_s: Its expected run time on a typical upstream, in seconds; 0
+            if the entry doesn't say.
     """
 
     task: TaskRef
@@ -109,6 +111,7 @@
     units: int = 0
     kind: str = ""
     priority: int = 0
+    expected_s: float = 0.0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag="C"):
--- a/sardinestair/placement/estimators.py
+++ b/sardinestair/placement/estimators.py
@@ -87,6 +87,8 @@
     Args:
         window: Number of recent tasks that the mean covers.
         prior_weight: Number of tasks at ratio 1 that the prior counts for.
+        max_deviation: Greatest difference of a logarithm from the mean that
+            counts; greater ones are reduced to it.
 
     Attributes:
         factor_: Estimated ratio; 2.0 means that tasks take twice as long.
@@ -105,8 +107,14 @@
     # of the run times of a kind have a standard deviation of 0.4.
     CHANGE_THRESHOLD = math.log(1.8)
 
-    def __init__(self, window: int = 60, prior_weight: float = 2.0):
+    def __init__(
+        self,
+        window: int = 60,
+        prior_weight: float = 2.0,
+        max_deviation: float = math.inf,
+    ):
         self.window = window
+        self.max_deviation = max_deviation
         self.prior_weight = prior_weight
         self.log_ratio_ = 0.0
         self.recent_log_ratio_ = 0.0
@@ -124,6 +132,11 @@
             return
         ratio = math.log(run_s / expected_s)
         ratio = max(-self.MAX_LOG_RATIO, min(self.MAX_LOG_RATIO, ratio))
+        deviation = ratio - self.log_ratio_
+        if abs(deviation) > self.max_deviation:
+            ratio = self.log_ratio_ + math.copysign(
+                self.max_deviation, deviation
+            )
         self.weight_ = min(self.weight_ + 1, self.window)
         self.log_ratio_ += (ratio - self.log_ratio_) / self.weight_
         self.recent_log_ratio_ += self.RECENT_SMOOTHING_FACTOR * (
@@ -135,3 +148,17 @@
         )
         log_ratio = self.recent_log_ratio_ if has_changed else self.log_ratio_
         self.factor_ = math.exp(log_ratio)
+
+    def adopt(self, log_ratio: float, weight: float) -> None:
+        """Replaces the estimate by one that rests on other observations.
+
+        Args:
+            log_ratio: Logarithm of the ratio.
+            weight: Number of tasks that it counts for; the prior at ratio 1
+                still counts beside it.
+        """
+        total = weight + self.prior_weight
+        self.log_ratio_ = log_ratio * weight / total
+        self.recent_log_ratio_ = self.log_ratio_
+        self.weight_ = min(total, self.window)
+        self.factor_ = math.exp(self.log_ratio_)
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -98,6 +98,8 @@
             with 0, until the deadline.
         objective_stretch: Adds this many times the expected run time of a
             task to `objective_s`.
+        shared_speeds: Whether the speed of an upstream is taken from what its
+            sidecar has seen of the runs of all entries.
     """
 
     deadline_s: float = 30.0
@@ -124,6 +126,7 @@
     priority: int = 0
     useful_factor: float = 0.0
     objective_stretch: float = 0.0
+    shared_speeds: bool = False
 
 
 class Overrides(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
@@ -153,6 +156,7 @@
     priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
     useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
+    shared_speeds: bool | UnsetType = UNSET
 
 
 class KindNode(msgspec.Struct, forbid_unknown_fields=True):
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -36,9 +36,11 @@
     Stop,
     TaskRef,
     TaskState,
+    UpstreamStatus,
 )
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
+from sardinestair.sidecar.speed import UpstreamSpeed
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
 from sardinestair.upstreams.caller import CallResult, TaskCaller
 from sardinestair.upstreams.upstream import UpstreamState
@@ -76,6 +78,7 @@
         ledger: Allocates the upstream's slots to entries as credits.
         running: Resources that each running task needs, None if not declared,
             by entry and attempt.
+        speed: Estimates how slow the upstream is.
         sessions: State of the link with each entry, by its incarnation.
         policy: The effective settings.
         policy_revision: Their revision, -1 before the first.
@@ -109,6 +112,7 @@
         self.upstream = Upstream()
         self.ledger = CreditLedger(slots=0)
         self.running: dict[tuple[Incarnation, TaskRef], Resources | None] = {}
+        self.speed = UpstreamSpeed()
         self.sessions: dict[Incarnation, SidecarSession] = {}
         self.policy = SidecarPolicy()
         self.policy_revision = -1
@@ -144,6 +148,16 @@
             self.policy_revision,
             self.upstream.capacity,
             self.caller is not None and self.caller.is_leased,
+            self._status(),
+        )
+
+    def _status(self) -> UpstreamStatus:
+        """Returns what is announced of the upstream beside its capacity."""
+        now_s = self.clock.monotonic()
+        slowdowns = self.speed.estimates(now_s)
+        return UpstreamStatus(
+            slowdowns=slowdowns,
+            observed_ago_s=now_s - self.speed.observed_s if slowdowns else 0.0,
         )
 
     def report_upstream_lost(self) -> None:
@@ -304,6 +318,12 @@
         self.running[session.entry, ref] = message.need
         self.ledger.occupied_units += self._units_occupied(message.need)
         self.metrics.count("starts_total", {})
+        self.speed.start(
+            (session.entry, ref),
+            message.kind,
+            message.expected_s,
+            self.clock.monotonic(),
+        )
         held = session.tasks[ref.job, ref.index]
 
         def may_start() -> bool:
@@ -343,6 +363,12 @@
             has_crashed,
             result.is_confirmed,
         )
+        self.speed.observe_end(
+            (session.entry, ref),
+            result.state,
+            result.run_s,
+            self.clock.monotonic(),
+        )
         need = self.running.pop((session.entry, ref))
         self.ledger.occupied_units -= self._units_occupied(need)
         self.wake()
