--- a/sardinestair/placement/objective.py
+++ b/sardinestair/placement/objective.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 
 from sardinestair.placement.candidate import Candidate
 from sardinestair.placement.policies import LeastExpectedFinish, WaitingTask
@@ -62,28 +63,37 @@
     def should_start(self, candidate: Candidate, task: WaitingTask) -> bool:
         """Returns True unless the task should wait for a faster upstream."""
         if candidate.slowdown_ > task.max_slowdown:
-            finish_s = self._expected_finish_in_time_s(candidate, task)
+            finish_s = self._expected_finish_s(
+                candidate, task, task.max_slowdown
+            )
             if finish_s <= task.remaining_s:
                 return False
         return super().should_start(candidate, task)
 
-    def _expected_finish_in_time_s(
-        self, best: Candidate, task: WaitingTask
+    def _expected_finish_s(
+        self,
+        best: Candidate,
+        task: WaitingTask,
+        max_slowdown: float = math.inf,
     ) -> float:
         """Returns the expected time to completion on a faster upstream.
 
-        Only upstreams on which the job would be in time count. The time is in
-        seconds, and infinite if there is none.
+        Args:
+            best: The best candidate with credits.
+            task: The task.
+            max_slowdown: Only upstreams up to this slowdown count.
+
+        Returns:
+            The time in seconds; infinite if there is no such upstream.
         """
-        limit = min(best.slowdown_, task.max_slowdown)
-        in_time = self.busy.count_below(limit)
-        if in_time == 0:
-            return float("inf")
+        faster = self.busy.count_below(min(best.slowdown_, max_slowdown))
+        if faster == 0:
+            return math.inf
         completions_per_s = slowdown_sum = 0.0
-        count = min(in_time, self.MAX_FASTER_UPSTREAMS)
+        count = min(faster, self.MAX_FASTER_UPSTREAMS)
         for _, candidate in itertools.islice(self.busy.items, count):
             completions_per_s += candidate.concurrency / candidate.mean_run_s_
             slowdown_sum += candidate.slowdown_
-        completions_per_s *= task.share * in_time / count
+        completions_per_s *= task.share * faster / count
         wait_s = (task.tasks_ahead + 1) / completions_per_s
         return wait_s + task.mean_run_s * slowdown_sum / count
