Tell stragglers from slow upstreams

Where 3 % of the runs take seven times their usual time, each of them counted as a sample of its upstream's speed: in the emulated pattern sound upstreams were estimated at up to 5 times their run time.

With shared_speeds, one overdue run at an upstream is a straggler. Several at once still show a slow upstream.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -4,6 +4,7 @@
 import functools
 import heapq
 import itertools
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -37,6 +38,7 @@
 HEARTBEAT_INTERVAL_S = 0.1
 ANNOUNCE_INTERVAL_S = 1.0
 MEMORY_MB = 65536
+LONG_RUN_FACTOR = 7.0
 # Duration of a start that gets no reply: its timeout, a stop and a report.
 UNANSWERED_START_S = 0.1
 STOP_DURATION_S = 0.05
@@ -66,12 +68,17 @@
         cpu_millis: CPU capacity, in thousandths of a core.
         fault: Fault injected into it.
         unanswered_share: Share of the starts that get no reply.
+        long_share: Share of the runs that take `LONG_RUN_FACTOR` times their
+            usual time.
+        rack: Its rack.
     """
 
     speed: float = 1.0
     cpu_millis: int = 16000
     fault: Fault = Fault.NONE
     unanswered_share: float = 0.0
+    long_share: float = 0.0
+    rack: str = ""
 
 
 class _FakeSocket:
@@ -145,6 +152,7 @@
         self.server: LinkServer | None = None
         self.is_down = False
         self.start_count = 0
+        self.random = random.Random(next(system.seeds))
         self.runs: dict[TaskRef, _EmulatedRun] = {}
 
     def start(
@@ -233,7 +241,10 @@
         """Returns the result of a run, including its duration, in advance."""
         work_s = 0.0 if payload == CRASHING_PAYLOAD else float(payload)
         state, body = TaskState.DONE, b""
-        run_s = min(abs(work_s) * self.model.speed, timeout_s)
+        run_s = abs(work_s) * self.model.speed
+        if self.random.random() < self.model.long_share:
+            run_s *= LONG_RUN_FACTOR
+        run_s = min(run_s, timeout_s)
         self.start_count += 1
         loss_interval = (
             1 / self.model.unanswered_share
@@ -286,6 +297,7 @@
         self.upstreams = upstreams
         self.events: list[tuple[float, int, Callable[[], object]]] = []
         self.sequence = itertools.count(1)
+        self.seeds = itertools.count(1)
         self.ready_servers: set[LinkServer] = set()
         self.servers = [self._make_server(model) for model in upstreams]
         self.dispatchers = [self._make_entry(tree) for _ in range(entries)]
--- a/sardinestair/entry/overdue.py
+++ b/sardinestair/entry/overdue.py
@@ -1,17 +1,21 @@
 """Detects tasks that run far longer than expected, and moves them."""
 
+import math
+from collections.abc import Iterator
+
+import msgspec
+
 from sardinestair.entry.service_state import ServiceState
-from sardinestair.ids import JobId, format_job_id
+from sardinestair.entry.stragglers import MIN_OVERDUE_RUNS, OVERDUE_FACTOR
+from sardinestair.ids import Incarnation, JobId, format_job_id
 from sardinestair.jobs import Job, JobRegistry
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import TaskRef
 from sardinestair.observability import EventLog, Metrics
+from sardinestair.placement import Candidate
 
 __all__ = ["OverdueTaskMonitor"]
 
-# About 1 % of tasks exceed this factor without any fault of the upstream, if
-# run times within a kind spread by 0.4.
-OVERDUE_FACTOR = 2.5
 # Allowance for messages between entry, sidecar and upstream, both ways.
 MESSAGING_OVERHEAD_S = 0.05
 # Least speed advantage of another upstream that makes a move worthwhile. A
@@ -20,6 +24,23 @@
 MIN_SPEEDUP = 2.0
 
 
+class _OverdueTask(msgspec.Struct):
+    """A started task that takes too long.
+
+    Attributes:
+        job: Its job.
+        ref: The attempt.
+        age_s: Time since it was placed, or since it counted as overdue, in
+            seconds.
+        expected_s: Expected run time on its upstream, in seconds.
+    """
+
+    job: Job
+    ref: TaskRef
+    age_s: float
+    expected_s: float
+
+
 class OverdueTaskMonitor:
     """Detects overdue tasks and moves them to faster upstreams.
 
@@ -27,71 +48,138 @@
     ended. If the job may run again and a much faster upstream has free
     credits, the run is stopped; its outcome then causes a retry elsewhere.
 
+    With `shared_speeds`, a single overdue task at an upstream is a straggler:
+    it says nothing about the upstream, and `StragglerPolicy` decides whether
+    it is moved.
+
     Args:
         registry: The known jobs.
         metrics: The process's metrics.
         log: Receives a line for each moved task.
+
+    Attributes:
+        overdue: Outstanding tasks that have been found overdue, by sidecar.
     """
 
     def __init__(self, registry: JobRegistry, metrics: Metrics, log: EventLog):
         self.registry = registry
         self.metrics = metrics
         self.log = log
+        self.overdue: dict[Incarnation, set[tuple[JobId, int]]] = {}
 
     def check(self, state: ServiceState, now_s: float) -> None:
         """Checks the started tasks of one service."""
         for link in state.links.values():
             if link.state is not LinkState.UP:
+                self.overdue.pop(link.sidecar, None)
                 continue
             link.prune_placed_times()
-            for key, ref in list(link.outstanding.items()):
-                job = self.registry.find(ref.job)
-                if job is not None and job.is_active:
-                    self._check_task(state, link, job, key, ref, now_s)
+            found = self._find_overdue(link, now_s)
+            for task in found:
+                self._handle_overdue(state, link, task, now_s)
+
+    def _find_overdue(
+        self, link: EntryLink, now_s: float
+    ) -> list[_OverdueTask]:
+        """Returns the tasks of a link that have become overdue.
+
+        Their timer restarts: a task counts again if it stays overdue for as
+        long again.
+        """
+        found: list[_OverdueTask] = []
+        known = self.overdue.pop(link.sidecar, set()) & link.outstanding.keys()
+        for key, ref in link.outstanding.items():
+            job = self.registry.find(ref.job)
+            if job is None or not job.is_active:
+                continue
+            expected_s = job.run_time.mean_s_ * link.candidate.slowdown_
+            age_s = now_s - link.placed_s.get(key, now_s)
+            if age_s >= OVERDUE_FACTOR * expected_s + MESSAGING_OVERHEAD_S:
+                link.placed_s[key] = now_s
+                known.add(key)
+                found.append(_OverdueTask(job, ref, age_s, expected_s))
+        if known:
+            self.overdue[link.sidecar] = known
+        return found
 
-    def _check_task(
+    def _handle_overdue(
         self,
         state: ServiceState,
         link: EntryLink,
-        job: Job,
-        key: tuple[JobId, int],
-        ref: TaskRef,
+        task: _OverdueTask,
         now_s: float,
     ) -> None:
-        expected_s = job.run_time.mean_s_ * link.candidate.slowdown_
-        age_s = now_s - link.placed_s.get(key, now_s)
-        if age_s < OVERDUE_FACTOR * expected_s + MESSAGING_OVERHEAD_S:
-            return
-        # Restart the timer: the task counts again if it stays overdue for as
-        # long again.
-        link.placed_s[key] = now_s
         self.metrics.count("tasks_overdue_total", {"service": state.name})
-        state.observe_overdue(link, job, age_s, now_s)
-        if not job.can_be_moved or not _has_faster_upstream(state, link, job):
+        is_straggler = (
+            state.speeds.is_shared
+            and len(self.overdue[link.sidecar]) < MIN_OVERDUE_RUNS
+        )
+        if not is_straggler:
+            state.observe_overdue(link, task.job, task.age_s, now_s)
+        if not task.job.can_be_moved:
             return
+        if is_straggler:
+            is_moved = _ends_sooner(state, link, task, now_s)
+        else:
+            is_moved = _has_faster_upstream(state, link, task.job)
+        if is_moved:
+            self._move(link, task, is_straggler)
+
+    def _move(
+        self, link: EntryLink, task: _OverdueTask, is_straggler: bool
+    ) -> None:
         self.log.warning(
             "task_moved",
-            job=format_job_id(job.job_id),
-            task=ref.index,
-            run=ref.attempt,
+            job=format_job_id(task.job.job_id),
+            task=task.ref.index,
+            run=task.ref.attempt,
             upstream=link.endpoint,
-            age_s=age_s,
-            expected_s=expected_s,
+            age_s=task.age_s,
+            expected_s=task.expected_s,
             speed=link.candidate.slowdown_,
+            straggler=is_straggler,
         )
-        job.failed_upstreams.add(link.sidecar)
-        link.stop([ref])
+        cause = "straggler" if is_straggler else "slow_upstream"
+        self.metrics.count("tasks_moved_total", {"cause": cause})
+        task.job.failed_upstreams.add(link.sidecar)
+        link.stop([task.ref])
         link.notify()
 
 
+def _other_candidates(
+    state: ServiceState, link: EntryLink, job: Job
+) -> Iterator[Candidate]:
+    """Yields the other upstreams that can start a task of a job now."""
+    for other in state.links.values():
+        if (
+            other is not link
+            and other.candidate.is_usable
+            and other.sidecar not in job.failed_upstreams
+            and other.candidate.has_credits_for(job.need)
+        ):
+            yield other.candidate
+
+
 def _has_faster_upstream(
     state: ServiceState, link: EntryLink, job: Job
 ) -> bool:
     limit = link.candidate.slowdown_ / MIN_SPEEDUP
     return any(
-        other.candidate.slowdown_ <= limit
-        and other.candidate.has_credits_for(job.need)
-        for other in state.links.values()
-        if other.candidate.is_usable
-        and other.sidecar not in job.failed_upstreams
+        candidate.slowdown_ <= limit
+        for candidate in _other_candidates(state, link, job)
+    )
+
+
+def _ends_sooner(
+    state: ServiceState, link: EntryLink, task: _OverdueTask, now_s: float
+) -> bool:
+    """Returns True if a straggler should end sooner elsewhere, and of use."""
+    fastest = min(
+        (c.slowdown_ for c in _other_candidates(state, link, task.job)),
+        default=math.inf,
+    )
+    restart_run_s = task.job.run_time.mean_s_ * fastest
+    return (
+        now_s + restart_run_s < task.job.useful_until_s
+        and state.stragglers.should_move(task.expected_s, restart_run_s)
     )
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -5,6 +5,7 @@
 from collections.abc import Container, Iterator
 
 from sardinestair.entry.speeds import UpstreamSpeeds
+from sardinestair.entry.stragglers import StragglerPolicy
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
@@ -52,6 +53,7 @@
         retries: Retry budget for starts that ended as NOT_RUN.
         run_times_: Learned run times by kind of job.
         speeds: Estimates of the speed of each upstream.
+        stragglers: Decides whether single overdue runs are moved.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
         probation_until_s: Until when an upstream runs a task that may have
@@ -83,6 +85,7 @@
         self.retries = RetryBudget(settings.retry_ratio)
         self.run_times_: dict[str, RunTimeEstimator] = {}
         self.speeds = UpstreamSpeeds(settings.shared_speeds)
+        self.stragglers = StragglerPolicy()
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
         self.crashes = crashes or CrashHistory()
@@ -162,6 +165,9 @@
     def observe_run(self, job: Job, link: EntryLink, run_s: float) -> None:
         """Updates run time and speed estimates from a completed task."""
         candidate = link.candidate
+        self.stragglers.observe_run(
+            run_s, job.run_time.reference_s * candidate.slowdown_
+        )
         typical_s = self.speeds.observe_run(candidate, job, run_s)
         candidate.observe_run_time(run_s)
         job.run_time.observe(typical_s)
