Place tasks by rack and zone, and emulate uneven patterns

A job may name the rack of its data, where its tasks run remote_factor times faster; placement ignored it. With meet_objective and the setting remote_factor, a task starts on its rack if there is room, and waits for it or starts elsewhere by the expected end. The rack of an upstream comes from its labels, in its announcement. Among upstreams of nearly the same speed, those of the entry's own zone go first.

test_deploy fills in the bounds that the platform provides.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -168,7 +168,10 @@
             result = CallResult(TaskState.NOT_RUN, b"refused", False, 0.0)
             self.system.schedule(0.0, lambda: on_result(result))
             return
-        result = self._plan_result(payload, timeout_s)
+        rack = self.system.job_racks.get(ref.job, self.model.rack)
+        is_remote = rack != self.model.rack
+        factor = self.system.remote_factor if is_remote else 1.0
+        result = self._plan_result(payload, timeout_s, factor)
         run = _EmulatedRun(result, on_result, self.system.clock.monotonic())
         self.runs[ref] = run
         if payload == CRASHING_PAYLOAD:
@@ -237,11 +240,13 @@
             del self.runs[ref]
             run.on_result(run.result)
 
-    def _plan_result(self, payload: bytes, timeout_s: float) -> CallResult:
+    def _plan_result(
+        self, payload: bytes, timeout_s: float, factor: float
+    ) -> CallResult:
         """Returns the result of a run, including its duration, in advance."""
         work_s = 0.0 if payload == CRASHING_PAYLOAD else float(payload)
         state, body = TaskState.DONE, b""
-        run_s = abs(work_s) * self.model.speed
+        run_s = abs(work_s) * self.model.speed * factor
         if self.random.random() < self.model.long_share:
             run_s *= LONG_RUN_FACTOR
         run_s = min(run_s, timeout_s)
@@ -279,8 +284,13 @@
         entries: Number of entries that share the upstreams.
         upstreams: Parameters of each upstream.
         tree: The settings tree.
+        zones: Zones of the entries and of the upstreams, in turn.
 
     Attributes:
+        remote_factor: Factor by which the tasks of jobs in `job_racks` take
+            longer on other racks.
+        rack_of: Returns the rack that a job names, or an empty string.
+        job_racks: Racks of the jobs that name one.
         clock: The emulated clock.
         upstreams: Parameters of each upstream; changes of its speed and faults
             apply to runs that start later.
@@ -288,8 +298,15 @@
     """
 
     def __init__(
-        self, entries: int, upstreams: list[UpstreamModel], tree: SettingsTree
+        self,
+        entries: int,
+        upstreams: list[UpstreamModel],
+        tree: SettingsTree,
+        zones: tuple[str, ...] = ("z",),
     ):
+        self.remote_factor = 1.0
+        self.rack_of: Callable[[EmulatedJob], str] = lambda _job: ""
+        self.job_racks: dict[JobId, str] = {}
         self.clock = ManualClock()
         self.clock.advance(100.0)
         self.start_s = self.clock.monotonic()
@@ -299,15 +316,21 @@
         self.sequence = itertools.count(1)
         self.seeds = itertools.count(1)
         self.ready_servers: set[LinkServer] = set()
-        self.servers = [self._make_server(model) for model in upstreams]
-        self.dispatchers = [self._make_entry(tree) for _ in range(entries)]
+        zone_cycle = itertools.cycle(zones)
+        self.servers = [
+            self._make_server(model, next(zone_cycle)) for model in upstreams
+        ]
+        zone_cycle = itertools.cycle(zones)
+        self.dispatchers = [
+            self.make_entry(tree, next(zone_cycle)) for _ in range(entries)
+        ]
         for dispatcher in self.dispatchers:
             dispatcher.admission_controller.entry_count = entries
         self.connections: list[_Connection] = []
         self.by_route: dict[bytes, _Connection] = {}
         self.by_dispatcher: dict[int, list[_Connection]] = {}
         for dispatcher in self.dispatchers:
-            self._connect(dispatcher)
+            self.connect(dispatcher)
         self.pending: list[tuple[EmulatedJob, Job]] = []
         self._deliver_all()
 
@@ -320,9 +343,11 @@
         """Schedules the arrivals of jobs, round-robin over the entries."""
         dispatchers = itertools.cycle(self.dispatchers)
         for job in sorted(jobs, key=lambda job: job.arrival_s):
-            self.schedule(
-                job.arrival_s, self._make_arrival(next(dispatchers), job)
-            )
+            self.submit_to(next(dispatchers), job)
+
+    def submit_to(self, dispatcher: Dispatcher, job: EmulatedJob) -> None:
+        """Schedules the arrival of a job at an entry."""
+        self.schedule(job.arrival_s, self._make_arrival(dispatcher, job))
 
     def run(self, duration_s: float) -> Report:
         """Runs the emulation until this time after its start."""
@@ -345,13 +370,13 @@
                 self._announce()
         return self.report
 
-    def _make_server(self, model: UpstreamModel) -> LinkServer:
+    def _make_server(self, model: UpstreamModel, zone: str) -> LinkServer:
         emulated = _EmulatedUpstream(self, model)
         upstream: Any = emulated
         context: Any = _FakeContext()
         server = LinkServer(
             "tcp://127.0.0.1:*",
-            "z",
+            zone,
             self._make_id(),
             self.clock,
             Metrics(),
@@ -364,22 +389,29 @@
         capacity = Resources(model.cpu_millis, MEMORY_MB, 0)
         server.announce(
             Announcement(
-                SERVICE, "http://127.0.0.1:1", 8, ttl_s=300, capacity=capacity
+                SERVICE,
+                "http://127.0.0.1:1",
+                8,
+                ttl_s=300,
+                capacity=capacity,
+                rack=model.rack,
             )
         )
         # The emulation doesn't renew the announcement.
         server.upstream.expires_s = float("inf")
         return server
 
-    def _make_entry(self, tree: SettingsTree) -> Dispatcher:
+    def make_entry(self, tree: SettingsTree, zone: str = "z") -> Dispatcher:
+        """Returns an entry without links."""
         context: Any = _FakeContext()
         dispatcher = Dispatcher(
-            self._make_id(), "z", self.clock, Metrics(), context, TIMING
+            self._make_id(), zone, self.clock, Metrics(), context, TIMING
         )
         dispatcher.configure(tree)
         return dispatcher
 
-    def _connect(self, dispatcher: Dispatcher) -> None:
+    def connect(self, dispatcher: Dispatcher) -> None:
+        """Links an entry to all sidecars."""
         for server in self.servers:
             link = dispatcher.handle_announcement(server.description())
             assert link is not None
@@ -406,6 +438,7 @@
                 declared_task_s=emulated.declared_task_s,
                 need=Resources(emulated.cpu_millis, 64, 0),
                 best_effort=True,
+                rack=self.rack_of(emulated),
             )
             for index, work_s in enumerate(emulated.task_run_s):
                 payload = msgspec.Raw(str(sign * work_s).encode())
@@ -418,6 +451,8 @@
                     request.tasks[0], payload=msgspec.Raw(CRASHING_PAYLOAD)
                 )
             job_id = JobId(next(self.sequence).to_bytes(16, "big"))
+            if request.rack:
+                self.job_racks[job_id] = request.rack
             parsed = ParsedRequest(job_id, request, b"")
             submitted = dispatcher.submit(parsed)
             if submitted.is_error():
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -506,7 +506,9 @@
             tree = self.tree or SettingsTree()
             settings = resolve_settings(tree, service, self.zone)
             now_s = self.clock.monotonic()
-            state = ServiceState(service, settings, now_s, self.crashes)
+            state = ServiceState(
+                service, settings, now_s, self.crashes, self.zone
+            )
             self.services[service] = state
         return state
 
@@ -520,8 +522,13 @@
     def _adopt_status(self, link: EntryLink, announce: Announce) -> None:
         candidate = link.candidate
         slowdown = candidate.slowdown_
-        speeds = self.services[candidate.service].speeds
-        speeds.adopt(candidate, announce.status)
+        state = self.services[candidate.service]
+        rack = announce.status.rack if announce.status else ""
+        if rack != candidate.rack:
+            state.policy.remove(candidate)
+            candidate.rack = rack
+            self._refresh_link(link)
+        state.speeds.adopt(candidate, announce.status)
         if candidate.slowdown_ != slowdown:
             self._refresh_link(link)
 
@@ -570,6 +577,7 @@
             now_s + state.useful_lifetime_s(settings, work.mean_s_, deadline_s),
             settings.priority,
             settings.repeat_interrupted and not request.unrepeatable,
+            request.rack if settings.remote_factor > 1 else "",
         )
         if previous is not None:
             job.attempts = previous.attempts
@@ -618,7 +626,7 @@
                 payloads[index],
                 job.need,
                 job.kind,
-                state.speeds.expected_s(job),
+                state.speeds.announced_run_s(link.candidate, job),
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
--- a/sardinestair/entry/overdue.py
+++ b/sardinestair/entry/overdue.py
@@ -13,6 +13,7 @@
 from sardinestair.messages import TaskRef
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.placement import Candidate
+from sardinestair.placement.objective import remoteness
 
 __all__ = ["OverdueTaskMonitor"]
 
@@ -74,12 +75,12 @@
                 self.overdue.pop(link.sidecar, None)
                 continue
             link.prune_placed_times()
-            found = self._find_overdue(link, now_s)
+            found = self._find_overdue(state, link, now_s)
             for task in found:
                 self._handle_overdue(state, link, task, now_s)
 
     def _find_overdue(
-        self, link: EntryLink, now_s: float
+        self, state: ServiceState, link: EntryLink, now_s: float
     ) -> list[_OverdueTask]:
         """Returns the tasks of a link that have become overdue.
 
@@ -92,7 +93,12 @@
             job = self.registry.find(ref.job)
             if job is None or not job.is_active:
                 continue
-            expected_s = job.run_time.mean_s_ * link.candidate.slowdown_
+            remote = remoteness(
+                link.candidate, job.rack, state.settings.remote_factor
+            )
+            expected_s = (
+                job.run_time.mean_s_ * link.candidate.slowdown_ * remote
+            )
             age_s = now_s - link.placed_s.get(key, now_s)
             if age_s >= OVERDUE_FACTOR * expected_s + MESSAGING_OVERHEAD_S:
                 link.placed_s[key] = now_s
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -3,6 +3,8 @@
 import threading
 import time
 
+import msgspec
+
 from sardinestair.clock import Clock
 from sardinestair.entry.process import EntryProcess
 from sardinestair.event_loop import EventLoop
@@ -18,6 +20,7 @@
 from sardinestair.settings.process import EntryPlatform, split_address
 from sardinestair.settings.records import VersionedTree
 from sardinestair.settings.service import SettingsFollower
+from sardinestair.settings.tree import Overrides
 from sardinestair.store.port import Snapshot
 from sardinestair.web import HttpServer, WebApp, monitoring_rules
 
@@ -155,9 +158,17 @@
         """Reads the operator's configuration on top of the entry's defaults."""
         found = read_configuration(snapshot)
         if found is not None:
-            found.tree.set = self.platform.defaults
+            found.tree.set = self._default_overrides()
         return found
 
+    def _default_overrides(self) -> Overrides:
+        factor = self.platform.remote_factor
+        if factor is None:
+            return self.platform.defaults
+        return msgspec.structs.replace(
+            self.platform.defaults, remote_factor=factor
+        )
+
     def _registration_interval_s(self) -> float:
         return REGISTRATION_INTERVAL_S
 
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -21,7 +21,7 @@
     WaitingTask,
     make_policy,
 )
-from sardinestair.placement.objective import MESSAGING_S
+from sardinestair.placement.objective import MESSAGING_S, remoteness
 from sardinestair.settings import ServiceSettings
 
 __all__ = ["ServiceState"]
@@ -45,6 +45,7 @@
         settings: Its effective settings.
         created_s: The current time, on the entry's clock.
         crashes: Crashes of upstreams, by task.
+        zone: The entry's availability zone.
 
     Attributes:
         queue: Jobs with tasks that have not started.
@@ -74,6 +75,7 @@
         settings: ServiceSettings,
         created_s: float = 0.0,
         crashes: CrashHistory | None = None,
+        zone: str = "",
     ):
         self.created_s = created_s
         self.last_available_s = created_s
@@ -81,10 +83,13 @@
         self.settings = settings
         self.queue = ReadyQueue(settings.order)
         self.links: dict[Incarnation, EntryLink] = {}
-        self.policy = make_policy(settings.policy, settings.wait_margin)
+        self.zone = zone
+        self.policy = make_policy(settings.policy, settings.wait_margin, zone)
         self.retries = RetryBudget(settings.retry_ratio)
         self.run_times_: dict[str, RunTimeEstimator] = {}
-        self.speeds = UpstreamSpeeds(settings.shared_speeds)
+        self.speeds = UpstreamSpeeds(
+            settings.shared_speeds, settings.remote_factor
+        )
         self.stragglers = StragglerPolicy()
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
@@ -102,9 +107,12 @@
             return
         self.queue.order = settings.order
         self.speeds.is_shared = settings.shared_speeds
+        self.speeds.remote_factor = settings.remote_factor
         self.retries.ratio = settings.retry_ratio
         self.health.max_ejected_share = settings.max_outage_share
-        self.policy = make_policy(settings.policy, settings.wait_margin)
+        self.policy = make_policy(
+            settings.policy, settings.wait_margin, self.zone
+        )
         for link in self.links.values():
             self.policy.update(link.candidate)
 
@@ -166,7 +174,7 @@
         """Updates run time and speed estimates from a completed task."""
         candidate = link.candidate
         self.stragglers.observe_run(
-            run_s, job.run_time.reference_s * candidate.slowdown_
+            run_s, self.speeds.expected_run_s(candidate, job)
         )
         typical_s = self.speeds.observe_run(candidate, job, run_s)
         candidate.observe_run_time(run_s)
@@ -320,8 +328,14 @@
         job = self.queue.head()
         if job is None or not isinstance(self.policy, MeetObjective):
             return links
-        limit = self._waiting_task(job, 0, now_s).max_slowdown
-        return sorted(links, key=lambda link: link.candidate.slowdown_ > limit)
+        task = self._waiting_task(job, 0, now_s)
+
+        def is_too_slow(link: EntryLink) -> bool:
+            candidate = link.candidate
+            remote = remoteness(candidate, task.rack, task.remote_factor)
+            return remote * candidate.slowdown_ > task.max_slowdown
+
+        return sorted(links, key=is_too_slow)
 
     def demand(self, link: EntryLink, now_s: float) -> Demand:
         """Returns the demand for credits of a link's upstream.
@@ -372,6 +386,8 @@
             job.run_time.mean_s_,
             job.soft_deadline_s - now_s - MESSAGING_S,
             self.share,
+            job.rack,
+            self.settings.remote_factor,
         )
 
     def _lookahead_jobs(self) -> Iterator[Job]:
@@ -380,11 +396,11 @@
         Jobs of one kind have similar run times and needs: if the first few
         can't be placed, further ones can't either.
         """
-        seen: Counter[tuple[str, bool]] = Counter()
+        seen: Counter[tuple[str, bool, str]] = Counter()
         for job in self.queue.first_jobs(MAX_LOOKAHEAD_JOBS):
             if self._must_wait(job):
                 continue
-            group = (job.kind, job.is_late)
+            group = (job.kind, job.is_late, job.rack)
             seen[group] += 1
             if seen[group] <= MAX_LOOKAHEAD_PER_KIND:
                 yield job
@@ -470,9 +486,11 @@
             The job and the link, or None if no task can or should start now.
         """
         self.queue.demote_late(now_s)
-        tasks_ahead = -1
+        # Tasks for a rack compete with each other for its upstreams.
+        ahead: Counter[str] = Counter()
         for job in self._lookahead_jobs():
-            tasks_ahead += len(job.waiting)
+            ahead[job.rack] += len(job.waiting)
+            tasks_ahead = (ahead[job.rack] if job.rack else ahead.total()) - 1
             excluded = self._excluded_upstreams(job, now_s)
             task = self._waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
--- a/sardinestair/entry/speeds.py
+++ b/sardinestair/entry/speeds.py
@@ -16,6 +16,7 @@
     RunTimeEstimator,
     SlowdownEstimator,
 )
+from sardinestair.placement.objective import remoteness
 
 __all__ = ["UpstreamSpeeds"]
 
@@ -35,13 +36,15 @@
 
     Args:
         is_shared: Value of the setting `shared_speeds`.
+        remote_factor: Value of the setting `remote_factor`.
 
     Attributes:
         estimators_: The estimates by sidecar.
     """
 
-    def __init__(self, is_shared: bool):
+    def __init__(self, is_shared: bool, remote_factor: float = 1.0):
         self.is_shared = is_shared
+        self.remote_factor = remote_factor
         self.estimators_: dict[Incarnation, SlowdownEstimator] = {}
 
     def remove(self, sidecar: Incarnation) -> None:
@@ -77,8 +80,9 @@
         Returns:
             The run time on a typical upstream, in seconds.
         """
+        run_s /= remoteness(candidate, job.rack, self.remote_factor)
         estimator = self._estimator(candidate)
-        estimator.observe(run_s, self._expected_s(job))
+        estimator.observe(run_s, self._typical_s(job))
         candidate.slowdown_ = estimator.factor_
         typical_s = run_s / estimator.factor_
         if not self.is_shared:
@@ -90,7 +94,8 @@
     ) -> None:
         """Adds the age of a task that is overdue."""
         estimator = self._estimator(candidate)
-        estimator.observe(age_s, self._expected_s(job))
+        remote = remoteness(candidate, job.rack, self.remote_factor)
+        estimator.observe(age_s / remote, self._typical_s(job))
         candidate.slowdown_ = estimator.factor_
 
     def estimate_job(
@@ -110,11 +115,23 @@
         reference_s = math.sqrt(run_times.mean_s_ * declared_s)
         return JobRunTimeEstimator(prior_s, reference_s=reference_s)
 
-    def expected_s(self, job: Job) -> float:
-        """Returns the run time that a start names; 0 unless shared."""
-        return job.run_time.reference_s if self.is_shared else 0.0
+    def announced_run_s(self, candidate: Candidate, job: Job) -> float:
+        """Returns the run time that a start names; 0 unless shared.
 
-    def _expected_s(self, job: Job) -> float:
+        It is the one expected of a typical upstream in the place of the
+        candidate.
+        """
+        if not self.is_shared:
+            return 0.0
+        remote = remoteness(candidate, job.rack, self.remote_factor)
+        return job.run_time.reference_s * remote
+
+    def expected_run_s(self, candidate: Candidate, job: Job) -> float:
+        """Returns the expected run time of a job's tasks on an upstream."""
+        remote = remoteness(candidate, job.rack, self.remote_factor)
+        return self._typical_s(job) * remote * candidate.slowdown_
+
+    def _typical_s(self, job: Job) -> float:
         run_time = job.run_time
         return run_time.reference_s if self.is_shared else run_time.mean_s_
 
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -75,6 +75,7 @@
         priority: Priority when slots are scarce; 0 goes before 1.
         repeat_interrupted: True if an interrupted run is repeated although
             `max_attempts` is 1.
+        rack: Rack on which its tasks run faster, or empty if there is none.
 
     Attributes:
         task_count: Number of tasks.
@@ -132,6 +133,7 @@
         useful_until_s: float | None = None,
         priority: int = 0,
         repeat_interrupted: bool = False,
+        rack: str = "",
     ):
         self.job_id = job_id
         self.service = service
@@ -152,6 +154,7 @@
         self.max_attempts = max_attempts
         self.can_repeat = max_attempts > 1 or repeat_interrupted
         self.priority = priority
+        self.rack = rack
         self.need = need
         self.task_count = len(payloads)
         self.waiting: deque[int] = deque(range(self.task_count))
--- a/sardinestair/jobs/request.py
+++ b/sardinestair/jobs/request.py
@@ -53,6 +53,7 @@
         best_effort: True if no state of the job needs to be kept after its
             answer. If it ended without success, it may be submitted again
             under the same id, and then runs again from the start.
+        rack: Rack on which the tasks run faster, or empty if there is none.
     """
 
     service: Annotated[str, Meta(pattern=_NAME_PATTERN)]
@@ -65,6 +66,7 @@
     declared_task_s: Annotated[float, Meta(gt=0, le=3600)] | None = None
     need: Resources | None = None
     best_effort: bool = False
+    rack: Annotated[str, Meta(max_length=63)] = ""
 
     @property
     def payloads(self) -> list[bytes]:
--- a/sardinestair/placement/candidate.py
+++ b/sardinestair/placement/candidate.py
@@ -34,6 +34,7 @@
             None before the first task.
         mean_task_units: The same, at least one; before the first task a share
             of the capacity in force.
+        rack: Its rack, or empty if unknown.
         concurrency: Number of average tasks that the upstream runs
             concurrently; 0 as long as it has no capacity.
     """
@@ -47,6 +48,7 @@
         "mean_task_units",
         "mean_task_units_",
         "outstanding",
+        "rack",
         "service",
         "sidecar",
         "slots",
@@ -68,6 +70,7 @@
         self.mean_task_units_: float | None = None
         self.resize(slots, capacity)
         self.is_usable = True
+        self.rack = ""
         self.credits = 0
         self.outstanding = 0
         self.slowdown_ = 1.0
--- a/sardinestair/placement/factory.py
+++ b/sardinestair/placement/factory.py
@@ -15,13 +15,16 @@
 __all__ = ["make_policy"]
 
 
-def make_policy(name: PolicyName, wait_margin: float) -> PlacementPolicy:
+def make_policy(
+    name: PolicyName, wait_margin: float, zone: str = ""
+) -> PlacementPolicy:
     """Creates a policy.
 
     Args:
         name: Value of the setting `policy`.
         wait_margin: Value of the setting `wait_margin`; only used by
             `LeastExpectedFinish` and `MeetObjective`.
+        zone: The entry's availability zone; only used by `MeetObjective`.
 
     Examples:
         >>> type(make_policy(PolicyName.ROUND_ROBIN, 0.6)).__name__
@@ -32,7 +35,7 @@
             wait_margin
         ),
         PolicyName.LEAST_OUTSTANDING: LeastOutstanding,
-        PolicyName.MEET_OBJECTIVE: lambda: MeetObjective(wait_margin),
+        PolicyName.MEET_OBJECTIVE: lambda: MeetObjective(wait_margin, zone),
         PolicyName.POWER_OF_TWO_CHOICES: PowerOfTwoChoices,
         PolicyName.ROUND_ROBIN: RoundRobin,
     }
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -54,6 +54,8 @@
         remaining_s: Time left in which it must end for its job to meet the
             objective, in seconds.
         share: Share of the upstreams' completions that this entry can expect.
+        rack: Rack on which it runs faster, or empty if there is none.
+        remote_factor: Factor by which it takes longer on other racks.
     """
 
     expected_run_s: float
@@ -64,6 +66,8 @@
     mean_run_s: float = 0.0
     remaining_s: float = math.inf
     share: float = 1.0
+    rack: str = ""
+    remote_factor: float = 1.0
 
     @property
     def max_slowdown(self) -> float:
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -269,4 +269,5 @@
         declared_task_s=estimated_s or None,
         need=step.to_resources(),
         best_effort=True,
+        rack=step.preferred_rack,
     )
--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -111,4 +111,10 @@
             max(1, heartbeat.slots),
             ttl_s=self.ttl_s,
             capacity=heartbeat.capacity.to_resources(),
+            rack=_rack(heartbeat.labels),
         )
+
+
+def _rack(labels: list[str]) -> str:
+    """Returns the rack, which follows the kind; empty if it is missing."""
+    return labels[1] if len(labels) > 1 else ""
--- a/sardinestair/platform/tests/test_deploy.py
+++ b/sardinestair/platform/tests/test_deploy.py
@@ -21,6 +21,7 @@
     "seeds": ["10.1.0.13:8166", "10.2.0.30:8166"],
     "app": "10.1.0.14:8165",
     "platform": {"address": "10.200.1.7:8169"},
+    "bounds": {"remote_factor": 1.5},
     "listen": {
         "frontend": "10.1.0.13:8161",
         "readiness": "10.1.0.13:8167",
@@ -66,6 +67,15 @@
     assert settings.platform.seeds == VM_FIELDS["seeds"]
 
 
+def test_remote_factor_of_the_platform():
+    settings = load_template("entry.yaml", EntrySettings)
+    assert settings.platform.remote_factor == 1.5
+    without = load_template(
+        "entry.yaml", EntrySettings, bounds={"remote_factor": ""}
+    )
+    assert without.platform.remote_factor is None
+
+
 def test_sidecar_template():
     settings = load_template("sidecar.yaml", SidecarSettings)
     assert settings.platform.runner_address == "10.1.0.14:8165"
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -54,6 +54,14 @@
     assert announcement.capacity == Resources(16000, 32768, 0)
 
 
+@pytest.mark.parametrize(
+    ("labels", "rack"), [(["a", "r1-3"], "r1-3"), (["a"], ""), ([], "")]
+)
+def test_rack_of_a_runner_follows_its_kind(app, server, labels, rack):
+    send_heartbeat(app, labels=labels)
+    assert server.announced[0].rack == rack
+
+
 def test_draining_runner_gets_no_new_work(app, server):
     send_heartbeat(app)
     assert send_heartbeat(app, sequence=5, state="draining") == 200
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -76,6 +76,8 @@
         leave_s: How long clients are still served after the readiness check
             starts to fail, in seconds; the load balancer only reacts after
             two failed checks.
+        remote_factor: Overrides the setting `remote_factor` of the tree's
+            root; None leaves it unchanged.
     """
 
     store_address: HostPort
@@ -85,6 +87,7 @@
     client_threads: Annotated[int, Meta(ge=2, le=1024)] | None = None
     defaults: Overrides = msgspec.field(default_factory=Overrides)
     leave_s: Annotated[float, Meta(ge=0, le=60)] = 2.5
+    remote_factor: Annotated[float, Meta(ge=1, le=100)] | None = None
 
 
 class SidecarPlatform(msgspec.Struct, forbid_unknown_fields=True):
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -100,6 +100,8 @@
             task to `objective_s`.
         shared_speeds: Whether the speed of an upstream is taken from what its
             sidecar has seen of the runs of all entries.
+        remote_factor: Factor by which a task takes longer on other racks than
+            the one that its job names; 1 ignores racks.
     """
 
     deadline_s: float = 30.0
@@ -127,6 +129,7 @@
     useful_factor: float = 0.0
     objective_stretch: float = 0.0
     shared_speeds: bool = False
+    remote_factor: float = 1.0
 
 
 class Overrides(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
@@ -157,6 +160,7 @@
     useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
     shared_speeds: bool | UnsetType = UNSET
+    remote_factor: Annotated[float, Meta(ge=1, le=100)] | UnsetType = UNSET
 
 
 class KindNode(msgspec.Struct, forbid_unknown_fields=True):
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -156,6 +156,7 @@
         now_s = self.clock.monotonic()
         slowdowns = self.speed.estimates(now_s)
         return UpstreamStatus(
+            rack=self.upstream.rack,
             slowdowns=slowdowns,
             observed_ago_s=now_s - self.speed.observed_s if slowdowns else 0.0,
         )
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -29,6 +29,7 @@
             empty if it has none.
         capacity: Its resources, for an upstream without a fixed number of
             slots.
+        rack: Its rack, or empty if unknown.
     """
 
     service: Annotated[str, Meta(pattern=_SERVICE_NAME)]
@@ -38,6 +39,7 @@
     ttl_s: Annotated[float, Meta(gt=0, le=MAX_TTL_S)] = 5.0
     health_path: Annotated[str, Meta(pattern=r"^(/\S*)?$")] = ""
     capacity: Resources | None = None
+    rack: Annotated[str, Meta(max_length=63)] = ""
 
 
 class UpstreamState(enum.Enum):
@@ -102,6 +104,11 @@
         """Its resources, or None if it has slots instead."""
         return self.announcement.capacity if self.announcement else None
 
+    @property
+    def rack(self) -> str:
+        """Its rack, or empty if unknown."""
+        return self.announcement.rack if self.announcement else ""
+
     @property
     def service(self) -> str:
         """Name of its service, or empty before the first announcement."""
