--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -487,6 +487,17 @@
             if job is None or not job.is_active
         ]
 
+    def publish_speeds(self) -> None:
+        """Sets the gauges of the slowdowns of upstreams."""
+        with self.lock:
+            for name, state in self.services.items():
+                ends = zip(
+                    ("least", "greatest"), state.slowdown_range(), strict=True
+                )
+                for end, slowdown in ends:
+                    labels = {"service": name, "of": end}
+                    self.metrics.gauge("upstream_slowdown", labels, slowdown)
+
     def count_wasted(self, kind: str, count: int = 1) -> None:
         """Counts messages that made no progress."""
         self.metrics.count("messages_wasted_total", {"kind": kind}, count)
@@ -630,6 +641,10 @@
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
+        deferrals = state.take_deferrals()
+        if deferrals:
+            labels = {"service": state.name}
+            self.metrics.count("placements_deferred_total", labels, deferrals)
         if not state.queue.waiting_tasks:
             state.demand_targets.clear()
         wanted = TARGETS_PER_TASK * state.queue.waiting_tasks
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -384,7 +384,8 @@
 
     def report_usage(self) -> None:
         """Reports the processor time by purpose and the counters of links."""
-        self.usage.report_if_due()
+        if self.usage.report_if_due():
+            self.dispatcher.publish_speeds()
 
     def _read_levels(self) -> dict[str, float]:
         return {
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -189,6 +189,18 @@
         self.speeds.observe_overdue(link.candidate, job, age_s)
         self.refresh_candidate(link, now_s)
 
+    def take_deferrals(self) -> int:
+        """Returns how often a task was left waiting since the last call."""
+        if not isinstance(self.policy, MeetObjective):
+            return 0
+        deferrals, self.policy.deferrals = self.policy.deferrals, 0
+        return deferrals
+
+    def slowdown_range(self) -> tuple[float, float]:
+        """Returns the least and the greatest slowdown of the upstreams."""
+        slowdowns = [link.candidate.slowdown_ for link in self.links.values()]
+        return min(slowdowns, default=1.0), max(slowdowns, default=1.0)
+
     def refresh_candidate(self, link: EntryLink, now_s: float) -> None:
         """Updates the placement candidate of a link from the link's state."""
         candidate = link.candidate
