--- a/sardinestair/entry/overdue.py
+++ b/sardinestair/entry/overdue.py
@@ -76,37 +76,50 @@
                 continue
             link.prune_placed_times()
             found = self._find_overdue(state, link, now_s)
-            for task in found:
-                self._handle_overdue(state, link, task, now_s)
+            known = self.overdue.pop(link.sidecar, set())
+            known &= link.outstanding.keys()
+            known.update(found)
+            if known:
+                self.overdue[link.sidecar] = known
+            for key in found:
+                # Those found before it may have changed what is expected.
+                task = self._read_overdue(state, link, key, now_s)
+                if task is not None:
+                    # It counts again if it stays overdue for as long again.
+                    link.placed_s[key] = now_s
+                    self._handle_overdue(state, link, task, now_s)
 
     def _find_overdue(
         self, state: ServiceState, link: EntryLink, now_s: float
-    ) -> list[_OverdueTask]:
-        """Returns the tasks of a link that have become overdue.
-
-        Their timer restarts: a task counts again if it stays overdue for as
-        long again.
-        """
-        found: list[_OverdueTask] = []
-        known = self.overdue.pop(link.sidecar, set()) & link.outstanding.keys()
-        for key, ref in link.outstanding.items():
-            job = self.registry.find(ref.job)
-            if job is None or not job.is_active:
-                continue
-            remote = remoteness(
-                link.candidate, job.rack, state.settings.remote_factor
-            )
-            expected_s = (
-                job.run_time.mean_s_ * link.candidate.slowdown_ * remote
-            )
-            age_s = now_s - link.placed_s.get(key, now_s)
-            if age_s >= OVERDUE_FACTOR * expected_s + MESSAGING_OVERHEAD_S:
-                link.placed_s[key] = now_s
-                known.add(key)
-                found.append(_OverdueTask(job, ref, age_s, expected_s))
-        if known:
-            self.overdue[link.sidecar] = known
-        return found
+    ) -> list[tuple[JobId, int]]:
+        """Returns the tasks of a link that have become overdue."""
+        return [
+            key
+            for key in link.outstanding
+            if self._read_overdue(state, link, key, now_s) is not None
+        ]
+
+    def _read_overdue(
+        self,
+        state: ServiceState,
+        link: EntryLink,
+        key: tuple[JobId, int],
+        now_s: float,
+    ) -> _OverdueTask | None:
+        """Returns a task if it is overdue, else None."""
+        ref = link.outstanding[key]
+        job = self.registry.find(ref.job)
+        if job is None or not job.is_active:
+            return None
+        expected_s = (
+            job.run_time.mean_s_
+            * link.candidate.slowdown_
+            * remoteness(link.candidate, job.rack, state.settings.remote_factor)
+        )
+        age_s = now_s - link.placed_s.get(key, now_s)
+        if age_s < OVERDUE_FACTOR * expected_s + MESSAGING_OVERHEAD_S:
+            return None
+        return _OverdueTask(job, ref, age_s, expected_s)
 
     def _handle_overdue(
         self,
