Let an entry see a slow upstream before its next announcement

An entry's own run counted for at most 3.3 times what it expected, so that an upstream that turned slow was used until its sidecar announced it.

--- a/sardinestair/entry/speeds.py
+++ b/sardinestair/entry/speeds.py
@@ -25,9 +25,10 @@
 # Age at which the observations of a sidecar count half.
 HALF_LIFE_S = 10.0
 # Logarithm of the greatest ratio that one run of an entry counts for, relative
-# to the estimate, and the greatest ratio for the run time of its kind: runs
-# that take far longer say little about the upstream and about other runs.
-MAX_DEVIATION = 1.2
+# to the estimate, so that a single one is not taken for a change, and the
+# greatest ratio for the run time of its kind: runs that take far longer say
+# little about the upstream and about other runs.
+MAX_DEVIATION = 1.8
 MAX_RUN_RATIO = 2.5
 
 
