Count the entry's own delay at admission

An entry that lacks processor time answers late and goes on taking jobs. With count_own_delay the mean lateness of its timers, for each pass of a job, is part of the predicted response time, so that it refuses jobs whose answer would be of no use.

--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -12,6 +12,7 @@
 from sardinestair.limits import TeamQuota
 from sardinestair.limits.forecast import highest_price
 from sardinestair.limits.money import Micros, slot_cost
+from sardinestair.limits.self_load import EntryDelay
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import ServiceSettings, SettingsTree
 from sardinestair.settings.tree import SettingsCache
@@ -41,6 +42,7 @@
         is_draining: True once the entry has begun to stop.
         drain_deadline_s: While draining, jobs expected to end before this
             time are still accepted; None to accept none.
+        entry_delay: Delay that the entry adds to a job; None ignores it.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.settings_cache = SettingsCache()
         self.is_draining = False
         self.drain_deadline_s: float | None = None
+        self.entry_delay: EntryDelay | None = None
 
     def check(
         self, parsed: ParsedRequest, state_of: Callable[[str], ServiceState]
@@ -183,6 +186,8 @@
             now_s + (objective_s or deadline_s) - estimate.mean_s_,
             settings.priority,
         )
+        if self.entry_delay is not None:
+            load = self.entry_delay.add_to(load)
         useful_s = state.useful_lifetime_s(
             settings, estimate.mean_s_, deadline_s
         )
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -16,6 +16,7 @@
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
+from sardinestair.limits.self_load import EntryDelay
 from sardinestair.links import LinkLoop
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics, UsageReporter
@@ -131,6 +132,11 @@
             self.adopt,
         )
         self.dispatcher.on_withdrawn = self.gossip.share_withdrawn
+        self.entry_delay = EntryDelay()
+        self.event_loop.on_delay = self._observe_delay
+        if settings.count_own_delay:
+            controller = self.dispatcher.admission_controller
+            controller.entry_delay = self.entry_delay
         self.budgets = self._make_budgets()
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
@@ -387,8 +393,12 @@
         if self.usage.report_if_due():
             self.dispatcher.publish_speeds()
 
+    def _observe_delay(self, delay_s: float) -> None:
+        self.entry_delay.observe(delay_s, self.clock.monotonic())
+
     def _read_levels(self) -> dict[str, float]:
         return {
+            "job_delay_s": self.entry_delay.job_delay_s,
             "longest_request_wait_s": self.event_loop.take_longest_delay_s(),
             "active_jobs": self.dispatcher.count_active_jobs(),
         }
--- a/sardinestair/event_loop.py
+++ b/sardinestair/event_loop.py
@@ -57,6 +57,7 @@
         self.thread: threading.Thread | None = None
         self.thread_id = 0
         self.longest_delay_s = 0.0
+        self.on_delay: Callable[[float], None] = lambda _delay_s: None
         self.busy_s: defaultdict[str, float] = defaultdict(float)
         self.log = EventLog("event_loop")
 
@@ -131,6 +132,7 @@
     def record_delay(self, delay_s: float) -> None:
         """Records by how much a timer was late, in seconds."""
         self.longest_delay_s = max(self.longest_delay_s, delay_s)
+        self.on_delay(delay_s)
 
     def take_longest_delay_s(self) -> float:
         """Returns `longest_delay_s`, and starts it again."""
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -131,6 +131,8 @@
         drain_timeout_s: Timeout of a graceful shutdown, in seconds.
         log_level: Minimum level of logged events.
         link: Timing of the links to sidecars.
+        count_own_delay: Whether the delay that the entry adds to a job, because
+            it lacks processor time, counts when jobs are admitted.
         platform: Settings for the users' platform; None runs outside of it.
     """
 
@@ -148,6 +150,7 @@
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
     link: LinkTiming = msgspec.field(default_factory=LinkTiming)
+    count_own_delay: bool = False
     platform: EntryPlatform | None = None
 
     def __post_init__(self) -> None:
