--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -245,6 +245,7 @@
                     self.remove_sidecar(announce.sidecar)
                 else:
                     self._update_slots(link, announce)
+                    self._adopt_status(link, announce)
                 return None
             if is_leaving:
                 return None
@@ -260,6 +261,7 @@
             state = self._service_state(announce.service)
             state.links[announce.sidecar] = link
             state.observe_warmth(link, announce.status, self.clock.monotonic())
+            self._adopt_status(link, announce)
             return link
 
     def remove_sidecar(self, sidecar: Incarnation) -> None:
@@ -271,7 +273,7 @@
             link.close()
             state = self.services[link.candidate.service]
             state.links.pop(sidecar, None)
-            state.speeds_.pop(sidecar, None)
+            state.speeds.remove(sidecar)
             state.probation_until_s.pop(sidecar, None)
             state.health.remove(sidecar)
             self.place_waiting()
@@ -538,6 +540,17 @@
             if job is None or not job.is_active
         ]
 
+    def publish_speeds(self) -> None:
+        """Sets the gauges of the slowdowns of upstreams."""
+        with self.lock:
+            for name, state in self.services.items():
+                ends = zip(
+                    ("least", "greatest"), state.slowdown_range(), strict=True
+                )
+                for end, slowdown in ends:
+                    labels = {"service": name, "of": end}
+                    self.metrics.gauge("upstream_slowdown", labels, slowdown)
+
     def count_wasted(self, kind: str, count: int = 1) -> None:
         """Counts messages that made no progress."""
         self.metrics.count("messages_wasted_total", {"kind": kind}, count)
@@ -557,7 +570,9 @@
             tree = self.tree or SettingsTree()
             settings = resolve_settings(tree, service, self.zone)
             now_s = self.clock.monotonic()
-            state = ServiceState(service, settings, now_s, self.crashes)
+            state = ServiceState(
+                service, settings, now_s, self.crashes, self.zone
+            )
             state.set_evacuated_zones(self.evacuations.zones, now_s)
             self.services[service] = state
         return state
@@ -569,6 +584,19 @@
             candidate.resize(*offered)
             self._refresh_link(link)
 
+    def _adopt_status(self, link: EntryLink, announce: Announce) -> None:
+        candidate = link.candidate
+        slowdown = candidate.slowdown_
+        state = self.services[candidate.service]
+        rack = announce.status.rack if announce.status else ""
+        if rack != candidate.rack:
+            state.policy.remove(candidate)
+            candidate.rack = rack
+            self._refresh_link(link)
+        state.speeds.adopt(candidate, announce.status)
+        if candidate.slowdown_ != slowdown:
+            self._refresh_link(link)
+
     def _enqueue_claimed(self, job: Job, claim: Claim | None) -> None:
         assert self.claims is not None and claim is not None
         if not job.is_active:
@@ -614,6 +642,7 @@
             now_s + state.useful_lifetime_s(settings, work.mean_s_, deadline_s),
             settings.priority,
             settings.repeat_interrupted and not request.unrepeatable,
+            request.rack if settings.remote_factor > 1 else "",
         )
         if previous is not None:
             job.attempts = previous.attempts
@@ -645,6 +674,7 @@
 
     def _place_tasks(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
+        state.share = 1 / self.admission_controller.entry_count
         sidecars_to_wake: set[Incarnation] = set()
         while (placement := state.next_placement(now_s)) is not None:
             job, link = placement
@@ -661,10 +691,16 @@
                 remaining_s,
                 payloads[index],
                 job.need,
-                priority=job.priority,
+                job.kind,
+                state.speeds.announced_run_s(link.candidate, job),
+                job.priority,
             )
             state.refresh_candidate(link, now_s)
             sidecars_to_wake.add(link.sidecar)
+        deferrals = state.take_deferrals()
+        if deferrals:
+            labels = {"service": state.name}
+            self.metrics.count("placements_deferred_total", labels, deferrals)
         if not state.queue.waiting_tasks:
             state.demand_targets.clear()
         wanted = TARGETS_PER_TASK * state.queue.waiting_tasks
@@ -674,7 +710,10 @@
 
     def _add_demand_targets(self, state: ServiceState, count: int) -> None:
         """Sends the demand of the queued tasks to further sidecars."""
-        for link in state.add_demand_targets(count):
+        if count <= 0:
+            return
+        now_s = self.clock.monotonic()
+        for link in state.add_demand_targets(count, now_s):
             link.notify()
 
     def _refresh_link(self, link: EntryLink) -> None:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -1,8 +1,11 @@
 """State that an entry keeps for each service."""
 
+import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
+from sardinestair.entry.speeds import UpstreamSpeeds
+from sardinestair.entry.stragglers import StragglerPolicy
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
@@ -15,12 +18,13 @@
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.placement import (
     HealthRegistry,
+    MeetObjective,
     ReadyQueue,
     RunTimeEstimator,
-    SlowdownEstimator,
     WaitingTask,
     make_policy,
 )
+from sardinestair.placement.objective import MESSAGING_S, remoteness
 from sardinestair.settings import ServiceSettings
 
 __all__ = ["ServiceState"]
@@ -46,6 +50,7 @@
         settings: Its effective settings.
         created_s: The current time, on the entry's clock.
         crashes: Crashes of upstreams, by task.
+        zone: The entry's availability zone.
 
     Attributes:
         queue: Jobs with tasks that have not started.
@@ -54,7 +59,8 @@
         policy: Chooses an upstream for each task.
         retries: Retry budget for starts that ended as NOT_RUN.
         run_times_: Learned run times by kind of job.
-        speeds_: Learned speed factors by sidecar.
+        speeds: Estimates of the speed of each upstream.
+        stragglers: Decides whether single overdue runs are moved.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
         probation_until_s: Until when an upstream runs a task that may have
@@ -62,6 +68,8 @@
         demand_targets: Sidecars that receive the demand of the queued tasks.
         declined: Sidecars whose credits no task has used since the last
             periodic check.
+        share: This entry's share of the upstreams when all entries have
+            demand.
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
@@ -74,6 +82,7 @@
         settings: ServiceSettings,
         created_s: float = 0.0,
         crashes: CrashHistory | None = None,
+        zone: str = "",
     ):
         self.created_s = created_s
         self.last_available_s = created_s
@@ -84,10 +93,14 @@
             self.queue.waiting_by_class, self._serving_links
         )
         self.links: dict[Incarnation, EntryLink] = {}
-        self.policy = make_policy(settings.policy, settings.wait_margin)
+        self.zone = zone
+        self.policy = make_policy(settings.policy, settings.wait_margin, zone)
         self.retries = RetryBudget(settings.retry_ratio)
         self.run_times_: dict[str, RunTimeEstimator] = {}
-        self.speeds_: dict[Incarnation, SlowdownEstimator] = {}
+        self.speeds = UpstreamSpeeds(
+            settings.shared_speeds, settings.remote_factor
+        )
+        self.stragglers = StragglerPolicy()
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
         self.crashes = crashes or CrashHistory()
@@ -142,6 +155,7 @@
         for link in self.links.values():
             if link.state in states and not self._is_evacuated(link):
                 yield link
+        self.share = 1.0
 
     def configure(self, settings: ServiceSettings) -> None:
         """Applies changed settings; learned estimates are kept."""
@@ -149,9 +163,13 @@
         if settings == old:
             return
         self.queue.order = settings.order
+        self.speeds.is_shared = settings.shared_speeds
+        self.speeds.remote_factor = settings.remote_factor
         self.retries.ratio = settings.retry_ratio
         self.health.max_ejected_share = settings.max_outage_share
-        self.policy = make_policy(settings.policy, settings.wait_margin)
+        self.policy = make_policy(
+            settings.policy, settings.wait_margin, self.zone
+        )
         for link in self.links.values():
             self.policy.update(link.candidate)
 
@@ -207,16 +225,16 @@
     ) -> JobRunTimeEstimator:
         """Returns the run time estimate for the tasks of a new job."""
         run_times = self.run_times_.setdefault(kind, RunTimeEstimator())
-        return JobRunTimeEstimator(run_times.predict(declared_s))
+        return self.speeds.estimate_job(run_times, declared_s)
 
     def observe_run(self, job: Job, link: EntryLink, run_s: float) -> None:
         """Updates run time and speed estimates from a completed task."""
         candidate = link.candidate
-        speed = self.speeds_.setdefault(link.sidecar, SlowdownEstimator())
-        speed.observe(run_s, job.run_time.mean_s_)
-        candidate.slowdown_ = speed.factor_
+        self.stragglers.observe_run(
+            run_s, self.speeds.expected_run_s(candidate, job)
+        )
+        typical_s = self.speeds.observe_run(candidate, job, run_s)
         candidate.observe_run_time(run_s)
-        typical_s = run_s / speed.factor_
         job.run_time.observe(typical_s)
         run_times = self.run_times_.setdefault(job.kind, RunTimeEstimator())
         run_times.observe(typical_s)
@@ -225,11 +243,21 @@
         self, link: EntryLink, job: Job, age_s: float, now_s: float
     ) -> None:
         """Updates the speed estimate of an upstream from an overdue task."""
-        speed = self.speeds_.setdefault(link.sidecar, SlowdownEstimator())
-        speed.observe(age_s, job.run_time.mean_s_)
-        link.candidate.slowdown_ = speed.factor_
+        self.speeds.observe_overdue(link.candidate, job, age_s)
         self.refresh_candidate(link, now_s)
 
+    def take_deferrals(self) -> int:
+        """Returns how often a task was left waiting since the last call."""
+        if not isinstance(self.policy, MeetObjective):
+            return 0
+        deferrals, self.policy.deferrals = self.policy.deferrals, 0
+        return deferrals
+
+    def slowdown_range(self) -> tuple[float, float]:
+        """Returns the least and the greatest slowdown of the upstreams."""
+        slowdowns = [link.candidate.slowdown_ for link in self.links.values()]
+        return min(slowdowns, default=1.0), max(slowdowns, default=1.0)
+
     def refresh_candidate(self, link: EntryLink, now_s: float) -> None:
         """Updates the placement candidate of a link from the link's state."""
         candidate = link.candidate
@@ -341,29 +369,53 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
-    def add_demand_targets(self, count: int) -> list[EntryLink]:
+    def add_demand_targets(
+        self, count: int, now_s: float = 0.0
+    ) -> list[EntryLink]:
         """Adds sidecars to the demand targets, in turn.
 
         Args:
             count: Maximum number of sidecars to add.
+            now_s: The current time, on the entry's clock.
 
         Returns:
             Their links.
         """
         links = list(self.links.values())
-        chosen: list[EntryLink] = []
         skipped = self.demand_targets | self.declined
-        for offset in range(len(links)):
-            if len(chosen) >= count:
-                break
-            link = links[(self.next_target + offset) % len(links)]
-            if link.sidecar not in skipped and link.candidate.is_usable:
-                chosen.append(link)
+        rotated = itertools.chain(
+            links[self.next_target :], links[: self.next_target]
+        )
+        open_links = [
+            link
+            for link in rotated
+            if link.sidecar not in skipped and link.candidate.is_usable
+        ]
+        chosen = self._prefer_in_time(open_links, now_s)[:count]
         if chosen:
             self.next_target = (links.index(chosen[-1]) + 1) % len(links)
             self.demand_targets.update(link.sidecar for link in chosen)
         return chosen
 
+    def _prefer_in_time(
+        self, links: list[EntryLink], now_s: float
+    ) -> list[EntryLink]:
+        """Moves the upstreams that would make the first job late to the end.
+
+        The others keep their order.
+        """
+        job = self.queue.head()
+        if job is None or not isinstance(self.policy, MeetObjective):
+            return links
+        task = self._waiting_task(job, 0, now_s)
+
+        def is_too_slow(link: EntryLink) -> bool:
+            candidate = link.candidate
+            remote = remoteness(candidate, task.rack, task.remote_factor)
+            return remote * candidate.slowdown_ > task.max_slowdown
+
+        return sorted(links, key=is_too_slow)
+
     def demand(self, link: EntryLink, now_s: float) -> Demand:
         """Returns the demand for credits of a link's upstream.
 
@@ -372,7 +424,7 @@
         """
         if link.sidecar not in self.demand_targets or self._is_evacuated(link):
             return Demand(0, 0.0)
-        job = self._first_job_for(link)
+        job = self._first_job_for(link, now_s)
         if job is None:
             return Demand(0, 0.0)
         units = link.candidate.units_needed(job.need)
@@ -409,26 +461,47 @@
         share = self.queue.waiting_by_class.task_share(number)
         return max(units, round(wanted * share / units) * units)
 
-    def _first_job_for(self, link: EntryLink) -> Job | None:
+    def _first_job_for(self, link: EntryLink, now_s: float) -> Job | None:
         """Returns the first queued job that the policy would start there."""
         tasks_ahead = self.queue.waiting_tasks - 1
         for job in self._lookahead_jobs():
-            task = WaitingTask(self._placement_run_s(job), tasks_ahead)
-            if job.is_late or self.policy.should_start(link.candidate, task):
+            task = self._waiting_task(job, tasks_ahead, now_s)
+            if task.is_late or self.policy.should_start(link.candidate, task):
                 return job
         return None
 
+    def _waiting_task(
+        self,
+        job: Job,
+        tasks_ahead: int,
+        now_s: float,
+        excluded: Container[Incarnation] = frozenset(),
+    ) -> WaitingTask:
+        """Returns the properties of a job's next task, for placement."""
+        return WaitingTask(
+            self._placement_run_s(job),
+            tasks_ahead,
+            job.need,
+            excluded,
+            job.is_late,
+            job.run_time.mean_s_,
+            job.soft_deadline_s - now_s - MESSAGING_S,
+            self.share,
+            job.rack,
+            self.settings.remote_factor,
+        )
+
     def _lookahead_jobs(self) -> Iterator[Job]:
         """Yields the first jobs of each kind, in queue order.
 
         Jobs of one kind have similar run times and needs: if the first few
         can't be placed, further ones can't either.
         """
-        seen: Counter[tuple[str, bool]] = Counter()
+        seen: Counter[tuple[str, bool, str]] = Counter()
         for job in self.queue.first_jobs(MAX_LOOKAHEAD_JOBS):
             if self._must_wait(job):
                 continue
-            group = (job.kind, job.is_late)
+            group = (job.kind, job.is_late, job.rack)
             seen[group] += 1
             if seen[group] <= MAX_LOOKAHEAD_PER_KIND:
                 yield job
@@ -520,16 +593,13 @@
             The job and the link, or None if no task can or should start now.
         """
         self.queue.demote_late(now_s)
-        tasks_ahead = -1
+        # Tasks for a rack compete with each other for its upstreams.
+        ahead: Counter[str] = Counter()
         for job in self._lookahead_jobs():
-            tasks_ahead += len(job.waiting)
-            task = WaitingTask(
-                self._placement_run_s(job),
-                tasks_ahead,
-                job.need,
-                self._excluded_upstreams(job, now_s),
-                job.is_late,
-            )
+            ahead[job.rack] += len(job.waiting)
+            tasks_ahead = (ahead[job.rack] if job.rack else ahead.total()) - 1
+            excluded = self._excluded_upstreams(job, now_s)
+            task = self._waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -226,6 +226,8 @@
         remaining_s: float,
         payload: bytes,
         need: Resources | None = None,
+        kind: str = "",
+        expected_s: float = 0.0,
         priority: int = 0,
     ) -> None:
         """Queues the start of a task, and spends its credits."""
@@ -238,7 +240,8 @@
         self.candidate.observe_units(units)
         self.outstanding[ref.job, ref.index] = ref
         self.placed_s[ref.job, ref.index] = self.clock.monotonic()
-        start = Start(ref, remaining_s, payload, need, units, priority=priority)
+        start = Start(ref, remaining_s, payload, need, units, kind, priority)
+        start.expected_s = expected_s
         self.outbox.append(start)
 
     def cancel(self, refs: list[TaskRef]) -> None:
--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -114,6 +114,7 @@
             ttl_s=self.ttl_s,
             capacity=heartbeat.capacity.to_resources(),
             cold_s=min(heartbeat.cold_ms / MS_PER_S, MAX_COLD_S),
+            rack=_rack(heartbeat.labels),
         )
 
 
@@ -121,3 +122,8 @@
     if heartbeat.min_remaining_ms is None:
         return None
     return heartbeat.min_remaining_ms / MS_PER_S
+
+
+def _rack(labels: list[str]) -> str:
+    """Returns the rack, which follows the kind; empty if it is missing."""
+    return labels[1] if len(labels) > 1 else ""
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -43,6 +43,7 @@
 )
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.sidecar.policy import SidecarPolicy
+from sardinestair.sidecar.speed import UpstreamSpeed
 from sardinestair.upstreams import Announcement, Upstream, UpstreamCaller
 from sardinestair.upstreams.caller import CallResult, TaskCaller
 from sardinestair.upstreams.departure import is_notably_sooner
@@ -81,6 +82,7 @@
         ledger: Allocates the upstream's slots to entries as credits.
         running: Resources that each running task needs, None if not declared,
             by entry and attempt.
+        speed: Estimates how slow the upstream is.
         sessions: State of the link with each entry, by its incarnation.
         policy: The effective settings.
         policy_revision: Their revision, -1 before the first.
@@ -115,6 +117,7 @@
         self.upstream = Upstream()
         self.ledger = CreditLedger(slots=0)
         self.running: dict[tuple[Incarnation, TaskRef], Resources | None] = {}
+        self.speed = UpstreamSpeed()
         self.sessions: dict[Incarnation, SidecarSession] = {}
         self.policy = SidecarPolicy()
         self.policy_revision = -1
@@ -157,11 +160,16 @@
         )
 
     def _status(self) -> UpstreamStatus:
+        """Returns what is announced of the upstream beside its capacity."""
         now_s = self.clock.monotonic()
         leaves_at_s = self.upstream.leaves_at_s
+        slowdowns = self.speed.estimates(now_s)
         return UpstreamStatus(
             None if leaves_at_s is None else max(0.0, leaves_at_s - now_s),
             self.upstream.warmup.left_s(now_s),
+            self.upstream.rack,
+            slowdowns,
+            now_s - self.speed.observed_s if slowdowns else 0.0,
         )
 
     @property
@@ -366,6 +374,12 @@
         self.running[session.entry, ref] = message.need
         self.ledger.occupied_units += self._units_occupied(message.need)
         self.metrics.count("starts_total", {})
+        self.speed.start(
+            (session.entry, ref),
+            message.kind,
+            message.expected_s,
+            self.clock.monotonic(),
+        )
         held = session.tasks[ref.job, ref.index]
 
         def may_start() -> bool:
@@ -410,6 +424,12 @@
             result.is_confirmed,
             result.start_s,
         )
+        self.speed.observe_end(
+            (session.entry, ref),
+            result.state,
+            result.run_s,
+            self.clock.monotonic(),
+        )
         need = self.running.pop((session.entry, ref))
         self.ledger.occupied_units -= self._units_occupied(need)
         self.wake()
--- a/sardinestair/upstreams/upstream.py
+++ b/sardinestair/upstreams/upstream.py
@@ -32,6 +32,7 @@
         capacity: Its resources, for an upstream without a fixed number of
             slots.
         cold_s: Time for which it is still slow after its start, in seconds.
+        rack: Its rack, or empty if unknown.
     """
 
     service: Annotated[str, Meta(pattern=_SERVICE_NAME)]
@@ -42,6 +43,7 @@
     health_path: Annotated[str, Meta(pattern=r"^(/\S*)?$")] = ""
     capacity: Resources | None = None
     cold_s: Annotated[float, Meta(ge=0, le=MAX_COLD_S)] = 0.0
+    rack: Annotated[str, Meta(max_length=63)] = ""
 
 
 class UpstreamState(enum.Enum):
@@ -112,6 +114,11 @@
         """Its resources, or None if it has slots instead."""
         return self.announcement.capacity if self.announcement else None
 
+    @property
+    def rack(self) -> str:
+        """Its rack, or empty if unknown."""
+        return self.announcement.rack if self.announcement else ""
+
     @property
     def service(self) -> str:
         """Name of its service, or empty before the first announcement."""
