Bound the memory that HTTP connections hold

Limits were per connection and none covered all of them; a body was kept as a list of its pieces, and requests sent ahead were parsed and queued.

An account for all servers of a process charges what incomplete requests, data sent ahead and unread responses cost. When a part of its budget is used up, a pure decision names the connections that give way. One request is read at a time, the route and size of a body are checked before it, and header fields are limited in number.

--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -19,7 +19,7 @@
 from sardinestair.settings.records import VersionedTree
 from sardinestair.settings.service import SettingsFollower
 from sardinestair.store.port import Snapshot
-from sardinestair.web import HttpServer, WebApp, monitoring_rules
+from sardinestair.web import Door, HttpServer, WebApp, monitoring_rules
 
 __all__ = ["PlatformEntryProcess"]
 
@@ -51,6 +51,8 @@
         is_leaving: True once the entry has been told to stop.
     """
 
+    # Callers have a server of their own.
+    http_door = Door.SYSTEM
     # `stop` has already served clients for `leave_s` when the drain begins.
     drain_grace_s = 0.0
 
@@ -67,7 +69,9 @@
         self.configured = threading.Event()
         super().__init__(settings, clock, event_loop)
         api = ClientApi(self.dispatcher, self.event_loop)
-        self.client_app = WebApp(api.rules(), settings.max_body_bytes, self.log)
+        self.client_app = WebApp(
+            api.rules(), settings.max_body_bytes, self.log, api.check_header
+        )
         host, port = split_address(self.platform.client_address)
         self.client_server = HttpServer(
             host,
@@ -76,13 +80,19 @@
             self.event_loop,
             None if launched is None else launched.listener,
             settings.http,
+            share=self.memory.shares[Door.CALLERS],
         )
         host, port = split_address(self.platform.readiness_address)
         readiness_app = WebApp(
             monitoring_rules(self.metrics, self._readiness), 1024, self.log
         )
         self.readiness_server = HttpServer(
-            host, port, readiness_app, self.event_loop, limits=settings.http
+            host,
+            port,
+            readiness_app,
+            self.event_loop,
+            limits=settings.http,
+            share=self.memory.shares[Door.SYSTEM],
         )
 
     def start(self) -> None:
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -32,7 +32,13 @@
     Registration,
 )
 from sardinestair.tasks import TaskPool
-from sardinestair.web import HttpServer, WebApp, monitoring_rules
+from sardinestair.web import (
+    Door,
+    HttpServer,
+    MemoryAccount,
+    WebApp,
+    monitoring_rules,
+)
 
 __all__ = ["EntryProcess"]
 
@@ -61,9 +67,12 @@
         membership: Receives the announcements of sidecars and entries.
         gossip: Exchanges settings and endpoints with other entries.
         http: Serves callers and operators.
+        http_door: Whose part of the memory budget `http` uses.
+        memory: Account of the memory that HTTP connections hold.
         drain_grace_s: Minimum duration of a drain, in seconds.
     """
 
+    http_door = Door.CALLERS
     drain_grace_s = DRAIN_GRACE_S
 
     def __init__(
@@ -132,6 +141,13 @@
         )
         self.dispatcher.on_withdrawn = self.gossip.share_withdrawn
         self.budgets = self._make_budgets()
+        self.memory = MemoryAccount.for_process(
+            settings.memory_mb,
+            settings.http.max_connections,
+            self.event_loop.loop.time,
+            self.log,
+            self.metrics,
+        )
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
             address.host,
@@ -139,6 +155,7 @@
             self.app,
             self.event_loop,
             limits=settings.http,
+            share=self.memory.shares[self.http_door],
         )
         self.store_workers: list[SettingsFollower | Registration] = []
         self.usage = UsageReporter(
--- a/sardinestair/observability/metrics.py
+++ b/sardinestair/observability/metrics.py
@@ -1,6 +1,7 @@
 """Metrics in the Prometheus text format."""
 
 import threading
+from collections.abc import Callable
 from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -19,6 +20,9 @@
     Counters are added up here, and passed on to the library when they are
     shown, as its counters are slow. Thread-safe.
 
+    Attributes:
+        on_render: Called before the metrics are shown, to set gauges.
+
     Examples:
         >>> metrics = Metrics()
         >>> metrics.count("jobs_total", {"state": "complete"})
@@ -29,6 +33,7 @@
     def __init__(self) -> None:
         self.registry = Registry()
         self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+        self.on_render: list[Callable[[], None]] = []
         self.lock = threading.Lock()
         # Amounts by name and labels that have not been passed on.
         self.counts: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
@@ -57,6 +62,8 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics as text, and the HTTP headers for it."""
+        for collect in self.on_render:
+            collect()
         with self.lock:
             counts, self.counts = self.counts, {}
         for (name, labels), amount in counts.items():
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -75,8 +75,33 @@
             ("/<path:_path>", methods, self.handle),
         ]
 
+    def check_header(self, request: Request) -> Response | None:
+        """Refuses a request whose path names no job, before its body."""
+        found = self._find_job_path(request)
+        return found if isinstance(found, Response) else None
+
     async def handle(self, request: Request, _path: str = "") -> Response:
         """Handles a request for a queue or for one of its jobs."""
+        found = self._find_job_path(request)
+        if isinstance(found, Response):
+            return found
+        route, job_id = found
+        if job_id is None:
+            return json_response({"pending": self._count_pending(route)})
+        handlers = {
+            "POST": self._submit,
+            "GET": self._get_state,
+            "DELETE": self._cancel,
+        }
+        return await handlers[request.method](request, route, job_id)
+
+    def _find_job_path(
+        self, request: Request
+    ) -> tuple[RouteNode, JobId | None] | Response:
+        """Returns the route and the job of a path, or a refusal.
+
+        The job is None for a GET of the queue.
+        """
         tree = self.dispatcher.tree
         if tree is None:
             return self._refusal_response(
@@ -87,17 +112,11 @@
             return self._refusal_response(request, 404, "no such queue")
         name = request.path[len(route.prefix) :]
         if request.method == "GET" and not name:
-            return json_response({"pending": self._count_pending(route)})
+            return route, None
         try:
-            job_id = parse_job_name(name)
+            return route, parse_job_name(name)
         except ValueError as error:
             return self._refusal_response(request, 404, str(error))
-        handlers = {
-            "POST": self._submit,
-            "GET": self._get_state,
-            "DELETE": self._cancel,
-        }
-        return await handlers[request.method](request, route, job_id)
 
     def _count_pending(self, route: RouteNode) -> int:
         with self.dispatcher.lock:
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -27,6 +27,7 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 Port = Annotated[int, Meta(ge=0, le=65535)]
+MemoryMb = Annotated[int, Meta(ge=64, le=1 << 20)]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
 HostPort = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:[0-9]+$")]
 ENVIRONMENT_PREFIX = "SARDINESTAIR_"
@@ -119,6 +120,9 @@
         peers: Membership endpoints (host:port) of other entries.
         http_threads: Ignored; requests need no threads any more.
         http: Limits of HTTP connections and requests.
+        memory_mb: Memory of the machine in MB, of which the budget for HTTP
+            requests and unread responses is a part; a fixed budget of 64 MB
+            if absent.
         max_body_bytes: Maximum size of a request body, in bytes.
         retention_s: How long finished jobs are kept, in seconds.
         claim_wait_s: Longest wait for the store before an unrepeatable job
@@ -138,6 +142,7 @@
     peers: list[str] = msgspec.field(default_factory=list)
     http_threads: Annotated[int, Meta(ge=2, le=1024)] | None = None
     http: HttpLimits = msgspec.field(default_factory=HttpLimits)
+    memory_mb: MemoryMb | None = None
     max_body_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 8 << 20
     retention_s: Seconds = 300.0
     claim_wait_s: Annotated[float, Meta(gt=0, le=30)] = 2.0
@@ -172,6 +177,9 @@
         drain_timeout_s: Timeout of a graceful shutdown, in seconds.
         log_level: Minimum level of logged events.
         http: Limits of HTTP connections and requests.
+        memory_mb: Memory of the machine in MB, of which the budget for HTTP
+            requests and unread responses is a part; a fixed budget of 64 MB
+            if absent.
         link: Timing of the links; must match that of the entries.
         platform: Settings for the users' platform; None runs outside of it.
     """
@@ -185,6 +193,7 @@
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
     http: HttpLimits = msgspec.field(default_factory=HttpLimits)
+    memory_mb: MemoryMb | None = None
     link: LinkTiming = msgspec.field(default_factory=LinkTiming)
     platform: SidecarPlatform | None = None
 
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -19,7 +19,13 @@
 from sardinestair.sidecar.policy import SidecarPolicy
 from sardinestair.tasks import TaskPool
 from sardinestair.upstreams import UpstreamState
-from sardinestair.web import HttpServer, WebApp, monitoring_rules
+from sardinestair.web import (
+    Door,
+    HttpServer,
+    MemoryAccount,
+    WebApp,
+    monitoring_rules,
+)
 
 __all__ = ["SidecarProcess"]
 
@@ -40,6 +46,7 @@
 
     Attributes:
         server: Serves the links to entries, and owns the state.
+        memory: Account of the memory that HTTP connections hold.
         announcers: One per chosen entry, by the entry's endpoint.
         last_learned_s: When each entry was last learned, from another entry,
             the store or changed settings.
@@ -90,6 +97,13 @@
         )
         if settings.advertise is not None:
             self.server.advertised_endpoint = f"tcp://{settings.advertise}"
+        self.memory = MemoryAccount.for_process(
+            settings.memory_mb,
+            settings.http.max_connections,
+            self.event_loop.loop.time,
+            self.log,
+            self.metrics,
+        )
         rules = UpstreamApi(self.server).rules()
         rules += monitoring_rules(self.metrics, self._readiness)
         self.http = HttpServer(
@@ -98,6 +112,7 @@
             WebApp(rules, MAX_BODY_BYTES, self.log),
             self.event_loop,
             limits=settings.http,
+            share=self.memory.shares[Door.CALLERS],
         )
 
     def start(self) -> None:
--- a/sardinestair/web/__init__.py
+++ b/sardinestair/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP server: connections, routes, requests and responses."""
 
 from sardinestair.web.app import Handler, Rule, WebApp, monitoring_rules
+from sardinestair.web.memory import Door, MemoryAccount, MemoryShare
 from sardinestair.web.messages import (
     JSON_TYPE,
     PROBLEM_TYPE,
@@ -19,10 +20,13 @@
     "JSON_TYPE",
     "PROBLEM_TYPE",
     "Connection",
+    "Door",
     "Handler",
     "Headers",
     "HttpLimits",
     "HttpServer",
+    "MemoryAccount",
+    "MemoryShare",
     "Request",
     "Response",
     "Rule",
--- a/sardinestair/web/app.py
+++ b/sardinestair/web/app.py
@@ -15,7 +15,7 @@
     status_response,
 )
 
-__all__ = ["Handler", "Rule", "WebApp", "monitoring_rules"]
+__all__ = ["Found", "Handler", "Rule", "WebApp", "monitoring_rules"]
 
 Handler = Callable[..., Response | Awaitable[Response]]
 """A coroutine function runs in the event loop; any other one may block, and
@@ -25,8 +25,13 @@
 """Path, methods and handler of a route. `<name>` in the path stands for one
 segment, `<path:name>` for any number of them."""
 
+Found = tuple[Handler, dict[str, str]] | Response
+"""Handler and variables of a path, or the refusal of a request."""
+
 RunBlocking = Callable[..., Awaitable[Response]]
 
+_BODILESS_METHODS = frozenset({"GET", "HEAD"})
+
 _VARIABLE = re.compile(r"<(path:)?(\w+)>")
 
 
@@ -47,6 +52,8 @@
         rules: The routes; the first that matches counts.
         max_body_bytes: Maximum size of a request body.
         log: The event log.
+        check_header: Returns the refusal of a request that has a body, or
+            None; called before the body is read.
 
     Attributes:
         active_requests: Number of requests that have arrived completely and
@@ -69,6 +76,7 @@
         rules: Iterable[Rule],
         max_body_bytes: int,
         log: EventLog,
+        check_header: Callable[[Request], Response | None] | None = None,
     ):
         # Handlers by path and method, in the order of the rules.
         self.routes: dict[str, tuple[re.Pattern[str], dict[str, Handler]]] = {}
@@ -78,12 +86,11 @@
             self.routes[path][1].update(dict.fromkeys(methods, handler))
         self.max_body_bytes = max_body_bytes
         self.log = log
+        self.check_header = check_header or (lambda _request: None)
         self.active_requests = 0
         self.is_closing = False
 
-    def find(
-        self, method: str, path: str
-    ) -> tuple[Handler, dict[str, str]] | Response:
+    def find(self, method: str, path: str) -> Found:
         """Returns a handler and the variables of the path, or a refusal."""
         allowed: dict[str, Handler] = {}
         for pattern, handlers in self.routes.values():
@@ -100,16 +107,25 @@
         response.headers["Allow"] = ", ".join(sorted(names))
         return response
 
+    def body_limit(self, request: Request) -> int:
+        """Returns the maximum size of a request's body, in bytes."""
+        return 0 if request.method in _BODILESS_METHODS else self.max_body_bytes
+
     async def respond(
-        self, request: Request, run_blocking: RunBlocking
+        self,
+        request: Request,
+        run_blocking: RunBlocking,
+        found: Found | None = None,
     ) -> Response:
         """Returns the response to a request.
 
         Args:
             request: The request.
             run_blocking: Runs a function that may block, in a thread.
+            found: The result of `find`, if it is known.
         """
-        found = self.find(request.method, request.path)
+        if found is None:
+            found = self.find(request.method, request.path)
         if isinstance(found, Response):
             return found
         handler, variables = found
@@ -126,12 +142,13 @@
                 HTTPStatus.INTERNAL_SERVER_ERROR, not_run=False
             )
 
-    def body_too_large(self) -> Response:
-        """Returns the refusal of a body over the limit."""
+    @staticmethod
+    def body_too_large(max_body_bytes: int) -> Response:
+        """Returns the refusal of a body over a limit."""
         return problem_response(
             Problem(
                 ProblemKind.TOO_LARGE,
-                f"the body must be at most {self.max_body_bytes} bytes",
+                f"the body must be at most {max_body_bytes} bytes",
                 not_run=True,
             )
         )
--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -1,42 +1,48 @@
-"""One connection of an HTTP server: parsing, order of responses, time limits.
+"""One connection of an HTTP server: order of responses, and its limits.
 
-A connection without a request costs a few hundred bytes: its parser exists
-only while a request is read or answered, and one timer of the server checks
-the time limits of all connections.
+A connection without a request costs a few hundred bytes: its reader exists
+only while a request is read, and one timer of the server checks the time
+limits of all connections. Only one request is read at a time; what a peer
+sends ahead is kept unparsed, up to a limit.
 """
 
 import asyncio
-import email.utils
 import enum
+import fcntl
 import select
-from collections import deque
+import struct
+import termios
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
-from sardinestair.web.messages import (
-    Headers,
-    Request,
-    Response,
-    status_response,
+from sardinestair.web.eviction import Activity, Holding, is_too_slow
+from sardinestair.web.limits import (
+    MAX_AHEAD_BYTES,
+    MAX_DISCARDED_BYTES,
+    MAX_UNREAD_BYTES,
 )
+from sardinestair.web.memory import Cause, MemoryShare
+from sardinestair.web.messages import Response, encode_head, status_response
+from sardinestair.web.reader import RequestReader
 
 if TYPE_CHECKING:
     from sardinestair.web.server import HttpServer
 
 __all__ = ["ConnectionState", "HttpConnection"]
 
-MAX_HEADER_BYTES = 32 << 10
-# Requests that a caller may send ahead of the responses on one connection.
-MAX_QUEUED_REQUESTS = 16
 # How long data is read and dropped after a refusal that ends a connection.
 # Closing it with unread data would reset it, and could destroy the response.
 DISCARD_S = 2.0
 WRITE_POLL_INTERVAL_S = 0.05
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END_OF_CHUNKS = b"0\r\n\r\n"
+RETRY_AFTER_S = "1"
+# Smaller bodies are not charged while their request is handled.
+MIN_CHARGED_BYTES = 4096
+# A body that is handled exists about this often: as received, as decoded, and
+# as what is sent on.
+HANDLED_COPIES = 3
 
 
 class ConnectionState(enum.Enum):
@@ -44,7 +50,8 @@
 
     IDLE: no byte of a request has arrived since the last response.
     READING: a part of a request has arrived.
-    RESPONDING: a request is handled; further ones wait.
+    RESPONDING: a request is handled, or its response has to be read before
+        the next request is handled.
     DISCARDING: the last response has been written; data is read and dropped.
     CLOSED: the connection is gone.
     """
@@ -56,6 +63,15 @@
     CLOSED = "closed"
 
 
+_ACTIVITIES = {
+    ConnectionState.IDLE: Activity.IDLE,
+    ConnectionState.READING: Activity.READING,
+    ConnectionState.RESPONDING: Activity.RUNNING,
+    ConnectionState.DISCARDING: Activity.ENDING,
+    ConnectionState.CLOSED: Activity.ENDING,
+}
+
+
 class HttpConnection(asyncio.Protocol):
     """Reads requests from one caller, and writes the responses in order.
 
@@ -64,48 +80,59 @@
 
     Attributes:
         state: What the connection does.
+        since_s: When the last request began, or the connection became idle.
+        progressed_s: When data of a request last arrived, or a part of an
+            unread response was read.
         deadline_s: When the current state has lasted too long, on the loop's
             clock; infinite while a request is handled.
-        refusal: Answer to data that can't be parsed, sent after the responses
-            to the requests before it.
-        must_close: True if the connection can't be kept for another request.
+        must_close: True if no further request is read.
+        held_bytes: Memory that is charged for the connection.
     """
 
     __slots__ = (
-        "body",
-        "body_size",
         "deadline_s",
+        "discarded_bytes",
         "disconnect_callback",
-        "fields",
-        "header_size",
+        "handled_bytes",
+        "held_bytes",
         "is_half_closed",
-        "is_message_begun",
-        "is_refused",
+        "is_reading_paused",
+        "is_response_unread",
         "must_close",
-        "parser",
-        "queued",
-        "refusal",
+        "progressed_s",
+        "reader",
         "server",
+        "share",
+        "since_s",
         "state",
-        "target",
         "transport",
+        "unparsed",
+        "unparsed_from",
+        "unread_bytes",
         "write_blocked_s",
     )
 
     def __init__(self, server: "HttpServer"):
         self.server = server
+        self.share: MemoryShare = server.share
         self.state = ConnectionState.IDLE
         self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpRequestParser | None = None
-        self.queued: deque[tuple[Request, bool, bool]] | None = None
+        self.reader: RequestReader | None = None
+        # Data sent ahead, of which the part before `unparsed_from` was read.
+        self.unparsed = b""
+        self.unparsed_from = 0
         self.disconnect_callback: Callable[[], object] | None = None
-        self.refusal: Response | None = None
         self.is_half_closed = False
-        self.is_refused = False
+        self.is_reading_paused = False
+        # True if the next request waits for the last response to be read.
+        self.is_response_unread = False
         self.must_close = False
         self.write_blocked_s: float | None = None
-        self.deadline_s = 0.0
-        self._reset_message()
+        self.held_bytes = 0
+        self.handled_bytes = 0
+        self.unread_bytes = 0
+        self.discarded_bytes = 0
+        self.deadline_s = self.since_s = self.progressed_s = 0.0
 
     # The interface of `Connection`, for request handlers.
 
@@ -140,14 +167,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection with the server."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(MAX_UNREAD_BYTES)
         self._enter_idle()
         self.server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forgets the connection."""
         self.state = ConnectionState.CLOSED
-        self.parser = None
-        self.queued = None
+        self.reader = None
+        self.unparsed = b""
         self.server.remove_connection(self)
         self._report_disconnect()
 
@@ -159,104 +187,49 @@
 
     def pause_writing(self) -> None:
         """Notes that the caller does not read its responses."""
-        self.write_blocked_s = self.server.now_s()
+        self.write_blocked_s = self.progressed_s = self.server.now_s()
+        self._charge()
 
     def resume_writing(self) -> None:
         """Notes that the caller reads again."""
         self.write_blocked_s = None
+        self._charge()
+        if self.is_response_unread:
+            self.is_response_unread = False
+            self._read_next()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data."""
-        if self.is_refused or self.must_close:
-            return
-        if self.state is ConnectionState.IDLE:
-            self._enter_reading()
-        if self.parser is None:
-            self.parser = httptools.HttpRequestParser(self)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is answered as usual; what follows is not HTTP.
-            self.must_close = True
-        except httptools.HttpParserError:
-            if not self.is_refused:
-                self._refuse(status_response(HTTPStatus.BAD_REQUEST))
-
-    # Called by the parser.
-
-    def on_message_begin(self) -> None:
-        """Prepares for the next request."""
-        self._reset_message()
-        self.is_message_begun = True
-
-    def on_url(self, url: bytes) -> None:
-        """Collects the request target."""
-        self.target += url
-        self._count_header_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header field."""
-        self.fields.append((name, value))
-        self._count_header_bytes(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        """Answers `Expect: 100-continue`, and refuses a body over the limit."""
-        if self.is_refused:
-            return
-        for name, value in self.fields:
-            if name.lower() == b"content-length":
-                if int(value) > self.server.app.max_body_bytes:
-                    self._refuse(self.server.app.body_too_large())
-            elif name.lower() == b"expect" and self.transport is not None:
-                self.transport.write(CONTINUE)
-
-    def on_body(self, body: bytes) -> None:
-        """Collects a part of the body."""
-        if self.is_refused:
-            return
-        self.body.append(body)
-        self.body_size += len(body)
-        if self.body_size > self.server.app.max_body_bytes:
-            self._refuse(self.server.app.body_too_large())
-
-    def on_message_complete(self) -> None:
-        """Handles a complete request, or queues it behind earlier ones."""
-        if self.is_refused:
-            return
-        assert self.parser is not None and self.transport is not None
-        try:
-            request = self._make_request()
-        except ValueError:
-            self._refuse(status_response(HTTPStatus.BAD_REQUEST))
-            return
-        is_head = self.parser.get_method() == b"HEAD"
-        keep_alive = self.parser.should_keep_alive()
-        self._reset_message()
-        if self.state is not ConnectionState.RESPONDING:
-            self._start_response(request, is_head, keep_alive)
-            return
-        if self.queued is None:
-            self.queued = deque()
-        self.queued.append((request, is_head, keep_alive))
-        if len(self.queued) >= MAX_QUEUED_REQUESTS:
-            self.transport.pause_reading()
+        """Reads a request, or keeps data that was sent ahead."""
+        if self.must_close:
+            self._discard(len(data))
+        elif self.state is ConnectionState.RESPONDING:
+            self._keep_ahead(self.unparsed[self.unparsed_from :] + data, 0)
+        else:
+            if self.state is ConnectionState.IDLE:
+                self._enter_reading()
+            self._read(data, 0)
 
     # Called by the server.
 
     def check_time(self, now_s: float) -> None:
         """Ends the connection if it has exceeded a time limit."""
         assert self.transport is not None
+        if self.held_bytes or self.transport.get_write_buffer_size():
+            self._charge()
         blocked_s = self.write_blocked_s
         limit_s = self.server.limits.response_timeout_s
         if blocked_s is not None and now_s - blocked_s > limit_s:
+            self.share.report(Cause.UNREAD)
             self.transport.abort()
+        elif self.state is ConnectionState.READING:
+            if now_s >= self.deadline_s or self._is_too_slow(now_s):
+                response = status_response(HTTPStatus.REQUEST_TIMEOUT)
+                self._refuse(Cause.SLOW, response)
         elif now_s < self.deadline_s:
             return
         elif self.transport.is_closing():
             # The caller does not read its last response.
             self.transport.abort()
-        elif self.state is ConnectionState.READING:
-            self._refuse(status_response(HTTPStatus.REQUEST_TIMEOUT))
         else:
             self.close()
 
@@ -272,82 +245,178 @@
         if self.transport is not None:
             self.transport.abort()
 
-    # Internals.
+    # The interface of `Holder`, for the account.
 
-    def _reset_message(self) -> None:
-        self.target = b""
-        self.fields: list[tuple[bytes, bytes]] = []
-        self.header_size = 0
-        self.body: list[bytes] = []
-        self.body_size = 0
-        self.is_message_begun = False
+    def holding(self) -> Holding["HttpConnection"]:
+        """Returns what the connection holds, and how it progresses."""
+        assert self.transport is not None
+        activity = _ACTIVITIES[self.state]
+        if self.write_blocked_s is not None:
+            activity = Activity.BLOCKED
+        elif self.transport.is_closing():
+            activity = Activity.ENDING
+        is_reading = self.state is ConnectionState.READING
+        kept_bytes = 0 if is_reading else self.handled_bytes
+        peer = self.transport.get_extra_info("peername")
+        return Holding(
+            self,
+            activity,
+            self.held_bytes - kept_bytes,
+            self.reader.received_bytes if self.reader is not None else 0,
+            self.since_s,
+            self.progressed_s,
+            peer[0] if peer else "",
+        )
+
+    def give_way(self, cause: Cause) -> None:
+        """Releases what is held besides the request that is handled.
+
+        An incomplete request is refused. Requests sent ahead of the response
+        to the one that is handled are dropped, and this response announces
+        the end of the connection.
+        """
+        if self.write_blocked_s is not None:
+            self.abort()
+        elif self.state is ConnectionState.READING:
+            response = status_response(HTTPStatus.SERVICE_UNAVAILABLE)
+            response.headers["Retry-After"] = RETRY_AFTER_S
+            self._write_refusal(response)
+        elif self.state is ConnectionState.RESPONDING:
+            self.must_close = True
+            self.unparsed, self.unparsed_from = b"", 0
+            self._resume_reading()
+            self._charge()
+        elif self.state is ConnectionState.DISCARDING:
+            self.abort()
+        else:
+            self.close()
+
+    # Internals.
 
     def _enter_idle(self) -> None:
         self.state = ConnectionState.IDLE
-        self.parser = None
-        limit_s = self.server.limits.idle_timeout_s
-        self.deadline_s = self.server.now_s() + limit_s
+        self.since_s = self.progressed_s = self.server.now_s()
+        self.deadline_s = self.since_s + self.server.limits.idle_timeout_s
 
     def _enter_reading(self) -> None:
         self.state = ConnectionState.READING
-        limit_s = self.server.limits.request_timeout_s
-        self.deadline_s = self.server.now_s() + limit_s
+        self.since_s = self.progressed_s = self.server.now_s()
+        self.deadline_s = self.since_s + self.server.limits.request_timeout_s
 
     def _report_disconnect(self) -> None:
         callback, self.disconnect_callback = self.disconnect_callback, None
         if callback is not None:
             callback()
 
-    def _count_header_bytes(self, count: int) -> None:
-        self.header_size += count
-        if self.header_size > MAX_HEADER_BYTES and not self.is_refused:
-            self._refuse(
-                status_response(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-            )
-
-    def _make_request(self) -> Request:
-        assert self.parser is not None
-        headers = Headers(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in self.fields
-        )
-        method = self.parser.get_method().decode("latin-1")
-        return Request(
-            "GET" if method == "HEAD" else method,
-            self.target.decode("latin-1"),
-            headers,
-            b"".join(self.body),
-            self,
+    def _is_too_slow(self, now_s: float) -> bool:
+        reader = self.reader
+        if reader is None or not reader.body_left:
+            return False
+        return is_too_slow(
+            reader.body_size,
+            reader.body_size + reader.body_left,
+            now_s - self.since_s,
+            self.server.limits.request_timeout_s,
         )
 
-    def _start_response(
-        self, request: Request, is_head: bool, keep_alive: bool
+    def _charge(self) -> None:
+        """Charges what the connection holds; it may have to give way."""
+        if self.state is ConnectionState.CLOSED:
+            return
+        assert self.transport is not None
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes < self.unread_bytes:
+            self.progressed_s = self.server.now_s()
+        self.unread_bytes = unread_bytes
+        held_bytes = self.handled_bytes + unread_bytes + len(self.unparsed)
+        if self.reader is not None:
+            held_bytes += self.reader.held_bytes
+        if self.is_reading_paused:
+            held_bytes += count_received(self.transport)
+        self.share.charge(self, held_bytes)
+
+    def _read(self, data: bytes, position: int) -> None:
+        """Reads a request from data; `position` is where its rest begins."""
+        reader = self.reader
+        if reader is None:
+            reader = self.reader = RequestReader(self.server.app, self)
+        position = reader.feed(data, position)
+        if reader.refusal is not None:
+            self._refuse(*reader.refusal)
+        elif reader.is_complete:
+            self._handle(reader, data, position)
+        else:
+            if reader.expects_continue and self.transport is not None:
+                reader.expects_continue = False
+                self.transport.write(CONTINUE)
+            self.progressed_s = self.server.now_s()
+            self._charge()
+
+    def _handle(
+        self, reader: RequestReader, data: bytes, position: int
     ) -> None:
+        """Starts the response to a complete request."""
+        if reader.body_size >= MIN_CHARGED_BYTES:
+            self.handled_bytes = HANDLED_COPIES * reader.body_size
+            self.share.charge(self, self.handled_bytes)
+            if self.state is not ConnectionState.READING:
+                # It was refused for want of memory.
+                return
+        elif self.held_bytes:
+            self.share.charge(self, 0)
+        self.reader = None
         self.state = ConnectionState.RESPONDING
         self.deadline_s = float("inf")
+        self.must_close = reader.is_upgrade
+        if position < len(data) and not self.must_close:
+            self._keep_ahead(data, position)
         self.server.app.active_requests += 1
-        self.server.spawn(self._respond(request, is_head, keep_alive))
+        self.server.spawn(self._respond(reader))
 
-    async def _respond(
-        self, request: Request, is_head: bool, keep_alive: bool
-    ) -> None:
+    def _keep_ahead(self, data: bytes, position: int) -> None:
+        """Keeps data that was sent ahead; pauses reading at the limit."""
+        assert self.transport is not None
+        self.unparsed, self.unparsed_from = data, position
+        is_over = len(data) - position > MAX_AHEAD_BYTES
+        if is_over and not self.is_reading_paused:
+            self.is_reading_paused = True
+            self.transport.pause_reading()
+        self._charge()
+
+    def _resume_reading(self) -> None:
+        if self.is_reading_paused:
+            assert self.transport is not None
+            self.is_reading_paused = False
+            self.transport.resume_reading()
+
+    def _discard(self, count: int) -> None:
+        self.discarded_bytes += count
+        if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.abort()
+
+    async def _respond(self, reader: RequestReader) -> None:
         server = self.server
+        assert reader.request is not None
+        keep_alive = reader.keep_alive
         try:
-            response = await server.app.respond(request, server.run_blocking)
+            response = await server.app.respond(
+                reader.request, server.run_blocking, reader.found
+            )
             self.disconnect_callback = None
-            is_last = not self.queued and self.refusal is None
-            keep_alive &= not (is_last and self._should_close())
+            keep_alive &= not self._should_close()
             if self.state is ConnectionState.RESPONDING:
-                await self._write(response, is_head, keep_alive)
+                await self._write(response, reader.is_head, keep_alive)
         finally:
             server.app.active_requests -= 1
+            self.handled_bytes = 0
         if self.state is ConnectionState.RESPONDING:
             self._finish_response(keep_alive)
 
     def _should_close(self) -> bool:
-        return (
-            self.is_half_closed or self.must_close or self.server.app.is_closing
-        )
+        if self.must_close:
+            return True
+        is_last = not self.unparsed
+        return is_last and (self.is_half_closed or self.server.app.is_closing)
 
     async def _write(
         self, response: Response, is_head: bool, keep_alive: bool
@@ -376,60 +445,63 @@
                 self.transport.write(size + chunk + b"\r\n")
 
     def _finish_response(self, keep_alive: bool) -> None:
-        assert self.transport is not None
-        if not keep_alive:
+        if self.held_bytes:
+            self._charge()
+        if self.must_close:
+            self._enter_discarding()
+        elif not keep_alive:
             self.close()
-        elif self.queued:
-            self.transport.resume_reading()
-            self._start_response(*self.queued.popleft())
-        elif self.refusal is not None:
-            self._write_refusal(self.refusal)
-        elif self.is_message_begun:
-            # A part of the next request has arrived during the response.
-            self._enter_reading()
+        elif self.write_blocked_s is not None:
+            self.is_response_unread = True
         else:
+            self._read_next()
+
+    def _read_next(self) -> None:
+        """Reads the next request, of which a part may have arrived."""
+        data, position = self.unparsed, self.unparsed_from
+        if not data:
             self._enter_idle()
-            self.server.mark_idle(self)
+            return
+        self.unparsed, self.unparsed_from = b"", 0
+        self._enter_reading()
+        self._read(data, position)
+        if len(self.unparsed) - self.unparsed_from <= MAX_AHEAD_BYTES:
+            self._resume_reading()
+        if self.is_half_closed and self.state is ConnectionState.READING:
+            self.close()
 
-    def _refuse(self, response: Response) -> None:
+    def _refuse(self, cause: Cause, response: Response) -> None:
         """Answers a request that can't be read on, and ends the connection."""
-        self.is_refused = True
-        if self.state is ConnectionState.RESPONDING:
-            self.refusal = response
-        else:
-            self._write_refusal(response)
+        self.share.report(cause)
+        self._write_refusal(response)
 
     def _write_refusal(self, response: Response) -> None:
         assert self.transport is not None and isinstance(response.body, bytes)
-        self.state = ConnectionState.DISCARDING
-        self.deadline_s = self.server.now_s() + DISCARD_S
+        if self.reader is not None:
+            self.reader.release()
+            self.reader = None
+        self.must_close = True
+        self.handled_bytes = 0
         head = encode_head(response, len(response.body), keep_alive=False)
         self.transport.write(head + response.body)
+        self._enter_discarding()
+        self._charge()
+
+    def _enter_discarding(self) -> None:
+        assert self.transport is not None
+        self.state = ConnectionState.DISCARDING
+        self.since_s = self.server.now_s()
+        self.deadline_s = self.since_s + DISCARD_S
         if self.transport.can_write_eof():
             self.transport.write_eof()
 
 
-def encode_head(
-    response: Response, body_size: int | None, keep_alive: bool
-) -> bytes:
-    """Returns the status line and the header fields of a response.
-
-    Args:
-        response: The response.
-        body_size: Size of the body, or None to send it in chunks.
-        keep_alive: False to announce that the connection will be closed.
-    """
+def count_received(transport: asyncio.Transport) -> int:
+    """Returns the size of the data that has arrived and was not read."""
+    descriptor = transport.get_extra_info("socket").fileno()
     try:
-        phrase = HTTPStatus(response.status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    lines = [f"HTTP/1.1 {response.status} {phrase}"]
-    lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    lines.append(f"Date: {email.utils.formatdate(usegmt=True)}")
-    if body_size is None:
-        lines.append("Transfer-Encoding: chunked")
-    else:
-        lines.append(f"Content-Length: {body_size}")
-    if not keep_alive:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        answer = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
+    except OSError:
+        # Not every environment can tell.
+        return 0
+    return struct.unpack("i", answer)[0]
--- /dev/null
+++ b/sardinestair/web/memory.py
@@ -0,0 +1,322 @@
+"""Account of the memory that the HTTP connections of a process hold.
+
+All servers of a process share one account. Its budget is divided into two
+parts, so that requests of callers can't displace those of operators, readiness
+checks and upstreams.
+"""
+
+import enum
+import resource
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from sardinestair.observability import EventLog, Metrics
+from sardinestair.web.eviction import (
+    Holding,
+    select_for_connections,
+    select_for_memory,
+)
+
+__all__ = [
+    "Cause",
+    "Door",
+    "Holder",
+    "MemoryAccount",
+    "MemoryShare",
+    "budget_bytes",
+    "connection_limit",
+]
+
+MB = 1 << 20
+# What a process needs without requests; the tables of jobs and links, and the
+# interpreter.
+PROCESS_MB = 72
+DEFAULT_BUDGET_BYTES = 64 * MB
+MIN_BUDGET_BYTES = 4 * MB
+# Part of the budget for operators, readiness checks and upstreams.
+SYSTEM_PART = 1 / 8
+# Eviction releases this part of what it can beyond what is needed, as it looks
+# at all holders.
+RELEASE_PART = 1 / 8
+# Memory of a connection without a request: transport, protocol and socket.
+CONNECTION_BYTES = 4096
+# Part of a share that connections without requests may take.
+CONNECTION_PART = 1 / 4
+# Descriptors for files, listeners, and links of the system.
+RESERVED_DESCRIPTORS = 256
+# Part of the other descriptors that connections of callers may take.
+DESCRIPTOR_PART = 3 / 4
+MIN_SYSTEM_CONNECTIONS = 16
+LOG_INTERVAL_S = 1.0
+
+
+class Door(enum.Enum):
+    """Who is expected at a server."""
+
+    CALLERS = "callers"
+    SYSTEM = "system"
+
+
+class Cause(enum.Enum):
+    """Why a request was refused or a connection was ended."""
+
+    MEMORY = "memory"
+    CONNECTIONS = "connections"
+    BODY = "body"
+    FIELDS = "fields"
+    ROUTE = "route"
+    SYNTAX = "syntax"
+    SLOW = "slow"
+    UNREAD = "unread"
+
+
+class Holder(Protocol):
+    """A connection, as its account sees it.
+
+    Attributes:
+        held_bytes: Memory that is charged for it.
+    """
+
+    held_bytes: int
+
+    def holding(self) -> Holding:
+        """Returns what it holds, and how it progresses."""
+        ...
+
+    def give_way(self, cause: Cause) -> None:
+        """Releases what it holds, ending the request or the connection."""
+
+
+def budget_bytes(memory_mb: int | None) -> int:
+    """Returns the budget of a process's HTTP connections.
+
+    Args:
+        memory_mb: Memory of the machine in MB, None if unknown.
+
+    Examples:
+        >>> budget_bytes(160) // MB, budget_bytes(168) // MB
+        (44, 48)
+    """
+    if memory_mb is None:
+        return DEFAULT_BUDGET_BYTES
+    return max(MIN_BUDGET_BYTES, (memory_mb - PROCESS_MB) * MB // 2)
+
+
+def connection_limit(max_connections: int, descriptors: int) -> int:
+    """Returns the number of connections of callers that a process takes.
+
+    Args:
+        max_connections: The configured limit.
+        descriptors: Number of descriptors that the process may open.
+
+    Examples:
+        >>> connection_limit(4096, 1024), connection_limit(1000, 20000)
+        (576, 1000)
+    """
+    free = max(0, descriptors - RESERVED_DESCRIPTORS)
+    return max(1, min(max_connections, int(free * DESCRIPTOR_PART)))
+
+
+class MemoryShare:
+    """The part of a budget that the connections of some servers share.
+
+    Args:
+        door: Who is expected at these servers.
+        limit_bytes: The part of the budget.
+        max_connections: Maximum number of connections.
+        now_s: Returns the time.
+        report: Counts an event; called with the door, the cause and a number.
+
+    Attributes:
+        held_bytes: Memory charged for requests and unread responses.
+        holders: The connections for which memory is charged.
+        connections: All connections.
+        peak_bytes: The largest `held_bytes` so far.
+    """
+
+    def __init__(
+        self,
+        door: Door,
+        limit_bytes: int,
+        max_connections: int,
+        now_s: Callable[[], float],
+        report: Callable[[Door, Cause, int], None],
+    ):
+        self.door = door
+        self.limit_bytes = limit_bytes
+        by_memory = int(limit_bytes * CONNECTION_PART) // CONNECTION_BYTES
+        self.max_connections = max(1, min(max_connections, by_memory))
+        self.now_s = now_s
+        self._report = report
+        self.held_bytes = 0
+        self.peak_bytes = 0
+        # Dicts, as sets that keep the order.
+        self.holders: dict[Holder, None] = {}
+        self.connections: dict[Holder, None] = {}
+
+    def add(self, connection: Holder) -> None:
+        """Registers a connection; others give way if there are too many."""
+        if len(self.connections) >= self.max_connections:
+            selected = select_for_connections(
+                self._holdings(self.connections), self.now_s()
+            )
+            self._evict(selected or [connection], Cause.CONNECTIONS)
+        self.connections[connection] = None
+
+    def remove(self, connection: Holder) -> None:
+        """Forgets a connection, and releases what was charged for it."""
+        self.connections.pop(connection, None)
+        self.charge(connection, 0)
+
+    def charge(self, holder: Holder, held_bytes: int) -> None:
+        """Sets what is charged for a connection.
+
+        Connections give way if the share is used up; the caller's may be
+        among them.
+
+        Args:
+            holder: The connection.
+            held_bytes: What it holds.
+        """
+        added_bytes = held_bytes - holder.held_bytes
+        holder.held_bytes = held_bytes
+        self.held_bytes += added_bytes
+        if held_bytes:
+            self.holders[holder] = None
+        else:
+            self.holders.pop(holder, None)
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+        if added_bytes > 0 and self.held_bytes > self.limit_bytes:
+            self._release()
+
+    def report(self, cause: Cause, count: int = 1) -> None:
+        """Counts a refusal or an ended connection."""
+        self._report(self.door, cause, count)
+
+    def _release(self) -> None:
+        holdings = self._holdings(self.holders)
+        releasable_bytes = sum(h.released_bytes for h in holdings)
+        excess_bytes = self.held_bytes - self.limit_bytes
+        selected = select_for_memory(
+            holdings,
+            excess_bytes + int(releasable_bytes * RELEASE_PART),
+            self.now_s(),
+        )
+        self._evict(selected, Cause.MEMORY)
+
+    @staticmethod
+    def _holdings(holders: Iterable[Holder]) -> list[Holding]:
+        return [holder.holding() for holder in holders]
+
+    def _evict(self, selected: list[Holder], cause: Cause) -> None:
+        for holder in selected:
+            holder.give_way(cause)
+        self.report(cause, len(selected))
+
+
+class MemoryAccount:
+    """The budget of a process for its HTTP connections.
+
+    Args:
+        limit_bytes: The budget.
+        max_connections: Maximum number of connections of callers.
+        now_s: Returns the time.
+        metrics: Where the metrics are reported; None for none.
+        log: The event log.
+
+    Attributes:
+        shares: The parts of the budget.
+    """
+
+    @classmethod
+    def for_process(
+        cls,
+        memory_mb: int | None,
+        max_connections: int,
+        now_s: Callable[[], float],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> "MemoryAccount":
+        """Returns the account of a process, within the limits of its machine.
+
+        Args:
+            memory_mb: Memory of the machine in MB, None if unknown.
+            max_connections: The configured number of connections of callers.
+            now_s: Returns the time.
+            log: The event log.
+            metrics: The metrics of the process.
+        """
+        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if descriptors != resource.RLIM_INFINITY:
+            max_connections = connection_limit(max_connections, descriptors)
+        limit_bytes = budget_bytes(memory_mb)
+        return cls(limit_bytes, max_connections, now_s, log, metrics)
+
+    def __init__(
+        self,
+        limit_bytes: int,
+        max_connections: int,
+        now_s: Callable[[], float],
+        log: EventLog,
+        metrics: Metrics | None = None,
+    ):
+        self.now_s = now_s
+        self.log = log
+        self.metrics = metrics
+        system_bytes = int(limit_bytes * SYSTEM_PART)
+        limits = {
+            Door.CALLERS: (limit_bytes - system_bytes, max_connections),
+            Door.SYSTEM: (
+                system_bytes,
+                max(MIN_SYSTEM_CONNECTIONS, max_connections // 8),
+            ),
+        }
+        self.shares = {
+            door: MemoryShare(door, share_bytes, count, now_s, self.report)
+            for door, (share_bytes, count) in limits.items()
+        }
+        self.unlogged: Counter[tuple[Door, Cause]] = Counter()
+        self.logged_s: dict[tuple[Door, Cause], float] = {}
+        if metrics is not None:
+            metrics.on_render.append(self.publish)
+
+    def report(self, door: Door, cause: Cause, count: int) -> None:
+        """Counts refusals, and logs them at most once a second by cause."""
+        if self.metrics is not None:
+            self.metrics.count(
+                "http_refused_total",
+                {"door": door.value, "cause": cause.value},
+                count,
+            )
+        key = (door, cause)
+        self.unlogged[key] += count
+        now_s = self.now_s()
+        last_s = self.logged_s.get(key)
+        if last_s is not None and now_s - last_s < LOG_INTERVAL_S:
+            return
+        self.logged_s[key] = now_s
+        share = self.shares[door]
+        self.log.warning(
+            "http_refused",
+            door=door.value,
+            cause=cause.value,
+            count=self.unlogged.pop(key),
+            held_kb=share.held_bytes >> 10,
+            budget_kb=share.limit_bytes >> 10,
+            connections=len(share.connections),
+        )
+
+    def publish(self) -> None:
+        """Sets the gauges."""
+        if self.metrics is None:
+            return
+        for door, share in self.shares.items():
+            labels = {"door": door.value}
+            for name, value in {
+                "http_held_bytes": share.held_bytes,
+                "http_held_peak_bytes": share.peak_bytes,
+                "http_budget_bytes": share.limit_bytes,
+                "http_connections": len(share.connections),
+            }.items():
+                self.metrics.gauge(name, labels, value)
--- a/sardinestair/web/messages.py
+++ b/sardinestair/web/messages.py
@@ -1,5 +1,6 @@
 """Requests and responses of the HTTP server."""
 
+import email.utils
 import http
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Protocol
@@ -17,6 +18,7 @@
     "Headers",
     "Request",
     "Response",
+    "encode_head",
     "json_response",
     "problem_response",
     "retry_after",
@@ -200,3 +202,29 @@
         "not_run": not_run,
     }
     return Response(msgspec.json.encode(document), status.value, PROBLEM_TYPE)
+
+
+def encode_head(
+    response: Response, body_size: int | None, keep_alive: bool
+) -> bytes:
+    """Returns the status line and the header fields of a response.
+
+    Args:
+        response: The response.
+        body_size: Size of the body, or None to send it in chunks.
+        keep_alive: False to announce that the connection will be closed.
+    """
+    try:
+        phrase = http.HTTPStatus(response.status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    lines = [f"HTTP/1.1 {response.status} {phrase}"]
+    lines += [f"{name}: {value}" for name, value in response.headers.items()]
+    lines.append(f"Date: {email.utils.formatdate(usegmt=True)}")
+    if body_size is None:
+        lines.append("Transfer-Encoding: chunked")
+    else:
+        lines.append(f"Content-Length: {body_size}")
+    if not keep_alive:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/sardinestair/web/server.py
+++ b/sardinestair/web/server.py
@@ -13,6 +13,12 @@
 from sardinestair.web.app import WebApp
 from sardinestair.web.connection import ConnectionState, HttpConnection
 from sardinestair.web.limits import HttpLimits
+from sardinestair.web.memory import (
+    Door,
+    MemoryAccount,
+    MemoryShare,
+    budget_bytes,
+)
 
 __all__ = ["HttpLimits", "HttpServer"]
 
@@ -36,11 +42,12 @@
         listener: A socket that already listens; replaces `host` and `port`.
         limits: Limits of connections and requests.
         max_blocking_requests: Maximum number of handlers that block at a time.
+        share: Memory and connections that it shares with other servers; None
+            for an account of its own.
 
     Attributes:
         port: The port it listens on, after `start`.
-        connections: The open connections; of the idle ones, that which has
-            been idle longest comes first.
+        connections: The open connections.
     """
 
     def __init__(
@@ -52,6 +59,7 @@
         listener: socket.socket | None = None,
         limits: HttpLimits | None = None,
         max_blocking_requests: int = 4,
+        share: MemoryShare | None = None,
     ):
         self.host = host
         self.port = port
@@ -61,6 +69,7 @@
         self.listener = listener
         self.limits = limits or HttpLimits()
         self.max_blocking_requests = max_blocking_requests
+        self.share = share or self._make_share()
         self.threads: ThreadPoolExecutor | None = None
         self.server: asyncio.AbstractServer | None = None
         # A dict, as a set that keeps the order.
@@ -122,29 +131,16 @@
         return self.event_loop.loop.time()
 
     def add_connection(self, connection: HttpConnection) -> None:
-        """Registers a connection; closes the longest idle one if too many."""
-        if len(self.connections) >= self.limits.max_connections:
-            idle = next(
-                (
-                    candidate
-                    for candidate in self.connections
-                    if candidate.state is ConnectionState.IDLE
-                ),
-                connection,
-            )
-            idle.close()
+        """Registers a connection; others give way if there are too many."""
+        self.share.add(connection)
         self.connections[connection] = None
         if self.timer is None:
             self._schedule_time_check()
 
-    def mark_idle(self, connection: HttpConnection) -> None:
-        """Notes that a connection has just become idle."""
-        self.connections.pop(connection, None)
-        self.connections[connection] = None
-
     def remove_connection(self, connection: HttpConnection) -> None:
         """Forgets a connection that is gone."""
         self.connections.pop(connection, None)
+        self.share.remove(connection)
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine as a task."""
@@ -167,6 +163,15 @@
 
     # Internals.
 
+    def _make_share(self) -> MemoryShare:
+        account = MemoryAccount(
+            budget_bytes(None),
+            self.limits.max_connections,
+            self.now_s,
+            self.app.log,
+        )
+        return account.shares[Door.CALLERS]
+
     async def _start(self) -> None:
         self.server = await self.event_loop.loop.create_server(
             lambda: HttpConnection(self),
