--- a/faults/system.py
+++ b/faults/system.py
@@ -113,6 +113,8 @@
         tree: Settings tree in YAML.
         slots: Slots of each upstream.
         failing: Indices of the upstreams that fail every task.
+        entry_memory_mb: Memory of the VM of an entry, in MB, if it is set.
+        sidecar_memory_mb: Memory of the VM of a sidecar, in MB, if it is set.
     """
 
     def __init__(
@@ -125,12 +127,16 @@
         tree: str = DEFAULT_SETTINGS,
         slots: int = SLOTS,
         failing: tuple[int, ...] = (),
+        entry_memory_mb: int | None = None,
+        sidecar_memory_mb: int | None = None,
     ):
         self.rng = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix="sardinestair-")
         self.service = service
         self.tree = tree
         self.slots = slots
+        self.entry_memory_mb = entry_memory_mb
+        self.sidecar_memory_mb = sidecar_memory_mb
         self.start_log = os.path.join(self.folder, "starts.log")
         self.store_port = free_port()
         self.store = Program(
@@ -247,6 +253,7 @@
             "zone": ZONES[index % len(ZONES)],
             "store": {"endpoints": [self.store_url], "timeout_s": 0.5},
             "peers": [f"127.0.0.1:{p}" for p in link_ports],
+            "memory_mb": self.entry_memory_mb,
         }
         file = self._write_settings(f"entry{index}.yaml", settings)
         args = ["sardinestair-entry", "--settings", file]
@@ -261,6 +268,7 @@
             "zone": ZONES[index % len(ZONES)],
             "entries": [f"127.0.0.1:{p}" for p in self.entry_link_ports],
             "advertise": advertise,
+            "memory_mb": self.sidecar_memory_mb,
         }
         file = self._write_settings(f"sidecar{index}.yaml", settings)
         args = ["sardinestair-sidecar", "--settings", file]
--- a/sardinestair/web/app.py
+++ b/sardinestair/web/app.py
@@ -1,5 +1,6 @@
 """Routes of an HTTP server, and the dispatch of requests to handlers."""
 
+import asyncio
 import inspect
 import re
 from collections.abc import Awaitable, Callable, Iterable
@@ -172,8 +173,14 @@
         status = 200 if ready else 503
         return json_response({"ready": ready, "reason": reason}, status)
 
+    # Requests that are handled in one iteration of the loop share the text.
+    rendered: list[tuple[bytes, dict[str, str]]] = []
+
     async def show_metrics(_request: Request) -> Response:
-        body, headers = metrics.render()
+        if not rendered:
+            rendered.append(metrics.render())
+            asyncio.get_running_loop().call_soon(rendered.clear)
+        body, headers = rendered[0]
         return Response(body, headers=headers)
 
     return [
--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -183,7 +183,8 @@
         """Notes that the caller sends no more; it may still read."""
         self.is_half_closed = True
         self._report_disconnect()
-        return self.state is ConnectionState.RESPONDING
+        has_more = self.state is ConnectionState.RESPONDING or self.unparsed
+        return bool(has_more)
 
     def pause_writing(self) -> None:
         """Notes that the caller does not read its responses."""
@@ -202,7 +203,7 @@
         """Reads a request, or keeps data that was sent ahead."""
         if self.must_close:
             self._discard(len(data))
-        elif self.state is ConnectionState.RESPONDING:
+        elif self.unparsed or self.state is ConnectionState.RESPONDING:
             self._keep_ahead(self.unparsed[self.unparsed_from :] + data, 0)
         else:
             if self.state is ConnectionState.IDLE:
@@ -211,6 +212,19 @@
 
     # Called by the server.
 
+    def take_turn(self) -> None:
+        """Reads from data that was kept."""
+        if self.state is not ConnectionState.READING:
+            return
+        data, position = self.unparsed, self.unparsed_from
+        self.unparsed, self.unparsed_from = b"", 0
+        self._read(data, position)
+        if len(self.unparsed) - self.unparsed_from <= MAX_AHEAD_BYTES:
+            self._resume_reading()
+        is_incomplete = self.state is ConnectionState.READING
+        if self.is_half_closed and is_incomplete and not self.unparsed:
+            self.close()
+
     def check_time(self, now_s: float) -> None:
         """Ends the connection if it has exceeded a time limit."""
         assert self.transport is not None
@@ -350,7 +364,11 @@
                 reader.expects_continue = False
                 self.transport.write(CONTINUE)
             self.progressed_s = self.server.now_s()
-            self._charge()
+            if position < len(data):
+                self._keep_ahead(data, position)
+                self.server.turns.add(self)
+            else:
+                self._charge()
 
     def _handle(
         self, reader: RequestReader, data: bytes, position: int
@@ -458,17 +476,11 @@
 
     def _read_next(self) -> None:
         """Reads the next request, of which a part may have arrived."""
-        data, position = self.unparsed, self.unparsed_from
-        if not data:
+        if self.unparsed:
+            self._enter_reading()
+            self.server.turns.add(self)
+        else:
             self._enter_idle()
-            return
-        self.unparsed, self.unparsed_from = b"", 0
-        self._enter_reading()
-        self._read(data, position)
-        if len(self.unparsed) - self.unparsed_from <= MAX_AHEAD_BYTES:
-            self._resume_reading()
-        if self.is_half_closed and self.state is ConnectionState.READING:
-            self.close()
 
     def _refuse(self, cause: Cause, response: Response) -> None:
         """Answers a request that can't be read on, and ends the connection."""
--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -20,8 +20,10 @@
 
 # The header ends with it, and so does a body in chunks.
 END_MARK = b"\r\n\r\n"
-# Longest piece that is parsed at a time unless it is a body.
-MAX_PIECE_BYTES = 16 << 10
+# Longest piece that is parsed at a time unless it is a body of a stated size.
+MAX_PIECE_BYTES = 4 << 10
+# Number of fields and parts of a body after which `feed` ends early.
+MAX_PARTS = 256
 # Memory of the parser, the reader and the request without their data.
 READER_BYTES = 3072
 # Memory of a field beyond its text: two objects, a pair and a place in a list.
@@ -84,6 +86,7 @@
         "keep_alive",
         "max_body_bytes",
         "parser",
+        "parts",
         "received_bytes",
         "refusal",
         "request",
@@ -109,6 +112,7 @@
         self.body_left = 0
         self.max_body_bytes = app.max_body_bytes
         self.received_bytes = 0
+        self.parts = 0
         # The end of the last piece, as a mark may arrive in two parts.
         self.tail = b""
         self.has_header = False
@@ -135,6 +139,8 @@
     def feed(self, data: bytes, position: int) -> int:
         """Reads until the request is complete or refused, or the data ends.
 
+        It ends earlier after many small parts, so that others get a turn.
+
         Args:
             data: The data.
             position: Where to begin.
@@ -143,7 +149,8 @@
             Where it has ended.
         """
         start, size = position, len(data)
-        while position < size and not (self.is_complete or self.refusal):
+        self.parts = 0
+        while position < size and self.parts < MAX_PARTS:
             end = self._find_end(data, position, size)
             piece = data if end - position == size else data[position:end]
             self._parse(piece)
@@ -152,6 +159,8 @@
                 self.awaits_body = False
                 if not 0 < self.body_left <= size - position:
                     self._check_header()
+            if self.is_complete or self.refusal is not None:
+                break
         self.received_bytes += position - start
         return position
 
@@ -175,6 +184,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header field."""
+        self.parts += 1
         if self.refusal is not None:
             return
         self.fields.append((name, value))
@@ -198,6 +208,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects a part of the body."""
+        self.parts += 1
         if self.refusal is not None:
             return
         size = len(body)
--- a/sardinestair/web/server.py
+++ b/sardinestair/web/server.py
@@ -19,6 +19,7 @@
     MemoryShare,
     budget_bytes,
 )
+from sardinestair.web.turns import TurnQueue
 
 __all__ = ["HttpLimits", "HttpServer"]
 
@@ -48,6 +49,7 @@
     Attributes:
         port: The port it listens on, after `start`.
         connections: The open connections.
+        turns: The connections whose data is handled a little at a time.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.server: asyncio.AbstractServer | None = None
         # A dict, as a set that keeps the order.
         self.connections: dict[HttpConnection, None] = {}
+        self.turns = TurnQueue(self.event_loop.loop.call_soon)
         self.tasks: set[asyncio.Task[Any]] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.is_stopped = False
