--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -295,10 +295,11 @@
             response = status_response(HTTPStatus.SERVICE_UNAVAILABLE)
             response.headers["Retry-After"] = RETRY_AFTER_S
             self._write_refusal(response)
+            if cause is Cause.CONNECTIONS:
+                # Its descriptor is needed at once.
+                self.close()
         elif self.state is ConnectionState.RESPONDING:
-            self.must_close = True
-            self.unparsed, self.unparsed_from = b"", 0
-            self._resume_reading()
+            self._drop_ahead()
             self._charge()
         elif self.state is ConnectionState.DISCARDING:
             self.abort()
@@ -401,6 +402,12 @@
             self.transport.pause_reading()
         self._charge()
 
+    def _drop_ahead(self) -> None:
+        """Drops what was sent ahead, and what follows."""
+        self.must_close = True
+        self.unparsed, self.unparsed_from = b"", 0
+        self._resume_reading()
+
     def _resume_reading(self) -> None:
         if self.is_reading_paused:
             assert self.transport is not None
@@ -492,7 +499,7 @@
         if self.reader is not None:
             self.reader.release()
             self.reader = None
-        self.must_close = True
+        self._drop_ahead()
         self.handled_bytes = 0
         head = encode_head(response, len(response.body), keep_alive=False)
         self.transport.write(head + response.body)
--- a/sardinestair/web/memory.py
+++ b/sardinestair/web/memory.py
@@ -162,6 +162,8 @@
                 self._holdings(self.connections), self.now_s()
             )
             self._evict(selected or [connection], Cause.CONNECTIONS)
+            if not selected:
+                return
         self.connections[connection] = None
 
     def remove(self, connection: Holder) -> None:
@@ -211,6 +213,9 @@
 
     def _evict(self, selected: list[Holder], cause: Cause) -> None:
         for holder in selected:
+            if cause is Cause.CONNECTIONS:
+                # It is closed only in the next iteration of the loop.
+                self.connections.pop(holder, None)
             holder.give_way(cause)
         self.report(cause, len(selected))
 
--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -268,7 +268,7 @@
             self.is_upgrade = True
         if self.refusal is not None:
             return
-        self.tail = b"" if piece.endswith(END_MARK) else piece[-3:]
+        self.tail = (self.tail + piece[-3:])[-3:]
         if not had_header:
             self.header_bytes += len(piece)
         elif self.body_size > size_before:
