Bound the size and number of messages at the ZeroMQ doors

A listening socket accepted messages of any size and kept a thousand a peer. Announcements are limited to 64 KB and 32 a peer; frames of links to a quarter of the machine's memory where it is set, at least 32 MB.

--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -11,7 +11,7 @@
 from sardinestair.event_loop import LoopHandle
 from sardinestair.ids import Incarnation
 from sardinestair.links.entry_link import EntryLink
-from sardinestair.links.sockets import has_message, receive
+from sardinestair.links.sockets import has_message, limit_peers, receive
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.messages import (
     DECODE_ERRORS,
@@ -28,6 +28,10 @@
 
 CHECK_INTERVAL_S = 0.2
 MAX_MESSAGES_PER_ITERATION = 64
+# The largest message names 1,000 withdrawn jobs, in 18 KB.
+MAX_MESSAGE_BYTES = 64 << 10
+# Announcements and hellos are sent periodically, so lost replies are repeated.
+MAX_QUEUED_MESSAGES = 32
 LINK_SCHEME = "tcp://"
 PAUSE_THRESHOLD_S = 1.0
 RECALL_DELAY_S = {Favour.RESPONSE: 0.0, Favour.MESSAGES: 0.05}
@@ -71,6 +75,7 @@
         self.last_check_s = dispatcher.clock.monotonic()
         self.handle: LoopHandle | None = None
         self.socket = context.socket(zmq.ROUTER)
+        limit_peers(self.socket, MAX_MESSAGE_BYTES, MAX_QUEUED_MESSAGES)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
         self.decoder = msgspec.msgpack.Decoder(Announce | PeerHello)
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -17,6 +17,7 @@
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
 from sardinestair.links import LinkLoop
+from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.observability.usage import read_processor_times
@@ -88,6 +89,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.context = zmq.Context()
+        limit_messages(self.context, settings.memory_mb)
         self.context.set(zmq.MAX_SOCKETS, 4 * MAX_LINKS)
         self.stopping = threading.Event()
         self.adoption_lock = threading.Lock()
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -9,6 +9,7 @@
 from sardinestair.endpoints import select_endpoints
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
+from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import Announcer, choose_entries
 from sardinestair.messages import DECODE_ERRORS, AnnounceReply
 from sardinestair.observability import EventLog, Metrics, UsageReporter
@@ -65,6 +66,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.context = zmq.Context()
+        limit_messages(self.context, settings.memory_mb)
         self.announcers: dict[str, Announcer] = {}
         self.is_stopping = False
         self.log = EventLog(
