--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -7,22 +7,19 @@
 """
 
 import asyncio
-import enum
-import fcntl
 import select
-import struct
-import termios
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
-from sardinestair.web.eviction import Activity, Holding, is_too_slow
+from sardinestair.web.charged import ChargedConnection, ConnectionState
+from sardinestair.web.eviction import is_too_slow
 from sardinestair.web.limits import (
     MAX_AHEAD_BYTES,
     MAX_DISCARDED_BYTES,
     MAX_UNREAD_BYTES,
 )
-from sardinestair.web.memory import Cause, MemoryShare
+from sardinestair.web.memory import Cause
 from sardinestair.web.messages import Response, encode_head, status_response
 from sardinestair.web.reader import RequestReader
 
@@ -45,94 +42,33 @@
 HANDLED_COPIES = 3
 
 
-class ConnectionState(enum.Enum):
-    """What a connection does.
-
-    IDLE: no byte of a request has arrived since the last response.
-    READING: a part of a request has arrived.
-    RESPONDING: a request is handled, or its response has to be read before
-        the next request is handled.
-    DISCARDING: the last response has been written; data is read and dropped.
-    CLOSED: the connection is gone.
-    """
-
-    IDLE = "idle"
-    READING = "reading"
-    RESPONDING = "responding"
-    DISCARDING = "discarding"
-    CLOSED = "closed"
-
-
-_ACTIVITIES = {
-    ConnectionState.IDLE: Activity.IDLE,
-    ConnectionState.READING: Activity.READING,
-    ConnectionState.RESPONDING: Activity.RUNNING,
-    ConnectionState.DISCARDING: Activity.ENDING,
-    ConnectionState.CLOSED: Activity.ENDING,
-}
-
-
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(ChargedConnection):
     """Reads requests from one caller, and writes the responses in order.
 
     Args:
         server: The server.
 
     Attributes:
-        state: What the connection does.
-        since_s: When the last request began, or the connection became idle.
-        progressed_s: When data of a request last arrived, or a part of an
-            unread response was read.
         deadline_s: When the current state has lasted too long, on the loop's
             clock; infinite while a request is handled.
-        must_close: True if no further request is read.
-        held_bytes: Memory that is charged for the connection.
     """
 
     __slots__ = (
         "deadline_s",
         "discarded_bytes",
         "disconnect_callback",
-        "handled_bytes",
-        "held_bytes",
         "is_half_closed",
-        "is_reading_paused",
         "is_response_unread",
-        "must_close",
-        "progressed_s",
-        "reader",
-        "server",
-        "share",
-        "since_s",
-        "state",
-        "transport",
-        "unparsed",
-        "unparsed_from",
-        "unread_bytes",
-        "write_blocked_s",
     )
 
     def __init__(self, server: "HttpServer"):
-        self.server = server
-        self.share: MemoryShare = server.share
-        self.state = ConnectionState.IDLE
-        self.transport: asyncio.Transport | None = None
-        self.reader: RequestReader | None = None
-        # Data sent ahead, of which the part before `unparsed_from` was read.
-        self.unparsed = b""
-        self.unparsed_from = 0
+        super().__init__(server)
         self.disconnect_callback: Callable[[], object] | None = None
         self.is_half_closed = False
-        self.is_reading_paused = False
         # True if the next request waits for the last response to be read.
         self.is_response_unread = False
-        self.must_close = False
-        self.write_blocked_s: float | None = None
-        self.held_bytes = 0
-        self.handled_bytes = 0
-        self.unread_bytes = 0
         self.discarded_bytes = 0
-        self.deadline_s = self.since_s = self.progressed_s = 0.0
+        self.deadline_s = 0.0
 
     # The interface of `Connection`, for request handlers.
 
@@ -183,8 +119,7 @@
         """Notes that the caller sends no more; it may still read."""
         self.is_half_closed = True
         self._report_disconnect()
-        has_more = self.state is ConnectionState.RESPONDING or self.unparsed
-        return bool(has_more)
+        return self.has_requests()
 
     def pause_writing(self) -> None:
         """Notes that the caller does not read its responses."""
@@ -212,9 +147,16 @@
 
     # Called by the server.
 
+    def has_requests(self) -> bool:
+        """Returns True if requests are handled, or may have been sent ahead."""
+        is_responding = self.state is ConnectionState.RESPONDING
+        return is_responding or bool(self.unparsed)
+
     def take_turn(self) -> None:
         """Reads from data that was kept."""
-        if self.state is not ConnectionState.READING:
+        assert self.transport is not None
+        is_reading = self.state is ConnectionState.READING
+        if not is_reading or self.transport.is_closing():
             return
         data, position = self.unparsed, self.unparsed_from
         self.unparsed, self.unparsed_from = b"", 0
@@ -235,16 +177,15 @@
         if blocked_s is not None and now_s - blocked_s > limit_s:
             self.share.report(Cause.UNREAD)
             self.transport.abort()
+        elif self.transport.is_closing():
+            if now_s >= self.deadline_s:
+                # The caller does not read its last response.
+                self.transport.abort()
         elif self.state is ConnectionState.READING:
             if now_s >= self.deadline_s or self._is_too_slow(now_s):
                 response = status_response(HTTPStatus.REQUEST_TIMEOUT)
                 self._refuse(Cause.SLOW, response)
-        elif now_s < self.deadline_s:
-            return
-        elif self.transport.is_closing():
-            # The caller does not read its last response.
-            self.transport.abort()
-        else:
+        elif now_s >= self.deadline_s:
             self.close()
 
     def close(self) -> None:
@@ -261,27 +202,6 @@
 
     # The interface of `Holder`, for the account.
 
-    def holding(self) -> Holding["HttpConnection"]:
-        """Returns what the connection holds, and how it progresses."""
-        assert self.transport is not None
-        activity = _ACTIVITIES[self.state]
-        if self.write_blocked_s is not None:
-            activity = Activity.BLOCKED
-        elif self.transport.is_closing():
-            activity = Activity.ENDING
-        is_reading = self.state is ConnectionState.READING
-        kept_bytes = 0 if is_reading else self.handled_bytes
-        peer = self.transport.get_extra_info("peername")
-        return Holding(
-            self,
-            activity,
-            self.held_bytes - kept_bytes,
-            self.reader.received_bytes if self.reader is not None else 0,
-            self.since_s,
-            self.progressed_s,
-            peer[0] if peer else "",
-        )
-
     def give_way(self, cause: Cause) -> None:
         """Releases what is held besides the request that is handled.
 
@@ -289,7 +209,9 @@
         to the one that is handled are dropped, and this response announces
         the end of the connection.
         """
-        if self.write_blocked_s is not None:
+        assert self.transport is not None
+        is_unread = self.write_blocked_s is not None
+        if is_unread or self.transport.is_closing():
             self.abort()
         elif self.state is ConnectionState.READING:
             response = status_response(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -334,22 +256,6 @@
             self.server.limits.request_timeout_s,
         )
 
-    def _charge(self) -> None:
-        """Charges what the connection holds; it may have to give way."""
-        if self.state is ConnectionState.CLOSED:
-            return
-        assert self.transport is not None
-        unread_bytes = self.transport.get_write_buffer_size()
-        if unread_bytes < self.unread_bytes:
-            self.progressed_s = self.server.now_s()
-        self.unread_bytes = unread_bytes
-        held_bytes = self.handled_bytes + unread_bytes + len(self.unparsed)
-        if self.reader is not None:
-            held_bytes += self.reader.held_bytes
-        if self.is_reading_paused:
-            held_bytes += count_received(self.transport)
-        self.share.charge(self, held_bytes)
-
     def _read(self, data: bytes, position: int) -> None:
         """Reads a request from data; `position` is where its rest begins."""
         reader = self.reader
@@ -392,28 +298,6 @@
         self.server.app.active_requests += 1
         self.server.spawn(self._respond(reader))
 
-    def _keep_ahead(self, data: bytes, position: int) -> None:
-        """Keeps data that was sent ahead; pauses reading at the limit."""
-        assert self.transport is not None
-        self.unparsed, self.unparsed_from = data, position
-        is_over = len(data) - position > MAX_AHEAD_BYTES
-        if is_over and not self.is_reading_paused:
-            self.is_reading_paused = True
-            self.transport.pause_reading()
-        self._charge()
-
-    def _drop_ahead(self) -> None:
-        """Drops what was sent ahead, and what follows."""
-        self.must_close = True
-        self.unparsed, self.unparsed_from = b"", 0
-        self._resume_reading()
-
-    def _resume_reading(self) -> None:
-        if self.is_reading_paused:
-            assert self.transport is not None
-            self.is_reading_paused = False
-            self.transport.resume_reading()
-
     def _discard(self, count: int) -> None:
         self.discarded_bytes += count
         if self.discarded_bytes > MAX_DISCARDED_BYTES:
@@ -434,6 +318,8 @@
         finally:
             server.app.active_requests -= 1
             self.handled_bytes = 0
+            if self.state is ConnectionState.CLOSED:
+                self.share.charge(self, 0)
         if self.state is ConnectionState.RESPONDING:
             self._finish_response(keep_alive)
 
@@ -504,7 +390,7 @@
         head = encode_head(response, len(response.body), keep_alive=False)
         self.transport.write(head + response.body)
         self._enter_discarding()
-        self._charge()
+        self.share.charge(self, 0)
 
     def _enter_discarding(self) -> None:
         assert self.transport is not None
@@ -513,14 +399,3 @@
         self.deadline_s = self.since_s + DISCARD_S
         if self.transport.can_write_eof():
             self.transport.write_eof()
-
-
-def count_received(transport: asyncio.Transport) -> int:
-    """Returns the size of the data that has arrived and was not read."""
-    descriptor = transport.get_extra_info("socket").fileno()
-    try:
-        answer = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
-    except OSError:
-        # Not every environment can tell.
-        return 0
-    return struct.unpack("i", answer)[0]
--- a/sardinestair/web/eviction.py
+++ b/sardinestair/web/eviction.py
@@ -20,9 +20,11 @@
 
 T = TypeVar("T")
 
-# Without data, or without anything read, for this long a connection counts as
-# stopped while others need its place. A lost packet is repeated sooner.
+# Without data for this long a connection counts as stopped while others need
+# its place. A lost packet is repeated sooner.
 STALL_S = 0.5
+# The same for responses, of which it is checked once a second how much is read.
+UNREAD_STALL_S = 2.5
 # A request counts as slow below this rate, averaged over its time.
 LEAST_RATE_BYTES_PER_S = 4096
 # Part of the time limit of a request after which its rate is checked.
@@ -83,7 +85,9 @@
     """
     if holding.activity in (Activity.IDLE, Activity.RUNNING):
         return False
-    if now_s - holding.progressed_s > STALL_S:
+    is_blocked = holding.activity is Activity.BLOCKED
+    stall_s = UNREAD_STALL_S if is_blocked else STALL_S
+    if now_s - holding.progressed_s > stall_s:
         return True
     lasted_s = now_s - holding.since_s - STALL_S
     return (
@@ -191,6 +195,6 @@
         is_idle = holding.activity is Activity.IDLE
         if is_idle and now_s - holding.since_s > STALL_S:
             return 2, holding.since_s
-        return 3, holding.since_s
+        return 3 + (holding.activity is Activity.BLOCKED), holding.since_s
 
     return rank
--- a/sardinestair/web/memory.py
+++ b/sardinestair/web/memory.py
@@ -151,6 +151,7 @@
         self._report = report
         self.held_bytes = 0
         self.peak_bytes = 0
+        self.is_releasing = False
         # Dicts, as sets that keep the order.
         self.holders: dict[Holder, None] = {}
         self.connections: dict[Holder, None] = {}
@@ -166,10 +167,16 @@
                 return
         self.connections[connection] = None
 
-    def remove(self, connection: Holder) -> None:
-        """Forgets a connection, and releases what was charged for it."""
+    def remove(self, connection: Holder, kept_bytes: int = 0) -> None:
+        """Forgets a connection, and releases what was charged for it.
+
+        Args:
+            connection: The connection.
+            kept_bytes: What remains charged for a request that is handled,
+                until it is set to 0.
+        """
         self.connections.pop(connection, None)
-        self.charge(connection, 0)
+        self.charge(connection, kept_bytes)
 
     def charge(self, holder: Holder, held_bytes: int) -> None:
         """Sets what is charged for a connection.
@@ -189,8 +196,11 @@
         else:
             self.holders.pop(holder, None)
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
-        if added_bytes > 0 and self.held_bytes > self.limit_bytes:
+        is_over = self.held_bytes > self.limit_bytes
+        if is_over and added_bytes > 0 and not self.is_releasing:
+            self.is_releasing = True
             self._release()
+            self.is_releasing = False
 
     def report(self, cause: Cause, count: int = 1) -> None:
         """Counts a refusal or an ended connection."""
--- a/sardinestair/web/server.py
+++ b/sardinestair/web/server.py
@@ -11,7 +11,7 @@
 from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LISTEN_BACKLOG
 from sardinestair.web.app import WebApp
-from sardinestair.web.connection import ConnectionState, HttpConnection
+from sardinestair.web.connection import HttpConnection
 from sardinestair.web.limits import HttpLimits
 from sardinestair.web.memory import (
     Door,
@@ -143,7 +143,7 @@
     def remove_connection(self, connection: HttpConnection) -> None:
         """Forgets a connection that is gone."""
         self.connections.pop(connection, None)
-        self.share.remove(connection)
+        self.share.remove(connection, connection.handled_bytes)
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine as a task."""
@@ -202,7 +202,7 @@
         if self.timer is not None:
             self.timer.cancel()
         for connection in list(self.connections):
-            if connection.state is not ConnectionState.RESPONDING:
+            if not connection.has_requests():
                 connection.close()
         deadline_s = self.now_s() + STOP_TIMEOUT_S
         while self.connections and self.now_s() < deadline_s:
--- a/sardinestair/web/tests/test_hostile.py
+++ b/sardinestair/web/tests/test_hostile.py
@@ -3,8 +3,10 @@
 Each crowd is small, and the budget is small accordingly.
 """
 
+import asyncio
 import socket
 import struct
+import threading
 import time
 
 import pytest
@@ -64,16 +66,27 @@
 
 
 @pytest.fixture
-def app():
+def release():
+    return threading.Event()
+
+
+@pytest.fixture
+def app(release):
     async def submit(request):
         return Response(request.body[:2])
 
+    async def run_job(_request):
+        while not release.is_set():
+            await asyncio.sleep(0.005)
+        return Response(b"done")
+
     async def show_large(_request):
         return Response(b"x" * 100_000)
 
     rules = [
         ("/jobs", ["GET", "POST"], submit),
         ("/large", ["GET"], show_large),
+        ("/slow", ["POST"], run_job),
     ]
     return WebApp(rules, MAX_BODY_BYTES, EventLog("test"))
 
@@ -222,3 +235,41 @@
     for caller in crowd:
         caller.close()
     wait_until_released(server)
+
+
+def wait_for_charge(server, is_charged):
+    deadline_s = time.monotonic() + TIMEOUT_S
+    while not is_charged(server.share.held_bytes):
+        assert time.monotonic() < deadline_s
+        time.sleep(0.005)
+
+
+def test_job_is_charged_until_it_ends_also_if_its_caller_leaves(
+    server, release
+):
+    with connect(server) as caller:
+        caller.sendall(post("/slow", 30_000) + b"x" * 30_000)
+        wait_for_charge(server, lambda held_bytes: held_bytes >= 90_000)
+    while server.share.connections:
+        time.sleep(0.005)
+    assert server.share.held_bytes >= 90_000
+    release.set()
+    wait_until_released(server)
+
+
+def test_jobs_that_run_are_kept_and_further_large_ones_are_refused(
+    server, release
+):
+    running = [connect(server) for _ in range(8)]
+    for caller in running:
+        caller.sendall(post("/slow", 60_000) + b"x" * 60_000)
+        time.sleep(0.02)
+    accepted = server.app.active_requests
+    assert 0 < accepted < len(running)
+    release.set()
+    statuses = [caller.recv(65536).split(b" ")[1] for caller in running]
+    assert statuses.count(b"200") == accepted
+    assert statuses.count(b"503") == len(running) - accepted
+    for caller in running:
+        caller.close()
+    wait_until_released(server)
