--- a/sardinestair/web/tests/test_hostile.py
+++ b/sardinestair/web/tests/test_hostile.py
@@ -250,8 +250,11 @@
     with connect(server) as caller:
         caller.sendall(post("/slow", 30_000) + b"x" * 30_000)
         wait_for_charge(server, lambda held_bytes: held_bytes >= 90_000)
-    while server.share.connections:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    deadline_s = time.monotonic() + TIMEOUT_S
+    while server.share.connections and time.monotonic() < deadline_s:
         time.sleep(0.005)
+    assert not server.share.connections
     assert server.share.held_bytes >= 90_000
     release.set()
     wait_until_released(server)
