--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -369,12 +369,20 @@
 
     def _read_next(self) -> None:
         """Reads the next request, of which a part may have arrived."""
-        if self.unparsed:
+        if self.unparsed and self._has_begun():
             self._enter_reading()
             self.server.turns.add(self)
         else:
             self._enter_idle()
 
+    def _has_begun(self) -> bool:
+        """Returns True if a request has been sent ahead, not only its end."""
+        # Some clients send an empty line after a body.
+        if self.unparsed[self.unparsed_from :].strip(b"\r\n"):
+            return True
+        self.unparsed, self.unparsed_from = b"", 0
+        return False
+
     def _refuse(self, cause: Cause, response: Response) -> None:
         """Answers a request that can't be read on, and ends the connection."""
         self.share.report(cause)
--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -18,8 +18,10 @@
 
 __all__ = ["Refusal", "RequestReader"]
 
+PARSER_ERRORS = (httptools.HttpParserUpgrade, httptools.HttpParserError)
 # The header ends with it, and so does a body in chunks.
 END_MARK = b"\r\n\r\n"
+CHUNKED_FIELD = b"transfer-encoding"
 # Longest piece that is parsed at a time unless it is a body of a stated size.
 MAX_PIECE_BYTES = 4 << 10
 # Number of fields and parts of a body after which `feed` ends early.
@@ -32,6 +34,10 @@
 BODY_STEPS = 8
 
 
+class OverrunError(Exception):
+    """The data goes on after the end of the request."""
+
+
 class Refusal(NamedTuple):
     """Why a request is not read to its end.
 
@@ -67,62 +73,37 @@
         body_size: Size of the body so far.
     """
 
-    __slots__ = (
-        "app",
-        "awaits_body",
-        "body",
-        "body_left",
-        "body_size",
-        "connection",
-        "expects_continue",
-        "fields",
-        "found",
-        "gap_bytes",
-        "has_header",
-        "header_bytes",
-        "is_complete",
-        "is_head",
-        "is_upgrade",
-        "keep_alive",
-        "max_body_bytes",
-        "parser",
-        "parts",
-        "received_bytes",
-        "refusal",
-        "request",
-        "tail",
-        "target",
-    )
+    # Defaults of the attributes, most of which rarely change.
+    request: Request | None = None
+    found: Found | None = None
+    refusal: Refusal | None = None
+    target = b""
+    header_bytes = 0
+    gap_bytes = 0
+    body: bytes | bytearray = b""
+    body_size = 0
+    body_left = 0
+    received_bytes = 0
+    parts = 0
+    # The end of the last piece, as a mark may arrive in two parts.
+    tail = b""
+    has_header = False
+    # True between the header and the body.
+    awaits_body = False
+    is_complete = False
+    is_head = False
+    is_upgrade = False
+    keep_alive = False
+    expects_continue = False
 
     def __init__(self, app: WebApp, connection: Connection):
         self.app = app
         self.connection = connection
+        self.max_body_bytes = app.max_body_bytes
+        self.fields: list[tuple[bytes, bytes]] = []
         self.parser: httptools.HttpRequestParser | None = (
             httptools.HttpRequestParser(self)
         )
-        self.request: Request | None = None
-        self.found: Found | None = None
-        self.refusal: Refusal | None = None
-        self.target = b""
-        self.fields: list[tuple[bytes, bytes]] = []
-        self.header_bytes = 0
-        self.gap_bytes = 0
-        self.body: bytes | bytearray = b""
-        self.body_size = 0
-        self.body_left = 0
-        self.max_body_bytes = app.max_body_bytes
-        self.received_bytes = 0
-        self.parts = 0
-        # The end of the last piece, as a mark may arrive in two parts.
-        self.tail = b""
-        self.has_header = False
-        # True between the header and the body.
-        self.awaits_body = False
-        self.is_complete = False
-        self.is_head = False
-        self.is_upgrade = False
-        self.keep_alive = False
-        self.expects_continue = False
 
     @property
     def held_bytes(self) -> int:
@@ -148,21 +129,27 @@
         Returns:
             Where it has ended.
         """
-        start, size = position, len(data)
-        self.parts = 0
-        while position < size and self.parts < MAX_PARTS:
-            end = self._find_end(data, position, size)
-            piece = data if end - position == size else data[position:end]
-            self._parse(piece)
-            position = end
-            if self.awaits_body:
-                self.awaits_body = False
-                if not 0 < self.body_left <= size - position:
-                    self._check_header()
-            if self.is_complete or self.refusal is not None:
-                break
-        self.received_bytes += position - start
-        return position
+        mark = -1
+        if not (position or self.received_bytes):
+            mark = data.find(END_MARK, 0, MAX_PIECE_BYTES)
+        header_end = mark + len(END_MARK)
+        if mark < 0 or not _is_exact(data, header_end):
+            return self._feed_pieces(data, position)
+        assert self.parser is not None
+        self.received_bytes = self.header_bytes = header_end
+        try:
+            self.parser.feed_data(data)
+        except PARSER_ERRORS as error:
+            self._handle_error(error)
+        if self.is_complete:
+            # The parser refers to the reader.
+            self.parser = None
+            return header_end + self.body_size
+        if self.awaits_body and self.refusal is None:
+            self.awaits_body = False
+            self._check_header()
+        self.received_bytes = len(data)
+        return len(data)
 
     def refuse(self, cause: Cause, response: Response) -> None:
         """Refuses the request, and releases what has been read of it."""
@@ -178,6 +165,11 @@
 
     # Called by the parser.
 
+    def on_message_begin(self) -> None:
+        """Stops the parser after the request."""
+        if self.is_complete:
+            raise OverrunError
+
     def on_url(self, url: bytes) -> None:
         """Collects the request target."""
         self.target += url
@@ -213,7 +205,8 @@
             return
         size = len(body)
         self.body_size += size
-        self.body_left = max(0, self.body_left - size)
+        if self.body_left:
+            self.body_left -= size
         if self.body_size > self.max_body_bytes:
             self.refuse(
                 Cause.BODY, self.app.body_too_large(self.max_body_bytes)
@@ -239,6 +232,31 @@
 
     # Internals.
 
+    def _feed_pieces(self, data: bytes, position: int) -> int:
+        """Reads pieces, none of which goes beyond the end of the request."""
+        start, size = position, len(data)
+        self.parts = 0
+        while position < size and self.parts < MAX_PARTS:
+            end = self._find_end(data, position, size)
+            self._parse(data[position:end])
+            position = end
+            if self.awaits_body and self.refusal is None:
+                self.awaits_body = False
+                if not 0 < self.body_left <= size - position:
+                    self._check_header()
+            if self.is_complete or self.refusal is not None:
+                self.parser = None
+                break
+        self.received_bytes += position - start
+        return position
+
+    def _handle_error(self, error: Exception) -> None:
+        if isinstance(error, httptools.HttpParserUpgrade):
+            # What follows the request is not HTTP.
+            self.is_upgrade = True
+        elif not self.is_complete and self.refusal is None:
+            self.refuse(Cause.SYNTAX, status_response(HTTPStatus.BAD_REQUEST))
+
     def _find_end(self, data: bytes, position: int, size: int) -> int:
         """Returns the end of the next piece, which completes one request."""
         if self.body_left:
@@ -257,15 +275,8 @@
         had_header, size_before = self.has_header, self.body_size
         try:
             self.parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            self.is_upgrade = True
-        except httptools.HttpParserError:
-            if not self.is_complete and self.refusal is None:
-                self.refuse(
-                    Cause.SYNTAX, status_response(HTTPStatus.BAD_REQUEST)
-                )
-            # The last piece had more than the end of the request.
-            self.is_upgrade = True
+        except PARSER_ERRORS as error:
+            self._handle_error(error)
         if self.refusal is not None:
             return
         self.tail = (self.tail + piece[-3:])[-3:]
@@ -297,7 +308,10 @@
         refused = self.app.check_header(self.request)
         if refused is not None:
             self.refuse(Cause.ROUTE, refused)
-        elif self.body_left > self.max_body_bytes or not self.max_body_bytes:
+        elif (
+            not self.max_body_bytes
+            or self.body_size + self.body_left > self.max_body_bytes
+        ):
             self.refuse(
                 Cause.BODY, self.app.body_too_large(self.max_body_bytes)
             )
@@ -322,3 +336,12 @@
             self.refuse(Cause.SYNTAX, status_response(HTTPStatus.BAD_REQUEST))
             return False
         return True
+
+
+def _is_exact(data: bytes, header_end: int) -> bool:
+    """Returns True if the end of a request follows from its header."""
+    # Empty lines may precede a request, and a body may come in chunks.
+    return data[0] not in END_MARK and (
+        header_end == len(data)
+        or CHUNKED_FIELD not in data[:header_end].lower()
+    )
