--- a/sardinestair/web/messages.py
+++ b/sardinestair/web/messages.py
@@ -1,7 +1,9 @@
 """Requests and responses of the HTTP server."""
 
 import email.utils
+import functools
 import http
+import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Protocol
 from urllib.parse import parse_qsl, unquote
@@ -220,7 +222,7 @@
         phrase = "Unknown"
     lines = [f"HTTP/1.1 {response.status} {phrase}"]
     lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    lines.append(f"Date: {email.utils.formatdate(usegmt=True)}")
+    lines.append(f"Date: {_format_date(int(time.time()))}")
     if body_size is None:
         lines.append("Transfer-Encoding: chunked")
     else:
@@ -228,3 +230,8 @@
     if not keep_alive:
         lines.append("Connection: close")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+@functools.lru_cache(maxsize=1)
+def _format_date(time_s: int) -> str:
+    return email.utils.formatdate(time_s, usegmt=True)
