--- a/faults/soak.py
+++ b/faults/soak.py
@@ -2,12 +2,13 @@
 
 Each seed determines the size of a system and the faults injected for some
 seconds: processes are killed, paused and stopped gracefully, links are
-delayed, reset, silenced and blocked in one direction, the store fails, and
-settings are changed concurrently. Duplicate starts are checked while the
-system runs, all other guarantees at the end.
+delayed, reset, silenced and blocked in one direction, the store fails,
+settings are changed concurrently, and clients misuse HTTP. Duplicate starts
+are checked while the system runs, all other guarantees at the end.
 """
 
 import argparse
+import multiprocessing
 import random
 import signal
 import sys
@@ -21,6 +22,7 @@
 import msgspec
 
 from faults.callers import Callers
+from faults.hostile import KINDS, PATHS, run_crowd
 from faults.relay import Direction, Relay
 from faults.scenarios import (
     FaultContext,
@@ -38,6 +40,7 @@
 # Time in which tasks hit by the last fault are detected as lost.
 SETTLE_S = 2.0
 MAX_CONCURRENT_FAULTS = 4
+HOSTILE_CONNECTIONS = 50
 
 
 class SystemSize(msgspec.Struct, frozen=True):
@@ -148,6 +151,26 @@
             editors.submit(edit_deadline, context, url, extra_s)
 
 
+def misuse_http(system: System, rng: random.Random, seconds: float) -> None:
+    """Sends crowds of clients that misuse HTTP to random entries in turn."""
+    deadline_s = time.monotonic() + seconds
+    # A fork would copy the locks of threads that hold them.
+    spawned = multiprocessing.get_context("spawn")
+    while time.monotonic() < deadline_s:
+        crowd = spawned.Process(
+            target=run_crowd,
+            args=(
+                KINDS[rng.choice(sorted(KINDS))],
+                rng.choice(system.entry_ports),
+                PATHS["entry"],
+                HOSTILE_CONNECTIONS,
+                rng.uniform(0.5, 3.0),
+            ),
+        )
+        crowd.start()
+        crowd.join()
+
+
 RANDOM_FAULTS: list[Callable[[FaultContext, random.Random], None]] = [
     kill_program,
     kill_program,
@@ -220,7 +243,14 @@
         monitor = StartMonitor(system, callers)
         callers.start()
         monitor.start()
+        # Drawn apart, so that the other faults of a seed stay as they are.
+        misuse = threading.Thread(
+            target=misuse_http,
+            args=(system, random.Random(f"misuse {seed}"), seconds),
+        )
+        misuse.start()
         _inject_faults(context, rng, seconds)
+        misuse.join()
         time.sleep(SETTLE_S)
         is_converged = have_settings_converged(system)
         records = callers.stop()
