--- a/faults/hostile.py
+++ b/faults/hostile.py
@@ -128,6 +128,17 @@
     yield from cut(post(path, len(body)) + body)
 
 
+def send_large_job(_path: str) -> Iterator[bytes]:
+    """A valid job of legal size."""
+    task = b'{"payload":{"run_s":0.05,"echo":"' + b"x" * (250 << 10) + b'"}}'
+    body = (
+        f'{{"service":"{SERVICE}","team":"large","tasks":['.encode()
+        + task
+        + b"]}"
+    )
+    yield from cut(post("/v1/jobs", len(body)) + body)
+
+
 def send_too_much(path: str) -> Iterator[bytes]:
     """A body far over the limit."""
     yield post(path, 1 << 30)
@@ -162,6 +173,7 @@
     "metrics, unread": Kind(send_metrics_ahead),
     "metrics, read slowly": Kind(send_metrics_ahead, read_bytes_per_s=1000),
     "60,000 objects": Kind(send_empty_objects),
+    "valid jobs of 250 KB": Kind(send_large_job),
     "far over the limit": Kind(send_too_much),
     "slow body": Kind(send_slowly, pause_s=0.2),
     "half a body, then reset": Kind(send_half, resets=True),
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -27,7 +27,7 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 Port = Annotated[int, Meta(ge=0, le=65535)]
-MemoryMb = Annotated[int, Meta(ge=64, le=1 << 20)]
+MemoryMb = Annotated[int, Meta(ge=16, le=1 << 20)]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
 HostPort = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:[0-9]+$")]
 ENVIRONMENT_PREFIX = "SARDINESTAIR_"
--- a/sardinestair/web/memory.py
+++ b/sardinestair/web/memory.py
@@ -48,6 +48,9 @@
 # Part of the other descriptors that connections of callers may take.
 DESCRIPTOR_PART = 3 / 4
 MIN_SYSTEM_CONNECTIONS = 16
+# A share has room for this many times the largest body that a server accepts,
+# so that it can be read and handled.
+BODY_COPIES = 4
 LOG_INTERVAL_S = 1.0
 
 
@@ -156,6 +159,10 @@
         self.holders: dict[Holder, None] = {}
         self.connections: dict[Holder, None] = {}
 
+    def make_room_for(self, body_bytes: int) -> None:
+        """Raises the limit if a body of this size could never be handled."""
+        self.limit_bytes = max(self.limit_bytes, BODY_COPIES * body_bytes)
+
     def add(self, connection: Holder) -> None:
         """Registers a connection; others give way if there are too many."""
         if len(self.connections) >= self.max_connections:
@@ -262,7 +269,11 @@
             log: The event log.
             metrics: The metrics of the process.
         """
-        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        try:
+            descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        except OSError:
+            # Not every environment can tell.
+            descriptors = resource.RLIM_INFINITY
         if descriptors != resource.RLIM_INFINITY:
             max_connections = connection_limit(max_connections, descriptors)
         limit_bytes = budget_bytes(memory_mb)
--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -227,6 +227,9 @@
             return
         assert self.request is not None
         self.request.body = bytes(self.body)
+        # The reader lives until the response is written.
+        self.body = b""
+        self.fields = []
         self.keep_alive = self.parser.should_keep_alive()
         self.is_complete = True
 
--- a/sardinestair/web/server.py
+++ b/sardinestair/web/server.py
@@ -72,6 +72,7 @@
         self.limits = limits or HttpLimits()
         self.max_blocking_requests = max_blocking_requests
         self.share = share or self._make_share()
+        self.share.make_room_for(app.max_body_bytes)
         self.threads: ThreadPoolExecutor | None = None
         self.server: asyncio.AbstractServer | None = None
         # A dict, as a set that keeps the order.
--- a/sardinestair/web/tests/test_memory.py
+++ b/sardinestair/web/tests/test_memory.py
@@ -103,6 +103,15 @@
     assert (arriving.causes, handled.causes) == ([Cause.MEMORY], [])
 
 
+def test_largest_body_of_a_server_can_always_be_handled(account):
+    """As a heartbeat of 4 MB at a sidecar with little memory."""
+    share = account.shares[Door.SYSTEM]
+    share.make_room_for(4 << 20)
+    connection = FakeConnection(share)
+    share.charge(connection, 3 * (4 << 20))
+    assert not connection.causes
+
+
 def test_callers_do_not_displace_the_system(account):
     callers, system = account.shares.values()
     heartbeat = FakeConnection(system)
