--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -19,7 +19,7 @@
 from sardinestair.settings.records import VersionedTree
 from sardinestair.settings.service import SettingsFollower
 from sardinestair.store.port import Snapshot
-from sardinestair.web import Door, HttpServer, WebApp, monitoring_rules
+from sardinestair.web import HttpServer, ServerRole, WebApp, monitoring_rules
 
 __all__ = ["PlatformEntryProcess"]
 
@@ -52,7 +52,7 @@
     """
 
     # Callers have a server of their own.
-    http_door = Door.SYSTEM
+    http_role = ServerRole.SYSTEM
     # `stop` has already served clients for `leave_s` when the drain begins.
     drain_grace_s = 0.0
 
@@ -80,7 +80,7 @@
             self.event_loop,
             None if launched is None else launched.listener,
             settings.http,
-            share=self.memory.shares[Door.CALLERS],
+            share=self.memory.shares[ServerRole.CALLERS],
         )
         host, port = split_address(self.platform.readiness_address)
         readiness_app = WebApp(
@@ -92,7 +92,7 @@
             readiness_app,
             self.event_loop,
             limits=settings.http,
-            share=self.memory.shares[Door.SYSTEM],
+            share=self.memory.shares[ServerRole.SYSTEM],
         )
 
     def start(self) -> None:
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -34,9 +34,9 @@
 )
 from sardinestair.tasks import TaskPool
 from sardinestair.web import (
-    Door,
     HttpServer,
     MemoryAccount,
+    ServerRole,
     WebApp,
     monitoring_rules,
 )
@@ -68,12 +68,12 @@
         membership: Receives the announcements of sidecars and entries.
         gossip: Exchanges settings and endpoints with other entries.
         http: Serves callers and operators.
-        http_door: Whose part of the memory budget `http` uses.
+        http_role: Whose part of the memory budget `http` uses.
         memory: Account of the memory that HTTP connections hold.
         drain_grace_s: Minimum duration of a drain, in seconds.
     """
 
-    http_door = Door.CALLERS
+    http_role = ServerRole.CALLERS
     drain_grace_s = DRAIN_GRACE_S
 
     def __init__(
@@ -157,7 +157,7 @@
             self.app,
             self.event_loop,
             limits=settings.http,
-            share=self.memory.shares[self.http_door],
+            share=self.memory.shares[self.http_role],
         )
         self.store_workers: list[SettingsFollower | Registration] = []
         self.usage = UsageReporter(
--- a/sardinestair/links/tests/test_sockets.py
+++ b/sardinestair/links/tests/test_sockets.py
@@ -41,8 +41,8 @@
 def test_replies_to_a_peer_that_reads_none_do_not_hold_up_others(
     context, server
 ):
-    deaf = connect(context, server)
-    deaf.send(b"hello")
+    silent = connect(context, server)
+    silent.send(b"hello")
     route = server.recv_multipart()[0]
     for _ in range(5000):
         server.send_multipart([route, b"x" * 1000])
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -18,7 +18,7 @@
 from sardinestair.store.registration import read_entries
 from sardinestair.tasks import abort_process
 from sardinestair.upstreams import Announcement, LeasedUpstream
-from sardinestair.web import Door, HttpServer, WebApp
+from sardinestair.web import HttpServer, ServerRole, WebApp
 
 __all__ = ["PlatformSidecarProcess"]
 
@@ -77,7 +77,7 @@
             self.event_loop,
             launched.listener,
             settings.http,
-            share=self.memory.shares[Door.SYSTEM],
+            share=self.memory.shares[ServerRole.SYSTEM],
         )
 
     def start(self) -> None:
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -21,9 +21,9 @@
 from sardinestair.tasks import TaskPool
 from sardinestair.upstreams import UpstreamState
 from sardinestair.web import (
-    Door,
     HttpServer,
     MemoryAccount,
+    ServerRole,
     WebApp,
     monitoring_rules,
 )
@@ -114,7 +114,7 @@
             WebApp(rules, MAX_BODY_BYTES, self.log),
             self.event_loop,
             limits=settings.http,
-            share=self.memory.shares[Door.CALLERS],
+            share=self.memory.shares[ServerRole.CALLERS],
         )
 
     def start(self) -> None:
--- a/sardinestair/web/__init__.py
+++ b/sardinestair/web/__init__.py
@@ -1,7 +1,7 @@
 """HTTP server: connections, routes, requests and responses."""
 
 from sardinestair.web.app import Handler, Rule, WebApp, monitoring_rules
-from sardinestair.web.memory import Door, MemoryAccount, MemoryShare
+from sardinestair.web.memory import MemoryAccount, MemoryShare, ServerRole
 from sardinestair.web.messages import (
     JSON_TYPE,
     PROBLEM_TYPE,
@@ -20,7 +20,7 @@
     "JSON_TYPE",
     "PROBLEM_TYPE",
     "Connection",
-    "Door",
+    "ServerRole",
     "Handler",
     "Headers",
     "HttpLimits",
--- a/sardinestair/web/charged.py
+++ b/sardinestair/web/charged.py
@@ -120,12 +120,12 @@
             peer[0] if peer else "",
         )
 
-    def give_way(self, cause: Cause) -> None:
+    def evict(self, cause: Cause) -> None:
         """Releases what it holds, ending the request or the connection."""
         raise NotImplementedError
 
     def _charge(self) -> None:
-        """Charges what the connection holds; it may have to give way."""
+        """Charges what the connection holds; it may be evicted."""
         if self.state is ConnectionState.CLOSED:
             return
         assert self.transport is not None
@@ -169,6 +169,6 @@
     try:
         answer = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
     except OSError:
-        # Not every environment can tell.
+        # Not available in every environment.
         return 0
     return struct.unpack("i", answer)[0]
--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -202,7 +202,7 @@
 
     # The interface of `Holder`, for the account.
 
-    def give_way(self, cause: Cause) -> None:
+    def evict(self, cause: Cause) -> None:
         """Releases what is held besides the request that is handled.
 
         An incomplete request is refused. Requests sent ahead of the response
--- a/sardinestair/web/eviction.py
+++ b/sardinestair/web/eviction.py
@@ -1,4 +1,4 @@
-"""Which connections give way when memory or connections run short.
+"""Which connections are evicted when memory or connections run short.
 
 Pure decisions on what each connection holds and when it last progressed. A
 request that is being handled is never chosen for what it holds itself.
@@ -164,7 +164,7 @@
 
     Connections that end anyway and those that are behind come first, then
     those idle for longest. If there is none, the request that has been
-    incomplete for longest gives way. Several may end at once, but no more
+    incomplete for longest is evicted. Several may end at once, but no more
     than one that is idle.
 
     Args:
--- a/sardinestair/web/limits.py
+++ b/sardinestair/web/limits.py
@@ -39,11 +39,11 @@
         idle_timeout_s: Time for which a connection without a request is kept,
             in seconds.
         max_connections: Number of connections of callers above which others
-            give way to each new one: those that have stopped in the middle of
-            a request, then the one that has been idle longest. A process also
-            takes no more than a quarter of its memory budget allows, and an
-            eighth of this number at the servers for operators, readiness
-            checks and upstreams.
+            are evicted for each new one: those that have stopped in the
+            middle of a request, then the one that has been idle longest. A
+            process also takes no more than a quarter of its memory budget
+            allows, and an eighth of this number at the servers for operators,
+            readiness checks and upstreams.
     """
 
     request_timeout_s: Seconds = 10.0
--- a/sardinestair/web/memory.py
+++ b/sardinestair/web/memory.py
@@ -20,7 +20,7 @@
 
 __all__ = [
     "Cause",
-    "Door",
+    "ServerRole",
     "Holder",
     "MemoryAccount",
     "MemoryShare",
@@ -54,8 +54,8 @@
 LOG_INTERVAL_S = 1.0
 
 
-class Door(enum.Enum):
-    """Who is expected at a server."""
+class ServerRole(enum.Enum):
+    """Whose requests a server takes."""
 
     CALLERS = "callers"
     SYSTEM = "system"
@@ -87,7 +87,7 @@
         """Returns what it holds, and how it progresses."""
         ...
 
-    def give_way(self, cause: Cause) -> None:
+    def evict(self, cause: Cause) -> None:
         """Releases what it holds, ending the request or the connection."""
 
 
@@ -125,11 +125,11 @@
     """The part of a budget that the connections of some servers share.
 
     Args:
-        door: Who is expected at these servers.
+        role: Whose requests these servers take.
         limit_bytes: The part of the budget.
         max_connections: Maximum number of connections.
         now_s: Returns the time.
-        report: Counts an event; called with the door, the cause and a number.
+        report: Counts an event; called with the role, the cause and a number.
 
     Attributes:
         held_bytes: Memory charged for requests and unread responses.
@@ -140,13 +140,13 @@
 
     def __init__(
         self,
-        door: Door,
+        role: ServerRole,
         limit_bytes: int,
         max_connections: int,
         now_s: Callable[[], float],
-        report: Callable[[Door, Cause, int], None],
+        report: Callable[[ServerRole, Cause, int], None],
     ):
-        self.door = door
+        self.role = role
         self.limit_bytes = limit_bytes
         by_memory = int(limit_bytes * CONNECTION_PART) // CONNECTION_BYTES
         self.max_connections = max(1, min(max_connections, by_memory))
@@ -164,7 +164,7 @@
         self.limit_bytes = max(self.limit_bytes, BODY_COPIES * body_bytes)
 
     def add(self, connection: Holder) -> None:
-        """Registers a connection; others give way if there are too many."""
+        """Registers a connection; others are evicted if there are too many."""
         if len(self.connections) >= self.max_connections:
             selected = select_for_connections(
                 self._holdings(self.connections), self.now_s()
@@ -188,8 +188,8 @@
     def charge(self, holder: Holder, held_bytes: int) -> None:
         """Sets what is charged for a connection.
 
-        Connections give way if the share is used up; the caller's may be
-        among them.
+        Connections are evicted if the share is used up; this one may be among
+        them.
 
         Args:
             holder: The connection.
@@ -211,7 +211,7 @@
 
     def report(self, cause: Cause, count: int = 1) -> None:
         """Counts a refusal or an ended connection."""
-        self._report(self.door, cause, count)
+        self._report(self.role, cause, count)
 
     def _release(self) -> None:
         holdings = self._holdings(self.holders)
@@ -233,7 +233,7 @@
             if cause is Cause.CONNECTIONS:
                 # It is closed only in the next iteration of the loop.
                 self.connections.pop(holder, None)
-            holder.give_way(cause)
+            holder.evict(cause)
         self.report(cause, len(selected))
 
 
@@ -272,7 +272,7 @@
         try:
             descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         except OSError:
-            # Not every environment can tell.
+            # Not available in every environment.
             descriptors = resource.RLIM_INFINITY
         if descriptors != resource.RLIM_INFINITY:
             max_connections = connection_limit(max_connections, descriptors)
@@ -292,40 +292,40 @@
         self.metrics = metrics
         system_bytes = int(limit_bytes * SYSTEM_PART)
         limits = {
-            Door.CALLERS: (limit_bytes - system_bytes, max_connections),
-            Door.SYSTEM: (
+            ServerRole.CALLERS: (limit_bytes - system_bytes, max_connections),
+            ServerRole.SYSTEM: (
                 system_bytes,
                 max(MIN_SYSTEM_CONNECTIONS, max_connections // 8),
             ),
         }
         self.shares = {
-            door: MemoryShare(door, share_bytes, count, now_s, self.report)
-            for door, (share_bytes, count) in limits.items()
+            role: MemoryShare(role, share_bytes, count, now_s, self.report)
+            for role, (share_bytes, count) in limits.items()
         }
-        self.unlogged: Counter[tuple[Door, Cause]] = Counter()
-        self.logged_s: dict[tuple[Door, Cause], float] = {}
+        self.unlogged: Counter[tuple[ServerRole, Cause]] = Counter()
+        self.logged_s: dict[tuple[ServerRole, Cause], float] = {}
         if metrics is not None:
             metrics.on_render.append(self.publish)
 
-    def report(self, door: Door, cause: Cause, count: int) -> None:
+    def report(self, role: ServerRole, cause: Cause, count: int) -> None:
         """Counts refusals, and logs them at most once a second by cause."""
         if self.metrics is not None:
             self.metrics.count(
                 "http_refused_total",
-                {"door": door.value, "cause": cause.value},
+                {"role": role.value, "cause": cause.value},
                 count,
             )
-        key = (door, cause)
+        key = (role, cause)
         self.unlogged[key] += count
         now_s = self.now_s()
         last_s = self.logged_s.get(key)
         if last_s is not None and now_s - last_s < LOG_INTERVAL_S:
             return
         self.logged_s[key] = now_s
-        share = self.shares[door]
+        share = self.shares[role]
         self.log.warning(
             "http_refused",
-            door=door.value,
+            role=role.value,
             cause=cause.value,
             count=self.unlogged.pop(key),
             held_kb=share.held_bytes >> 10,
@@ -337,8 +337,8 @@
         """Sets the gauges."""
         if self.metrics is None:
             return
-        for door, share in self.shares.items():
-            labels = {"door": door.value}
+        for role, share in self.shares.items():
+            labels = {"role": role.value}
             for name, value in {
                 "http_held_bytes": share.held_bytes,
                 "http_held_peak_bytes": share.peak_bytes,
--- a/sardinestair/web/server.py
+++ b/sardinestair/web/server.py
@@ -14,9 +14,9 @@
 from sardinestair.web.connection import HttpConnection
 from sardinestair.web.limits import HttpLimits
 from sardinestair.web.memory import (
-    Door,
     MemoryAccount,
     MemoryShare,
+    ServerRole,
     budget_bytes,
 )
 from sardinestair.web.turns import TurnQueue
@@ -135,7 +135,7 @@
         return self.event_loop.loop.time()
 
     def add_connection(self, connection: HttpConnection) -> None:
-        """Registers a connection; others give way if there are too many."""
+        """Registers a connection; others are evicted if there are too many."""
         self.share.add(connection)
         self.connections[connection] = None
         if self.timer is None:
@@ -174,7 +174,7 @@
             self.now_s,
             self.app.log,
         )
-        return account.shares[Door.CALLERS]
+        return account.shares[ServerRole.CALLERS]
 
     async def _start(self) -> None:
         self.server = await self.event_loop.loop.create_server(
--- a/sardinestair/web/tests/test_eviction.py
+++ b/sardinestair/web/tests/test_eviction.py
@@ -1,4 +1,4 @@
-"""Decisions on which connections give way, each for a pattern of load."""
+"""Decisions on which connections are evicted, each for a pattern of load."""
 
 import pytest
 
@@ -35,7 +35,7 @@
     return holding(name, **{**times, **changes})
 
 
-def test_bodies_short_of_their_end_give_way_before_one_that_arrives():
+def test_bodies_short_of_their_end_evict_before_one_that_arrives():
     crowd = [stopped(n, released_bytes=256 * KB) for n in range(20)]
     arriving = holding("arriving", released_bytes=512 * KB)
     selected = select_for_memory([arriving, *crowd], 20 * 256 * KB, NOW_S)
@@ -89,19 +89,19 @@
     )
 
 
-def test_requests_that_are_handled_do_not_give_way():
+def test_requests_that_are_handled_do_not_evict():
     handled = [holding(n, Activity.RUNNING, released_bytes=0) for n in range(5)]
     assert select_for_memory(handled, 1 << 30, NOW_S) == []
     assert select_for_connections(handled, NOW_S) == []
 
 
-def test_requests_sent_ahead_give_way_although_one_is_handled():
+def test_requests_sent_ahead_evict_although_one_is_handled():
     ahead = holding("ahead", Activity.RUNNING, released_bytes=64 * KB)
     small = holding("small", released_bytes=8 * KB)
     assert select_for_memory([small, ahead], 1, NOW_S) == ["ahead"]
 
 
-def test_no_more_give_way_than_needed():
+def test_no_more_evict_than_needed():
     crowd = [stopped(n) for n in range(100)]
     assert len(select_for_memory(crowd, 95 * KB, NOW_S)) == 10
 
--- a/sardinestair/web/tests/test_hostile.py
+++ b/sardinestair/web/tests/test_hostile.py
@@ -13,11 +13,11 @@
 
 from sardinestair.observability import EventLog
 from sardinestair.web import (
-    Door,
     HttpLimits,
     HttpServer,
     MemoryAccount,
     Response,
+    ServerRole,
     WebApp,
     monitoring_rules,
 )
@@ -97,7 +97,7 @@
     account = MemoryAccount(
         BUDGET_BYTES, 4 * CROWD, server.now_s, EventLog("test")
     )
-    server.share = account.shares[Door.CALLERS]
+    server.share = account.shares[ServerRole.CALLERS]
     monitoring = monitoring_rules(None, lambda: (True, ""))
     app.routes.update(WebApp(monitoring, 1, app.log).routes)
     server.start()
--- a/sardinestair/web/tests/test_memory.py
+++ b/sardinestair/web/tests/test_memory.py
@@ -7,8 +7,8 @@
 from sardinestair.web.memory import (
     MIN_BUDGET_BYTES,
     Cause,
-    Door,
     MemoryAccount,
+    ServerRole,
     budget_bytes,
     connection_limit,
 )
@@ -45,7 +45,7 @@
             "10.0.0.1",
         )
 
-    def give_way(self, cause):
+    def evict(self, cause):
         self.causes.append(cause)
         self.share.remove(self)
 
@@ -67,7 +67,7 @@
 
 @pytest.fixture
 def share(account):
-    return account.shares[Door.CALLERS]
+    return account.shares[ServerRole.CALLERS]
 
 
 def test_charges_are_replaced_and_released(share):
@@ -80,7 +80,7 @@
     assert not share.holders
 
 
-def test_full_budget_makes_the_stopped_ones_give_way(share, clock):
+def test_full_budget_makes_the_stopped_ones_evict(share, clock):
     stopped = [FakeConnection(share) for _ in range(10)]
     for connection in stopped:
         share.charge(connection, share.limit_bytes // 10)
@@ -92,7 +92,7 @@
     assert {c for each in stopped for c in each.causes} == {Cause.MEMORY}
 
 
-def test_a_request_is_refused_if_nothing_else_can_give_way(share):
+def test_a_request_is_refused_if_nothing_else_can_evict(share):
     handled = FakeConnection(share, activity=Activity.RUNNING)
     handled.holding = lambda: Holding(
         handled, Activity.RUNNING, 0, 0, 0.0, 0.0, "10.0.0.1"
@@ -105,7 +105,7 @@
 
 def test_largest_body_of_a_server_can_always_be_handled(account):
     """As a heartbeat of 4 MB at a sidecar with little memory."""
-    share = account.shares[Door.SYSTEM]
+    share = account.shares[ServerRole.SYSTEM]
     share.make_room_for(4 << 20)
     connection = FakeConnection(share)
     share.charge(connection, 3 * (4 << 20))
@@ -131,7 +131,7 @@
     assert connections[0].causes == [Cause.CONNECTIONS]
     assert len(share.connections) == 4
     many = MemoryAccount(LIMIT_BYTES, 1 << 20, lambda: 0.0, account.log)
-    assert many.shares[Door.CALLERS].max_connections < 1000
+    assert many.shares[ServerRole.CALLERS].max_connections < 1000
 
 
 def test_new_connection_is_closed_if_all_others_handle_requests(share):
@@ -146,11 +146,11 @@
     share.charge(FakeConnection(share), 1234)
     share.report(Cause.BODY, 3)
     text = metrics.render()[0].decode()
-    assert 'sardinestair_http_held_bytes{door="callers"} 1234' in text
+    assert 'sardinestair_http_held_bytes{role="callers"} 1234' in text
     assert (
-        'sardinestair_http_refused_total{cause="body",door="callers"} 3' in text
+        'sardinestair_http_refused_total{cause="body",role="callers"} 3' in text
     )
-    assert 'sardinestair_http_budget_bytes{door="system"} 1048576' in text
+    assert 'sardinestair_http_budget_bytes{role="system"} 1048576' in text
 
 
 def test_a_cause_is_logged_once_a_second_with_its_number(account, clock):
@@ -160,7 +160,7 @@
     )()
     for _ in range(12):
         clock.time_s += 0.25
-        account.report(Door.CALLERS, Cause.MEMORY, 1)
+        account.report(ServerRole.CALLERS, Cause.MEMORY, 1)
     assert len(lines) == 3
     assert [line["count"] for line in lines] == [1, 4, 4]
 
