--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -23,9 +23,11 @@
 END_MARK = b"\r\n\r\n"
 CHUNKED_FIELD = b"transfer-encoding"
 # Longest piece that is parsed at a time unless it is a body of a stated size.
-MAX_PIECE_BYTES = 4 << 10
+MAX_PIECE_BYTES = 1 << 10
+# Longest header that is parsed in one step with what follows it.
+MAX_WHOLE_HEADER_BYTES = 4 << 10
 # Number of fields and parts of a body after which `feed` ends early.
-MAX_PARTS = 256
+MAX_PARTS = 128
 # Memory of the parser, the reader and the request without their data.
 READER_BYTES = 3072
 # Memory of a field beyond its text: two objects, a pair and a place in a list.
@@ -131,7 +133,7 @@
         """
         mark = -1
         if not (position or self.received_bytes):
-            mark = data.find(END_MARK, 0, MAX_PIECE_BYTES)
+            mark = data.find(END_MARK, 0, MAX_WHOLE_HEADER_BYTES)
         header_end = mark + len(END_MARK)
         if mark < 0 or not _is_exact(data, header_end):
             return self._feed_pieces(data, position)
