--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -246,7 +246,8 @@
         start, size = position, len(data)
         self.parts = 0
         while position < size and self.parts < MAX_PARTS:
-            end, parts_before = self._find_end(data, position, size), self.parts
+            parts_before = self.parts
+            end = self._find_end(data, position, size)
             self._parse(data[position:end])
             position = end
             has_few = self.parts - parts_before <= FEW_PARTS
