--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -20,6 +20,7 @@
 from sardinestair.limits.credit_priority import REST_CLASS
 from sardinestair.limits.self_load import EntryDelay
 from sardinestair.links import LinkLoop
+from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.membership.evacuation import read_view
 from sardinestair.observability import EventLog, Metrics, UsageReporter
@@ -41,7 +42,13 @@
     Registration,
 )
 from sardinestair.tasks import TaskPool
-from sardinestair.web import HttpServer, WebApp, monitoring_rules
+from sardinestair.web import (
+    HttpServer,
+    MemoryAccount,
+    ServerRole,
+    WebApp,
+    monitoring_rules,
+)
 
 __all__ = ["EntryProcess"]
 
@@ -70,9 +77,12 @@
         membership: Receives the announcements of sidecars and entries.
         gossip: Exchanges settings and endpoints with other entries.
         http: Serves callers and operators.
+        http_role: Whose part of the memory budget `http` uses.
+        memory: Account of the memory that HTTP connections hold.
         drain_grace_s: Minimum duration of a drain, in seconds.
     """
 
+    http_role = ServerRole.CALLERS
     drain_grace_s = DRAIN_GRACE_S
 
     def __init__(
@@ -88,6 +98,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.context = zmq.Context()
+        limit_messages(self.context, settings.memory_mb)
         self.context.set(zmq.MAX_SOCKETS, 4 * MAX_LINKS)
         self.stopping = threading.Event()
         self.adoption_lock = threading.Lock()
@@ -146,6 +157,13 @@
             controller = self.dispatcher.admission_controller
             controller.entry_delay = self.entry_delay
         self.budgets = self._make_budgets()
+        self.memory = MemoryAccount.for_process(
+            settings.memory_mb,
+            settings.http.max_connections,
+            self.event_loop.loop.time,
+            self.log,
+            self.metrics,
+        )
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
             address.host,
@@ -153,6 +171,7 @@
             self.app,
             self.event_loop,
             limits=settings.http,
+            share=self.memory.shares[self.http_role],
         )
         self.store_workers: list[
             SettingsFollower | EvacuationFollower | Registration
--- a/sardinestair/observability/metrics.py
+++ b/sardinestair/observability/metrics.py
@@ -3,6 +3,7 @@
 import bisect
 import itertools
 import threading
+from collections.abc import Callable
 from typing import Any, TypeAlias
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -58,6 +59,9 @@
     Counters and histograms are added up here, and passed on to the library
     when they are shown, as its own are slow. Thread-safe.
 
+    Attributes:
+        on_render: Called before the metrics are shown, to set gauges.
+
     Examples:
         >>> metrics = Metrics()
         >>> metrics.count("jobs_total", {"state": "complete"})
@@ -68,6 +72,7 @@
     def __init__(self) -> None:
         self.registry = Registry()
         self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+        self.on_render: list[Callable[[], None]] = []
         self.lock = threading.Lock()
         # Amounts by name and labels that have not been passed on.
         self.counts: dict[_Key, float] = {}
@@ -109,6 +114,8 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics as text, and the HTTP headers for it."""
+        for collect in self.on_render:
+            collect()
         with self.lock:
             counts, self.counts = self.counts, {}
             histograms = {
--- a/sardinestair/platform/tests/test_deploy.py
+++ b/sardinestair/platform/tests/test_deploy.py
@@ -22,6 +22,7 @@
     "app": "10.1.0.14:8165",
     "platform": {"address": "10.200.1.7:8169"},
     "bounds": {"remote_factor": 1.5},
+    "limits": {"memory_mb": 160},
     "listen": {
         "frontend": "10.1.0.13:8161",
         "readiness": "10.1.0.13:8167",
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -9,6 +9,7 @@
 from sardinestair.endpoints import select_endpoints
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
+from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import Announcer, choose_entries
 from sardinestair.messages import DECODE_ERRORS, AnnounceReply
 from sardinestair.observability import EventLog, Metrics, UsageReporter
@@ -19,7 +20,13 @@
 from sardinestair.sidecar.policy import SidecarPolicy
 from sardinestair.tasks import TaskPool
 from sardinestair.upstreams import UpstreamState
-from sardinestair.web import HttpServer, WebApp, monitoring_rules
+from sardinestair.web import (
+    HttpServer,
+    MemoryAccount,
+    ServerRole,
+    WebApp,
+    monitoring_rules,
+)
 
 __all__ = ["SidecarProcess"]
 
@@ -40,6 +47,7 @@
 
     Attributes:
         server: Serves the links to entries, and owns the state.
+        memory: Account of the memory that HTTP connections hold.
         announcers: One per chosen entry, by the entry's endpoint.
         last_learned_s: When each entry was last learned, from another entry,
             the store or changed settings.
@@ -58,6 +66,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.context = zmq.Context()
+        limit_messages(self.context, settings.memory_mb)
         self.announcers: dict[str, Announcer] = {}
         self.is_stopping = False
         self.log = EventLog(
@@ -90,6 +99,13 @@
         )
         if settings.advertise is not None:
             self.server.advertised_endpoint = f"tcp://{settings.advertise}"
+        self.memory = MemoryAccount.for_process(
+            settings.memory_mb,
+            settings.http.max_connections,
+            self.event_loop.loop.time,
+            self.log,
+            self.metrics,
+        )
         rules = UpstreamApi(self.server).rules()
         rules += monitoring_rules(self.metrics, self._readiness)
         self.http = HttpServer(
@@ -98,6 +114,7 @@
             WebApp(rules, MAX_BODY_BYTES, self.log),
             self.event_loop,
             limits=settings.http,
+            share=self.memory.shares[ServerRole.CALLERS],
         )
 
     def start(self) -> None:
--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -1,111 +1,74 @@
-"""One connection of an HTTP server: parsing, order of responses, time limits.
+"""One connection of an HTTP server: order of responses, and its limits.
 
-A connection without a request costs a few hundred bytes: its parser exists
-only while a request is read or answered, and one timer of the server checks
-the time limits of all connections.
+A connection without a request costs a few hundred bytes: its reader exists
+only while a request is read, and one timer of the server checks the time
+limits of all connections. Only one request is read at a time; what a peer
+sends ahead is kept unparsed, up to a limit.
 """
 
 import asyncio
-import email.utils
-import enum
 import select
-from collections import deque
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
-from sardinestair.web.messages import (
-    Headers,
-    Request,
-    Response,
-    status_response,
+from sardinestair.web.charged import ChargedConnection, ConnectionState
+from sardinestair.web.eviction import is_too_slow
+from sardinestair.web.limits import (
+    MAX_AHEAD_BYTES,
+    MAX_DISCARDED_BYTES,
+    MAX_UNREAD_BYTES,
 )
+from sardinestair.web.memory import Cause
+from sardinestair.web.messages import Response, encode_head, status_response
+from sardinestair.web.reader import RequestReader
 
 if TYPE_CHECKING:
     from sardinestair.web.server import HttpServer
 
 __all__ = ["ConnectionState", "HttpConnection"]
 
-MAX_HEADER_BYTES = 32 << 10
-# Requests that a caller may send ahead of the responses on one connection.
-MAX_QUEUED_REQUESTS = 16
 # How long data is read and dropped after a refusal that ends a connection.
 # Closing it with unread data would reset it, and could destroy the response.
 DISCARD_S = 2.0
 WRITE_POLL_INTERVAL_S = 0.05
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END_OF_CHUNKS = b"0\r\n\r\n"
+RETRY_AFTER_S = "1"
+# Smaller bodies are not charged while their request is handled.
+MIN_CHARGED_BYTES = 4096
+# A body that is handled exists about this often: as received, as decoded, and
+# as what is sent on.
+HANDLED_COPIES = 3
 
 
-class ConnectionState(enum.Enum):
-    """What a connection does.
-
-    IDLE: no byte of a request has arrived since the last response.
-    READING: a part of a request has arrived.
-    RESPONDING: a request is handled; further ones wait.
-    DISCARDING: the last response has been written; data is read and dropped.
-    CLOSED: the connection is gone.
-    """
-
-    IDLE = "idle"
-    READING = "reading"
-    RESPONDING = "responding"
-    DISCARDING = "discarding"
-    CLOSED = "closed"
-
-
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(ChargedConnection):
     """Reads requests from one caller, and writes the responses in order.
 
     Args:
         server: The server.
 
     Attributes:
-        state: What the connection does.
         deadline_s: When the current state has lasted too long, on the loop's
             clock; infinite while a request is handled.
-        refusal: Answer to data that can't be parsed, sent after the responses
-            to the requests before it.
-        must_close: True if the connection can't be kept for another request.
     """
 
     __slots__ = (
-        "body",
-        "body_size",
         "deadline_s",
+        "discarded_bytes",
         "disconnect_callback",
-        "fields",
-        "header_size",
         "is_half_closed",
-        "is_message_begun",
-        "is_refused",
-        "must_close",
-        "parser",
-        "queued",
-        "refusal",
-        "server",
-        "state",
-        "target",
-        "transport",
-        "write_blocked_s",
+        "is_response_unread",
     )
 
     def __init__(self, server: "HttpServer"):
-        self.server = server
-        self.state = ConnectionState.IDLE
-        self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpRequestParser | None = None
-        self.queued: deque[tuple[Request, bool, bool]] | None = None
+        super().__init__(server)
         self.disconnect_callback: Callable[[], object] | None = None
-        self.refusal: Response | None = None
         self.is_half_closed = False
-        self.is_refused = False
-        self.must_close = False
-        self.write_blocked_s: float | None = None
+        # True if the next request waits for the last response to be read.
+        self.is_response_unread = False
+        self.discarded_bytes = 0
         self.deadline_s = 0.0
-        self._reset_message()
 
     # The interface of `Connection`, for request handlers.
 
@@ -140,14 +103,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection with the server."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(MAX_UNREAD_BYTES)
         self._enter_idle()
         self.server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forgets the connection."""
         self.state = ConnectionState.CLOSED
-        self.parser = None
-        self.queued = None
+        self.reader = None
+        self.unparsed = b""
         self.server.remove_connection(self)
         self._report_disconnect()
 
@@ -155,109 +119,76 @@
         """Notes that the caller sends no more; it may still read."""
         self.is_half_closed = True
         self._report_disconnect()
-        return self.state is ConnectionState.RESPONDING
+        return self.has_requests()
 
     def pause_writing(self) -> None:
         """Notes that the caller does not read its responses."""
-        self.write_blocked_s = self.server.now_s()
+        self.write_blocked_s = self.progressed_s = self.server.now_s()
+        self._charge()
 
     def resume_writing(self) -> None:
         """Notes that the caller reads again."""
         self.write_blocked_s = None
+        self._charge()
+        if self.is_response_unread:
+            self.is_response_unread = False
+            self._read_next()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data."""
-        if self.is_refused or self.must_close:
-            return
-        if self.state is ConnectionState.IDLE:
-            self._enter_reading()
-        if self.parser is None:
-            self.parser = httptools.HttpRequestParser(self)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is answered as usual; what follows is not HTTP.
-            self.must_close = True
-        except httptools.HttpParserError:
-            if not self.is_refused:
-                self._refuse(status_response(HTTPStatus.BAD_REQUEST))
-
-    # Called by the parser.
-
-    def on_message_begin(self) -> None:
-        """Prepares for the next request."""
-        self._reset_message()
-        self.is_message_begun = True
-
-    def on_url(self, url: bytes) -> None:
-        """Collects the request target."""
-        self.target += url
-        self._count_header_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header field."""
-        self.fields.append((name, value))
-        self._count_header_bytes(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        """Answers `Expect: 100-continue`, and refuses a body over the limit."""
-        if self.is_refused:
-            return
-        for name, value in self.fields:
-            if name.lower() == b"content-length":
-                if int(value) > self.server.app.max_body_bytes:
-                    self._refuse(self.server.app.body_too_large())
-            elif name.lower() == b"expect" and self.transport is not None:
-                self.transport.write(CONTINUE)
+        """Reads a request, or keeps data that was sent ahead."""
+        if self.must_close:
+            self._discard(len(data))
+        elif self.unparsed or self.state is ConnectionState.RESPONDING:
+            self._keep_ahead(self.unparsed[self.unparsed_from :] + data, 0)
+        else:
+            if self.state is ConnectionState.IDLE:
+                self._enter_reading()
+            self._read(data, 0)
 
-    def on_body(self, body: bytes) -> None:
-        """Collects a part of the body."""
-        if self.is_refused:
-            return
-        self.body.append(body)
-        self.body_size += len(body)
-        if self.body_size > self.server.app.max_body_bytes:
-            self._refuse(self.server.app.body_too_large())
-
-    def on_message_complete(self) -> None:
-        """Handles a complete request, or queues it behind earlier ones."""
-        if self.is_refused:
-            return
-        assert self.parser is not None and self.transport is not None
-        try:
-            request = self._make_request()
-        except ValueError:
-            self._refuse(status_response(HTTPStatus.BAD_REQUEST))
+    # Called by the server.
+
+    def has_requests(self) -> bool:
+        """Returns True if requests are handled, or may have been sent ahead."""
+        is_responding = self.state is ConnectionState.RESPONDING
+        return is_responding or bool(self.unparsed)
+
+    def take_turn(self) -> None:
+        """Reads from data that was kept, or drops more data."""
+        assert self.transport is not None
+        if self.transport.is_closing():
             return
-        is_head = self.parser.get_method() == b"HEAD"
-        keep_alive = self.parser.should_keep_alive()
-        self._reset_message()
-        if self.state is not ConnectionState.RESPONDING:
-            self._start_response(request, is_head, keep_alive)
+        if self.must_close:
+            self._resume_reading()
+        if self.state is not ConnectionState.READING:
             return
-        if self.queued is None:
-            self.queued = deque()
-        self.queued.append((request, is_head, keep_alive))
-        if len(self.queued) >= MAX_QUEUED_REQUESTS:
-            self.transport.pause_reading()
-
-    # Called by the server.
+        data, position = self.unparsed, self.unparsed_from
+        self.unparsed, self.unparsed_from = b"", 0
+        self._read(data, position)
+        if len(self.unparsed) - self.unparsed_from <= MAX_AHEAD_BYTES:
+            self._resume_reading()
+        is_incomplete = self.state is ConnectionState.READING
+        if self.is_half_closed and is_incomplete and not self.unparsed:
+            self.close()
 
     def check_time(self, now_s: float) -> None:
         """Ends the connection if it has exceeded a time limit."""
         assert self.transport is not None
+        if self.held_bytes or self.transport.get_write_buffer_size():
+            self._charge()
         blocked_s = self.write_blocked_s
         limit_s = self.server.limits.response_timeout_s
         if blocked_s is not None and now_s - blocked_s > limit_s:
+            self.share.report(Cause.UNREAD)
             self.transport.abort()
-        elif now_s < self.deadline_s:
-            return
         elif self.transport.is_closing():
-            # The caller does not read its last response.
-            self.transport.abort()
+            if now_s >= self.deadline_s:
+                # The caller does not read its last response.
+                self.transport.abort()
         elif self.state is ConnectionState.READING:
-            self._refuse(status_response(HTTPStatus.REQUEST_TIMEOUT))
-        else:
+            if now_s >= self.deadline_s or self._is_too_slow(now_s):
+                response = status_response(HTTPStatus.REQUEST_TIMEOUT)
+                self._refuse(Cause.SLOW, response)
+        elif now_s >= self.deadline_s:
             self.close()
 
     def close(self) -> None:
@@ -272,82 +203,140 @@
         if self.transport is not None:
             self.transport.abort()
 
-    # Internals.
+    # The interface of `Holder`, for the account.
 
-    def _reset_message(self) -> None:
-        self.target = b""
-        self.fields: list[tuple[bytes, bytes]] = []
-        self.header_size = 0
-        self.body: list[bytes] = []
-        self.body_size = 0
-        self.is_message_begun = False
+    def evict(self, cause: Cause) -> None:
+        """Releases what is held besides the request that is handled.
+
+        An incomplete request is refused. Requests sent ahead of the response
+        to the one that is handled are dropped, and this response announces
+        the end of the connection.
+        """
+        assert self.transport is not None
+        is_unread = self.write_blocked_s is not None
+        if is_unread or self.transport.is_closing():
+            self.abort()
+        elif self.state is ConnectionState.READING:
+            response = status_response(HTTPStatus.SERVICE_UNAVAILABLE)
+            response.headers["Retry-After"] = RETRY_AFTER_S
+            self._write_refusal(response)
+            if cause is Cause.CONNECTIONS:
+                # Its descriptor is needed at once.
+                self.close()
+        elif self.state is ConnectionState.RESPONDING:
+            self._drop_ahead()
+            self._charge()
+        elif self.state is ConnectionState.DISCARDING:
+            self.abort()
+        else:
+            self.close()
+
+    # Internals.
 
     def _enter_idle(self) -> None:
         self.state = ConnectionState.IDLE
-        self.parser = None
-        limit_s = self.server.limits.idle_timeout_s
-        self.deadline_s = self.server.now_s() + limit_s
+        self.since_s = self.progressed_s = self.server.now_s()
+        self.deadline_s = self.since_s + self.server.limits.idle_timeout_s
 
     def _enter_reading(self) -> None:
         self.state = ConnectionState.READING
-        limit_s = self.server.limits.request_timeout_s
-        self.deadline_s = self.server.now_s() + limit_s
+        self.since_s = self.progressed_s = self.server.now_s()
+        self.deadline_s = self.since_s + self.server.limits.request_timeout_s
 
     def _report_disconnect(self) -> None:
         callback, self.disconnect_callback = self.disconnect_callback, None
         if callback is not None:
             callback()
 
-    def _count_header_bytes(self, count: int) -> None:
-        self.header_size += count
-        if self.header_size > MAX_HEADER_BYTES and not self.is_refused:
-            self._refuse(
-                status_response(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-            )
-
-    def _make_request(self) -> Request:
-        assert self.parser is not None
-        headers = Headers(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in self.fields
-        )
-        method = self.parser.get_method().decode("latin-1")
-        return Request(
-            "GET" if method == "HEAD" else method,
-            self.target.decode("latin-1"),
-            headers,
-            b"".join(self.body),
-            self,
+    def _is_too_slow(self, now_s: float) -> bool:
+        reader = self.reader
+        if reader is None or not reader.body_left:
+            return False
+        return is_too_slow(
+            reader.body_size,
+            reader.body_size + reader.body_left,
+            now_s - self.since_s,
+            self.server.limits.request_timeout_s,
         )
 
-    def _start_response(
-        self, request: Request, is_head: bool, keep_alive: bool
+    def _read(self, data: bytes, position: int) -> None:
+        """Reads a request from data; `position` is where its rest begins."""
+        reader = self.reader
+        if reader is None:
+            reader = self.reader = RequestReader(self.server.app, self)
+        position = reader.feed(data, position)
+        if reader.refusal is not None:
+            self._refuse(*reader.refusal)
+        elif reader.is_complete:
+            self._handle(reader, data, position)
+        else:
+            if reader.expects_continue and self.transport is not None:
+                reader.expects_continue = False
+                self.transport.write(CONTINUE)
+            self.progressed_s = self.server.now_s()
+            if position < len(data):
+                self._keep_ahead(data, position)
+                self.server.turns.add(self)
+            else:
+                self._charge()
+
+    def _handle(
+        self, reader: RequestReader, data: bytes, position: int
     ) -> None:
+        """Starts the response to a complete request."""
+        if reader.body_size >= MIN_CHARGED_BYTES:
+            self.handled_bytes = HANDLED_COPIES * reader.body_size
+            self.share.charge(self, self.handled_bytes)
+            if self.state is not ConnectionState.READING:
+                # It was refused for want of memory.
+                return
+        elif self.held_bytes:
+            self.share.charge(self, 0)
+        self.reader = None
         self.state = ConnectionState.RESPONDING
         self.deadline_s = float("inf")
+        self.must_close = reader.is_upgrade
+        if position < len(data) and not self.must_close:
+            self._keep_ahead(data, position)
         self.server.app.active_requests += 1
-        self.server.spawn(self._respond(request, is_head, keep_alive))
+        self.server.spawn(self._respond(reader))
 
-    async def _respond(
-        self, request: Request, is_head: bool, keep_alive: bool
-    ) -> None:
+    def _discard(self, count: int) -> None:
+        """Drops data, a part in each turn."""
+        assert self.transport is not None
+        self.discarded_bytes += count
+        if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.abort()
+        elif not self.is_reading_paused and not self.transport.is_closing():
+            self.is_reading_paused = True
+            self.transport.pause_reading()
+            self.server.turns.add(self)
+
+    async def _respond(self, reader: RequestReader) -> None:
         server = self.server
+        assert reader.request is not None
+        keep_alive = reader.keep_alive
         try:
-            response = await server.app.respond(request, server.run_blocking)
+            response = await server.app.respond(
+                reader.request, server.run_blocking, reader.found
+            )
             self.disconnect_callback = None
-            is_last = not self.queued and self.refusal is None
-            keep_alive &= not (is_last and self._should_close())
+            keep_alive &= not self._should_close()
             if self.state is ConnectionState.RESPONDING:
-                await self._write(response, is_head, keep_alive)
+                await self._write(response, reader.is_head, keep_alive)
         finally:
             server.app.active_requests -= 1
+            self.handled_bytes = 0
+            if self.state is ConnectionState.CLOSED:
+                self.share.charge(self, 0)
         if self.state is ConnectionState.RESPONDING:
             self._finish_response(keep_alive)
 
     def _should_close(self) -> bool:
-        return (
-            self.is_half_closed or self.must_close or self.server.app.is_closing
-        )
+        if self.must_close:
+            return True
+        is_last = not self.unparsed
+        return is_last and (self.is_half_closed or self.server.app.is_closing)
 
     async def _write(
         self, response: Response, is_head: bool, keep_alive: bool
@@ -376,60 +365,54 @@
                 self.transport.write(size + chunk + b"\r\n")
 
     def _finish_response(self, keep_alive: bool) -> None:
-        assert self.transport is not None
-        if not keep_alive:
+        if self.held_bytes:
+            self._charge()
+        if self.must_close:
+            self._enter_discarding()
+        elif not keep_alive:
             self.close()
-        elif self.queued:
-            self.transport.resume_reading()
-            self._start_response(*self.queued.popleft())
-        elif self.refusal is not None:
-            self._write_refusal(self.refusal)
-        elif self.is_message_begun:
-            # A part of the next request has arrived during the response.
+        elif self.write_blocked_s is not None:
+            self.is_response_unread = True
+        else:
+            self._read_next()
+
+    def _read_next(self) -> None:
+        """Reads the next request, of which a part may have arrived."""
+        if self.unparsed and self._has_begun():
             self._enter_reading()
+            self.server.turns.add(self)
         else:
             self._enter_idle()
-            self.server.mark_idle(self)
 
-    def _refuse(self, response: Response) -> None:
+    def _has_begun(self) -> bool:
+        """Returns True if a request has been sent ahead, not only its end."""
+        # Some clients send an empty line after a body.
+        if self.unparsed[self.unparsed_from :].strip(b"\r\n"):
+            return True
+        self.unparsed, self.unparsed_from = b"", 0
+        return False
+
+    def _refuse(self, cause: Cause, response: Response) -> None:
         """Answers a request that can't be read on, and ends the connection."""
-        self.is_refused = True
-        if self.state is ConnectionState.RESPONDING:
-            self.refusal = response
-        else:
-            self._write_refusal(response)
+        self.share.report(cause)
+        self._write_refusal(response)
 
     def _write_refusal(self, response: Response) -> None:
         assert self.transport is not None and isinstance(response.body, bytes)
-        self.state = ConnectionState.DISCARDING
-        self.deadline_s = self.server.now_s() + DISCARD_S
+        if self.reader is not None:
+            self.reader.release()
+            self.reader = None
+        self._drop_ahead()
+        self.handled_bytes = 0
         head = encode_head(response, len(response.body), keep_alive=False)
         self.transport.write(head + response.body)
+        self._enter_discarding()
+        self.share.charge(self, 0)
+
+    def _enter_discarding(self) -> None:
+        assert self.transport is not None
+        self.state = ConnectionState.DISCARDING
+        self.since_s = self.server.now_s()
+        self.deadline_s = self.since_s + DISCARD_S
         if self.transport.can_write_eof():
             self.transport.write_eof()
-
-
-def encode_head(
-    response: Response, body_size: int | None, keep_alive: bool
-) -> bytes:
-    """Returns the status line and the header fields of a response.
-
-    Args:
-        response: The response.
-        body_size: Size of the body, or None to send it in chunks.
-        keep_alive: False to announce that the connection will be closed.
-    """
-    try:
-        phrase = HTTPStatus(response.status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    lines = [f"HTTP/1.1 {response.status} {phrase}"]
-    lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    lines.append(f"Date: {email.utils.formatdate(usegmt=True)}")
-    if body_size is None:
-        lines.append("Transfer-Encoding: chunked")
-    else:
-        lines.append(f"Content-Length: {body_size}")
-    if not keep_alive:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
