Order waiting jobs by urgency class and refuse what can't be in time

With least_slack all kinds of job become late together when more arrives than fits the room, and a queue's priority has no effect. The order urgent_first goes by class, then by latest start; a job that has begun keeps its class. A job is accepted when its last task can start in time behind its own and more urgent classes, by tasks per second; a displaced class keeps a share, and a team that exceeds its share of a class is refused first.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -11,7 +11,11 @@
 import zmq
 
 from sardinestair.clock import ManualClock
-from sardinestair.emulator.report import JobOutcome, Report
+from sardinestair.emulator.report import (
+    JobOutcome,
+    Report,
+    response_objective_s,
+)
 from sardinestair.emulator.workload import EmulatedJob
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.ids import Incarnation, JobId
@@ -180,19 +184,28 @@
             return
         state = TaskState.INTERRUPTED
         run.result = CallResult(state, reason, False, 0.0)
-        self.system.report.wasted_run_s += STOP_DURATION_S
+        age_s = self.system.clock.monotonic() - run.started_s
+        self.system.report.wasted_run_s += age_s + STOP_DURATION_S
         self.system.schedule(STOP_DURATION_S, lambda: self._finish(ref, run))
 
     def close(self) -> None:
         pass
 
     def _crash(self) -> None:
-        """Crashes with all runs, which end with their lease."""
-        if self.is_down:
-            return
+        """Crashes with all runs, and restarts after a time."""
+        if not self.is_down:
+            self.system.report.crashes += 1
+            self.lose(has_crashed=True)
+            self.system.schedule(RESTART_S, self._restart)
+
+    def lose(self, has_crashed: bool = False) -> None:
+        """Ends without a sign; its runs end with their lease.
+
+        Args:
+            has_crashed: True if a task is the cause.
+        """
         assert self.server is not None
         self.is_down = True
-        self.system.report.crashes += 1
         now_s = self.system.clock.monotonic()
         for ref, run in list(self.runs.items()):
             age_s = now_s - run.started_s
@@ -201,10 +214,10 @@
             run.is_finished = True
             result = CallResult(
                 TaskState.INTERRUPTED,
-                b"crashed",
+                b"lost",
                 False,
                 age_s,
-                has_crashed=True,
+                has_crashed=has_crashed,
             )
             lost = _EmulatedRun(result, run.on_result, run.started_s)
             self.runs[ref] = lost
@@ -212,7 +225,6 @@
                 TIMING.lease_s, functools.partial(self._finish, ref, lost)
             )
         self.server.report_upstream_lost()
-        self.system.schedule(RESTART_S, self._restart)
 
     def _restart(self) -> None:
         assert self.server is not None
@@ -225,6 +237,8 @@
     def _finish(self, ref: TaskRef, run: _EmulatedRun) -> None:
         if not run.is_finished:
             run.is_finished = True
+            now_s = self.system.clock.monotonic()
+            self.system.report.run_s += now_s - run.started_s
             del self.runs[ref]
             run.on_result(run.result)
 
@@ -286,6 +300,7 @@
         self.events: list[tuple[float, int, Callable[[], object]]] = []
         self.sequence = itertools.count(1)
         self.ready_servers: set[LinkServer] = set()
+        self.emulated: list[_EmulatedUpstream] = []
         self.servers = [self._make_server(model) for model in upstreams]
         self.dispatchers = [self._make_entry(tree) for _ in range(entries)]
         for dispatcher in self.dispatchers:
@@ -303,6 +318,10 @@
         time_s = self.clock.monotonic() + delay_s
         heapq.heappush(self.events, (time_s, next(self.sequence), event))
 
+    def lose_upstream(self, index: int) -> None:
+        """Ends an upstream in an instant, for good."""
+        self.emulated[index].lose()
+
     def submit(self, jobs: list[EmulatedJob]) -> None:
         """Schedules the arrivals of jobs, round-robin over the entries."""
         dispatchers = itertools.cycle(self.dispatchers)
@@ -331,6 +350,7 @@
 
     def _make_server(self, model: UpstreamModel) -> LinkServer:
         emulated = _EmulatedUpstream(self, model)
+        self.emulated.append(emulated)
         upstream: Any = emulated
         context: Any = _FakeContext()
         server = LinkServer(
@@ -383,7 +403,7 @@
             sign = -1 if emulated.always_fails else 1
             request = JobRequest(
                 SERVICE,
-                "clients",
+                emulated.team,
                 make_tasks(b"0", len(emulated.task_run_s)),
                 kind=emulated.kind.name,
                 deadline_s=emulated.deadline_s,
@@ -406,6 +426,9 @@
             submitted = dispatcher.submit(parsed)
             if submitted.is_error():
                 self.report.record(emulated, JobOutcome.REFUSED, 0.0)
+                self.report.refused_at_once += 1
+                if self._has_room_for(emulated):
+                    self.report.refused_with_free_room += 1
                 return
             job = submitted.ok
             job.done.add_done_callback(
@@ -419,10 +442,32 @@
         answer = job.done.result()
         outcome = JobOutcome.IN_TIME
         if answer.is_error():
+            self.report.failed_after_acceptance += not emulated.crashes
             is_refused = answer.error.kind in REFUSAL_KINDS
             outcome = JobOutcome.REFUSED if is_refused else JobOutcome.FAILED
         self.report.record(emulated, outcome, response_s)
 
+    def _has_room_for(self, job: EmulatedJob) -> bool:
+        """Returns True if all tasks of a job could start now and be in time.
+
+        The tasks that wait at all entries are taken to start first.
+        """
+        limit = response_objective_s(job) / max(job.task_run_s)
+        room = sum(
+            (server.ledger.slots - server.ledger.occupied_units)
+            // job.cpu_millis
+            for server, upstream in zip(
+                self.servers, self.upstreams, strict=True
+            )
+            if upstream.speed <= limit
+        )
+        waiting = sum(
+            state.queue.waiting_tasks
+            for dispatcher in self.dispatchers
+            for state in dispatcher.services.values()
+        )
+        return room >= len(job.task_run_s) + waiting
+
     def _advance_to(self, time_s: float) -> None:
         self.clock.advance(max(0.0, time_s - self.clock.monotonic()))
 
--- a/sardinestair/emulator/workload.py
+++ b/sardinestair/emulator/workload.py
@@ -64,6 +64,7 @@
         deadline_s: How long the caller waits, in seconds.
         always_fails: True if all of its runs fail.
         crashes: True if its first task crashes each upstream that starts it.
+        team: The caller's team.
     """
 
     kind: JobKind
@@ -74,6 +75,7 @@
     deadline_s: float
     always_fails: bool = False
     crashes: bool = False
+    team: str = "clients"
 
 
 class Workload:
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -262,13 +262,13 @@
                 return _attach(existing, parsed)
             if existing is not None and existing.in_flight:
                 return Error(EARLIER_RUNS_ACTIVE)
-            refusal = self.admission_controller.check(
+            admitted = self.admission_controller.check(
                 parsed, self._service_state
             )
-            if refusal is not None:
-                self.record_refusal(parsed, refusal)
-                return Error(refusal)
-            job = self._create_job(parsed, existing)
+            if admitted.is_error():
+                self.record_refusal(parsed, admitted.error)
+                return Error(admitted.error)
+            job = self._create_job(parsed, existing, admitted.ok)
             job.reservation = charge
             if not parsed.request.unrepeatable:
                 # It may have run before, here or at another entry.
@@ -536,7 +536,9 @@
         self.job_finalizer.fail(job, ProblemKind.LOST, detail)
         self.registry.remove(job.job_id)
 
-    def _create_job(self, parsed: ParsedRequest, previous: Job | None) -> Job:
+    def _create_job(
+        self, parsed: ParsedRequest, previous: Job | None, queue_class: int
+    ) -> Job:
         request = parsed.request
         now_s = self.clock.monotonic()
         settings = self.admission_controller.effective_settings(request)
@@ -561,6 +563,7 @@
             settings.priority,
             settings.repeat_interrupted and not request.unrepeatable,
         )
+        job.queue_class = queue_class
         if previous is not None:
             job.attempts = previous.attempts
             self.registry.remove(job.job_id)
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
+from sardinestair.entry.class_admission import Applicant
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import JobId, job_id_time_s
 from sardinestair.jobs import JobRequest
@@ -63,7 +64,7 @@
 
     def check(
         self, parsed: ParsedRequest, state_of: Callable[[str], ServiceState]
-    ) -> Problem | None:
+    ) -> Result[int, Problem]:
         """Decides whether a job is accepted.
 
         Args:
@@ -71,9 +72,18 @@
             state_of: Returns the state of a service.
 
         Returns:
-            None if the job is accepted, else the problem with which it is
-            refused.
+            The urgency class in which the job waits, or the problem with which
+            it is refused.
         """
+        refusal = self._check_request(parsed, state_of)
+        if refusal is not None:
+            return Error(refusal)
+        return self._check_limits(parsed, state_of(parsed.request.service))
+
+    def _check_request(
+        self, parsed: ParsedRequest, state_of: Callable[[str], ServiceState]
+    ) -> Problem | None:
+        """Checks what doesn't depend on the load."""
         request = parsed.request
         if self.is_draining and self.drain_deadline_s is None:
             return _draining_problem()
@@ -99,7 +109,7 @@
         state = state_of(request.service)
         if self.is_draining and not self._ends_before_drain(request, state):
             return _draining_problem()
-        return self._check_limits(request, state)
+        return None
 
     def _ends_before_drain(
         self, request: JobRequest, state: ServiceState
@@ -151,26 +161,15 @@
         )
 
     def _check_limits(
-        self, request: JobRequest, state: ServiceState
-    ) -> Problem | None:
+        self, parsed: ParsedRequest, state: ServiceState
+    ) -> Result[int, Problem]:
+        request = parsed.request
         settings = self.effective_settings(request)
+        refusal = _check_size(request, settings)
+        if refusal is not None:
+            return Error(refusal)
         tasks = len(request.tasks)
-        if tasks > settings.max_tasks:
-            return Problem(
-                ProblemKind.TOO_LARGE,
-                f"tasks must number 1 to {settings.max_tasks}, got {tasks}",
-                not_run=True,
-                field="tasks",
-            )
         deadline_s = request.deadline_s or settings.deadline_s
-        if deadline_s > settings.max_deadline_s:
-            return Problem(
-                ProblemKind.INVALID,
-                f"deadline_s must be in (0, {settings.max_deadline_s}] s, "
-                f"got {deadline_s}",
-                not_run=True,
-                field="deadline_s",
-            )
         size = sum(len(p) for p in request.payloads)
         estimate = state.estimate(request.kind, request.declared_task_s)
         now_s = self.clock.monotonic()
@@ -187,9 +186,23 @@
             settings, estimate.mean_s_, deadline_s
         )
         decision = state.admission().admit(load, tasks, size, useful_s)
-        if decision.is_ok():
-            decision = self._check_quota(request.team, tasks)
-        return decision.error if decision.is_error() else None
+        if decision.is_error():
+            return Error(decision.error)
+        applicant = Applicant(
+            parsed.job_id,
+            request.team,
+            settings.priority,
+            tasks,
+            estimate.mean_s_,
+            objective_s or deadline_s,
+            useful_s,
+            request.need,
+        )
+        admitted = state.admit_by_class(applicant, 1 / self.entry_count, now_s)
+        if admitted.is_error():
+            return admitted
+        quota = self._check_quota(request.team, tasks)
+        return quota.map(lambda _: admitted.ok)
 
     def _check_quota(self, team: str, tasks: int) -> Result[None, Problem]:
         limits = self.tree.teams.get(team) if self.tree else None
@@ -203,6 +216,29 @@
         return quota.try_acquire(team, tasks, share, self.clock.monotonic())
 
 
+def _check_size(
+    request: JobRequest, settings: ServiceSettings
+) -> Problem | None:
+    tasks = len(request.tasks)
+    if tasks > settings.max_tasks:
+        return Problem(
+            ProblemKind.TOO_LARGE,
+            f"tasks must number 1 to {settings.max_tasks}, got {tasks}",
+            not_run=True,
+            field="tasks",
+        )
+    deadline_s = request.deadline_s or settings.deadline_s
+    if deadline_s > settings.max_deadline_s:
+        return Problem(
+            ProblemKind.INVALID,
+            f"deadline_s must be in (0, {settings.max_deadline_s}] s, "
+            f"got {deadline_s}",
+            not_run=True,
+            field="deadline_s",
+        )
+    return None
+
+
 def _draining_problem() -> Problem:
     return Problem(
         ProblemKind.DRAINING,
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -3,6 +3,9 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from expression import Ok, Result
+
+from sardinestair.entry.class_admission import Applicant, ClassAdmission, Room
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
@@ -10,8 +13,10 @@
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import Demand
 from sardinestair.observability.burn import BurnRecorder
+from sardinestair.outcomes import Problem
 from sardinestair.placement import (
     HealthRegistry,
+    OrderPolicy,
     ReadyQueue,
     RunTimeEstimator,
     SlowdownEstimator,
@@ -44,6 +49,7 @@
 
     Attributes:
         queue: Jobs with tasks that have not started.
+        class_admission: Admits jobs by class with the order `urgent_first`.
         links: Links to the sidecars of the service's upstreams.
         policy: Chooses an upstream for each task.
         retries: Retry budget for starts that ended as NOT_RUN.
@@ -73,6 +79,7 @@
         self.name = name
         self.settings = settings
         self.queue = ReadyQueue(settings.order)
+        self.class_admission = ClassAdmission(self.queue)
         self.links: dict[Incarnation, EntryLink] = {}
         self.policy = make_policy(settings.policy, settings.wait_margin)
         self.retries = RetryBudget(settings.retry_ratio)
@@ -91,7 +98,7 @@
         old, self.settings = self.settings, settings
         if settings == old:
             return
-        self.queue.order = settings.order
+        self.queue.set_order(settings.order)
         self.retries.ratio = settings.retry_ratio
         self.health.max_ejected_share = settings.max_outage_share
         self.policy = make_policy(settings.policy, settings.wait_margin)
@@ -251,7 +258,7 @@
         ahead_s = work_s + self.queue.work_ahead_s(
             team, work_s, now_s, latest_start_s, priority
         )
-        if not self._can_predict_wait(now_s):
+        if not self.can_predict_wait(now_s):
             expected_s = 0.0
         else:
             expected_s = ahead_s / rate if rate else float("inf")
@@ -259,7 +266,28 @@
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected_s
         )
 
-    def _can_predict_wait(self, now_s: float) -> bool:
+    def admit_by_class(
+        self, applicant: Applicant, share: float, now_s: float
+    ) -> Result[int, Problem]:
+        """Decides on a job by its class, if the order has classes.
+
+        Args:
+            applicant: The job.
+            share: This entry's share of the upstreams when all entries have
+                demand.
+            now_s: The current time, on the entry's clock.
+
+        Returns:
+            The class in which it waits, or the problem with which it is
+            refused.
+        """
+        has_classes = self.queue.order is OrderPolicy.URGENT_FIRST
+        if not has_classes or not self.can_predict_wait(now_s):
+            return Ok(applicant.priority)
+        room = Room.of(self.links.values(), share, applicant)
+        return self.class_admission.admit(applicant, room, now_s)
+
+    def can_predict_wait(self, now_s: float) -> bool:
         """Returns True if the known links allow a prediction of the wait.
 
         They don't during a grace period after the start, in which upstreams
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -86,6 +86,8 @@
         state: State of the job.
         done: Future of the answer.
         ended_s: Time at which the job ended.
+        queue_class: Urgency class in which it waits: its priority, unless
+            admission control has put it in a more urgent class.
         order_key_s: Order key in the queue; smaller goes first.
         reservation: Amount reserved from the team's budget, or None if there is
             none.
@@ -152,6 +154,7 @@
         self.max_attempts = max_attempts
         self.can_repeat = max_attempts > 1 or repeat_interrupted
         self.priority = priority
+        self.queue_class = priority
         self.need = need
         self.task_count = len(payloads)
         self.waiting: deque[int] = deque(range(self.task_count))
@@ -188,8 +191,15 @@
 
         Too late means after `useful_until_s`.
         """
-        end_s = now_s + self.run_time.mean_s_
-        return self.is_not_run and end_s > self.useful_until_s
+        return self.is_not_run and self.would_end_too_late(now_s)
+
+    def would_end_too_late(self, start_s: float) -> bool:
+        """Returns True if a task started then would end too late to be useful.
+
+        Args:
+            start_s: Start of the task, on the entry's clock.
+        """
+        return start_s + self.run_time.mean_s_ > self.useful_until_s
 
     @property
     def can_be_moved(self) -> bool:
--- a/sardinestair/outcomes.py
+++ b/sardinestair/outcomes.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-__all__ = ["Problem", "ProblemKind"]
+__all__ = ["Problem", "ProblemKind", "RefusalReason"]
 
 
 class ProblemKind(enum.Enum):
@@ -53,6 +53,13 @@
 }
 
 
+class RefusalReason(enum.Enum):
+    """Why admission by class refused a job."""
+
+    INFEASIBLE = "infeasible"
+    FAIR_SHARE = "fair-share"
+
+
 class Problem(msgspec.Struct, frozen=True):
     """A problem document as defined in RFC 9457.
 
@@ -62,6 +69,7 @@
         not_run: True only if no task of the request has run or ever will.
         field: The invalid request field, if any.
         retry_after_s: Delay after which a retry may succeed, in seconds.
+        reason: Why admission by class refused the job; for logs and metrics.
 
     Examples:
         >>> Problem(ProblemKind.OVERLOADED, "queue full", not_run=True).status
@@ -73,6 +81,7 @@
     not_run: bool
     field: str | None = None
     retry_after_s: float | None = None
+    reason: RefusalReason | None = None
 
     @property
     def status(self) -> int:
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -8,6 +8,12 @@
 
 from sardinestair.ids import Incarnation
 from sardinestair.jobs.job import Job
+from sardinestair.placement.urgency import (
+    CLASS_OFFSET_S,
+    LATE_CLASS_OFFSET_S,
+    ClassOrder,
+    class_key,
+)
 
 __all__ = ["OrderPolicy", "ReadyQueue", "TeamVirtualTime"]
 
@@ -26,6 +32,12 @@
     FIRST_COME = "first_come"
     SMALL_FIRST = "small_first"
     LEAST_SLACK = "least_slack"
+    URGENT_FIRST = "urgent_first"
+
+
+# Orders in which jobs past their latest start go behind all others. Their keys
+# depend on the job alone.
+_DEADLINE_ORDERS = (OrderPolicy.LEAST_SLACK, OrderPolicy.URGENT_FIRST)
 
 
 class TeamVirtualTime:
@@ -75,6 +87,7 @@
     - `LEAST_SLACK`: the latest start at which the job can meet its objective.
       Jobs past that time are late: they move behind all others and keep their
       order among themselves.
+    - `URGENT_FIRST`: by class, and the same within a class; see `urgency`.
 
     Jobs with a smaller priority number go first, except with `LEAST_SLACK`.
 
@@ -85,6 +98,7 @@
         waiting_tasks: Number of waiting tasks.
         waiting_bytes: Size of their payloads in bytes.
         waiting_work_s: Sum of their expected run times in seconds.
+        classes: Keeps the jobs in order with `URGENT_FIRST`.
     """
 
     def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
@@ -94,6 +108,33 @@
         self.waiting_tasks = 0
         self.waiting_bytes = 0
         self.waiting_work_s = 0.0
+        self.classes = ClassOrder(self.jobs)
+
+    def set_order(self, order: OrderPolicy) -> None:
+        """Changes the order; waiting jobs are sorted again where possible."""
+        if order is self.order:
+            return
+        self.order = order
+        if order not in _DEADLINE_ORDERS:
+            return
+        jobs = list(self.jobs)
+        self.jobs.clear()
+        for job in jobs:
+            job.order_key_s = self._deadline_key_s(job)
+            if job.is_late:
+                job.order_key_s += self._late_offset_s
+            self.jobs.add(job)
+
+    def _deadline_key_s(self, job: Job) -> float:
+        if self.order is OrderPolicy.URGENT_FIRST:
+            return class_key(job)
+        return job.latest_start_s
+
+    @property
+    def _late_offset_s(self) -> float:
+        if self.order is OrderPolicy.URGENT_FIRST:
+            return LATE_CLASS_OFFSET_S
+        return LATE_OFFSET_S
 
     def add(self, job: Job, now_s: float, throughput: float) -> None:
         """Adds a job with all its tasks.
@@ -110,20 +151,30 @@
             OrderPolicy.FIRST_COME: start_s,
             OrderPolicy.SMALL_FIRST: start_s + WORK_WEIGHT * work_s,
             OrderPolicy.LEAST_SLACK: job.latest_start_s,
+            OrderPolicy.URGENT_FIRST: class_key(job),
         }
         job.order_key_s = keys[self.order] + self._priority_offset_s(
             job.priority
         )
         self._update_totals(job, job.waiting, 1)
+        self._insert(job)
+
+    def _insert(self, job: Job) -> None:
         self.jobs.add(job)
+        self.classes.count_job(job, 1)
+
+    def _remove(self, job: Job) -> None:
+        self.jobs.remove(job)
+        self.classes.count_job(job, -1)
 
     def _priority_offset_s(self, priority: int) -> float:
         """Returns the offset that a priority adds to the order key.
 
         It is 0 with `LEAST_SLACK`. Otherwise, under high load, all jobs of a
-        less urgent priority would wait until they are late.
+        less urgent priority would wait until they are late. With `URGENT_FIRST`
+        the key has the class already.
         """
-        if self.order is OrderPolicy.LEAST_SLACK:
+        if self.order in _DEADLINE_ORDERS:
             return 0.0
         return PRIORITY_OFFSET_S * priority
 
@@ -136,13 +187,13 @@
         index = job.dequeue(sidecar)
         self._update_totals(job, [index], -1)
         if not job.waiting:
-            self.jobs.remove(job)
+            self._remove(job)
         return index
 
     def requeue(self, job: Job, index: int) -> None:
         """Puts a task back at the front of its job's waiting tasks."""
         if not job.waiting:
-            self.jobs.add(job)
+            self._insert(job)
         job.requeue(index)
         self._update_totals(job, [index], 1)
 
@@ -151,7 +202,7 @@
         if job not in self.jobs:
             job.waiting.clear()
             return
-        self.jobs.remove(job)
+        self._remove(job)
         self._update_totals(job, job.waiting, -1)
         job.waiting.clear()
 
@@ -161,25 +212,39 @@
         Returns:
             The jobs that have become late since the last call.
         """
+        if self.order is OrderPolicy.URGENT_FIRST:
+            return self.classes.demote_late(now_s)
         late: list[Job] = []
         if self.order is not OrderPolicy.LEAST_SLACK:
             return late
         while self.jobs and self.jobs[0].order_key_s < now_s:
             job = self.jobs.pop(0)
             job.order_key_s += LATE_OFFSET_S
+            # Tasks of late jobs don't count in the backlog of their class.
+            self.classes.count_job(job, -1)
+            self.classes.count_tasks(job, -len(job.waiting))
             job.is_late = True
             self.jobs.add(job)
             late.append(job)
         return late
 
+    def late_jobs(self, now_s: float) -> Iterator[Job]:
+        """Yields the late jobs in order."""
+        start_s = now_s + self._late_offset_s / 2
+        first = self.jobs.bisect_key_left((start_s, b""))
+        yield from itertools.islice(self.jobs, first, None)
+
     def no_longer_useful(self, now_s: float) -> list[Job]:
         """Returns the late jobs whose answer would no longer be useful."""
-        if self.order is not OrderPolicy.LEAST_SLACK:
+        if self.order not in _DEADLINE_ORDERS:
             return []
-        first = self.jobs.bisect_key_left((now_s + LATE_OFFSET_S / 2, b""))
-        late = itertools.islice(self.jobs, first, None)
+        late = self.late_jobs(now_s)
         return [job for job in late if job.is_no_longer_useful(now_s)]
 
+    def tasks_ahead(self, priority: int, latest_start_s: float) -> float:
+        """Returns the number of tasks ahead of a job with `URGENT_FIRST`."""
+        return self.classes.tasks_ahead(priority, latest_start_s)
+
     def work_ahead_s(
         self,
         team: str,
@@ -209,8 +274,10 @@
         order_key_s = start_s
         if self.order is OrderPolicy.SMALL_FIRST:
             order_key_s += WORK_WEIGHT * work_s
-        if self.order is OrderPolicy.LEAST_SLACK and latest_start_s:
+        if self.order in _DEADLINE_ORDERS and latest_start_s:
             order_key_s = latest_start_s
+        if self.order is OrderPolicy.URGENT_FIRST:
+            order_key_s += CLASS_OFFSET_S * priority
         order_key_s += self._priority_offset_s(priority)
         ahead = self.jobs.bisect_key_right((order_key_s, b""))
         return self.waiting_work_s * ahead / len(self.jobs)
@@ -233,6 +300,7 @@
 
     def _update_totals(self, job: Job, indices, sign: int) -> None:
         self.waiting_tasks += sign * len(indices)
+        self.classes.count_tasks(job, sign * len(indices))
         size = sum(len(job.payloads[i]) for i in indices)
         self.waiting_bytes += sign * size
         # The prior does not change while the job waits, so that the sum
