Answer jobs at once that would end too late, keep begun ones behind

Tasks that wait although room is free no longer count against a new job, and a begun job that lost a run or would end too late goes behind all others.

--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -1,5 +1,6 @@
 """Admission of the jobs of one service by urgency class."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import Protocol
@@ -81,16 +82,19 @@
         tasks_per_s: Tasks that this entry can start per second on upstreams
             that are fast enough for the job.
         throughput: Run time that this entry gets done on them per second.
-        has_free: True if this entry has free credits for a task there.
+        is_free: True if this entry has free credits for all tasks of the job.
     """
 
     tasks_per_s: float
     throughput: float
-    has_free: bool
+    is_free: bool
 
     @classmethod
     def of(
-        cls, links: Iterable[EntryLink], share: float, applicant: Applicant
+        cls,
+        links: Iterable[EntryLink],
+        share: float,
+        applicant: Applicant | None = None,
     ) -> "Room":
         """Returns the room for a job.
 
@@ -98,11 +102,15 @@
             links: Links to the service's upstreams.
             share: This entry's share of the upstreams when all entries have
                 demand.
-            applicant: The job.
+            applicant: The job, or None for a job of any speed.
         """
-        limit = applicant.objective_s / applicant.run_s
+        limit = math.inf
+        tasks = 0
+        if applicant is not None:
+            limit = applicant.objective_s / applicant.run_s
+            tasks = applicant.tasks
         own_tasks = own_work = all_tasks = all_work = 0.0
-        has_free = False
+        free_tasks = 0
         for link in links:
             candidate = link.candidate
             if candidate.slowdown_ > limit:
@@ -114,12 +122,13 @@
                 slots = candidate.concurrency
                 all_tasks += slots / candidate.mean_run_s_
                 all_work += slots / candidate.slowdown_
-            if not has_free and candidate.is_usable:
-                has_free = candidate.has_credits_for(applicant.need)
+            if applicant and free_tasks < tasks and candidate.credits:
+                units = candidate.units_needed(applicant.need)
+                free_tasks += candidate.credits // units if units else 0
         return cls(
             max(own_tasks, share * all_tasks),
             max(own_work, share * all_work),
-            has_free,
+            free_tasks >= tasks,
         )
 
 
@@ -163,9 +172,10 @@
             problem with which it is refused.
         """
         load = self.load(applicant, room, now_s)
-        has_to_wait = load.tasks_ahead > 0 or not room.has_free
         decision: Result[int, Problem] = Ok(applicant.priority)
-        if has_to_wait:
+        # Tasks may wait although room is free, for example for a faster
+        # upstream.
+        if not room.is_free:
             decision = self._admit_waiting(applicant, room, load, now_s)
         if decision.is_ok():
             tasks = applicant.tasks
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -43,7 +43,7 @@
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
-from sardinestair.settings.tree import resolve_settings
+from sardinestair.settings.classes import resolve_service
 from sardinestair.store.claims import Claim, ClaimOutcome, ClaimWriter
 
 __all__ = ["EARLIER_RUNS_ACTIVE", "WITHDRAWN", "Dispatcher"]
@@ -181,7 +181,7 @@
             self.admission_controller.tree = tree
             self.run_outcome_handler.tree = tree
             for name, state in self.services.items():
-                state.configure(resolve_settings(tree, name, self.zone))
+                state.configure(resolve_service(tree, name, self.zone))
                 self.services_to_place.add(name)
             self.place_waiting()
 
@@ -374,10 +374,9 @@
 
     def _shed_useless_jobs(self, state: ServiceState, now_s: float) -> None:
         """Fails queued jobs that would end too late to be of use."""
-        for job in state.queue.no_longer_useful(now_s):
-            backlog_s = state.backlog_s(
-                1 / self.admission_controller.entry_count
-            )
+        share = 1 / self.admission_controller.entry_count
+        for job in state.useless_jobs(share, now_s):
+            backlog_s = state.backlog_s(share)
             detail = (
                 f"it would end over {job.useful_until_s - job.accepted_s:.1f} "
                 f"s after it came; the backlog is {backlog_s:.1f} s of work"
@@ -502,7 +501,7 @@
         state = self.services.get(service)
         if state is None:
             tree = self.tree or SettingsTree()
-            settings = resolve_settings(tree, service, self.zone)
+            settings = resolve_service(tree, service, self.zone)
             now_s = self.clock.monotonic()
             state = ServiceState(service, settings, now_s, self.crashes)
             self.services[service] = state
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -6,6 +6,7 @@
 from expression import Ok, Result
 
 from sardinestair.entry.class_admission import Applicant, ClassAdmission, Room
+from sardinestair.entry.shedding import useless_jobs
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
@@ -287,6 +288,17 @@
         room = Room.of(self.links.values(), share, applicant)
         return self.class_admission.admit(applicant, room, now_s)
 
+    def useless_jobs(self, share: float, now_s: float) -> list[Job]:
+        """Returns the waiting jobs that would end too late to be of use.
+
+        Args:
+            share: This entry's share of the upstreams when all entries have
+                demand.
+            now_s: The current time, on the entry's clock.
+        """
+        room = Room.of(self.links.values(), share)
+        return useless_jobs(self.queue, room.tasks_per_s, now_s)
+
     def can_predict_wait(self, now_s: float) -> bool:
         """Returns True if the known links allow a prediction of the wait.
 
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -282,6 +282,11 @@
         """True if no task has run, and none is in flight."""
         return not (self.may_have_run or self.in_flight)
 
+    @property
+    def is_repeated(self) -> bool:
+        """True if a task has been started more than once."""
+        return max(self.attempts) > 1
+
     def drop_payloads(self) -> None:
         """Frees the request bodies when no task can start any more."""
         self.payloads = [b""] * self.task_count
--- a/sardinestair/placement/urgency.py
+++ b/sardinestair/placement/urgency.py
@@ -2,12 +2,12 @@
 
 A class holds the jobs of one priority. Of jobs that can be in time the more
 urgent class goes first, and within a class the latest start decides. A job that
-has begun keeps its class when its latest start passes, and is completed first;
-one that has not begun is late then, and goes behind all classes.
+has begun keeps its class when its latest start passes, and is completed first.
+One that has not begun, or of which a run was lost, is late then, and goes
+behind all classes.
 """
 
 from collections import defaultdict
-from collections.abc import Iterator
 
 from sortedcontainers import SortedKeyList
 
@@ -78,7 +78,7 @@
             job = self.jobs[first]
             if job.order_key_s >= limit_s:
                 return
-            if job.is_not_run:
+            if job.is_not_run or job.is_repeated:
                 self.demote(job)
                 late.append(job)
             else:
@@ -96,20 +96,19 @@
         job.order_key_s = class_key(job) + LATE_CLASS_OFFSET_S
         self.jobs.add(job)
 
-    def overdue_jobs(self, now_s: float) -> Iterator[Job]:
-        """Yields the begun jobs that have passed their latest start."""
+    def demote_useless(self, now_s: float) -> None:
+        """Demotes begun jobs that lost a run, or would end too late to help."""
         for queue_class, count in list(self.waiting_jobs.items()):
             if not count:
                 continue
             start_s = now_s + CLASS_OFFSET_S * queue_class
-            limits = (
+            overdue = self.jobs.irange_key(
                 (start_s - CLASS_OFFSET_S / 2, b""),
-                (
-                    start_s - BEGUN_OFFSET_S / 2,
-                    b"",
-                ),
+                (start_s - BEGUN_OFFSET_S / 2, b""),
             )
-            yield from list(self.jobs.irange_key(*limits))
+            for job in list(overdue):
+                if job.is_repeated or job.would_end_too_late(now_s):
+                    self.demote(job)
 
     def tasks_ahead(self, queue_class: int, latest_start_s: float) -> float:
         """Returns the number of tasks that go before a new job.
