Add patterns of shortage and their bounds to the emulator

Three kinds by priority at 1.2 and 2 times the room, bursts of long and urgent jobs, one team at five times its share, a tenth of the room lost.

--- a/sardinestair/emulator/shortage.py
+++ b/sardinestair/emulator/shortage.py
@@ -1,5 +1,10 @@
-"""Load patterns in which callers compete for too little room."""
+"""Load patterns in which callers compete for too little room.
 
+Run `python -m sardinestair.emulator.shortage [SEED...]`.
+"""
+
+import sys
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -15,6 +20,8 @@
 )
 
 __all__ = [
+    "ARRIVALS_S",
+    "BASELINES",
     "BURST_END_S",
     "BURST_START_S",
     "FLOODING_TEAM",
@@ -24,7 +31,7 @@
 ]
 
 URGENT_KIND, LONG_KIND, _ = BUYBACK
-ARRIVALS_S = 11.0
+ARRIVALS_S = 10.0
 DRAIN_S = 4.0
 # Entries don't predict waits in their first seconds.
 BURST_START_S = 3
@@ -61,6 +68,17 @@
 }
 
 
+URGENT_FIRST = {"order": "urgent_first"}
+BASELINES = {
+    "least_slack": {"order": "least_slack"},
+    "first_come": {"order": "first_come"},
+    "least_outstanding": {
+        "order": "first_come",
+        "policy": "least_outstanding",
+    },
+}
+
+
 def large_room() -> list[UpstreamModel]:
     """Returns the upstreams, twice as many as in the other patterns."""
     return make_upstreams() + make_upstreams()
@@ -110,9 +128,9 @@
 
 
 def run_shortage(
-    name: str, seed: int = 1, defaults: dict[str, Any] | None = None
+    name: str, seed: int = 1, defaults: Mapping[str, Any] = URGENT_FIRST
 ) -> Report:
-    """Emulates one pattern.
+    """Emulates one pattern of shortage.
 
     Args:
         name: A name in `SHORTAGE_PATTERNS`.
@@ -120,9 +138,32 @@
         defaults: Settings to override at the root of the tree.
     """
     pattern = SHORTAGE_PATTERNS[name]
-    system = EmulatedSystem(3, large_room(), make_tree(defaults))
+    system = EmulatedSystem(3, large_room(), make_tree(dict(defaults)))
     if pattern.loses_upstream:
         system.schedule(BURST_START_S, lambda: system.lose_upstream(1))
         system.schedule(BURST_START_S, lambda: system.lose_upstream(12))
     system.submit(make_jobs(pattern, seed))
     return system.run(ARRIVALS_S + DRAIN_S)
+
+
+def main() -> None:
+    """Prints a line for each pattern and order; arguments are seeds."""
+    seeds = [int(argument) for argument in sys.argv[1:]] or [1]
+    for name in SHORTAGE_PATTERNS:
+        for order, defaults in {
+            "urgent_first": URGENT_FIRST,
+            **BASELINES,
+        }.items():
+            for seed in seeds:
+                report = run_shortage(name, seed, defaults)
+                line = report.format_line(f"{name}, {order}")
+                print(
+                    f"{line} refused_at_once={report.refused_at_once} "
+                    f"failed_share={report.failed_share:.3f} "
+                    f"wasted_share={report.wasted_share:.3f}",
+                    flush=True,
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -147,7 +147,6 @@
         arrivals_: Learned arrivals of tasks by class.
         guaranteed: Shares that classes keep.
         fair_shares: Shares of the teams, by class.
-        view: What is known of other entries, or None.
     """
 
     def __init__(self, queue: ReadyQueue):
@@ -155,10 +154,13 @@
         self.arrivals_ = ArrivalEstimator()
         self.guaranteed = GuaranteedShare()
         self.fair_shares: defaultdict[int, FairShares] = defaultdict(FairShares)
-        self.view: BacklogView | None = None
 
     def admit(
-        self, applicant: Applicant, room: Room, now_s: float
+        self,
+        applicant: Applicant,
+        room: Room,
+        now_s: float,
+        view: BacklogView | None = None,
     ) -> Result[int, Problem]:
         """Decides whether a job is admitted, and in which class it waits.
 
@@ -166,12 +168,14 @@
             applicant: The job.
             room: Room for its tasks.
             now_s: Current time in seconds.
+            view: What is known of all entries. Without it only the queue of
+                this entry counts.
 
         Returns:
             The class in which it waits, its own or the most urgent one, or the
             problem with which it is refused.
         """
-        load = self.load(applicant, room, now_s)
+        load = self.load(applicant, room, now_s, view)
         decision: Result[int, Problem] = Ok(applicant.priority)
         # Tasks may wait although room is free, for example for a faster
         # upstream.
@@ -214,12 +218,16 @@
     def _next_more_urgent(self, priority: int) -> int:
         return max(p for p in self.arrivals_.rates_ if p < priority)
 
-    def load(self, applicant: Applicant, room: Room, now_s: float) -> ClassLoad:
-        """Returns the load that a job meets."""
+    def load(
+        self,
+        applicant: Applicant,
+        room: Room,
+        now_s: float,
+        view: BacklogView | None = None,
+    ) -> ClassLoad:
+        """Returns the load that a job meets; arguments as of `admit`."""
         priority = applicant.priority
-        backlog_s = None
-        if self.view is not None:
-            backlog_s = self.view.backlog_s(priority, now_s)
+        backlog_s = view.backlog_s(priority, now_s) if view else None
         return ClassLoad(
             self.queue.tasks_ahead(priority, now_s + applicant.slack_s),
             applicant.tasks,
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -31,6 +31,7 @@
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
+from sardinestair.limits.feasibility import spread_retry_s
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
@@ -382,6 +383,10 @@
                 f"s after it came; the backlog is {backlog_s:.1f} s of work"
             )
             retry_after_s = max(backlog_s, MIN_RETRY_AFTER_S)
+            if state.has_classes:
+                retry_after_s = spread_retry_s(job.job_id, retry_after_s)
+            labels = {"service": state.name, "priority": str(job.priority)}
+            self.metrics.count("jobs_shed_total", labels)
             self.job_finalizer.fail(
                 job, ProblemKind.OVERLOADED, detail, retry_after_s
             )
@@ -637,8 +642,10 @@
 
     def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
         """Records a job that was refused."""
-        state = self.services.get(parsed.request.service)
-        self.recorder.record_refusal(parsed, refusal, state)
+        request = parsed.request
+        state = self.services.get(request.service)
+        priority = self.admission_controller.priority(request)
+        self.recorder.record_refusal(parsed, refusal, state, priority)
 
 
 def _can_run_again(existing: Job, parsed: ParsedRequest) -> bool:
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -160,6 +160,12 @@
             self.tree, request.service, self.zone, request.kind
         )
 
+    def priority(self, request: JobRequest) -> int | None:
+        """Returns the urgency class of a request, or None if unknown."""
+        if self.tree is None or request.service not in self.tree.services:
+            return None
+        return self.effective_settings(request).priority
+
     def _check_limits(
         self, parsed: ParsedRequest, state: ServiceState
     ) -> Result[int, Problem]:
--- a/sardinestair/entry/recorder.py
+++ b/sardinestair/entry/recorder.py
@@ -55,6 +55,7 @@
         parsed: ParsedRequest,
         refusal: Problem,
         state: ServiceState | None,
+        priority: int | None = None,
     ) -> None:
         """Records a job that was refused.
 
@@ -62,13 +63,19 @@
             parsed: The request.
             refusal: Why it was refused.
             state: State of its service, or None if there is none.
+            priority: Its urgency class, or None if it is not known.
         """
         request = parsed.request
         if state is not None and is_system_error(refusal.kind):
             state.burn.observe(False, self.clock.now().timestamp())
         is_unknown = refusal.kind is ProblemKind.UNKNOWN_SERVICE
         service = "unknown" if is_unknown else request.service
-        labels = {"service": service, "kind": refusal.kind.value}
+        cause = (refusal.reason or refusal.kind).value
+        labels = {
+            "service": service,
+            "kind": refusal.kind.value,
+            "reason": cause,
+        }
         self.metrics.count("jobs_refused_total", labels)
         dropped = DroppedJob(
             self.clock.now(),
@@ -89,6 +96,8 @@
             kind=request.kind,
             tasks=dropped.tasks,
             reason=dropped.reason,
+            code=cause,
+            priority=priority,
             not_run=dropped.not_run,
         )
 
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -5,7 +5,12 @@
 
 from expression import Ok, Result
 
-from sardinestair.entry.class_admission import Applicant, ClassAdmission, Room
+from sardinestair.entry.class_admission import (
+    Applicant,
+    BacklogView,
+    ClassAdmission,
+    Room,
+)
 from sardinestair.entry.shedding import useless_jobs
 from sardinestair.ids import Incarnation
 from sardinestair.jobs import CrashHistory, Job
@@ -51,6 +56,7 @@
     Attributes:
         queue: Jobs with tasks that have not started.
         class_admission: Admits jobs by class with the order `urgent_first`.
+        load_view: What is known of the work that waits at all entries, or None.
         links: Links to the sidecars of the service's upstreams.
         policy: Chooses an upstream for each task.
         retries: Retry budget for starts that ended as NOT_RUN.
@@ -81,6 +87,7 @@
         self.settings = settings
         self.queue = ReadyQueue(settings.order)
         self.class_admission = ClassAdmission(self.queue)
+        self.load_view: BacklogView | None = None
         self.links: dict[Incarnation, EntryLink] = {}
         self.policy = make_policy(settings.policy, settings.wait_margin)
         self.retries = RetryBudget(settings.retry_ratio)
@@ -267,6 +274,11 @@
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected_s
         )
 
+    @property
+    def has_classes(self) -> bool:
+        """True if jobs are served and admitted by urgency class."""
+        return self.queue.order is OrderPolicy.URGENT_FIRST
+
     def admit_by_class(
         self, applicant: Applicant, share: float, now_s: float
     ) -> Result[int, Problem]:
@@ -282,11 +294,12 @@
             The class in which it waits, or the problem with which it is
             refused.
         """
-        has_classes = self.queue.order is OrderPolicy.URGENT_FIRST
-        if not has_classes or not self.can_predict_wait(now_s):
+        if not self.has_classes or not self.can_predict_wait(now_s):
             return Ok(applicant.priority)
         room = Room.of(self.links.values(), share, applicant)
-        return self.class_admission.admit(applicant, room, now_s)
+        return self.class_admission.admit(
+            applicant, room, now_s, self.load_view
+        )
 
     def useless_jobs(self, share: float, now_s: float) -> list[Job]:
         """Returns the waiting jobs that would end too late to be of use.
--- a/sardinestair/limits/feasibility.py
+++ b/sardinestair/limits/feasibility.py
@@ -21,7 +21,7 @@
 ]
 
 # Time constant of the estimate of the tasks that arrive, in seconds.
-ARRIVAL_WINDOW_S = 1.0
+ARRIVAL_WINDOW_S = 0.5
 # Allowance for messages between entry and upstreams.
 MESSAGING_MARGIN_S = 0.03
 # Share of its slack that a job may be predicted to wait. The rest is a margin
