--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -155,6 +155,28 @@
         self.guaranteed = GuaranteedShare()
         self.fair_shares: defaultdict[int, FairShares] = defaultdict(FairShares)
 
+    def has_backlog(
+        self, priority: int, now_s: float, view: BacklogView | None
+    ) -> bool:
+        """Returns True if any tasks wait that go before a new job.
+
+        Args:
+            priority: Class of the job.
+            now_s: Current time in seconds.
+            view: What is known of all entries, or None.
+        """
+        if self.queue.waiting_tasks:
+            return True
+        return bool(view and view.backlog_s(priority, now_s))
+
+    def admit_at_once(
+        self, applicant: Applicant, now_s: float
+    ) -> Result[int, Problem]:
+        """Admits a job that no task waits before; its room isn't needed."""
+        priority = applicant.priority
+        self.arrivals_.observe(priority, applicant.tasks, now_s)
+        return Ok(priority)
+
     def admit(
         self,
         applicant: Applicant,
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -294,12 +294,15 @@
             The class in which it waits, or the problem with which it is
             refused.
         """
-        if not self.has_classes or not self.can_predict_wait(now_s):
+        if not self.has_classes:
             return Ok(applicant.priority)
+        admission, priority = self.class_admission, applicant.priority
+        if not admission.has_backlog(priority, now_s, self.load_view):
+            return admission.admit_at_once(applicant, now_s)
+        if not self.can_predict_wait(now_s):
+            return Ok(priority)
         room = Room.of(self.links.values(), share, applicant)
-        return self.class_admission.admit(
-            applicant, room, now_s, self.load_view
-        )
+        return admission.admit(applicant, room, now_s, self.load_view)
 
     def useless_jobs(self, share: float, now_s: float) -> list[Job]:
         """Returns the waiting jobs that would end too late to be of use.
@@ -309,6 +312,8 @@
                 demand.
             now_s: The current time, on the entry's clock.
         """
+        if not self.has_classes:
+            return self.queue.no_longer_useful(now_s)
         room = Room.of(self.links.values(), share)
         return useless_jobs(self.queue, room.tasks_per_s, now_s)
 
--- a/sardinestair/entry/shedding.py
+++ b/sardinestair/entry/shedding.py
@@ -6,7 +6,7 @@
 """
 
 from sardinestair.jobs import Job
-from sardinestair.placement import OrderPolicy, ReadyQueue
+from sardinestair.placement import ReadyQueue
 
 __all__ = ["useless_jobs"]
 
@@ -16,15 +16,15 @@
 ) -> list[Job]:
     """Returns the jobs that have not begun and would end too late.
 
-    With classes, the tasks that go before a late job are counted. Begun jobs
-    that would end too late are moved behind all others.
+    The tasks that go before a late job are counted. Begun jobs that would end
+    too late are moved behind all others.
 
     Args:
-        queue: The waiting jobs of a service.
+        queue: The waiting jobs of a service, by class.
         tasks_per_s: Tasks that the entry can start per second.
         now_s: Current time in seconds.
     """
-    if queue.order is not OrderPolicy.URGENT_FIRST or tasks_per_s <= 0:
+    if tasks_per_s <= 0:
         return queue.no_longer_useful(now_s)
     queue.classes.demote_useless(now_s)
     ahead = sum(queue.classes.waiting_tasks.values())
--- a/sardinestair/placement/urgency.py
+++ b/sardinestair/placement/urgency.py
@@ -24,6 +24,8 @@
 # Longer than any deadline, and shorter than the distance of two classes.
 BEGUN_OFFSET_S = CLASS_OFFSET_S / 4
 
+LAST_JOB_ID = b"\xff" * 16
+
 
 def class_key(job: Job) -> float:
     """Returns the order key of a job that is not late, in seconds."""
@@ -133,6 +135,6 @@
             return ahead
         key_s = latest_start_s + CLASS_OFFSET_S * queue_class
         first = self.jobs.bisect_key_left((key_s - CLASS_OFFSET_S / 2, b""))
-        position = self.jobs.bisect_key_right((key_s, b""))
+        position = self.jobs.bisect_key_right((key_s, LAST_JOB_ID))
         share = (position - first) / count
         return ahead + share * self.waiting_tasks[queue_class]
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -93,8 +93,7 @@
         max_crashes: Crashes of upstreams that a task may have caused before
             its job fails; one more is allowed in all, whatever the cause.
         priority: Priority of jobs when slots are scarce; 0 goes before 1.
-            Ignored with the order `least_slack`, and a class of its own with
-            `urgent_first`.
+            Ignored with the order `least_slack`; a class with `urgent_first`.
         useful_factor: An answer is useful until this many times its objective;
             with 0, until the deadline.
         objective_stretch: Adds this many times the expected run time of a
