--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -32,6 +32,7 @@
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
+from sardinestair.limits.feasibility import spread_retry_s
 from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.links.timing import LinkTiming
@@ -47,7 +48,7 @@
 from sardinestair.observability import EventLog, LinkUsage, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
-from sardinestair.settings.tree import resolve_settings
+from sardinestair.settings.classes import resolve_service
 from sardinestair.store.claims import Claim, ClaimOutcome, ClaimWriter
 
 __all__ = ["EARLIER_RUNS_ACTIVE", "WITHDRAWN", "Dispatcher"]
@@ -190,7 +191,7 @@
             self.admission_controller.tree = tree
             self.run_outcome_handler.tree = tree
             for name, state in self.services.items():
-                state.configure(resolve_settings(tree, name, self.zone))
+                state.configure(resolve_service(tree, name, self.zone))
                 self.services_to_place.add(name)
             self.place_waiting()
 
@@ -306,13 +307,13 @@
                 return _attach(existing, parsed)
             if existing is not None and existing.in_flight:
                 return Error(EARLIER_RUNS_ACTIVE)
-            refusal = self.admission_controller.check(
+            admitted = self.admission_controller.check(
                 parsed, self._service_state
             )
-            if refusal is not None:
-                self.record_refusal(parsed, refusal)
-                return Error(refusal)
-            job = self._create_job(parsed, existing)
+            if admitted.is_error():
+                self.record_refusal(parsed, admitted.error)
+                return Error(admitted.error)
+            job = self._create_job(parsed, existing, admitted.ok)
             job.reservation = charge
             if not parsed.request.unrepeatable:
                 # It may have run before, here or at another entry.
@@ -419,15 +420,18 @@
 
     def _shed_useless_jobs(self, state: ServiceState, now_s: float) -> None:
         """Fails queued jobs that would end too late to be of use."""
-        for job in state.queue.no_longer_useful(now_s):
-            backlog_s = state.backlog_s(
-                1 / self.admission_controller.entry_count
-            )
+        share = 1 / self.admission_controller.entry_count
+        for job in state.useless_jobs(share, now_s):
+            backlog_s = state.backlog_s(share)
             detail = (
                 f"it would end over {job.useful_until_s - job.accepted_s:.1f} "
                 f"s after it came; the backlog is {backlog_s:.1f} s of work"
             )
             retry_after_s = max(backlog_s, MIN_RETRY_AFTER_S)
+            if state.has_classes:
+                retry_after_s = spread_retry_s(job.job_id, retry_after_s)
+            labels = {"service": state.name, "priority": str(job.priority)}
+            self.metrics.count("jobs_shed_total", labels)
             self.job_finalizer.fail(
                 job, ProblemKind.OVERLOADED, detail, retry_after_s
             )
@@ -568,7 +572,7 @@
         state = self.services.get(service)
         if state is None:
             tree = self.tree or SettingsTree()
-            settings = resolve_settings(tree, service, self.zone)
+            settings = resolve_service(tree, service, self.zone)
             now_s = self.clock.monotonic()
             state = ServiceState(
                 service, settings, now_s, self.crashes, self.zone
@@ -618,7 +622,9 @@
         self.job_finalizer.fail(job, ProblemKind.LOST, detail)
         self.registry.remove(job.job_id)
 
-    def _create_job(self, parsed: ParsedRequest, previous: Job | None) -> Job:
+    def _create_job(
+        self, parsed: ParsedRequest, previous: Job | None, queue_class: int
+    ) -> Job:
         request = parsed.request
         now_s = self.clock.monotonic()
         settings = self.admission_controller.effective_settings(request)
@@ -644,6 +650,7 @@
             settings.repeat_interrupted and not request.unrepeatable,
             request.rack if settings.remote_factor > 1 else "",
         )
+        job.queue_class = queue_class
         if previous is not None:
             job.attempts = previous.attempts
             self.registry.remove(job.job_id)
@@ -733,8 +740,10 @@
 
     def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
         """Records a job that was refused."""
-        state = self.services.get(parsed.request.service)
-        self.recorder.record_refusal(parsed, refusal, state)
+        request = parsed.request
+        state = self.services.get(request.service)
+        priority = self.admission_controller.priority(request)
+        self.recorder.record_refusal(parsed, refusal, state, priority)
 
 
 def _can_run_again(existing: Job, parsed: ParsedRequest) -> bool:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -4,6 +4,14 @@
 from collections import Counter
 from collections.abc import Container, Iterator
 
+from expression import Ok, Result
+
+from sardinestair.entry.class_admission import (
+    Applicant,
+    ClassAdmission,
+    Room,
+)
+from sardinestair.entry.shedding import useless_jobs
 from sardinestair.entry.speeds import UpstreamSpeeds
 from sardinestair.entry.stragglers import StragglerPolicy
 from sardinestair.ids import Incarnation
@@ -19,6 +27,7 @@
 from sardinestair.placement import (
     HealthRegistry,
     MeetObjective,
+    OrderPolicy,
     ReadyQueue,
     RunTimeEstimator,
     WaitingTask,
@@ -55,6 +64,7 @@
     Attributes:
         queue: Jobs with tasks that have not started.
         load_view: Estimates the work that waits at all entries.
+        class_admission: Admits jobs by class with the order `urgent_first`.
         links: Links to the sidecars of the service's upstreams.
         policy: Chooses an upstream for each task.
         retries: Retry budget for starts that ended as NOT_RUN.
@@ -92,6 +102,7 @@
         self.load_view = LoadView(
             self.queue.waiting_by_class, self._serving_links
         )
+        self.class_admission = ClassAdmission(self.queue)
         self.links: dict[Incarnation, EntryLink] = {}
         self.zone = zone
         self.policy = make_policy(settings.policy, settings.wait_margin, zone)
@@ -150,10 +161,16 @@
     def _is_evacuated(self, link: EntryLink) -> bool:
         return link.candidate.zone in self.evacuated_zones
 
+    def _links_in_use(self) -> Iterator[EntryLink]:
+        """Yields the links outside evacuated zones."""
+        for link in self.links.values():
+            if not self._is_evacuated(link):
+                yield link
+
     def _open_links(self, *states: LinkState) -> Iterator[EntryLink]:
         """Yields the links in these states outside evacuated zones."""
-        for link in self.links.values():
-            if link.state in states and not self._is_evacuated(link):
+        for link in self._links_in_use():
+            if link.state in states:
                 yield link
         self.share = 1.0
 
@@ -162,7 +179,7 @@
         old, self.settings = self.settings, settings
         if settings == old:
             return
-        self.queue.order = settings.order
+        self.queue.set_order(settings.order)
         self.speeds.is_shared = settings.shared_speeds
         self.speeds.remote_factor = settings.remote_factor
         self.retries.ratio = settings.retry_ratio
@@ -346,7 +363,7 @@
         ahead_s = work_s + self.queue.work_ahead_s(
             team, work_s, now_s, latest_start_s, priority
         )
-        if not self._can_predict_wait(now_s):
+        if not self.can_predict_wait(now_s):
             expected_s = 0.0
         else:
             expected_s = ahead_s / rate if rate else float("inf")
@@ -354,7 +371,50 @@
             self.queue.waiting_tasks, self.queue.waiting_bytes, expected_s
         )
 
-    def _can_predict_wait(self, now_s: float) -> bool:
+    @property
+    def has_classes(self) -> bool:
+        """True if jobs are served and admitted by urgency class."""
+        return self.queue.order is OrderPolicy.URGENT_FIRST
+
+    def admit_by_class(
+        self, applicant: Applicant, share: float, now_s: float
+    ) -> Result[int, Problem]:
+        """Decides on a job by its class, if the order has classes.
+
+        Args:
+            applicant: The job.
+            share: This entry's share of the upstreams when all entries have
+                demand.
+            now_s: The current time, on the entry's clock.
+
+        Returns:
+            The class in which it waits, or the problem with which it is
+            refused.
+        """
+        if not self.has_classes:
+            return Ok(applicant.priority)
+        admission, priority = self.class_admission, applicant.priority
+        if not admission.has_backlog(priority, now_s, self.load_view):
+            return admission.admit_at_once(applicant, now_s)
+        if not self.can_predict_wait(now_s):
+            return Ok(priority)
+        room = Room.of(self._links_in_use(), share, applicant)
+        return admission.admit(applicant, room, now_s, self.load_view)
+
+    def useless_jobs(self, share: float, now_s: float) -> list[Job]:
+        """Returns the waiting jobs that would end too late to be of use.
+
+        Args:
+            share: This entry's share of the upstreams when all entries have
+                demand.
+            now_s: The current time, on the entry's clock.
+        """
+        if not self.has_classes:
+            return self.queue.no_longer_useful(now_s)
+        room = Room.of(self._links_in_use(), share)
+        return useless_jobs(self.queue, room.tasks_per_s, now_s)
+
+    def can_predict_wait(self, now_s: float) -> bool:
         """Returns True if the known links allow a prediction of the wait.
 
         They don't during a grace period after the start, in which upstreams
@@ -441,7 +501,7 @@
             wanted,
             job.order_key_s - now_s,
             units,
-            demand_class(job.priority, job.is_late),
+            demand_class(job.queue_class, job.is_late),
             self._class_units(job, wanted, units),
         )
 
@@ -457,7 +517,7 @@
         """
         if self.queue.waiting_by_class.count_priorities() < 2:
             return 0
-        number = demand_class(job.priority, job.is_late)
+        number = demand_class(job.queue_class, job.is_late)
         share = self.queue.waiting_by_class.task_share(number)
         return max(units, round(wanted * share / units) * units)
 
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -88,6 +88,8 @@
         state: State of the job.
         done: Future of the answer.
         ended_s: Time at which the job ended.
+        queue_class: Urgency class in which it waits: its priority, unless
+            admission control has put it in a more urgent class.
         order_key_s: Order key in the queue; smaller goes first.
         reservation: Amount reserved from the team's budget, or None if there is
             none.
@@ -157,6 +159,7 @@
         self.can_repeat = max_attempts > 1 or repeat_interrupted
         self.priority = priority
         self.rack = rack
+        self.queue_class = priority
         self.need = need
         self.task_count = len(payloads)
         self.waiting: deque[int] = deque(range(self.task_count))
@@ -194,8 +197,15 @@
 
         Too late means after `useful_until_s`.
         """
-        end_s = now_s + self.run_time.mean_s_
-        return self.is_not_run and end_s > self.useful_until_s
+        return self.is_not_run and self.would_end_too_late(now_s)
+
+    def would_end_too_late(self, start_s: float) -> bool:
+        """Returns True if a task started then would end too late to be useful.
+
+        Args:
+            start_s: Start of the task, on the entry's clock.
+        """
+        return start_s + self.run_time.mean_s_ > self.useful_until_s
 
     @property
     def can_be_moved(self) -> bool:
@@ -278,6 +288,11 @@
         """True if no task has run, and none is in flight."""
         return not (self.may_have_run or self.in_flight)
 
+    @property
+    def is_repeated(self) -> bool:
+        """True if a task has been started more than once."""
+        return max(self.attempts) > 1
+
     def drop_payloads(self) -> None:
         """Frees the request bodies when no task can start any more."""
         self.payloads = [b""] * self.task_count
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -93,7 +93,8 @@
         max_crashes: Crashes of upstreams that a task may have caused before
             its job fails; one more is allowed in all, whatever the cause.
         priority: Priority of jobs when slots are scarce; 0 goes before 1. With
-            the order `least_slack` it decides between entries, not inside one.
+            the order `least_slack` it decides between entries, not inside one;
+            with `urgent_first` it is the class of the jobs.
         useful_factor: An answer is useful until this many times its objective;
             with 0, until the deadline.
         objective_stretch: Adds this many times the expected run time of a
