Admit jobs as late while only slow upstreams have room, and read the load seldom

Change: a job that can't be in time is accepted in the class of late jobs while this entry has credits for all its tasks at upstreams on which the answer is of use. Measured: tests of entry, placement, limits and of shortage in the emulator.

--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from sardinestair.ids import JobId
+from sardinestair.limits.credit_priority import demand_class
 from sardinestair.limits.fair_shares import FairShares
 from sardinestair.limits.feasibility import (
     ArrivalEstimator,
@@ -83,11 +84,14 @@
             that are fast enough for the job.
         throughput: Run time that this entry gets done on them per second.
         is_free: True if this entry has free credits for all tasks of the job.
+        is_free_elsewhere: The same at upstreams of any speed on which the
+            answer is of use, if late.
     """
 
     tasks_per_s: float
     throughput: float
     is_free: bool
+    is_free_elsewhere: bool = False
 
     @classmethod
     def of(
@@ -104,17 +108,25 @@
                 demand.
             applicant: The job, or None for a job of any speed.
         """
-        limit = math.inf
+        limit = useful_limit = math.inf
         tasks = 0
         if applicant is not None:
             limit = applicant.objective_s / applicant.run_s
+            useful_limit = applicant.useful_s / applicant.run_s
             tasks = applicant.tasks
         own_tasks = own_work = all_tasks = all_work = 0.0
-        free_tasks = 0
+        free_tasks = free_elsewhere = 0
         for link in links:
             candidate = link.candidate
+            free = 0
+            if applicant and free_tasks < tasks and candidate.credits:
+                units = candidate.units_needed(applicant.need)
+                free = candidate.credits // units if units else 0
             if candidate.slowdown_ > limit:
+                if candidate.slowdown_ <= useful_limit:
+                    free_elsewhere += free
                 continue
+            free_tasks += free
             running = len(link.outstanding)
             own_tasks += running / candidate.mean_run_s_
             own_work += running / candidate.slowdown_
@@ -122,13 +134,11 @@
                 slots = candidate.concurrency
                 all_tasks += slots / candidate.mean_run_s_
                 all_work += slots / candidate.slowdown_
-            if applicant and free_tasks < tasks and candidate.credits:
-                units = candidate.units_needed(applicant.need)
-                free_tasks += candidate.credits // units if units else 0
         return cls(
             max(own_tasks, share * all_tasks),
             max(own_work, share * all_work),
             free_tasks >= tasks,
+            free_tasks + free_elsewhere >= tasks,
         )
 
 
@@ -138,7 +148,8 @@
     A job is admitted if its last task can start in time behind the tasks of
     its own and of more urgent classes, and its team doesn't exceed its share
     of the class. A class that more urgent ones displace keeps a guaranteed
-    share of the room.
+    share of the room. A job that can't be in time is still admitted, as late,
+    while upstreams have room on which its answer is of use.
 
     Args:
         queue: The waiting jobs of the service.
@@ -194,8 +205,9 @@
                 this entry counts.
 
         Returns:
-            The class in which it waits, its own or the most urgent one, or the
-            problem with which it is refused.
+            The class in which it waits, or the problem with which it is
+            refused. It is its own class, the next more urgent one, or that of
+            late jobs if only slow upstreams have room.
         """
         load = self.load(applicant, room, now_s, view)
         decision: Result[int, Problem] = Ok(applicant.priority)
@@ -234,6 +246,9 @@
             priority, work_s, room.throughput, now_s
         ):
             return Ok(self._next_more_urgent(priority))
+        if room.is_free_elsewhere:
+            # Late, but of use, and it takes no room from others.
+            return Ok(demand_class(priority, is_late=True))
         reason = RefusalReason.INFEASIBLE
         return Error(_refusal(applicant, reason, wait_s, usable_s))
 
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -32,6 +32,7 @@
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
+from sardinestair.limits.credit_priority import is_late_class, priority_of
 from sardinestair.limits.feasibility import spread_retry_s
 from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
@@ -650,7 +651,8 @@
             settings.repeat_interrupted and not request.unrepeatable,
             request.rack if settings.remote_factor > 1 else "",
         )
-        job.queue_class = queue_class
+        job.queue_class = priority_of(queue_class)
+        job.is_late = is_late_class(queue_class)
         if previous is not None:
             job.attempts = previous.attempts
             self.registry.remove(job.job_id)
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -557,13 +557,13 @@
         Jobs of one kind have similar run times and needs: if the first few
         can't be placed, further ones can't either.
         """
-        seen: Counter[tuple[str, bool, str]] = Counter()
+        seen: dict[tuple[str, bool, str], int] = {}
         for job in self.queue.first_jobs(MAX_LOOKAHEAD_JOBS):
             if self._must_wait(job):
                 continue
             group = (job.kind, job.is_late, job.rack)
-            seen[group] += 1
-            if seen[group] <= MAX_LOOKAHEAD_PER_KIND:
+            count = seen[group] = seen.get(group, 0) + 1
+            if count <= MAX_LOOKAHEAD_PER_KIND:
                 yield job
 
     def _must_wait(self, job: Job) -> bool:
--- a/sardinestair/entry/tests/test_class_admission.py
+++ b/sardinestair/entry/tests/test_class_admission.py
@@ -7,6 +7,7 @@
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.jobs import Job
 from sardinestair.jobs.work import JobRunTimeEstimator
+from sardinestair.limits.credit_priority import is_late_class, priority_of
 from sardinestair.links.entry_link import LinkState
 from sardinestair.outcomes import RefusalReason
 from sardinestair.placement import Candidate, OrderPolicy, ReadyQueue
@@ -86,6 +87,17 @@
     assert admission.admit(applicant(2), free, NOW_S).ok == 2
 
 
+def test_job_that_only_slow_upstreams_have_room_for_is_admitted_as_late(
+    admission, queue
+):
+    add_waiting(queue, 0, 100)
+    slow_room = Room(100.0, 50.0, is_free=False, is_free_elsewhere=True)
+    admitted = admission.admit(applicant(2), slow_room, NOW_S).ok
+    assert is_late_class(admitted)
+    assert priority_of(admitted) == 2
+    assert admission.admit(applicant(2), FULL, NOW_S).is_error()
+
+
 def test_displaced_class_keeps_a_share_in_the_next_class(admission, queue):
     add_waiting(queue, 1, 100)
     later_s = NOW_S + 10.0
@@ -138,6 +150,16 @@
     )
 
 
+def test_room_of_slow_upstreams_counts_where_the_answer_is_of_use():
+    slow, useless = FakeLink(slowdown=3.0), FakeLink(slowdown=9.0)
+    useless.candidate.credits = 10
+    assert not Room.of([slow, useless], 1.0, applicant(2)).is_free_elsewhere
+    slow.candidate.credits = 4
+    room = Room.of([slow, useless], 1.0, applicant(2))
+    assert room.is_free_elsewhere
+    assert not room.is_free
+
+
 # Shedding of jobs that were accepted before more urgent ones came.
 
 
--- a/sardinestair/limits/credit_priority.py
+++ b/sardinestair/limits/credit_priority.py
@@ -12,6 +12,7 @@
     "REST_CLASS",
     "ClassGuarantee",
     "demand_class",
+    "is_late_class",
     "priority_of",
 ]
 
@@ -38,6 +39,11 @@
     return priority + LATE_CLASS if is_late else priority
 
 
+def is_late_class(number: int) -> bool:
+    """Returns True if a class is one of late jobs."""
+    return number >= LATE_CLASS
+
+
 def priority_of(number: int) -> int:
     """Returns the priority of the jobs of a class, late or not."""
     return number % LATE_CLASS
--- a/sardinestair/limits/load_view.py
+++ b/sardinestair/limits/load_view.py
@@ -6,6 +6,7 @@
 others' work that is going to use the same upstreams, counted once.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -27,6 +28,9 @@
 """Age at which the report of a link is no longer used, in seconds. Frames come
 several times a second while a link is up."""
 
+# Time for which what the links have reported is not read again, in seconds. A
+# sidecar reports at most twice in it.
+REFRESH_INTERVAL_S = 0.05
 # Part of the throughput whose links must have reported.
 MIN_KNOWN_SHARE = 0.5
 # A change of a class since the last report is reported if it exceeds both.
@@ -265,6 +269,13 @@
             nothing to it.
         links: Returns the entry's links that accept work.
 
+    Attributes:
+        others: Waiting work that sidecars have reported.
+        rate: Seconds of work that the links' upstreams complete per second.
+        known_rate: That of the links whose sidecars have reported lately.
+        valid_until_s: Time from which the links are read again, on the entry's
+            clock.
+
     Examples:
         >>> view = LoadView(WaitingByClass(), lambda: [])
         >>> view.backlog_s(0, now_s=1.0) is None
@@ -278,6 +289,10 @@
     ):
         self.own = own
         self.links = links
+        self.others = WaitingByClass()
+        self.rate = 0.0
+        self.known_rate = 0.0
+        self.valid_until_s = -math.inf
 
     def backlog_s(self, priority: int, now_s: float) -> float | None:
         """Returns the time that the waiting work of all entries takes.
@@ -293,16 +308,25 @@
             The time, in seconds of the throughput of the entry's links; None
             if too few of them have reported lately.
         """
-        rate = known_rate = others_s = 0.0
+        if now_s >= self.valid_until_s:
+            self._read_links(now_s)
+        if not self.rate or self.known_rate < MIN_KNOWN_SHARE * self.rate:
+            return None
+        others_s = self.others.work_until(priority)
+        others_s *= self.rate / self.known_rate
+        return (self.own.work_until(priority) + others_s) / self.rate
+
+    def _read_links(self, now_s: float) -> None:
+        self.valid_until_s = now_s + REFRESH_INTERVAL_S
+        self.rate = self.known_rate = 0.0
+        self.others = WaitingByClass()
         for link in self.links():
-            rate += link.rate
+            self.rate += link.rate
             load = link.load
             if load.is_known(now_s) and load.classes is not None:
-                known_rate += link.rate
-                others_s += sum(
-                    c.work_s for c in load.classes if c.priority <= priority
+                self.known_rate += link.rate
+                self.valid_until_s = min(
+                    self.valid_until_s, load.confirmed_s + MAX_AGE_S
                 )
-        if not rate or known_rate < MIN_KNOWN_SHARE * rate:
-            return None
-        others_s *= rate / known_rate
-        return (self.own.work_until(priority) + others_s) / rate
+                for reported in load.classes:
+                    self.others.add(reported.priority, 1, reported.work_s)
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -144,7 +144,8 @@
         """Adds a job with all its tasks.
 
         Args:
-            job: The job; its `order_key_s` is set.
+            job: The job; its `order_key_s` is set. It goes behind all others
+                if it `is_late` already.
             now_s: Current time in seconds.
             throughput: Seconds of run time that this entry completes per
                 second, shared by the active teams.
@@ -160,6 +161,8 @@
         job.order_key_s = keys[self.order] + self._priority_offset_s(
             job.priority
         )
+        if job.is_late:
+            job.order_key_s += self._late_offset_s
         self._update_totals(job, job.waiting, 1)
         self._insert(job)
 
--- a/sardinestair/placement/tests/test_urgency.py
+++ b/sardinestair/placement/tests/test_urgency.py
@@ -58,6 +58,13 @@
     assert drain(make_queue(later, sooner)) == [sooner, later]
 
 
+def test_job_that_is_admitted_as_late_goes_behind_all_others(long, urgent):
+    urgent.is_late = True
+    queue = make_queue(urgent, long)
+    assert list(queue.late_jobs(START_S)) == [urgent]
+    assert drain(queue) == [long, urgent]
+
+
 def test_late_urgent_job_goes_behind_all_that_can_be_in_time(long, urgent):
     urgent.soft_deadline_s = START_S + 1.0
     queue = make_queue(long, urgent)
