--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -394,12 +394,13 @@
         if not self.has_classes:
             return Ok(applicant.priority)
         admission, priority = self.class_admission, applicant.priority
-        if not admission.has_backlog(priority, now_s, self.load_view):
+        view = self.load_view if self.settings.shared_backlog else None
+        if not admission.has_backlog(priority, now_s, view):
             return admission.admit_at_once(applicant, now_s)
         if not self.can_predict_wait(now_s):
             return Ok(priority)
         room = Room.of(self._links_in_use(), share, applicant)
-        return admission.admit(applicant, room, now_s, self.load_view)
+        return admission.admit(applicant, room, now_s, view)
 
     def useless_jobs(self, share: float, now_s: float) -> list[Job]:
         """Returns the waiting jobs that would end too late to be of use.
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -105,6 +105,8 @@
         move_before_departure: Whether tasks that are not expected to end before
             their upstream leaves are stopped and started elsewhere, if their
             job may run again.
+        shared_backlog: Whether admission with `urgent_first` counts the work
+            that waits at all entries, and not only at the one that was asked.
         shared_speeds: Whether the speed of an upstream is taken from what its
             sidecar has seen of the runs of all entries.
         remote_factor: Factor by which a task takes longer on other racks than
@@ -137,6 +139,7 @@
     objective_stretch: float = 0.0
     cold_share: float = 1.0
     move_before_departure: bool = False
+    shared_backlog: bool = False
     shared_speeds: bool = False
     remote_factor: float = 1.0
 
@@ -170,6 +173,7 @@
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
     cold_share: Annotated[float, Meta(gt=0, le=1)] | UnsetType = UNSET
     move_before_departure: bool | UnsetType = UNSET
+    shared_backlog: bool | UnsetType = UNSET
     shared_speeds: bool | UnsetType = UNSET
     remote_factor: Annotated[float, Meta(ge=1, le=100)] | UnsetType = UNSET
 
