Pass the limits of a VM in the environment of the programs

Change: SARDINESTAIR_MEMORY_MB and SARDINESTAIR_REMOTE_FACTOR, filled in by deploy/system.toml, override memory_mb and platform.remote_factor unless empty. The test of an absent factor is now one of the environment, as strict. Measured: tests of settings and platform.

--- a/sardinestair/platform/tests/test_deploy.py
+++ b/sardinestair/platform/tests/test_deploy.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import tomllib
 from collections import Counter
 from pathlib import Path
 
@@ -21,8 +22,6 @@
     "seeds": ["10.1.0.13:8166", "10.2.0.30:8166"],
     "app": "10.1.0.14:8165",
     "platform": {"address": "10.200.1.7:8169"},
-    "bounds": {"remote_factor": 1.5},
-    "limits": {"memory_mb": 160},
     "listen": {
         "frontend": "10.1.0.13:8161",
         "readiness": "10.1.0.13:8167",
@@ -68,13 +67,16 @@
     assert settings.platform.seeds == VM_FIELDS["seeds"]
 
 
-def test_remote_factor_of_the_platform():
-    settings = load_template("entry.yaml", EntrySettings)
-    assert settings.platform.remote_factor == 1.5
-    without = load_template(
-        "entry.yaml", EntrySettings, bounds={"remote_factor": ""}
-    )
-    assert without.platform.remote_factor is None
+def test_environment_of_the_programs_is_that_of_their_settings():
+    with (DEPLOY / "system.toml").open("rb") as stream:
+        roles = tomllib.load(stream)["roles"]
+    assert roles["entry"]["env"] == {
+        "SARDINESTAIR_MEMORY_MB": "{{limits.memory_mb}}",
+        "SARDINESTAIR_REMOTE_FACTOR": "{{bounds.remote_factor}}",
+    }
+    assert roles["sidecar"]["env"] == {
+        "SARDINESTAIR_MEMORY_MB": "{{limits.memory_mb}}"
+    }
 
 
 def test_sidecar_template():
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -234,6 +234,11 @@
     "HTTP_PORT": ("address", "http_port", int),
     "LINK_PORT": ("address", "link_port", int),
 }
+# Limits that an orchestrator knows. An empty variable sets nothing.
+_ENVIRONMENT_LIMITS = {
+    "MEMORY_MB": (None, "memory_mb"),
+    "REMOTE_FACTOR": ("platform", "remote_factor"),
+}
 
 
 def load_process_settings(
@@ -245,6 +250,8 @@
 
     `SARDINESTAIR_HOST`, `SARDINESTAIR_HTTP_PORT` and `SARDINESTAIR_LINK_PORT`
     override the address, and `SARDINESTAIR_ZONE` the availability zone.
+    `SARDINESTAIR_MEMORY_MB` and `SARDINESTAIR_REMOTE_FACTOR` override
+    `memory_mb` and `platform.remote_factor`, if they are not empty.
 
     Args:
         file: Path of the YAML file.
@@ -264,8 +271,23 @@
         if text is not None:
             is_number = convert is int and text.isdecimal()
             data[section][key] = int(text) if is_number else text
+    for name, (parent, field) in _ENVIRONMENT_LIMITS.items():
+        text = variables.get(ENVIRONMENT_PREFIX + name)
+        if text:
+            target = data if parent is None else data[parent]
+            target[field] = _parse_number(text)
     data["zone"] = variables.get(ENVIRONMENT_PREFIX + "ZONE", data["zone"])
     try:
         return Ok(msgspec.convert(data, settings_type))
     except msgspec.ValidationError as error:
         return Error(SettingsError("environment", 1, "", str(error)))
+
+
+def _parse_number(text: str) -> float | int | str:
+    """Returns a number, or the text itself, which the schema then rejects."""
+    for convert in (int, float):
+        try:
+            return convert(text)
+        except ValueError:
+            continue
+    return text
--- a/sardinestair/settings/reference.py
+++ b/sardinestair/settings/reference.py
@@ -57,6 +57,8 @@
 Each process reads one YAML file; `--check` validates it. Environment variables
 override the address and the availability zone: `SARDINESTAIR_HOST`,
 `SARDINESTAIR_HTTP_PORT`, `SARDINESTAIR_LINK_PORT`, `SARDINESTAIR_ZONE`.
+Two more set limits, if they are not empty: `SARDINESTAIR_MEMORY_MB` for
+`memory_mb`, and `SARDINESTAIR_REMOTE_FACTOR` for `platform.remote_factor`.
 """
 
 
--- a/sardinestair/settings/tests/test_files.py
+++ b/sardinestair/settings/tests/test_files.py
@@ -43,6 +43,35 @@
     assert loaded.address.link_port == 7001
 
 
+PLATFORM_ENTRY = """
+platform:
+  store_address: 10.0.0.1:1
+  client_address: 10.0.0.1:2
+  readiness_address: 10.0.0.1:3
+"""
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected"),
+    [(("160", "1.5"), (160, 1.5)), (("", ""), (None, None))],
+)
+def test_environment_sets_limits_unless_it_is_empty(tmp_path, texts, expected):
+    file = tmp_path / "entry.yaml"
+    file.write_text(PLATFORM_ENTRY)
+    names = ("SARDINESTAIR_MEMORY_MB", "SARDINESTAIR_REMOTE_FACTOR")
+    environment = dict(zip(names, texts, strict=True))
+    loaded = load_process_settings(str(file), EntrySettings, environment).ok
+    assert (loaded.memory_mb, loaded.platform.remote_factor) == expected
+
+
+def test_limit_that_is_no_number_is_an_error(tmp_path):
+    file = tmp_path / "entry.yaml"
+    file.write_text(PLATFORM_ENTRY)
+    environment = {"SARDINESTAIR_MEMORY_MB": "much"}
+    loaded = load_process_settings(str(file), EntrySettings, environment)
+    assert "memory_mb" in str(loaded.error)
+
+
 def test_invalid_override_is_an_error(tmp_path):
     file = tmp_path / "entry.yaml"
     file.write_text("zone: munster\n")
