--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -43,7 +43,7 @@
 
 
 class Applicant(msgspec.Struct, frozen=True):
-    """A job that asks to be admitted.
+    """A job for which admission is requested.
 
     Attributes:
         job_id: Id of the job.
@@ -262,7 +262,7 @@
         now_s: float,
         view: BacklogView | None = None,
     ) -> ClassLoad:
-        """Returns the load that a job meets; arguments as of `admit`."""
+        """Returns the load ahead of a job; arguments as of `admit`."""
         priority = applicant.priority
         backlog_s = view.backlog_s(priority, now_s) if view else None
         return ClassLoad(
--- a/sardinestair/entry/stragglers.py
+++ b/sardinestair/entry/stragglers.py
@@ -1,4 +1,4 @@
-"""Tells runs that take far longer than others from slow upstreams.
+"""Distinguishes stragglers from slow upstreams.
 
 A few runs may take many times their usual time for no fault of their upstream.
 One overdue run at an upstream is taken for such a straggler, and several at
--- a/sardinestair/entry/tests/test_class_admission.py
+++ b/sardinestair/entry/tests/test_class_admission.py
@@ -107,7 +107,7 @@
 
 
 class View:
-    """What an entry without a queue is told of the others."""
+    """What is reported to an entry without a queue."""
 
     def backlog_s(self, priority, now_s):
         return 0.5 if priority else 0.0
--- a/sardinestair/entry/tests/test_stragglers.py
+++ b/sardinestair/entry/tests/test_stragglers.py
@@ -1,4 +1,4 @@
-"""Stragglers are told from slow upstreams, and moved if that ends sooner."""
+"""Stragglers and slow upstreams; a straggler is moved if that ends sooner."""
 
 import pytest
 
--- a/sardinestair/limits/feasibility.py
+++ b/sardinestair/limits/feasibility.py
@@ -34,14 +34,14 @@
 # Share of the room that is assumed to be left for a class at least, so that the
 # predicted wait stays finite.
 MIN_LEFT_SHARE = 0.1
-# Refused callers are asked to come back within this many times the wait.
+# `Retry-After` of a refusal is at most this many times the wait.
 RETRY_SPREAD = 2.0
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
 
 
 class ClassLoad(msgspec.Struct, frozen=True):
-    """Load that a new job meets, as seen from its class.
+    """Load ahead of a new job, as seen from its class.
 
     Attributes:
         tasks_ahead: Number of waiting tasks that go before it.
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -234,7 +234,7 @@
     "HTTP_PORT": ("address", "http_port", int),
     "LINK_PORT": ("address", "link_port", int),
 }
-# Limits that an orchestrator knows. An empty variable sets nothing.
+# Limits that an orchestrator sets. An empty variable sets nothing.
 _ENVIRONMENT_LIMITS = {
     "MEMORY_MB": (None, "memory_mb"),
     "REMOTE_FACTOR": ("platform", "remote_factor"),
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -106,7 +106,7 @@
             their upstream leaves are stopped and started elsewhere, if their
             job may run again.
         shared_backlog: Whether admission with `urgent_first` counts the work
-            that waits at all entries, and not only at the one that was asked.
+            that waits at all entries, and not only at the one that decides.
         shared_speeds: Whether the speed of an upstream is taken from what its
             sidecar has seen of the runs of all entries.
         remote_factor: Factor by which a task takes longer on other racks than
--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -67,7 +67,7 @@
 
     Attributes:
         request: The request; without its body until it is complete.
-        found: What the application found, if it was asked before the body.
+        found: The handler, if it was looked up before the body was read.
         refusal: Why the request is not read on, or None.
         is_complete: True once the request has been read.
         is_upgrade: True if what follows the request is not HTTP.
--- a/sardinestair/web/turns.py
+++ b/sardinestair/web/turns.py
@@ -21,11 +21,11 @@
     """A connection that waits for its turn."""
 
     def take_turn(self) -> None:
-        """Handles a part of the data; may ask for another turn."""
+        """Handles a part of the data; may request another turn."""
 
 
 class TurnQueue:
-    """Gives turns to connections, in the order in which they asked.
+    """Gives turns to connections, in the order of their requests.
 
     Args:
         call_soon: Calls a function in the next iteration of the event loop.
