Shed no waiting jobs by prediction while upstreams announce themselves

Admission predicts nothing for 3 s; shedding did. Change: while no wait can be predicted, only jobs are shed that would be of no use even if they started at once. Measured: test_nothing_is_shed_by_prediction_before_upstreams_can_announce failed before; tests of entry pass.

--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -410,7 +410,7 @@
                 demand.
             now_s: The current time, on the entry's clock.
         """
-        if not self.has_classes:
+        if not (self.has_classes and self.can_predict_wait(now_s)):
             return self.queue.no_longer_useful(now_s)
         room = Room.of(self._links_in_use(), share)
         return useless_jobs(self.queue, room.tasks_per_s, now_s)
--- a/sardinestair/entry/tests/test_service_state.py
+++ b/sardinestair/entry/tests/test_service_state.py
@@ -7,7 +7,7 @@
 from sardinestair.jobs import Job
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.links.entry_link import LinkState
-from sardinestair.placement import Candidate
+from sardinestair.placement import Candidate, OrderPolicy
 from sardinestair.settings import ServiceSettings
 
 CREATED_S = 100.0
@@ -55,6 +55,27 @@
     assert expected_wait_s(state, CREATED_S + DISCOVERY_GRACE_S) > 10 * WORK_S
 
 
+def late_jobs_state():
+    """Returns a new state with a few late jobs ahead of each other."""
+    settings = ServiceSettings(order=OrderPolicy.URGENT_FIRST)
+    state = ServiceState("quotes", settings, CREATED_S)
+    state.links[Incarnation(b"s" * 16)] = FakeLink()
+    for _ in range(3):
+        job = waiting_job(CREATED_S)
+        job.is_late = True
+        job.useful_until_s = CREATED_S + 8.0
+        state.queue.add(job, CREATED_S, 1.0)
+    return state
+
+
+# Guards against shedding what waits after a restart, while most upstreams have
+# not announced themselves yet.
+def test_nothing_is_shed_by_prediction_before_upstreams_can_announce():
+    state = late_jobs_state()
+    assert state.useless_jobs(1.0, CREATED_S + DISCOVERY_GRACE_S / 2) == []
+    assert state.useless_jobs(1.0, CREATED_S + DISCOVERY_GRACE_S) != []
+
+
 def test_wait_is_infinite_without_upstreams_after_grace_period():
     state = ServiceState("quotes", ServiceSettings(), CREATED_S)
     assert expected_wait_s(state, CREATED_S + DISCOVERY_GRACE_S / 2) == 0.0
