Evict the connection that is idle for longest, also within a tick of the clock

The clock of the event loop has a resolution of a millisecond. If several responses are written within one, the times are equal, and the connection that was opened first was evicted although it had just been used.

Change: the share keeps its connections in the order of their last use, which decides between equal times.

--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -237,6 +237,7 @@
         self.state = ConnectionState.IDLE
         self.since_s = self.progressed_s = self.server.now_s()
         self.deadline_s = self.since_s + self.server.limits.idle_timeout_s
+        self.share.note_use(self)
 
     def _enter_reading(self) -> None:
         self.state = ConnectionState.READING
--- a/sardinestair/web/memory.py
+++ b/sardinestair/web/memory.py
@@ -155,7 +155,7 @@
         self.held_bytes = 0
         self.peak_bytes = 0
         self.is_releasing = False
-        # Dicts, as sets that keep the order.
+        # Dicts, as sets that keep the order; the connections in order of use.
         self.holders: dict[Holder, None] = {}
         self.connections: dict[Holder, None] = {}
 
@@ -174,6 +174,16 @@
                 return
         self.connections[connection] = None
 
+    def note_use(self, connection: Holder) -> None:
+        """Notes that a connection has just been used.
+
+        The order of use decides between connections whose times are equal, as
+        the clock may have a resolution of a millisecond.
+        """
+        if connection in self.connections:
+            del self.connections[connection]
+            self.connections[connection] = None
+
     def remove(self, connection: Holder, kept_bytes: int = 0) -> None:
         """Forgets a connection, and releases what was charged for it.
 
--- a/sardinestair/web/tests/test_server.py
+++ b/sardinestair/web/tests/test_server.py
@@ -290,8 +290,7 @@
     caller.close()
 
 
-def test_longest_idle_connection_gives_way_to_a_new_one(start):
-    server = start(limits=HttpLimits(max_connections=3))
+def check_longest_idle_gives_way(server):
     callers = []
     for _ in range(3):
         # One after the other: responses to several could come in any order.
@@ -306,6 +305,18 @@
         caller.close()
 
 
+def test_longest_idle_connection_gives_way_to_a_new_one(start):
+    check_longest_idle_gives_way(start(limits=HttpLimits(max_connections=3)))
+
+
+# Guards against eviction of a connection that was just used: the loop's clock
+# has a resolution of a millisecond, within which several responses are written.
+def test_longest_idle_connection_is_known_within_a_tick_of_the_clock(start):
+    server = start(limits=HttpLimits(max_connections=3))
+    server.now_s = lambda: 0.0
+    check_longest_idle_gives_way(server)
+
+
 def test_peer_that_reads_nothing_does_not_hold_up_others(app, start):
     large = b"x" * (8 << 20)
 
