Keep the share of an entry while the throughput is read

Change: the share is set on creation. The test failed before.

Result: tests of the state and of the emulator pass.

--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -120,6 +120,7 @@
         self.declined: set[Incarnation] = set()
         self.next_target = 0
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.share = 1.0
 
     def set_evacuated_zones(self, zones: frozenset[str], now_s: float) -> None:
         """Applies a change of the evacuated zones."""
@@ -172,7 +173,6 @@
         for link in self._links_in_use():
             if link.state in states:
                 yield link
-        self.share = 1.0
 
     def configure(self, settings: ServiceSettings) -> None:
         """Applies changed settings; learned estimates are kept."""
--- a/sardinestair/entry/tests/test_service_state.py
+++ b/sardinestair/entry/tests/test_service_state.py
@@ -80,3 +80,13 @@
     state = ServiceState("quotes", ServiceSettings(), CREATED_S)
     assert expected_wait_s(state, CREATED_S + DISCOVERY_GRACE_S / 2) == 0.0
     assert math.isinf(expected_wait_s(state, CREATED_S + DISCOVERY_GRACE_S))
+
+
+# Guards against a share that reading the throughput sets back to all upstreams:
+# placement then waits for upstreams that other entries use.
+def test_reading_the_throughput_keeps_the_share_of_the_entry():
+    state = busy_state()
+    assert state.share == 1.0
+    state.share = 0.25
+    assert state.throughput() == 1.0
+    assert state.share == 0.25
