Split the sidecar's link server by subject

Each has a class and module of its own now: UpstreamAvailability (state, caller, evacuation, departure), SessionTable (epochs, ends of sessions, due times), TaskRuns (starts, outcomes, crash reports), CreditAllocator (grants and recalls), LoadRelay (load reports), and the handlers of messages. LinkServer receives and sends frames, and connects the parts.

Behaviour is the same but for one more wake-up of the links when a notice is shortened. The reason of a cancelled run is passed by the sidecar, no longer a default of LeasedUpstream.

Tests: test_session_lease.py became test_session_table.py (13 tests) and test_allocation.py (9), its fake entry harness.py; only imports and attribute paths differ. Passed: sardinestair/sidecar, platform, emulator, test_links_machine.py, test_whole_path.py.

--- a/sardinestair/platform/tests/test_evacuation.py
+++ b/sardinestair/platform/tests/test_evacuation.py
@@ -97,11 +97,11 @@
     sidecar.start()
     try:
         store.put(KEY, b"{}")
-        wait_for(lambda: sidecar.server.is_evacuated)
+        wait_for(lambda: sidecar.server.availability.is_evacuated)
         reads = [call for call in store.calls if "evacuate" in call]
         assert all("stale_ok=1" in call for call in reads)
         store.remove(KEY)
         # Confirmed by a read that is not stale.
-        wait_for(lambda: not sidecar.server.is_evacuated)
+        wait_for(lambda: not sidecar.server.availability.is_evacuated)
     finally:
         sidecar.stop()
--- a/sardinestair/platform/tests/test_idle_links.py
+++ b/sardinestair/platform/tests/test_idle_links.py
@@ -42,7 +42,7 @@
     server.announce(
         Announcement("quotes", "http://127.0.0.1:1", 8, 300, capacity=CAPACITY)
     )
-    server.caller = FakeUpstream([])
+    server.availability.caller = FakeUpstream([])
     link = make_idle_link(server, timing, clock)
     socket = FakeSocket()
     link.open_epoch(socket)
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -69,8 +69,8 @@
             self.server.report_upstream_lost,
             launched.process_start_s,
         )
-        self.runner.before_renewal = self.server.stop_expired_sessions
-        self.server.make_caller = self._make_caller
+        self.runner.before_renewal = self.server.sessions.stop_expired
+        self.server.availability.make_caller = self._make_caller
         api = HeartbeatApi(self.server, self.platform.heartbeat_ttl_s)
         host, port = split_address(self.platform.heartbeat_address)
         self.heartbeats = HttpServer(
@@ -151,7 +151,9 @@
         self.event_loop.call(
             functools.partial(self.server.observe_evacuations, view)
         )
-        if may_be_stale and self.server.evacuations.is_outdated_by(view):
+        if may_be_stale and self.server.availability.evacuations.is_outdated_by(
+            view
+        ):
             self._read_evacuations(may_be_stale=False)
 
     async def _run_runner(self) -> None:
--- a/sardinestair/sidecar/tests/test_crashes.py
+++ b/sardinestair/sidecar/tests/test_crashes.py
@@ -11,7 +11,7 @@
     SidecarFrame,
     TaskState,
 )
-from sardinestair.sidecar.tests.test_session_lease import (
+from sardinestair.sidecar.tests.harness import (
     ANNOUNCEMENT,
     SIDECAR,
     FakeEntry,
--- a/sardinestair/sidecar/tests/test_departure.py
+++ b/sardinestair/sidecar/tests/test_departure.py
@@ -6,7 +6,7 @@
 from sardinestair.observability import EventLog
 from sardinestair.sidecar.api import UpstreamApi
 from sardinestair.sidecar.policy import SidecarPolicy
-from sardinestair.sidecar.tests.test_session_lease import (
+from sardinestair.sidecar.tests.harness import (
     ANNOUNCEMENT,
     ENTRY,
     FakeEntry,
--- a/sardinestair/sidecar/tests/test_evacuation.py
+++ b/sardinestair/sidecar/tests/test_evacuation.py
@@ -11,7 +11,7 @@
     Outcome,
     TaskState,
 )
-from sardinestair.sidecar.tests.test_session_lease import (
+from sardinestair.sidecar.tests.harness import (
     ANNOUNCEMENT,
     FakeEntry,
     ref,
@@ -70,7 +70,7 @@
 
 def test_evacuation_of_another_zone_changes_nothing(entry):
     entry.server.observe_evacuations(EvacuationView(6, {"y": 6}))
-    assert entry.server.accepts_tasks
+    assert entry.server.availability.accepts_tasks
     assert not of_type(entry.iterate(), Leaving)
 
 
@@ -100,14 +100,14 @@
     entry.server.observe_evacuations(EVACUATED)
     entry.server.leave()
     entry.server.observe_evacuations(RETURNED)
-    assert not entry.server.accepts_tasks
+    assert not entry.server.availability.accepts_tasks
     entry.iterate()
     entry.server.announce(ANNOUNCEMENT)
-    assert entry.server.accepts_tasks
+    assert entry.server.availability.accepts_tasks
     entry.server.leave()
     entry.server.observe_evacuations(EvacuationView(12, {"z": 11}))
     entry.server.announce(ANNOUNCEMENT)
-    assert not entry.server.accepts_tasks
+    assert not entry.server.availability.accepts_tasks
 
 
 def test_entries_receive_the_view(entry):
--- a/sardinestair/tests/test_links_machine.py
+++ b/sardinestair/tests/test_links_machine.py
@@ -91,7 +91,7 @@
         )  # fmt: skip
         self.created.append(server)
         server.announce(ANNOUNCEMENT)
-        server.caller = FakeUpstream(self.starts)
+        server.availability.caller = FakeUpstream(self.starts)
         return server
 
     def connect(self, index):
@@ -238,8 +238,8 @@
     @rule(index=st.integers(0, SIDECAR_COUNT - 1), count=st.integers(1, 4))
     def run_tasks(self, index, count):
         server = self.servers[index]
-        for _ in range(min(count, len(server.caller.waiting))):
-            server.caller.waiting.popleft()()
+        for _ in range(min(count, len(server.availability.caller.waiting))):
+            server.availability.caller.waiting.popleft()()
         self.flush_server(server)
 
     @rule(index=st.integers(0, SIDECAR_COUNT - 1))
@@ -252,7 +252,7 @@
         state=st.sampled_from(list(TaskState)),
     )
     def change_upstream(self, index, state):
-        self.servers[index].caller.state = state
+        self.servers[index].availability.caller.state = state
 
     @rule(index=st.integers(0, SIDECAR_COUNT - 1))
     def leave_and_return(self, index):
