Limit bodies by route, and what decoding a legal body may cost

Cause: all routes that took a body took the application's maximum, 8 MB, and decoding had no bound. Measured by decoding alone: a settings tree of 9.6 MB took 1,299 MB and 6.8 s with the interpreter locked (268 KB: 42 MB); a job of 8 MB with tasks of 14 bytes took 52 MB and 161 ms before it was refused for their number; on the platform a step with a count of 10^12 made a list of as many payloads.

Change: a rule may state the maximum body of its route; DELETE takes none, and the limit holds also for bodies of over 4 KB that came with their header. Settings: 1 MB and 4,096 objects, changes 64 KB; heartbeats 64 KB, before 4 MB. Tasks are counted while they are decoded. A step of over 10,000 tasks is refused as unsupported.

--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -24,6 +24,12 @@
 
 __all__ = ["AdminApi"]
 
+# The smallest values of a change take 27 times their text once decoded.
+MAX_EDIT_BYTES = 64 << 10
+MAX_TREE_BYTES = 1 << 20
+# A node of a settings tree takes about 2 KB.
+MAX_TREE_OBJECTS = 4096
+
 
 class EditRequest(msgspec.Struct, forbid_unknown_fields=True):
     """A change of one settings node; fields as in `SettingsWriter.edit`."""
@@ -58,8 +64,13 @@
         """Returns the URL rules with their methods and handlers."""
         return [
             ("/admin/v1/settings", ["GET"], self.show_settings),
-            ("/admin/v1/settings", ["PATCH"], self.edit),
-            ("/admin/v1/settings/apply", ["POST"], self.apply),
+            ("/admin/v1/settings", ["PATCH"], self.edit, MAX_EDIT_BYTES),
+            (
+                "/admin/v1/settings/apply",
+                ["POST"],
+                self.apply,
+                MAX_TREE_BYTES,
+            ),
             ("/admin/v1/settings/explain", ["GET"], self.explain),
             ("/admin/v1/settings/history", ["GET"], self.history),
             ("/admin/v1/status", ["GET"], self.status),
@@ -89,6 +100,13 @@
 
     def apply(self, request: Request) -> Response:
         """Replaces the settings tree."""
+        if request.body.count(b"{") > MAX_TREE_OBJECTS:
+            problem = Problem(
+                ProblemKind.TOO_LARGE,
+                f"a tree must have at most {MAX_TREE_OBJECTS} objects",
+                not_run=True,
+            )
+            return problem_response(problem)
         try:
             tree = msgspec.json.decode(request.body, type=SettingsTree)
         except DECODE_ERRORS as error:
--- a/sardinestair/entry/evacuations.py
+++ b/sardinestair/entry/evacuations.py
@@ -35,7 +35,7 @@
         path = "/admin/v1/evacuations"
         return [
             (path, ["GET"], self.show),
-            (f"{path}/<zone>", ["PUT"], self.begin),
+            (f"{path}/<zone>", ["PUT"], self.begin, 0),
             (f"{path}/<zone>", ["DELETE"], self.end),
         ]
 
--- a/sardinestair/jobs/request.py
+++ b/sardinestair/jobs/request.py
@@ -1,6 +1,8 @@
 """Parsing and validation of job requests."""
 
 import hashlib
+import math
+import threading
 from typing import Annotated
 
 import msgspec
@@ -25,6 +27,19 @@
 _NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
 
 
+class _TaskCounter(threading.local):
+    """Counts the tasks that a decoder creates in this thread.
+
+    Attributes:
+        left: How many more may be created.
+    """
+
+    left: float = math.inf
+
+
+_counter = _TaskCounter()
+
+
 class TaskRequest(msgspec.Struct, forbid_unknown_fields=True):
     """A task of a job request.
 
@@ -34,6 +49,18 @@
 
     payload: msgspec.Raw
 
+    def __post_init__(self) -> None:
+        """Counts the task, so that decoding ends at the first one too many.
+
+        A task of a few bytes takes several times as many once decoded.
+
+        Raises:
+            ValueError: If there are too many.
+        """
+        _counter.left -= 1
+        if _counter.left < 0:
+            raise ValueError("too many tasks")
+
 
 class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
     """A job as a caller submits it.
@@ -104,22 +131,18 @@
         >>> parse_request(b'{"service": "quotes"}').error.detail
         'Object missing required field `team`'
     """
+    _counter.left = MAX_TASKS
     try:
         request = _DECODER.decode(body)
     except DECODE_ERRORS as error:
+        if _counter.left < 0:
+            return Error(_too_many_tasks())
         return Error(_invalid_request(str(error)))
+    finally:
+        _counter.left = math.inf
     if request.unrepeatable and request.best_effort:
         rule = "unrepeatable and best_effort are mutually exclusive"
         return Error(_invalid_request(f"{rule} - at `$.best_effort`"))
-    if len(request.tasks) > MAX_TASKS:
-        return Error(
-            Problem(
-                ProblemKind.TOO_LARGE,
-                f"tasks must number 1 to {MAX_TASKS}, got {len(request.tasks)}",
-                not_run=True,
-                field="tasks",
-            )
-        )
     try:
         job_id = parse_job_id(request.id) if request.id else new_job_id()
     except ValueError as error:
@@ -137,6 +160,15 @@
     return [TaskRequest(msgspec.Raw(payload))] * count
 
 
+def _too_many_tasks() -> Problem:
+    return Problem(
+        ProblemKind.TOO_LARGE,
+        f"tasks must number 1 to {MAX_TASKS}",
+        not_run=True,
+        field="tasks",
+    )
+
+
 def _invalid_request(message: str) -> Problem:
     field = (
         message.rpartition("`$.")[2].rstrip("`") if "`$." in message else None
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -35,6 +35,8 @@
 # timer is late.
 RESPONSE_GRACE_S = 1.0
 DEADLINE_HEADER = "X-Deadline-Ms"
+# A request of a few bytes may ask for any number of tasks.
+MAX_TASKS = 10_000
 # All clients of a deployment share one client account.
 CLIENT_TEAM = "clients"
 
@@ -242,6 +244,7 @@
     """Returns the first unsupported feature that a job requests, or ""."""
     step = job.steps[0]
     requested = {
+        f"a step of over {MAX_TASKS} tasks": step.count > MAX_TASKS,
         "a durable job": not job.best_effort,
         "a job with several steps": len(job.steps) > 1,
         "a scheduled job": job.repeat_count > 0,
--- a/sardinestair/platform/tests/test_callers.py
+++ b/sardinestair/platform/tests/test_callers.py
@@ -75,13 +75,13 @@
     app = WebApp(api.rules(), 1 << 18, EventLog("test"))
     route = next(iter(dispatcher.tree.routes.values()))
 
-    def post(deadline_ms="1"):
+    def post(deadline_ms="1", body=BODY):
         fields = [("host", route.host), ("x-deadline-ms", deadline_ms)]
         request = Request(
             "POST",
             route.prefix + "5c0e7a21d94b36f8",
             Headers(fields),
-            BODY,
+            body,
             connection,
         )
 
@@ -109,6 +109,17 @@
     assert len(dispatcher.registry.jobs) == 1
 
 
+# Guards against an entry without memory: the payloads of all tasks were listed
+# before the number of tasks was looked at.
+@pytest.mark.parametrize("count", [b"10001", b"1000000000000"])
+def test_job_of_too_many_tasks_is_refused_without_listing_them(
+    dispatcher, post, count
+):
+    body = BODY.replace(b'"count":1', b'"count":' + count)
+    assert post(body=body).result(20) == 503
+    assert not dispatcher.registry.jobs
+
+
 def test_job_of_a_client_that_leaves_is_cancelled(
     dispatcher, event_loop, connection, post
 ):
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -24,7 +24,8 @@
 
 __all__ = ["PlatformSidecarProcess"]
 
-MAX_HEARTBEAT_BYTES = 4 << 20
+# A heartbeat has less than 1 KB.
+MAX_HEARTBEAT_BYTES = 64 << 10
 # New entries and evacuations are usually learned sooner, from the replies of
 # entries. An evacuation must be in force within 5 s (platform figure).
 STORE_POLL_INTERVAL_S = 2.0
--- a/sardinestair/web/app.py
+++ b/sardinestair/web/app.py
@@ -22,16 +22,17 @@
 """A coroutine function runs in the event loop; any other one may block, and
 runs in a thread."""
 
-Rule = tuple[str, list[str], Handler]
-"""Path, methods and handler of a route. `<name>` in the path stands for one
-segment, `<path:name>` for any number of them."""
+Rule = tuple[str, list[str], Handler] | tuple[str, list[str], Handler, int]
+"""Path, methods and handler of a route, and the maximum size of its requests'
+bodies in bytes if it is below that of the application. `<name>` in the path
+stands for one segment, `<path:name>` for any number of them."""
 
 Found = tuple[Handler, dict[str, str]] | Response
 """Handler and variables of a path, or the refusal of a request."""
 
 RunBlocking = Callable[..., Awaitable[Response]]
 
-_BODILESS_METHODS = frozenset({"GET", "HEAD"})
+_BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
 _VARIABLE = re.compile(r"<(path:)?(\w+)>")
 
@@ -51,7 +52,8 @@
 
     Args:
         rules: The routes; the first that matches counts.
-        max_body_bytes: Maximum size of a request body.
+        max_body_bytes: Maximum size of a request body, also of routes with a
+            limit of their own; GET and DELETE take none.
         log: The event log.
         check_header: Returns the refusal of a request that has a body, or
             None; called before the body is read.
@@ -81,10 +83,13 @@
     ):
         # Handlers by path and method, in the order of the rules.
         self.routes: dict[str, tuple[re.Pattern[str], dict[str, Handler]]] = {}
-        for path, methods, handler in rules:
+        self.body_limits: dict[Handler, int] = {}
+        for path, methods, handler, *limits in rules:
             if path not in self.routes:
                 self.routes[path] = (_compile_path(path), {})
             self.routes[path][1].update(dict.fromkeys(methods, handler))
+            for limit_bytes in limits:
+                self.body_limits[handler] = min(limit_bytes, max_body_bytes)
         self.max_body_bytes = max_body_bytes
         self.log = log
         self.check_header = check_header or (lambda _request: None)
@@ -108,9 +113,11 @@
         response.headers["Allow"] = ", ".join(sorted(names))
         return response
 
-    def body_limit(self, request: Request) -> int:
+    def body_limit(self, request: Request, handler: Handler) -> int:
         """Returns the maximum size of a request's body, in bytes."""
-        return 0 if request.method in _BODILESS_METHODS else self.max_body_bytes
+        if request.method in _BODILESS_METHODS:
+            return 0
+        return self.body_limits.get(handler, self.max_body_bytes)
 
     async def respond(
         self,
--- a/sardinestair/web/reader.py
+++ b/sardinestair/web/reader.py
@@ -29,6 +29,9 @@
 FEW_PARTS = 4
 # Longest header that is parsed in one step with what follows it.
 MAX_WHOLE_HEADER_BYTES = 4 << 10
+# The route of a body up to this size isn't looked up before it is handled, if
+# it has come with the header.
+MAX_UNCHECKED_BYTES = 4 << 10
 # Number of fields and parts of a body after which `feed` ends early.
 MAX_PARTS = 128
 # Memory of the parser, the reader and the request without their data.
@@ -232,6 +235,10 @@
         if self.request is None and not self._make_request():
             return
         assert self.request is not None
+        if self.found is None and self.body_size > MAX_UNCHECKED_BYTES:
+            self._check_header()
+            if self.refusal is not None:
+                return
         self.request.body = bytes(self.body)
         # The reader lives until the response is written.
         self.body = b""
@@ -310,14 +317,14 @@
         )
 
     def _check_header(self) -> None:
-        if not self._make_request():
+        if self.request is None and not self._make_request():
             return
         assert self.request is not None
         self.found = self.app.find(self.request.method, self.request.path)
         if isinstance(self.found, Response):
             self.refuse(Cause.ROUTE, self.found)
             return
-        self.max_body_bytes = self.app.body_limit(self.request)
+        self.max_body_bytes = self.app.body_limit(self.request, self.found[0])
         refused = self.app.check_header(self.request)
         if refused is not None:
             self.refuse(Cause.ROUTE, refused)
--- a/sardinestair/web/tests/test_reader.py
+++ b/sardinestair/web/tests/test_reader.py
@@ -25,7 +25,17 @@
     async def echo(request):
         return Response(request.body)
 
-    rules = [("/echo", ["GET", "POST"], echo)]
+    async def mark(_request):
+        return Response()
+
+    async def change(request):
+        return Response(request.body)
+
+    rules = [
+        ("/echo", ["GET", "POST", "DELETE"], echo),
+        ("/mark", ["POST"], mark, 0),
+        ("/change", ["POST"], change, 8192),
+    ]
     return WebApp(rules, MAX_BODY_BYTES, EventLog("test"))
 
 
@@ -91,6 +101,18 @@
         ),
         (b"PUT /echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n", Cause.ROUTE, 405),
         (b"GET /echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n", Cause.BODY, 413),
+        (
+            b"DELETE /echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n",
+            Cause.BODY,
+            413,
+        ),
+        (b"POST /mark HTTP/1.1\r\nContent-Length: 9\r\n\r\n", Cause.BODY, 413),
+        (CHUNKED.replace(b"/echo", b"/mark"), Cause.BODY, 413),
+        (
+            b"POST /change HTTP/1.1\r\nContent-Length: 8193\r\n\r\n",
+            Cause.BODY,
+            413,
+        ),
         (CHUNKED.replace(b"/echo", b"/none"), Cause.ROUTE, 404),
         (b"nonsense\r\n\r\n", Cause.SYNTAX, 400),
     ],
@@ -122,6 +144,32 @@
     assert reader.keep_alive
 
 
+@pytest.mark.parametrize(
+    ("method", "path", "size"),
+    [
+        ("POST", "/mark", 4097),
+        ("POST", "/change", 8193),
+        ("GET", "/echo", 4097),
+        ("DELETE", "/echo", 60_000),
+    ],
+)
+def test_body_over_the_limit_of_its_route_is_refused_also_as_a_whole(
+    reader, method, path, size
+):
+    head = f"{method} {path} HTTP/1.1\r\nContent-Length: {size}\r\n\r\n"
+    reader.feed(head.encode() + b"x" * size, 0)
+    assert reader.refusal.cause is Cause.BODY
+    assert reader.refusal.response.status == 413
+    assert not reader.body
+
+
+def test_body_within_the_limit_of_its_route_is_accepted(reader):
+    head = b"POST /change HTTP/1.1\r\nContent-Length: 8192\r\n\r\n"
+    reader.feed(head + b"x" * 8192, 0)
+    assert reader.is_complete
+    assert len(reader.request.body) == 8192
+
+
 def test_chunks_whose_sizes_come_in_parts_of_their_own_are_accepted(reader):
     """As some clients write size, data and line end one by one."""
     for piece in [CHUNKED, *[b"1\r\n", b"x", b"\r\n"] * 8000]:
