Limit who connects to the link ports, and what waits there unread

Cause: the sidecar's link socket took any number of frames that it had not handled, of up to 42 MB each with memory_mb 168, from any address. Measured on a socket with the membership's limits: a handshake costs 29 KB, a frame of 60 KB that is one byte short 80 KB, and two connections that send parts of a message without end took 1,281 MB in 2.5 s; the library bounds neither the connections nor the parts.

Change: at most 64 frames of a link wait in the sidecar, the others at their sender. `link_limits.network` refuses other addresses when they connect, `link_limits.max_frame_mb` sets the size of a frame; both off by default. The text of /metrics is made at most ten times a second: beside 2,000 slow readers of it a job had waited 2.89 s.

--- a/faults/soak.py
+++ b/faults/soak.py
@@ -22,7 +22,8 @@
 import msgspec
 
 from faults.callers import Callers
-from faults.hostile import KINDS, PATHS, run_crowd
+from faults.hostile import run_crowd
+from faults.misuse import KINDS, PATHS
 from faults.relay import Direction, Relay
 from faults.scenarios import (
     FaultContext,
--- a/faults/system.py
+++ b/faults/system.py
@@ -115,6 +115,7 @@
         failing: Indices of the upstreams that fail every task.
         entry_memory_mb: Memory of the VM of an entry, in MB, if it is set.
         sidecar_memory_mb: Memory of the VM of a sidecar, in MB, if it is set.
+        link_network: Network whose addresses may connect to the link ports.
     """
 
     def __init__(
@@ -129,6 +130,7 @@
         failing: tuple[int, ...] = (),
         entry_memory_mb: int | None = None,
         sidecar_memory_mb: int | None = None,
+        link_network: str | None = None,
     ):
         self.rng = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix="sardinestair-")
@@ -137,6 +139,7 @@
         self.slots = slots
         self.entry_memory_mb = entry_memory_mb
         self.sidecar_memory_mb = sidecar_memory_mb
+        self.link_limits = {"network": link_network}
         self.start_log = os.path.join(self.folder, "starts.log")
         self.store_port = free_port()
         self.store = Program(
@@ -254,6 +257,7 @@
             "store": {"endpoints": [self.store_url], "timeout_s": 0.5},
             "peers": [f"127.0.0.1:{p}" for p in link_ports],
             "memory_mb": self.entry_memory_mb,
+            "link_limits": self.link_limits,
         }
         file = self._write_settings(f"entry{index}.yaml", settings)
         args = ["sardinestair-entry", "--settings", file]
@@ -269,6 +273,7 @@
             "entries": [f"127.0.0.1:{p}" for p in self.entry_link_ports],
             "advertise": advertise,
             "memory_mb": self.sidecar_memory_mb,
+            "link_limits": self.link_limits,
         }
         file = self._write_settings(f"sidecar{index}.yaml", settings)
         args = ["sardinestair-sidecar", "--settings", file]
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -98,7 +98,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.context = zmq.Context()
-        limit_messages(self.context, settings.memory_mb)
+        limit_messages(self.context, settings.memory_mb, settings.link_limits)
         self.context.set(zmq.MAX_SOCKETS, 4 * MAX_LINKS)
         self.stopping = threading.Event()
         self.adoption_lock = threading.Lock()
--- a/sardinestair/links/sockets.py
+++ b/sardinestair/links/sockets.py
@@ -8,7 +8,15 @@
 
 import zmq
 
-__all__ = ["has_message", "limit_messages", "limit_peers", "receive"]
+from sardinestair.links.limits import LinkLimits
+
+__all__ = [
+    "MAX_QUEUED_FRAMES",
+    "has_message",
+    "limit_messages",
+    "limit_peers",
+    "receive",
+]
 
 # Plain integers: operations on the library's enums take microseconds.
 _EVENTS = int(zmq.EVENTS)
@@ -21,22 +29,40 @@
 # Part of a machine's memory that one frame may have.
 FRAME_PART = 1 / 4
 HANDSHAKE_TIMEOUT_MS = 5000
+# Received frames of a link that wait to be handled; the others wait at their
+# sender.
+MAX_QUEUED_FRAMES = 64
 
 
-def limit_messages(context: zmq.Context, memory_mb: int | None) -> None:
-    """Bounds the messages that the sockets of a process receive.
+def limit_messages(
+    context: zmq.Context,
+    memory_mb: int | None,
+    limits: LinkLimits | None = None,
+) -> None:
+    """Bounds what the sockets of a process receive, and from whom.
 
     A connection with a larger message is closed.
 
     Args:
         context: The context; the limits hold for its sockets from now on.
-        memory_mb: Memory of the machine in MB, None for no limits.
+        memory_mb: Memory of the machine in MB, None if unknown.
+        limits: Limits that are set; None for none.
     """
+    limits = limits or LinkLimits()
+    if limits.network is not None:
+        context.setsockopt(zmq.TCP_ACCEPT_FILTER, limits.network.encode())
+    frame_bytes = _frame_bytes(memory_mb, limits.max_frame_mb)
+    if frame_bytes is not None:
+        context.setsockopt(zmq.MAXMSGSIZE, frame_bytes)
+        context.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+
+
+def _frame_bytes(memory_mb: int | None, max_frame_mb: int | None) -> int | None:
+    if max_frame_mb is not None:
+        return max_frame_mb * MB
     if memory_mb is None:
-        return
-    frame_bytes = max(MIN_FRAME_BYTES, int(memory_mb * MB * FRAME_PART))
-    context.setsockopt(zmq.MAXMSGSIZE, frame_bytes)
-    context.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+        return None
+    return max(MIN_FRAME_BYTES, int(memory_mb * MB * FRAME_PART))
 
 
 def limit_peers(
--- a/sardinestair/settings/process.py
+++ b/sardinestair/settings/process.py
@@ -9,6 +9,7 @@
 from msgspec import Meta
 
 from sardinestair.endpoints import check_endpoint
+from sardinestair.links.limits import LinkLimits
 from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.files import SettingsError, load_yaml
 from sardinestair.settings.tree import Overrides
@@ -135,6 +136,7 @@
         drain_timeout_s: Timeout of a graceful shutdown, in seconds.
         log_level: Minimum level of logged events.
         link: Timing of the links to sidecars.
+        link_limits: Limits of the link port.
         count_own_delay: Whether the delay that the entry adds to a job, because
             it lacks processor time, counts when jobs are admitted.
         platform: Settings for the users' platform; None runs outside of it.
@@ -155,6 +157,7 @@
     drain_timeout_s: Seconds = 60.0
     log_level: str = "INFO"
     link: LinkTiming = msgspec.field(default_factory=LinkTiming)
+    link_limits: LinkLimits = msgspec.field(default_factory=LinkLimits)
     count_own_delay: bool = False
     platform: EntryPlatform | None = None
 
@@ -187,6 +190,7 @@
             requests and unread responses is a part; a fixed budget of 64 MB
             if absent.
         link: Timing of the links; must match that of the entries.
+        link_limits: Limits of the link port.
         platform: Settings for the users' platform; None runs outside of it.
     """
 
@@ -201,6 +205,7 @@
     http: HttpLimits = msgspec.field(default_factory=HttpLimits)
     memory_mb: MemoryMb | None = None
     link: LinkTiming = msgspec.field(default_factory=LinkTiming)
+    link_limits: LinkLimits = msgspec.field(default_factory=LinkLimits)
     platform: SidecarPlatform | None = None
 
     def __post_init__(self) -> None:
--- a/sardinestair/settings/reference.py
+++ b/sardinestair/settings/reference.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sardinestair.links.limits import LinkLimits
 from sardinestair.links.timing import LinkTiming
 from sardinestair.settings.process import (
     Address,
@@ -82,6 +83,7 @@
         ("`store`", StoreSettings),
         ("`http`", HttpLimits),
         ("`link`", LinkTiming),
+        ("`link_limits`", LinkLimits),
         ("`platform` of an entry", EntryPlatform),
         ("`platform` of a sidecar", SidecarPlatform),
     ):
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -18,7 +18,11 @@
 from sardinestair.limits.resources import Resources, units_needed
 from sardinestair.links.fence import FrameStatus
 from sardinestair.links.session import SidecarSession, StartDecision
-from sardinestair.links.sockets import has_message, receive
+from sardinestair.links.sockets import (
+    MAX_QUEUED_FRAMES,
+    has_message,
+    receive,
+)
 from sardinestair.links.timing import LinkTiming
 from sardinestair.membership.evacuation import EvacuationRegister
 from sardinestair.messages import (
@@ -129,7 +133,7 @@
         self.listeners: list[Callable[[], None]] = []
         self.socket = context.socket(zmq.ROUTER)
         self.socket.set(zmq.SNDHWM, 0)
-        self.socket.set(zmq.RCVHWM, 0)
+        self.socket.set(zmq.RCVHWM, MAX_QUEUED_FRAMES)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
         self.descriptor = int(self.socket.get(zmq.FD))
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -66,7 +66,7 @@
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.context = zmq.Context()
-        limit_messages(self.context, settings.memory_mb)
+        limit_messages(self.context, settings.memory_mb, settings.link_limits)
         self.announcers: dict[str, Announcer] = {}
         self.is_stopping = False
         self.log = EventLog(
--- a/sardinestair/web/app.py
+++ b/sardinestair/web/app.py
@@ -34,6 +34,10 @@
 
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 
+# Age up to which the text of metrics is sent again. To make it takes
+# milliseconds, and a crowd may ask for it.
+METRICS_AGE_S = 0.1
+
 _VARIABLE = re.compile(r"<(path:)?(\w+)>")
 
 
@@ -180,13 +184,13 @@
         status = 200 if ready else 503
         return json_response({"ready": ready, "reason": reason}, status)
 
-    # Requests that are handled in one iteration of the loop share the text.
+    # Requests that are handled soon after one another share the text.
     rendered: list[tuple[bytes, dict[str, str]]] = []
 
     async def show_metrics(_request: Request) -> Response:
         if not rendered:
             rendered.append(metrics.render())
-            asyncio.get_running_loop().call_soon(rendered.clear)
+            asyncio.get_running_loop().call_later(METRICS_AGE_S, rendered.clear)
         body, headers = rendered[0]
         return Response(body, headers=headers)
 
