--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -15,7 +15,11 @@
 from sardinestair.ids import Incarnation, format_incarnation
 from sardinestair.limits.credits import CreditLedger
 from sardinestair.links.session import SidecarSession
-from sardinestair.links.sockets import has_message, receive
+from sardinestair.links.sockets import (
+    MAX_QUEUED_FRAMES,
+    has_message,
+    receive,
+)
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     DECODE_ERRORS,
@@ -131,7 +135,7 @@
         self.runs.on_ended = lambda: self.wake()
         self.socket = context.socket(zmq.ROUTER)
         self.socket.set(zmq.SNDHWM, 0)
-        self.socket.set(zmq.RCVHWM, 0)
+        self.socket.set(zmq.RCVHWM, MAX_QUEUED_FRAMES)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
         self.descriptor = int(self.socket.get(zmq.FD))
