Keep the jobs that placement considers until the queue changes

Cause: each placement and each demand of a link walked the first 64 jobs of the queue anew, also when no upstream had credits. Admission summed the throughput of all links four times a job.

Change: Lookahead keeps the jobs until the version of the queue changes; it chooses anew while any crashes are known. Placement ends at once if no candidate has credits. The throughput is read in one pass where it is needed as a number, up to the first link where it only has to be above zero, and not at all where the order of new jobs doesn't use it.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -677,7 +677,9 @@
     def _enqueue(self, job: Job) -> None:
         state = self._service_state(job.service)
         now_s = self.clock.monotonic()
-        rate = state.throughput() / self.admission_controller.entry_count
+        rate = 0.0
+        if state.queue.needs_throughput:
+            rate = state.throughput() / self.admission_controller.entry_count
         state.queue.add(job, now_s, rate)
         self.services_to_place.add(state.name)
 
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -1,7 +1,6 @@
 """State that an entry keeps for each service."""
 
 import itertools
-from collections import Counter
 from collections.abc import Container, Iterator
 
 from expression import Ok, Result
@@ -11,6 +10,7 @@
     ClassAdmission,
     Room,
 )
+from sardinestair.entry.lookahead import Lookahead
 from sardinestair.entry.shedding import useless_jobs
 from sardinestair.entry.speeds import UpstreamSpeeds
 from sardinestair.entry.stragglers import StragglerPolicy
@@ -38,15 +38,14 @@
 
 __all__ = ["ServiceState"]
 
-# Queued jobs that one placement considers: of each kind, and in total.
-MAX_LOOKAHEAD_PER_KIND = 3
-MAX_LOOKAHEAD_JOBS = 64
 # Sidecars that receive the demand for one waiting task at first. With more of
 # them free capacity is found sooner, but unused credits must be returned.
 TARGETS_PER_TASK = 1
 # Upstreams announce themselves within two heartbeats of 1.5 s. Until then the
 # throughput is unknown and no wait can be predicted.
 DISCOVERY_GRACE_S = 3.0
+# Links whose upstreams count: those that reconnect are back shortly.
+_THROUGHPUT_STATES = (LinkState.UP, LinkState.CONNECTING)
 # An evacuation usually lasts for seconds to hours.
 EVACUATION_RETRY_S = 5.0
 
@@ -63,6 +62,7 @@
 
     Attributes:
         queue: Jobs with tasks that have not started.
+        lookahead: Those of them that placement considers.
         load_view: Estimates the work that waits at all entries.
         class_admission: Admits jobs by class with the order `urgent_first`.
         links: Links to the sidecars of the service's upstreams.
@@ -114,7 +114,10 @@
         self.stragglers = StragglerPolicy()
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
-        self.crashes = crashes or CrashHistory()
+        self.crashes = CrashHistory() if crashes is None else crashes
+        self.lookahead = Lookahead(
+            self.queue, self.crashes, self._must_spare_upstreams
+        )
         self.probation_until_s: dict[Incarnation, float] = {}
         self.demand_targets: set[Incarnation] = set()
         self.declined: set[Incarnation] = set()
@@ -317,7 +320,7 @@
             link.candidate.warm_share
             * link.candidate.concurrency
             / link.candidate.slowdown_
-            for link in self._open_links(LinkState.UP, LinkState.CONNECTING)
+            for link in self._open_links(*_THROUGHPUT_STATES)
         )
 
     def entry_throughput(self, share: float) -> float:
@@ -331,11 +334,19 @@
             The rate of its running tasks, or its share of the throughput if
             that is larger.
         """
-        running = sum(
-            len(link.outstanding) / link.candidate.slowdown_
-            for link in self.links.values()
-        )
-        return max(running, share * self.throughput())
+        running = throughput = 0.0
+        for link in self.links.values():
+            candidate = link.candidate
+            slowdown = candidate.slowdown_
+            running += len(link.outstanding) / slowdown
+            if (
+                link.state in _THROUGHPUT_STATES
+                and candidate.zone not in self.evacuated_zones
+            ):
+                throughput += (
+                    candidate.warm_share * candidate.concurrency / slowdown
+                )
+        return max(running, share * throughput)
 
     def load(
         self,
@@ -421,9 +432,18 @@
         They don't during a grace period after the start, in which upstreams
         announce themselves, and after the loss of all upstreams.
         """
-        since_s = self.created_s if self.throughput() else self.last_available_s
+        since_s = self.created_s
+        if not self._has_throughput():
+            since_s = self.last_available_s
         return now_s - since_s >= DISCOVERY_GRACE_S
 
+    def _has_throughput(self) -> bool:
+        """Returns True if `throughput` isn't 0, at the cost of one link."""
+        return any(
+            link.candidate.warm_share * link.candidate.concurrency > 0
+            for link in self._open_links(*_THROUGHPUT_STATES)
+        )
+
     def admission(self) -> AdmissionControl:
         """Returns the limits on the queue."""
         return AdmissionControl(
@@ -525,7 +545,7 @@
     def _first_job_for(self, link: EntryLink, now_s: float) -> Job | None:
         """Returns the first queued job that the policy would start there."""
         tasks_ahead = self.queue.waiting_tasks - 1
-        for job in self._lookahead_jobs():
+        for job, _ in self.lookahead.jobs():
             task = self._waiting_task(job, tasks_ahead, now_s)
             if task.is_late or self.policy.should_start(link.candidate, task):
                 return job
@@ -552,29 +572,8 @@
             self.settings.remote_factor,
         )
 
-    def _lookahead_jobs(self) -> Iterator[Job]:
-        """Yields the first jobs of each kind, in queue order.
-
-        Jobs of one kind have similar run times and needs: if the first few
-        can't be placed, further ones can't either.
-        """
-        seen: dict[tuple[str, bool, str], int] = {}
-        for job in self.queue.first_jobs(MAX_LOOKAHEAD_JOBS):
-            if self._must_wait(job):
-                continue
-            group = (job.kind, job.is_late, job.rack)
-            count = seen[group] = seen.get(group, 0) + 1
-            if count <= MAX_LOOKAHEAD_PER_KIND:
-                yield job
-
-    def _must_wait(self, job: Job) -> bool:
-        """Returns True if a job's next task might crash one upstream too many.
-
-        A task that may have caused a crash waits while more upstreams are away
-        than may be taken out for failing, so that the others are spared.
-        """
-        if not self.crashes.find(job.job_id, job.waiting[0]):
-            return False
+    def _must_spare_upstreams(self) -> bool:
+        """Returns True if more upstreams are away than may be taken out."""
         away = sum(
             link.state is LinkState.LEAVING and not self._is_evacuated(link)
             for link in self.links.values()
@@ -654,11 +653,9 @@
             The job and the link, or None if no task can or should start now.
         """
         self.queue.demote_late(now_s)
-        # Tasks for a rack compete with each other for its upstreams.
-        ahead: Counter[str] = Counter()
-        for job in self._lookahead_jobs():
-            ahead[job.rack] += len(job.waiting)
-            tasks_ahead = (ahead[job.rack] if job.rack else ahead.total()) - 1
+        if not self.policy.has_available():
+            return None
+        for job, tasks_ahead in self.lookahead.jobs():
             excluded = self._excluded_upstreams(job, now_s)
             task = self._waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
--- a/sardinestair/entry/tests/test_service_state.py
+++ b/sardinestair/entry/tests/test_service_state.py
@@ -2,6 +2,10 @@
 
 import math
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from sardinestair.entry.service_state import DISCOVERY_GRACE_S, ServiceState
 from sardinestair.ids import Incarnation, new_job_id
 from sardinestair.jobs import Job
@@ -90,3 +94,40 @@
     state.share = 0.25
     assert state.throughput() == 1.0
     assert state.share == 0.25
+
+
+@given(
+    links=st.lists(
+        st.tuples(
+            st.sampled_from(LinkState),
+            st.integers(0, 3),
+            st.floats(0.3, 4.0),
+            st.floats(0.0, 1.0),
+            st.integers(0, 4),
+            st.sampled_from(["a", "b"]),
+        ),
+        max_size=6,
+    ),
+    share=st.floats(0.1, 1.0),
+)
+def test_rate_of_an_entry_is_its_share_of_the_throughput(links, share):
+    state = ServiceState("quotes", ServiceSettings(), CREATED_S)
+    state.evacuated_zones = frozenset({"b"})
+    running = 0.0
+    for link_state, slots, slowdown, warm_share, outstanding, zone in links:
+        link = FakeLink()
+        link.state = link_state
+        link.outstanding = dict.fromkeys(range(outstanding))
+        candidate = link.candidate
+        candidate.zone, candidate.warm_share = zone, warm_share
+        candidate.resize(slots, None)
+        candidate.slowdown_ = slowdown
+        running += outstanding / slowdown
+        sidecar = Incarnation(len(state.links).to_bytes(16, "big"))
+        state.links[sidecar] = link
+    expected = max(running, share * state.throughput())
+    assert state.entry_throughput(share) == pytest.approx(expected)
+    is_known = bool(state.throughput())
+    state.last_available_s = CREATED_S + 2 * DISCOVERY_GRACE_S
+    now_s = CREATED_S + 2 * DISCOVERY_GRACE_S
+    assert state.can_predict_wait(now_s) is is_known
--- a/sardinestair/placement/health.py
+++ b/sardinestair/placement/health.py
@@ -35,6 +35,14 @@
     TRIAL = "trial"
 
 
+# Tasks in flight that an upstream of a state may have.
+_OUTSTANDING_LIMITS = {
+    HealthState.UNPROVEN: MAX_UNPROVEN_OUTSTANDING,
+    HealthState.EJECTED: 0,
+    HealthState.TRIAL: 1,
+}
+
+
 class UpstreamHealth:
     """Health of one upstream, learned from the results of its tasks.
 
@@ -63,12 +71,7 @@
             and now_s >= self.ejected_until_s_
         ):
             self.state_ = HealthState.TRIAL
-        limits = {
-            HealthState.UNPROVEN: MAX_UNPROVEN_OUTSTANDING,
-            HealthState.EJECTED: 0,
-            HealthState.TRIAL: 1,
-        }
-        limit = limits.get(self.state_)
+        limit = _OUTSTANDING_LIMITS.get(self.state_)
         return limit is None or outstanding < limit
 
     def record_success(self) -> None:
--- a/sardinestair/placement/policies.py
+++ b/sardinestair/placement/policies.py
@@ -89,6 +89,10 @@
     def remove(self, candidate: Candidate) -> None:
         """Removes a candidate."""
 
+    def has_available(self) -> bool:
+        """Returns False if no candidate has any credits."""
+        ...
+
     def select(self, task: WaitingTask) -> Candidate | None:
         """Chooses a candidate with enough credits for the task.
 
@@ -195,6 +199,10 @@
         self.available.update(candidate, False)
         self.busy.update(candidate, False)
 
+    def has_available(self) -> bool:
+        """Returns False if no candidate has any credits."""
+        return bool(self.available.items)
+
     def select(self, task: WaitingTask) -> Candidate | None:
         """Chooses the fastest candidate, or None if the task should wait.
 
@@ -263,6 +271,10 @@
         """Removes a candidate."""
         self.available.update(candidate, False)
 
+    def has_available(self) -> bool:
+        """Returns False if no candidate has any credits."""
+        return bool(self.available.items)
+
     def select(self, task: WaitingTask) -> Candidate | None:
         """Chooses the candidate with the lowest load."""
         return self.available.best(task)
@@ -294,6 +306,10 @@
             self.available[position] = last
             self.positions[last.sidecar] = position
 
+    def has_available(self) -> bool:
+        """Returns False if no candidate has any credits."""
+        return bool(self.available)
+
 
 class RoundRobin(_UnrankedPolicy):
     """Chooses the candidates in turn."""
--- a/sardinestair/placement/queue.py
+++ b/sardinestair/placement/queue.py
@@ -102,6 +102,7 @@
         waiting_work_s: Sum of their expected run times in seconds.
         waiting_by_class: The same by class, with the number of tasks.
         classes: Keeps the jobs in order with `URGENT_FIRST`.
+        changes: Number of changes other than moves of `classes`.
     """
 
     def __init__(self, order: OrderPolicy = OrderPolicy.SMALL_FIRST):
@@ -113,6 +114,17 @@
         self.waiting_work_s = 0.0
         self.waiting_by_class = WaitingByClass()
         self.classes = ClassOrder(self.jobs)
+        self.changes = 0
+
+    @property
+    def needs_throughput(self) -> bool:
+        """True if the order of new jobs depends on the throughput."""
+        return self.order is OrderPolicy.SMALL_FIRST
+
+    @property
+    def version(self) -> int:
+        """A number that grows with each change of jobs, tasks and order."""
+        return self.changes + self.classes.moves
 
     def set_order(self, order: OrderPolicy) -> None:
         """Changes the order; waiting jobs are sorted again where possible."""
@@ -121,6 +133,7 @@
         self.order = order
         if order not in _DEADLINE_ORDERS:
             return
+        self.changes += 1
         jobs = list(self.jobs)
         self.jobs.clear()
         for job in jobs:
@@ -148,7 +161,8 @@
                 if it `is_late` already.
             now_s: Current time in seconds.
             throughput: Seconds of run time that this entry completes per
-                second, shared by the active teams.
+                second, shared by the active teams; only used if
+                `needs_throughput`.
         """
         work_s = job.run_time.mean_s_ * job.task_count
         start_s = self._virtual_start(job, now_s, work_s, throughput)
@@ -227,6 +241,7 @@
         if self.order is not OrderPolicy.LEAST_SLACK:
             return late
         while self.jobs and self.jobs[0].order_key_s < now_s:
+            self.changes += 1
             job = self.jobs.pop(0)
             job.order_key_s += LATE_OFFSET_S
             # Tasks of late jobs don't count in the backlog of their class.
@@ -309,6 +324,7 @@
         yield from itertools.islice(self.jobs, limit)
 
     def _update_totals(self, job: Job, indices, sign: int) -> None:
+        self.changes += 1
         self.waiting_tasks += sign * len(indices)
         self.classes.count_tasks(job, sign * len(indices))
         size = sum(len(job.payloads[i]) for i in indices)
@@ -336,7 +352,7 @@
     def _virtual_start(
         self, job: Job, now_s: float, work_s: float, throughput: float
     ) -> float:
-        if self.order is not OrderPolicy.SMALL_FIRST:
+        if not self.needs_throughput:
             return now_s
         virtual_time = self.virtual_times.setdefault(
             job.team, TeamVirtualTime()
--- a/sardinestair/placement/urgency.py
+++ b/sardinestair/placement/urgency.py
@@ -42,12 +42,14 @@
         waiting_tasks: Number of waiting tasks of jobs that are not late, by
             class.
         waiting_jobs: Number of these jobs, by class.
+        moves: Number of times that a job was moved.
     """
 
     def __init__(self, jobs: SortedKeyList):
         self.jobs = jobs
         self.waiting_tasks: defaultdict[int, int] = defaultdict(int)
         self.waiting_jobs: defaultdict[int, int] = defaultdict(int)
+        self.moves = 0
 
     def count_job(self, job: Job, sign: int) -> None:
         """Counts a job that was added to the queue, or removed from it."""
@@ -84,6 +86,7 @@
                 self.demote(job)
                 late.append(job)
             else:
+                self.moves += 1
                 self.jobs.remove(job)
                 job.order_key_s -= BEGUN_OFFSET_S
                 self.jobs.add(job)
@@ -91,6 +94,7 @@
 
     def demote(self, job: Job) -> None:
         """Moves a job behind all that can be in time."""
+        self.moves += 1
         self.jobs.remove(job)
         self.count_job(job, -1)
         self.count_tasks(job, -len(job.waiting))
