Grant credits as soon as a new sidecar's wait for an earlier lease is over

Change: the first report is answered at once, the next when the last lease of an earlier sidecar has expired, and the links are served as soon as that is known. The start of the process is noted before YAML is imported.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -46,7 +46,13 @@
     Outcome,
     TaskRef,
 )
-from sardinestair.observability import EventLog, LinkUsage, Metrics
+from sardinestair.observability import (
+    EventLog,
+    LinkUsage,
+    Metrics,
+    StartStep,
+    StartTimes,
+)
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.classes import resolve_service
@@ -116,6 +122,7 @@
         link_usage: Counters of all links.
         ready_links: Links to be served soon.
         on_links_ready: Called when a link has been added to them.
+        start_times: Records the first credits and outcomes; None once done.
     """
 
     def __init__(
@@ -174,6 +181,7 @@
         self.link_usage = LinkUsage()
         self.ready_links: deque[EntryLink] = deque()
         self.on_links_ready: Callable[[], None] = lambda: None
+        self.start_times: StartTimes | None = None
         self.overdue_monitor = OverdueTaskMonitor(
             self.registry, metrics, self.log
         )
@@ -490,6 +498,9 @@
 
     def on_task_finished(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles the outcome of a run."""
+        if self.start_times is not None:
+            self.start_times.reach(StartStep.OUTCOME)
+            self.start_times = None
         self._refresh_link(link)
         self.departures.handle_outcome(link, outcome)
         self.run_outcome_handler.handle_outcome(link, outcome)
@@ -513,6 +524,8 @@
 
     def on_link_changed(self, link: EntryLink) -> None:
         """Refreshes placement after a change of a link's credits or state."""
+        if self.start_times is not None:
+            self._note_start(self.start_times, link)
         self._refresh_link(link)
 
     def on_credits_unused(self, link: EntryLink) -> None:
@@ -569,6 +582,12 @@
 
     # Internals.
 
+    def _note_start(self, times: StartTimes, link: EntryLink) -> None:
+        if link.state is LinkState.UP:
+            times.reach(StartStep.LINKED)
+        if link.account.available:
+            times.reach(StartStep.CREDITS)
+
     def _service_state(self, service: str) -> ServiceState:
         state = self.services.get(service)
         if state is None:
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -10,6 +10,7 @@
 from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LaunchContext
 from sardinestair.membership.evacuation import read_view
+from sardinestair.observability import StartStep
 from sardinestair.platform.callers import ClientApi
 from sardinestair.platform.names import link_endpoints
 from sardinestair.platform.operator import (
@@ -72,7 +73,12 @@
         self.platform: EntryPlatform = settings.platform
         self.is_leaving = False
         self.configured = threading.Event()
-        super().__init__(settings, clock, event_loop)
+        super().__init__(
+            settings,
+            clock,
+            event_loop,
+            None if launched is None else launched.process_start_s,
+        )
         api = ClientApi(self.dispatcher, self.event_loop)
         self.client_app = WebApp(
             api.rules(), settings.max_body_bytes, self.log, api.check_header
@@ -112,6 +118,7 @@
         if not self.configured.wait(CONFIGURATION_WAIT_S):
             self.log.warning("configuration_late", wait_s=CONFIGURATION_WAIT_S)
         self.client_server.start()
+        self.start_times.reach(StartStep.SERVING)
 
     def adopt(self, revision: int, tree: SettingsTree) -> bool:
         """Adopts a settings tree if its revision is newer."""
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -23,7 +23,13 @@
 from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.membership.evacuation import read_view
-from sardinestair.observability import EventLog, Metrics, UsageReporter
+from sardinestair.observability import (
+    EventLog,
+    Metrics,
+    StartStep,
+    StartTimes,
+    UsageReporter,
+)
 from sardinestair.observability.usage import read_processor_times
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
 from sardinestair.settings.files import SettingsError
@@ -71,8 +77,10 @@
         settings: The process's settings.
         clock: The clock.
         event_loop: The event loop; the entry runs one of its own if None.
+        process_start_s: When the process started, on `clock`; now if None.
 
     Attributes:
+        start_times: When the entry first reached each step of its start.
         dispatcher: Owns all jobs.
         membership: Receives the announcements of sidecars and entries.
         gossip: Exchanges settings and endpoints with other entries.
@@ -90,6 +98,7 @@
         settings: EntrySettings,
         clock: Clock | None = None,
         event_loop: EventLoop | None = None,
+        process_start_s: float | None = None,
     ):
         self.settings = settings
         self.owns_loop = event_loop is None
@@ -110,6 +119,11 @@
             entry=format_incarnation(self.incarnation),
             zone=settings.zone,
         )
+        if process_start_s is None:
+            process_start_s = self.clock.monotonic()
+        self.start_times = StartTimes(
+            process_start_s, self.clock, self.metrics, self.log
+        )
         self.tasks = TaskPool(MAX_THREADS, self.log)
         self.store = self._make_store()
         self.claims = self._make_claims()
@@ -124,6 +138,7 @@
             claims=self.claims,
             claim_retention_s=settings.claim_retention_s,
         )
+        self.dispatcher.start_times = self.start_times
         self.link_loop = LinkLoop(
             self.dispatcher, self.clock, self.dispatcher.timing
         )
@@ -197,6 +212,7 @@
 
     def start(self) -> None:
         """Starts to serve."""
+        self.start_times.reach(StartStep.LOADED)
         if self.settings.http_threads is not None:
             self.log.warning("setting_ignored", setting="http_threads")
         if self.owns_loop:
@@ -256,6 +272,7 @@
             self.dispatcher.configure(tree)
             self.membership.settings_revision = revision
         self.log.info("settings_adopted", revision=revision)
+        self.start_times.reach(StartStep.CONFIGURED)
         return True
 
     def stop(self) -> bool:
--- a/sardinestair/launch.py
+++ b/sardinestair/launch.py
@@ -9,8 +9,6 @@
 import socket
 from typing import NamedTuple
 
-import yaml
-
 from sardinestair.clock import SystemClock
 
 __all__ = [
@@ -22,8 +20,6 @@
 
 LISTEN_BACKLOG = 1024
 SETTINGS_VARIABLE = "SARDINESTAIR_SETTINGS"
-# The loader in C is nine times as fast, but not built everywhere.
-YAML_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
 class LaunchContext(NamedTuple):
@@ -60,6 +56,11 @@
 
     Errors are ignored here because the program repeats both and reports them.
     """
+    # Slow to import, after the start of the process has been noted.
+    import yaml
+
+    from sardinestair.yaml_loader import YAML_LOADER
+
     try:
         with open(os.environ[SETTINGS_VARIABLE], encoding="utf-8") as stream:
             settings = yaml.load(stream, Loader=YAML_LOADER)
--- a/sardinestair/settings/files.py
+++ b/sardinestair/settings/files.py
@@ -8,7 +8,7 @@
 import yaml
 from expression import Error, Ok, Result
 
-from sardinestair.launch import YAML_LOADER
+from sardinestair.yaml_loader import YAML_LOADER
 
 __all__ = ["SettingsError", "load_yaml", "parse_yaml"]
 
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from sardinestair.clock import Clock
+from sardinestair.clock import Clock, SystemClock
 from sardinestair.event_loop import EventLoop
 from sardinestair.launch import LaunchContext
 from sardinestair.membership.evacuation import read_view
+from sardinestair.observability import StartStep
 from sardinestair.platform.heartbeats import HeartbeatApi
 from sardinestair.platform.names import link_endpoints
 from sardinestair.platform.operator import EVACUATION_PREFIX
@@ -54,9 +55,9 @@
     ):
         assert settings.platform is not None
         self.platform: SidecarPlatform = settings.platform
-        super().__init__(settings, clock, event_loop)
         if launched is None:
-            launched = LaunchContext(self.clock.monotonic())
+            launched = LaunchContext((clock or SystemClock()).monotonic())
+        super().__init__(settings, clock, event_loop, launched.process_start_s)
         self.stopping = threading.Event()
         self.renewals: Future[None] | None = None
         self.store = PlatformStore(self.platform.store_address)
@@ -70,6 +71,7 @@
             launched.process_start_s,
         )
         self.runner.before_renewal = self.server.stop_expired_sessions
+        self.runner.on_clear = self._handle_clear
         self.server.make_caller = self._make_caller
         api = HeartbeatApi(self.server, self.platform.heartbeat_ttl_s)
         host, port = split_address(self.platform.heartbeat_address)
@@ -111,6 +113,11 @@
             "longest_order_wait_s": pool.take_longest_wait_s()
         }
 
+    def _handle_clear(self) -> None:
+        """Grants credits now that no run of an earlier sidecar is left."""
+        self.start_times.reach(StartStep.CLEAR)
+        self.server.wake()
+
     def _make_caller(
         self, _announcement: Announcement, _on_lost: Callable[[], None]
     ) -> LeasedUpstream:
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -12,7 +12,13 @@
 from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import Announcer, choose_entries
 from sardinestair.messages import DECODE_ERRORS, AnnounceReply
-from sardinestair.observability import EventLog, Metrics, UsageReporter
+from sardinestair.observability import (
+    EventLog,
+    Metrics,
+    StartStep,
+    StartTimes,
+    UsageReporter,
+)
 from sardinestair.observability.usage import read_processor_times
 from sardinestair.settings import SidecarSettings
 from sardinestair.sidecar.api import UpstreamApi
@@ -44,8 +50,10 @@
         settings: The process's settings.
         clock: The clock.
         event_loop: The event loop; the sidecar runs one of its own if None.
+        process_start_s: When the process started, on `clock`; now if None.
 
     Attributes:
+        start_times: When the sidecar first reached each step of its start.
         server: Serves the links to entries, and owns the state.
         memory: Account of the memory that HTTP connections hold.
         announcers: One per chosen entry, by the entry's endpoint.
@@ -58,6 +66,7 @@
         settings: SidecarSettings,
         clock: Clock | None = None,
         event_loop: EventLoop | None = None,
+        process_start_s: float | None = None,
     ):
         self.settings = settings
         self.owns_loop = event_loop is None
@@ -74,6 +83,11 @@
             sidecar=format_incarnation(self.incarnation),
             zone=settings.zone,
         )
+        if process_start_s is None:
+            process_start_s = self.clock.monotonic()
+        self.start_times = StartTimes(
+            process_start_s, self.clock, self.metrics, self.log
+        )
         self.tasks = TaskPool(MAX_THREADS, self.log)
         self.last_learned_s: dict[str, float] = {}
         address = settings.address
@@ -119,6 +133,7 @@
 
     def start(self) -> None:
         """Starts to serve."""
+        self.start_times.reach(StartStep.LOADED)
         if self.owns_loop:
             self.event_loop.start()
         self.event_loop.call(self._start_links)
@@ -247,6 +262,8 @@
             self.server.adopt(reply.settings_revision, policy)
 
     def _notify_announcers(self) -> None:
+        if self.server.upstream.state is UpstreamState.SERVING:
+            self.start_times.reach(StartStep.UPSTREAM)
         for announcer in list(self.announcers.values()):
             announcer.notify()
 
--- a/sardinestair/tests/test_launch.py
+++ b/sardinestair/tests/test_launch.py
@@ -92,3 +92,21 @@
         check=True,
     )
     assert completed.stdout.strip() == "[]"
+
+
+# Guards against a wait for earlier leases that begins only after imports, which
+# take a multiple of their time on a busy machine.
+def test_start_of_the_process_is_noted_before_slow_imports():
+    code = (
+        "import sys\n"
+        "from sardinestair.clock import SystemClock\n"
+        "from sardinestair.launch import prepare_launch\n"
+        "read = SystemClock.monotonic\n"
+        "def monotonic(clock):\n"
+        "    assert 'yaml' not in sys.modules\n"
+        "    return read(clock)\n"
+        "SystemClock.monotonic = monotonic\n"
+        "prepare_launch('platform', 'client_address')"
+    )
+    completed = subprocess.run([sys.executable, "-c", code])
+    assert completed.returncode == 0
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -41,6 +41,8 @@
 # While nothing runs, reports are only needed for starts that come meanwhile:
 # wait + 2 x round trip + retry delay < lease.
 IDLE_REPORT_WAIT_S = 0.2
+# Waits are sent in whole milliseconds.
+CLEARANCE_MARGIN_S = 0.001
 # After a lost request, reports are polled faster, so that another lost report
 # delays the ends of tasks of 120 ms only briefly; this costs about 30 more
 # calls a second.
@@ -90,6 +92,7 @@
         pending_stops: Runs that are being stopped.
         before_renewal: Called before the lease is renewed; requests the stops
             that are due.
+        on_clear: Called when `has_no_orphans` has become true.
         has_no_orphans: True once no run of an earlier sidecar can be active.
         is_lost: True from an expiry of the lease until the next report.
         incarnation_ms: The upstream's incarnation as of the last report.
@@ -131,6 +134,7 @@
             if process_started_s is None
             else process_started_s
         )
+        self.on_clear: Callable[[], None] = lambda: None
         self.has_no_orphans = False
         self.is_lost = False
         self.incarnation_ms = 0
@@ -393,8 +397,18 @@
         if now_s - self.last_unanswered_s < DEGRADED_PERIOD_S:
             return DEGRADED_REPORT_WAIT_S, DEGRADED_REPORT_ROUND_TRIP_S
         wait_s = REPORT_WAIT_S if self.runs else IDLE_REPORT_WAIT_S
+        if self.remote_clock_s is None:
+            wait_s = 0.0
+        earlier_s = self._earlier_lease_end_s() - now_s
+        if earlier_s > 0:
+            # The next report may show that no earlier run is left.
+            wait_s = min(wait_s, earlier_s + CLEARANCE_MARGIN_S)
         return wait_s, REPORT_ROUND_TRIP_S
 
+    def _earlier_lease_end_s(self) -> float:
+        """Returns when all leases of earlier sidecars have expired."""
+        return self.process_started_s + self.lease_s * (1 + MAX_CLOCK_DRIFT)
+
     def _handle_missing_report(self, error: RequestError) -> None:
         self.last_unanswered_s = self.clock.monotonic()
         if not self.unanswered:
@@ -558,13 +572,12 @@
                 self._stop_orphan(state.run, now_s)
         # A late start of an earlier sidecar can be executed until its lease
         # has expired.
-        is_expired = now_s - self.process_started_s >= self.lease_s * (
-            1 + MAX_CLOCK_DRIFT
-        )
+        is_expired = now_s >= self._earlier_lease_end_s()
         may_be_active = any(run.end is None for run in self.orphans.values())
-        self.has_no_orphans = not may_be_active and (
-            self.has_no_orphans or is_expired
-        )
+        was_clear = self.has_no_orphans
+        self.has_no_orphans = not may_be_active and (was_clear or is_expired)
+        if self.has_no_orphans and not was_clear:
+            self.on_clear()
 
     def _stop_orphan(self, run_id: RunId, now_s: float) -> None:
         self._run_log(run_id).warning("unknown_run")
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -8,6 +8,7 @@
 
 from sardinestair.clock import ManualClock
 from sardinestair.ids import JobId
+from sardinestair.links.timing import MAX_CLOCK_DRIFT
 from sardinestair.messages import TaskRef, TaskState
 from sardinestair.observability import Metrics
 from sardinestair.standins.runner import Mode, RunnerModel
@@ -16,6 +17,7 @@
     END_GRACE_S,
     REPORT_RETRY_DELAY_S,
     REPORT_ROUND_TRIP_S,
+    REPORT_WAIT_S,
     STALL_TIMEOUT_S,
     STALLED,
     LeasedUpstream,
@@ -531,6 +533,40 @@
     assert later.has_no_orphans
 
 
+# Guards against a sidecar that grants no credits while an idle report waits,
+# 0.2 s after each start and again when the lease of an earlier one has expired.
+def test_new_sidecar_waits_no_longer_than_for_an_earlier_lease(harness):
+    launched_s = harness.clock.monotonic()
+    harness.clock.advance(LEASE_S / 2)
+    later = harness.make_upstream(launched_s)
+    harness.renew(later)
+    assert harness.client.waits[-1] == 0.0
+    harness.clock.advance(LEASE_S / 4)
+    harness.renew(later)
+    left_s = LEASE_S * (1 + MAX_CLOCK_DRIFT) - 0.75 * LEASE_S
+    wait_s = harness.client.waits[-1]
+    assert left_s <= wait_s <= left_s + 0.002
+    assert not later.has_no_orphans
+    harness.clock.advance(wait_s)
+    harness.renew(later)
+    assert later.has_no_orphans
+    harness.renew(later)
+    assert harness.client.waits[-1] >= REPORT_WAIT_S
+
+
+# Guards against credits that are granted only with the next periodic check.
+def test_end_of_the_wait_for_an_earlier_lease_is_reported_once(harness):
+    cleared = []
+    later = harness.make_upstream(harness.clock.monotonic())
+    later.on_clear = lambda: cleared.append(harness.clock.monotonic())
+    harness.renew(later)
+    assert cleared == []
+    harness.clock.advance(1.1 * LEASE_S)
+    harness.renew(later)
+    harness.renew(later)
+    assert cleared == [harness.clock.monotonic()]
+
+
 def test_idle_upstream_is_asked_half_as_often(harness):
     harness.renew()
     idle_s = harness.client.waits[-1]
