Evacuate, leave at short notice and ask for too much in the soak

It now evacuates zones and ends that, takes upstreams away after a notice of 0.2 s, and sends crowds of three priorities; callers keep their connections open and use them until the entry closes them. New checks: no start in a zone evacuated for 5 s (the users' bound), without the time in which the store, the upstream or its sidecar was paused or faulty; no submission unanswered although its connection stayed open; all zones and slots in use again within 15 s.

--- a/faults/callers.py
+++ b/faults/callers.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
 
 import msgspec
 
@@ -33,6 +34,7 @@
         ended_s: Wall-clock time at which the last submission ended.
         unknown_outcomes: Submissions that may have reached an entry but got
             no answer.
+        timed_out: Those whose connection stayed open until the time-out.
     """
 
     job_id: str
@@ -45,6 +47,7 @@
     broken_off: int = 0
     ended_s: float = 0.0
     unknown_outcomes: int = 0
+    timed_out: int = 0
 
 
 class Callers:
@@ -54,12 +57,22 @@
         system: The system to submit jobs to.
         count: Number of callers.
         seed: Seed of job sizes and run times.
+        kinds: Kinds of the jobs. If there are any, each caller keeps its
+            connections open and uses them for as long as the entry does.
     """
 
-    def __init__(self, system: System, count: int = 24, seed: int = 0):
+    def __init__(
+        self,
+        system: System,
+        count: int = 24,
+        seed: int = 0,
+        kinds: tuple[str, ...] = (),
+    ):
         self.system = system
         self.count = count
         self.seed = seed
+        self.kinds = kinds
+        self.clients = threading.local()
         self.records: list[JobRecord] = []
         self.lock = threading.Lock()
         self.stopping = threading.Event()
@@ -97,7 +110,7 @@
         )
         with self.lock:
             self.records.append(record)
-        body = {
+        body: dict[str, Any] = {
             "id": record.job_id,
             "service": self.system.service,
             "team": f"team{rng.randint(0, 3)}",
@@ -112,6 +125,8 @@
                 for index in range(record.task_count)
             ],
         }
+        if self.kinds:
+            body["kind"] = rng.choice(self.kinds)
         while record.submissions < MAX_SUBMISSIONS:
             self._submit(record, body, rng)
             is_refused = record.status in (429, 503)
@@ -127,8 +142,8 @@
     ) -> None:
         url = rng.choice(self.system.urls)
         record.submissions += 1
-        client = ApiClient(url, ANSWER_TIMEOUT_S)
-        result = client.call("POST", "/v1/jobs", body)
+        begun_s = time.time()
+        result = self._client(url).call("POST", "/v1/jobs", body)
         record.ended_s = time.time()
         if result.is_ok():
             record.status, record.document = 200, result.ok
@@ -138,4 +153,14 @@
         is_not_run = record.document.get("not_run") is True
         record.not_run_at_s = record.ended_s if is_not_run else 0.0
         record.broken_off += record.status == 0 and not is_not_run
-        record.unknown_outcomes += record.status == 0 and not is_not_run
+        is_unknown = record.status == 0 and not is_not_run
+        record.unknown_outcomes += is_unknown
+        duration_s = record.ended_s - begun_s
+        record.timed_out += is_unknown and duration_s >= ANSWER_TIMEOUT_S
+
+    def _client(self, url: str) -> ApiClient:
+        """Returns the calling thread's client of an entry, or a new one."""
+        client = ApiClient(url, ANSWER_TIMEOUT_S)
+        if not self.kinds:
+            return client
+        return self.clients.__dict__.setdefault(url, client)
--- a/faults/scenarios.py
+++ b/faults/scenarios.py
@@ -13,13 +13,22 @@
 
 from faults.callers import Callers
 from faults.relay import Relay
-from faults.system import Program, System
-from faults.verdicts import Verdict, evaluate, read_log, read_starts
+from faults.system import ZONES, Program, System
+from faults.verdicts import (
+    Evacuation,
+    Hindrance,
+    Verdict,
+    evaluate,
+    read_log,
+    read_starts,
+)
 from sardinestair.cli.client import ApiClient
 
 __all__ = [
     "FAULTS",
     "FaultContext",
+    "have_all_slots",
+    "have_evacuations_ended",
     "have_settings_converged",
     "draw_pairs",
     "run_scenario",
@@ -36,6 +45,8 @@
 LONG_PAUSE_S = 12.0
 MAX_LEAVE_S = 3.0
 SETTINGS_TIMEOUT_S = 5.0
+# Within which all upstreams are used again, from the users' specification.
+RECOVERY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.1
 
 
@@ -52,6 +63,9 @@
         rng: Seeded source of the targets of faults.
         reserved: Entries and hosts that a fault acts on. No other fault may
             act on them meanwhile, for instance restart one that was killed.
+        evacuations: Evacuations that have ended.
+        hindrances: When programs could not do their part.
+        crowds: Callers that came beside the usual ones.
     """
 
     system: System
@@ -59,18 +73,25 @@
     verdict: Verdict
     rng: random.Random
     reserved: set[str] = msgspec.field(default_factory=set)
+    evacuations: list[Evacuation] = []
+    hindrances: list[Hindrance] = []
+    crowds: list[Callers] = []
 
     def reserve(self, kind: str, count: int) -> list[int]:
-        """Reserves random entries, or hosts of a sidecar and its upstream.
+        """Reserves random entries, zones, or hosts of a sidecar and upstream.
 
         Args:
-            kind: `entry` or `host`.
+            kind: `entry`, `zone` or `host`.
             count: How many; fewer are reserved if fewer are free.
 
         Returns:
             Their indices.
         """
-        groups = {"entry": self.system.entries, "host": self.system.sidecars}
+        groups = {
+            "entry": self.system.entries,
+            "host": self.system.sidecars,
+            "zone": ZONES,
+        }
         with _RESERVATION_LOCK:
             free = [
                 index
@@ -417,14 +438,47 @@
 
 def have_settings_converged(system: System) -> bool:
     """True if all entries show the same revision within the time-out."""
-    deadline_s = time.monotonic() + SETTINGS_TIMEOUT_S
+    return _holds_in_time(
+        system,
+        "/admin/v1/settings",
+        lambda shown: len({document["revision"] for document in shown}) == 1,
+    )
+
+
+def have_evacuations_ended(system: System) -> bool:
+    """True if no entry shows an evacuated zone within the time-out."""
+    return _holds_in_time(
+        system, "/admin/v1/evacuations", lambda shown: not any(shown)
+    )
+
+
+def have_all_slots(system: System) -> bool:
+    """True if all entries show the slots of all upstreams in time."""
+    slots = system.slots * len(system.upstreams)
+    return _holds_in_time(
+        system,
+        "/admin/v1/status",
+        lambda shown: all(
+            sum(row["slots"] for row in status["services"]) >= slots
+            for status in shown
+        ),
+        RECOVERY_TIMEOUT_S,
+    )
+
+
+def _holds_in_time(
+    system: System,
+    path: str,
+    condition: Callable[[list], bool],
+    timeout_s: float = SETTINGS_TIMEOUT_S,
+) -> bool:
+    """True if a condition on the answers of all entries holds in time."""
+    deadline_s = time.monotonic() + timeout_s
     while time.monotonic() < deadline_s:
-        replies = [
-            ApiClient(url, 2.0).call("GET", "/admin/v1/settings")
-            for url in system.urls
-        ]
-        revisions = {reply.ok["revision"] for reply in replies if reply.is_ok()}
-        if len(revisions) == 1 and all(reply.is_ok() for reply in replies):
+        replies = [ApiClient(url, 2.0).call("GET", path) for url in system.urls]
+        if all(reply.is_ok() for reply in replies) and condition(
+            [reply.ok for reply in replies]
+        ):
             return True
         time.sleep(POLL_INTERVAL_S)
     return False
--- a/faults/soak.py
+++ b/faults/soak.py
@@ -3,36 +3,49 @@
 Each seed determines the size of a system and the faults injected for some
 seconds: processes are killed, paused and stopped gracefully, links are
 delayed, reset, silenced and blocked in one direction, the store fails,
-settings are changed concurrently, and clients misuse HTTP. Duplicate starts
-are checked while the system runs, all other guarantees at the end.
+settings are changed concurrently, zones are evacuated and used again,
+upstreams leave at short notice, crowds of jobs of three priorities ask for more
+than there is room for, and clients misuse HTTP. Duplicate starts are checked
+while the system runs, all other guarantees at the end.
 """
 
 import argparse
 import multiprocessing
 import random
-import signal
 import sys
 import threading
 import time
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from faults.callers import Callers
 from faults.hostile import KINDS, PATHS, run_crowd
-from faults.relay import Direction, Relay
+from faults.random_faults import (
+    KINDS_OF_JOB,
+    NOTICE_S,
+    RANDOM_FAULTS,
+    SOAK_SETTINGS,
+)
+from faults.relay import Relay
 from faults.scenarios import (
     FaultContext,
-    edit_deadline,
+    have_all_slots,
+    have_evacuations_ended,
     have_settings_converged,
 )
-from faults.system import Program, System
-from faults.verdicts import Verdict, describe_violations, evaluate, read_starts
+from faults.system import ZONES, System
+from faults.verdicts import (
+    Verdict,
+    describe_violations,
+    evacuated_starts,
+    evaluate,
+    read_log,
+    read_starts,
+)
 
-__all__ = ["RANDOM_FAULTS", "run_seed", "regression_seeds"]
+__all__ = ["run_seed", "regression_seeds"]
 
 SEEDS_FILE = Path(__file__).parent / "soak_seeds.txt"
 DEFAULT_SECONDS = 8.0
@@ -65,92 +78,6 @@
     return SystemSize(rng.randint(2, 4), rng.randint(3, 8), rng.randint(8, 24))
 
 
-def _act_on_program(
-    context: FaultContext, rng: random.Random, act: Callable[[Program], None]
-) -> None:
-    """Acts on a random program that no other fault acts on, if there is one."""
-    system = context.system
-    groups = [
-        ("entry", system.entries),
-        ("host", system.sidecars),
-        ("host", system.upstreams),
-    ]
-    kind, group = rng.choice(groups)
-    indices = context.reserve(kind, 1)
-    for index in indices:
-        act(group[index])
-    context.release(kind, indices)
-
-
-def kill_program(context: FaultContext, rng: random.Random) -> None:
-    """Kills a program and restarts it after a delay."""
-
-    def act(program: Program) -> None:
-        program.kill()
-        time.sleep(rng.uniform(0.0, 1.5))
-        program.start()
-
-    _act_on_program(context, rng, act)
-
-
-def pause_program(context: FaultContext, rng: random.Random) -> None:
-    """Pauses a program, then resumes it."""
-
-    def act(program: Program) -> None:
-        program.send_signal(signal.SIGSTOP)
-        time.sleep(rng.uniform(0.05, 4.0))
-        program.send_signal(signal.SIGCONT)
-
-    _act_on_program(context, rng, act)
-
-
-def stop_program(context: FaultContext, rng: random.Random) -> None:
-    """Stops a program gracefully and restarts it."""
-
-    def act(program: Program) -> None:
-        program.stop()
-        program.start()
-
-    _act_on_program(context, rng, act)
-
-
-def disturb_link(context: FaultContext, rng: random.Random) -> None:
-    """Delays, resets, silences or blocks the connections of a sidecar."""
-    relay = rng.choice(list(context.relays.values()))
-    fault = rng.choice(["delay", "reset", "silence", "block"])
-    if fault == "delay":
-        relay.delay_s = rng.uniform(0.01, 0.3)
-    elif fault == "reset":
-        relay.reset()
-    elif fault == "silence":
-        relay.silence()
-    else:
-        relay.block(rng.choice(list(Direction)))
-    time.sleep(rng.uniform(0.1, 3.0))
-    relay.delay_s = 0.0
-    relay.heal()
-
-
-def disturb_store(context: FaultContext, rng: random.Random) -> None:
-    """Makes the store unavailable or slow, or loses its answers."""
-    faults: dict[str, Any] = rng.choice(
-        [{"down": True}, {"delay_s": rng.uniform(0.05, 1.0)},
-         {"lose_answers": rng.randint(1, 5)}]
-    )  # fmt: skip
-    context.system.set_store_faults(**faults)
-    time.sleep(rng.uniform(0.2, 3.0))
-    context.system.set_store_faults()
-
-
-def change_settings(context: FaultContext, rng: random.Random) -> None:
-    """Changes the same setting through two entries concurrently."""
-    extra_s = rng.randint(0, 99)
-    urls = rng.sample(context.system.urls, 2)
-    with ThreadPoolExecutor(2) as editors:
-        for url in urls:
-            editors.submit(edit_deadline, context, url, extra_s)
-
-
 def misuse_http(system: System, rng: random.Random, seconds: float) -> None:
     """Sends crowds of clients that misuse HTTP to random entries in turn."""
     deadline_s = time.monotonic() + seconds
@@ -171,18 +98,6 @@
         crowd.join()
 
 
-RANDOM_FAULTS: list[Callable[[FaultContext, random.Random], None]] = [
-    kill_program,
-    kill_program,
-    pause_program,
-    stop_program,
-    disturb_link,
-    disturb_link,
-    disturb_store,
-    change_settings,
-]
-
-
 class StartMonitor:
     """Checks for duplicate starts while a system runs.
 
@@ -232,14 +147,20 @@
     """
     rng = random.Random(f"soak {seed}")
     size = size or draw_size(rng)
-    system = System(size.entries, size.sidecars, seed)
+    system = System(
+        size.entries,
+        size.sidecars,
+        seed,
+        tree=SOAK_SETTINGS,
+        notice_s=NOTICE_S,
+    )
     relays = {i: Relay(port) for i, port in enumerate(system.link_ports)}
     for index, relay in relays.items():
         system.set_advertised_endpoint(index, relay.endpoint)
     context = FaultContext(system, relays, Verdict(), rng)
     try:
         system.start()
-        callers = Callers(system, size.callers, seed)
+        callers = Callers(system, size.callers, seed, KINDS_OF_JOB)
         monitor = StartMonitor(system, callers)
         callers.start()
         monitor.start()
@@ -252,8 +173,18 @@
         _inject_faults(context, rng, seconds)
         misuse.join()
         time.sleep(SETTLE_S)
-        is_converged = have_settings_converged(system)
+        failures = [
+            check.__name__
+            for check in (
+                have_settings_converged,
+                have_evacuations_ended,
+                have_all_slots,
+            )
+            if not check(system)
+        ]
         records = callers.stop()
+        for crowd in context.crowds:
+            records += crowd.records
         monitor.stop()
     finally:
         system.stop()
@@ -261,13 +192,31 @@
             relay.close()
     starts = read_starts(system.start_log)
     verdict = evaluate(records, starts)
-    for line in describe_violations(records, starts):
+    for line in [*failures, *describe_violations(records, starts)]:
         print(line)
     verdict.doubled = max(verdict.doubled, monitor.doubled)
-    verdict.reverted += not is_converged
+    verdict.late_starts = _count_evacuated_starts(context)
+    verdict.reverted = len(failures)
     return verdict, system.folder
 
 
+def _count_evacuated_starts(context: FaultContext) -> int:
+    """Counts the starts in zones that were evacuated for long."""
+    count = 0
+    for index in range(len(context.system.upstreams)):
+        names = ("store", f"sidecar{index}", f"upstream{index}")
+        hindrances = [h for h in context.hindrances if h.program in names]
+        log = Path(f"{context.system.start_log}.{index}")
+        starts = read_log(str(log)) if log.exists() else []
+        for evacuation in context.evacuations:
+            if evacuation.zone == ZONES[index % len(ZONES)]:
+                late = evacuated_starts(starts, evacuation, hindrances)
+                count += len(late)
+                for start in late:
+                    print(f"upstream={index} {evacuation} {start}")
+    return count
+
+
 def _inject_faults(
     context: FaultContext, rng: random.Random, seconds: float
 ) -> None:
--- a/faults/system.py
+++ b/faults/system.py
@@ -115,6 +115,7 @@
         failing: Indices of the upstreams that fail every task.
         entry_memory_mb: Memory of the VM of an entry, in MB, if it is set.
         sidecar_memory_mb: Memory of the VM of a sidecar, in MB, if it is set.
+        notice_s: Notice of the upstreams when they stop, in seconds, or None.
     """
 
     def __init__(
@@ -129,6 +130,7 @@
         failing: tuple[int, ...] = (),
         entry_memory_mb: int | None = None,
         sidecar_memory_mb: int | None = None,
+        notice_s: float | None = None,
     ):
         self.rng = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix="sardinestair-")
@@ -158,6 +160,7 @@
             self.rng.choice((1, 1, 2, 3)) for _ in range(upstreams)
         ]
         self.failing = failing
+        self.notice_s = notice_s
         self.upstreams = [self._make_upstream(i) for i in range(upstreams)]
 
     @property
@@ -290,4 +293,6 @@
         ]
         if index in self.failing:
             args.append("--fails-all")
+        if self.notice_s is not None:
+            args += ["--notice", str(self.notice_s)]
         return Program(f"upstream{index}", self.folder, args)
--- a/faults/verdicts.py
+++ b/faults/verdicts.py
@@ -8,15 +8,23 @@
 from faults.callers import JobRecord
 
 __all__ = [
+    "Evacuation",
+    "Hindrance",
     "TaskStart",
     "Verdict",
     "describe_violations",
+    "evacuated_starts",
     "evaluate",
     "read_log",
     "read_starts",
 ]
 
 
+# Time after which nothing starts in an evacuated zone, in seconds, from the
+# users' specification.
+EVACUATION_BOUND_S = 5.0
+
+
 class TaskStart(msgspec.Struct, frozen=True):
     """A started task, as logged by its upstream.
 
@@ -33,11 +41,39 @@
     upstream_port: int
 
 
+class Evacuation(msgspec.Struct, frozen=True):
+    """An evacuation of a zone.
+
+    Attributes:
+        zone: The zone.
+        begun_s: Wall-clock time at which its begin was confirmed, in seconds.
+        ended_s: Wall-clock time before its end was requested, in seconds.
+    """
+
+    zone: str
+    begun_s: float
+    ended_s: float
+
+
+class Hindrance(msgspec.Struct, frozen=True):
+    """A time in which a program can't do its part.
+
+    Attributes:
+        program: Name of the program.
+        begun_s: Wall-clock time of its begin, in seconds.
+        ended_s: Wall-clock time of its end, in seconds.
+    """
+
+    program: str
+    begun_s: float
+    ended_s: float
+
+
 class Verdict(msgspec.Struct):
     """Counts of tasks and jobs, and of violated guarantees.
 
-    `doubled`, `untrue_not_run`, `partial`, `late_starts`, `cut_off` and
-    `reverted` must be 0.
+    `doubled`, `untrue_not_run`, `partial`, `lost`, `late_starts`, `cut_off`
+    and `reverted` must be 0.
 
     Attributes:
         tasks: Submitted tasks; a task that is submitted again counts once.
@@ -51,11 +87,15 @@
             started and the outcome of every submission is known.
         partial: Successful answers with a wrong or missing result, or one
             that belongs to another job.
-        late_starts: Starts at an upstream after its leave took effect.
+        lost: Submissions that got no answer although their connection stayed
+            open until long after their deadline.
+        late_starts: Starts at an upstream after its leave took effect, or in
+            a zone that was evacuated for longer than the bound.
         cut_off: Requests broken off or failed under faults that must not
             interrupt any, and graceful stops that ended with an error.
         reverted: Times that an entry returned to an older settings revision,
-            or that entries did not agree on one in time.
+            that entries did not agree on one in time, or that they did not use
+            all zones and upstreams again in time after the last fault.
     """
 
     tasks: int = 0
@@ -66,6 +106,7 @@
     doubled: int = 0
     untrue_not_run: int = 0
     partial: int = 0
+    lost: int = 0
     late_starts: int = 0
     cut_off: int = 0
     reverted: int = 0
@@ -78,6 +119,7 @@
                 self.doubled,
                 self.untrue_not_run,
                 self.partial,
+                self.lost,
                 self.late_starts,
                 self.cut_off,
                 self.reverted,
@@ -112,6 +154,7 @@
     started_jobs = {start.job_id for start in starts}
     for record in records:
         verdict.tasks += record.task_count
+        verdict.lost += record.timed_out
         max_starts = 1 if record.unrepeatable else record.submissions
         verdict.doubled += sum(
             start_counts[record.job_id, index] > max_starts
@@ -148,6 +191,43 @@
     return lines
 
 
+def evacuated_starts(
+    starts: list[TaskStart],
+    evacuation: Evacuation,
+    hindrances: list[Hindrance],
+) -> list[TaskStart]:
+    """Returns the starts in a zone that was evacuated for too long before.
+
+    Args:
+        starts: Starts at one upstream of the zone.
+        evacuation: The evacuation.
+        hindrances: Times that don't count: those of the store, of the upstream
+            and of its sidecar.
+    """
+    return [
+        start
+        for start in starts
+        if start.time_s < evacuation.ended_s
+        and start.time_s - evacuation.begun_s
+        > EVACUATION_BOUND_S
+        + _overlap_s(hindrances, evacuation.begun_s, start.time_s)
+    ]
+
+
+def _overlap_s(
+    hindrances: list[Hindrance], begun_s: float, ended_s: float
+) -> float:
+    """Returns how much of a period any hindrance covers, in seconds."""
+    total_s = 0.0
+    covered_until_s = begun_s
+    for hindrance in sorted(hindrances, key=lambda each: each.begun_s):
+        first_s = max(hindrance.begun_s, covered_until_s)
+        last_s = min(hindrance.ended_s, ended_s)
+        total_s += max(0.0, last_s - first_s)
+        covered_until_s = max(covered_until_s, last_s)
+    return total_s
+
+
 def _evaluate_answer(
     record: JobRecord,
     has_started: bool,
--- a/sardinestair/standins/upstream.py
+++ b/sardinestair/standins/upstream.py
@@ -48,6 +48,7 @@
         ttl_s: Time to live of the announcement, in seconds.
         start_log: File for one line per started task, or None.
         fails_all: True to answer every task with status 500 at once.
+        notice_s: Notice that it gives when it stops, in seconds, or None.
 
     Attributes:
         running: Number of running tasks.
@@ -64,6 +65,7 @@
         ttl_s: float = 3.0,
         start_log: str | None = None,
         fails_all: bool = False,
+        notice_s: float | None = None,
     ):
         self.sidecar = sidecar
         self.service = service
@@ -72,6 +74,7 @@
         self.ttl_s = ttl_s
         self.start_log = start_log
         self.fails_all = fails_all
+        self.notice_s = notice_s
         self.running = 0
         self.max_running = 0
         self.stopping = threading.Event()
@@ -102,7 +105,10 @@
     def stop(self) -> None:
         """Withdraws the upstream, waits for its tasks, and stops serving."""
         self.stopping.set()
-        self._call_sidecar("DELETE", b"")
+        notice = (
+            "" if self.notice_s is None else f"?leaves_in_s={self.notice_s}"
+        )
+        self._call_sidecar("DELETE", b"", notice)
         stop_deadline_s = time.monotonic() + LEAVE_TIMEOUT_S
         while (
             self._has_unfinished_tasks() and time.monotonic() < stop_deadline_s
@@ -133,10 +139,11 @@
             self._call_sidecar("PUT", body)
             self.stopping.wait(self.ttl_s / 4)
 
-    def _call_sidecar(self, method: str, body: bytes) -> Reply | None:
-        reply = Transfer().perform(
-            method, f"{self.sidecar}/v1/upstream", body, SIDECAR_TIMEOUT_S
-        )
+    def _call_sidecar(
+        self, method: str, body: bytes, query: str = ""
+    ) -> Reply | None:
+        url = f"{self.sidecar}/v1/upstream{query}"
+        reply = Transfer().perform(method, url, body, SIDECAR_TIMEOUT_S)
         if isinstance(reply, TransferFailure):
             self.log.warning("announce_failed", reason=reply.reason)
             return None
--- a/sardinestair/standins/upstream_main.py
+++ b/sardinestair/standins/upstream_main.py
@@ -33,12 +33,14 @@
         option("ttl", None, "Announcement TTL, s.", flag=False, default="3"),
         option("start-log", None, "Log of started tasks.", flag=False),
         option("fails-all", None, "Answer every task with status 500."),
+        option("notice", None, "Notice when it stops, s.", flag=False),
     ]
 
     def handle(self) -> int:
         """Serves until SIGTERM."""
         tune_interpreter()
         configure_logging("WARNING")
+        notice = self.option("notice")
         standin = UpstreamStandin(
             self.option("sidecar"),
             self.option("service"),
@@ -48,6 +50,7 @@
             float(self.option("ttl")),
             self.option("start-log"),
             bool(self.option("fails-all")),
+            None if notice is None else float(notice),
         )
         standin.start()
         wait_for_stop_signal()
