--- a/faults/system.py
+++ b/faults/system.py
@@ -116,6 +116,7 @@
         entry_memory_mb: Memory of the VM of an entry, in MB, if it is set.
         sidecar_memory_mb: Memory of the VM of a sidecar, in MB, if it is set.
         link_network: Network whose addresses may connect to the link ports.
+        notice_s: Notice of the upstreams when they stop, in seconds, or None.
     """
 
     def __init__(
@@ -131,6 +132,7 @@
         entry_memory_mb: int | None = None,
         sidecar_memory_mb: int | None = None,
         link_network: str | None = None,
+        notice_s: float | None = None,
     ):
         self.rng = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix="sardinestair-")
@@ -161,6 +163,7 @@
             self.rng.choice((1, 1, 2, 3)) for _ in range(upstreams)
         ]
         self.failing = failing
+        self.notice_s = notice_s
         self.upstreams = [self._make_upstream(i) for i in range(upstreams)]
 
     @property
@@ -295,4 +298,6 @@
         ]
         if index in self.failing:
             args.append("--fails-all")
+        if self.notice_s is not None:
+            args += ["--notice", str(self.notice_s)]
         return Program(f"upstream{index}", self.folder, args)
