Speak no ZMTP 1.0 at the link ports

Cause: without a ZAP domain the library takes data of any other protocol for a message of many parts, which it keeps without end: 400 connections with 256 KB of it took a sidecar to 297 MB, where 168 are allowed.

Change: sockets have a domain, for which nothing answers, so that peers of ZMTP 3 connect as before and others are disconnected.

Tests of links, link port and whole path pass.

--- a/sardinestair/links/sockets.py
+++ b/sardinestair/links/sockets.py
@@ -29,6 +29,9 @@
 # Part of a machine's memory that one frame may have.
 FRAME_PART = 1 / 4
 HANDSHAKE_TIMEOUT_MS = 5000
+# A socket without a domain also speaks ZMTP 1.0, in which any data is a message
+# of many parts. Nothing answers for the domain, so peers need no permission.
+ZAP_DOMAIN = b"links"
 # Received frames of a link that wait to be handled; the others wait at their
 # sender.
 MAX_QUEUED_FRAMES = 64
@@ -49,6 +52,7 @@
         limits: Limits that are set; None for none.
     """
     limits = limits or LinkLimits()
+    context.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
     if limits.network is not None:
         context.setsockopt(zmq.TCP_ACCEPT_FILTER, limits.network.encode())
     frame_bytes = _frame_bytes(memory_mb, limits.max_frame_mb)
--- a/sardinestair/links/tests/test_sockets.py
+++ b/sardinestair/links/tests/test_sockets.py
@@ -111,6 +111,23 @@
     assert server.recv_multipart()[-1] == b"announcement"
 
 
+@pytest.mark.parametrize(
+    "data", [b"U" * 100_000, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 1000]
+)
+def test_data_of_another_protocol_ends_the_connection(context, data):
+    """400 connections with 256 KB of it took a process to 297 MB."""
+    limit_messages(context, None)
+    server = context.socket(zmq.ROUTER)
+    server.bind("tcp://127.0.0.1:*")
+    stranger = connect_from("127.0.0.1", server)
+    with stranger, pytest.raises(ConnectionError):
+        for _ in range(MAX_SENT_BYTES // len(data)):
+            stranger.sendall(data)
+    assert server.poll(100) == 0
+    connect(context, server).send(b"announcement")
+    assert server.recv_multipart()[-1] == b"announcement"
+
+
 @pytest.mark.parametrize("network", ["", "10.0.0.0/33", "10.0.0.1/8", "::/0"])
 def test_network_that_is_none_is_refused(network):
     with pytest.raises(msgspec.ValidationError):
