--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -24,7 +24,7 @@
 
 __all__ = ["AdminApi"]
 
-# The smallest values of a change take 27 times their text once decoded.
+# The smallest values of a change take 24 times their text once decoded.
 MAX_EDIT_BYTES = 64 << 10
 MAX_TREE_BYTES = 1 << 20
 # A node of a settings tree takes about 2 KB.
