Split the leased upstream by subject

The signature of `stop` with its default is written in TaskCaller and in LeasedUpstream only: AsyncCaller derives from TaskCaller, whose `stop` does nothing. Heartbeats of all sessions are computed in one list, not by a call for each.

Behaviour is unchanged. Passed: sardinestair/upstreams, sidecar, platform, test_links_machine.py, test_whole_path.py.

--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -263,7 +263,7 @@
         has_sent = False
         now_s = self.clock.monotonic()
         sessions = self.sessions.by_entry.values()
-        due_s = [self.sessions.heartbeat_due_s(session) for session in sessions]
+        due_s = self.sessions.heartbeats_due_s()
         # One wake-up sends the heartbeats of all sessions.
         is_any_due = min(due_s, default=math.inf) <= now_s
         early_s = EARLY_HEARTBEAT_SHARE * self.timing.heartbeat_s
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -69,7 +69,7 @@
             self.server.report_upstream_lost,
             launched.process_start_s,
         )
-        self.runner.before_renewal = self.server.sessions.stop_expired
+        self.runner.lease.before_renewal = self.server.sessions.stop_expired
         self.server.availability.make_caller = self._make_caller
         api = HeartbeatApi(self.server, self.platform.heartbeat_ttl_s)
         host, port = split_address(self.platform.heartbeat_address)
--- a/sardinestair/sidecar/session_table.py
+++ b/sardinestair/sidecar/session_table.py
@@ -148,18 +148,24 @@
             if now_s - session.last_received_s <= self.timing.lost_s
         )
 
-    def heartbeat_due_s(self, session: SidecarSession) -> float:
-        """Returns when the next heartbeat is due; infinite if it is closed."""
-        if session.fence.is_epoch_invalid:
-            return math.inf
-        interval_s = self.timing.heartbeat_interval_s(session.is_idle)
-        return session.last_sent_s + interval_s
+    def heartbeats_due_s(self) -> list[float]:
+        """Returns when the heartbeat of each session is due.
+
+        It is infinite for those that are closed.
+        """
+        busy_s = self.timing.heartbeat_interval_s(is_idle=False)
+        idle_s = self.timing.heartbeat_interval_s(is_idle=True)
+        return [
+            math.inf
+            if session.fence.is_epoch_invalid
+            else session.last_sent_s + (busy_s if session.tasks else idle_s)
+            for session in self.by_entry.values()
+        ]
 
     def next_due_s(self) -> float:
         """Returns when a check, a heartbeat or the end of a session is due."""
-        heartbeats = map(self.heartbeat_due_s, self.by_entry.values())
         next_check_s = self.last_check_s + self._check_interval_s()
-        return min([next_check_s, *heartbeats, *self._ends_s()])
+        return min([next_check_s, *self.heartbeats_due_s(), *self._ends_s()])
 
     def _open(
         self, route: bytes, session: SidecarSession, resume: Resume
--- a/sardinestair/upstreams/caller.py
+++ b/sardinestair/upstreams/caller.py
@@ -70,12 +70,14 @@
     Attributes:
         is_leased: True if tasks can be stopped and end when their lease
             expires.
-        has_no_orphans: True once no task of an earlier sidecar can be
-            running.
     """
 
     is_leased: bool
-    has_no_orphans: bool
+
+    @property
+    def has_no_orphans(self) -> bool:
+        """True once no task of an earlier sidecar can be running."""
+        ...
 
     @property
     def is_lease_ending(self) -> bool:
@@ -106,10 +108,10 @@
     def stop(
         self,
         ref: TaskRef,
-        reason: bytes = b"",
+        reason: bytes = b"cancelled",
         within_s: float = STOP_LIMIT_S,
     ) -> None:
-        """Requests that a task be stopped, if the upstream supports it.
+        """Requests that a task be stopped; without effect unless overridden.
 
         Args:
             ref: The attempt.
@@ -117,12 +119,13 @@
             within_s: Time within which it must have ended, in seconds. The
                 lease isn't renewed beyond, which ends all tasks there.
         """
+        return
 
     def close(self) -> None:
         """Ends the caller's background activity."""
 
 
-class AsyncCaller(abc.ABC):
+class AsyncCaller(TaskCaller):
     """Base class of callers whose calls are coroutines of the event loop.
 
     Attributes:
@@ -260,14 +263,6 @@
             state, reply.reason.encode(), False, run_s, is_unreachable
         )
 
-    def stop(
-        self,
-        ref: TaskRef,
-        reason: bytes = b"",
-        within_s: float = STOP_LIMIT_S,
-    ) -> None:
-        """Does nothing: a request in flight can't be stopped."""
-
     def close(self) -> None:
         """Closes the idle connections; tasks in progress go on."""
         self.transfers.close()
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -12,15 +12,17 @@
 from sardinestair.observability import Metrics
 from sardinestair.standins.runner import Mode, RunnerModel
 from sardinestair.upstreams.leased import (
-    DEGRADED_PERIOD_S,
-    END_GRACE_S,
-    REPORT_RETRY_DELAY_S,
-    REPORT_ROUND_TRIP_S,
     STALL_TIMEOUT_S,
     STALLED,
     LeasedUpstream,
 )
 from sardinestair.upstreams.orders import RequestError
+from sardinestair.upstreams.report_schedule import (
+    DEGRADED_PERIOD_S,
+    REPORT_RETRY_DELAY_S,
+    REPORT_ROUND_TRIP_S,
+)
+from sardinestair.upstreams.stopper import END_GRACE_S
 
 LEASE_S = 0.45
 REF = TaskRef(JobId(b"j" * 16), 0, 1)
@@ -407,7 +409,7 @@
     harness.wait_for("start")
     harness.clock.advance(0.1)
     end_s = harness.clock.monotonic() + 0.4
-    harness.upstream.before_renewal = lambda: harness.upstream.stop(
+    harness.upstream.lease.before_renewal = lambda: harness.upstream.stop(
         REF, b"session over", 0.4
     )
     harness.renew()
--- a/sardinestair/upstreams/tests/test_stops.py
+++ b/sardinestair/upstreams/tests/test_stops.py
@@ -287,8 +287,8 @@
     upstream = LeasedUpstream(
         RunnerModel(clock), clock, LEASE_S, Metrics(), lambda: lost.append(1)
     )
-    upstream.remote_clock_s = 0.0
-    upstream.lease_until_s = 0.0
+    upstream.lease.remote_clock_s = 0.0
+    upstream.lease.until_s = 0.0
     clock.advance(LEASE_S / 2)
     upstream._handle_missing_report(RequestError("no reply", True))
     assert not lost
