Write shared set-up of processes and workers of the store once

SettingsFollower, EvacuationFollower and Registration had the same loop and the same `stop`: they derive from StoreWorker and state one step. Entry and sidecar made their ZeroMQ context and memory account in the same lines: process_memory has them. sardinestair.placement no longer exports three policies that only the factory uses. In test_stops.py `run_tasks` starts tasks and asserts that all run, also in five tests that did not assert it; the sidecar's tests share one fixture.

--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -20,11 +20,11 @@
 from sardinestair.limits.credit_priority import REST_CLASS
 from sardinestair.limits.self_load import EntryDelay
 from sardinestair.links import LinkLoop
-from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.membership.evacuation import read_view
 from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.observability.usage import read_processor_times
+from sardinestair.process_memory import make_context, make_memory_account
 from sardinestair.settings import EntrySettings, SettingsTree, parse_tree
 from sardinestair.settings.files import SettingsError
 from sardinestair.settings.service import SettingsFollower, SettingsWriter
@@ -41,10 +41,10 @@
     EntryRecord,
     Registration,
 )
+from sardinestair.store.worker import StoreWorker
 from sardinestair.tasks import TaskPool
 from sardinestair.web import (
     HttpServer,
-    MemoryAccount,
     ServerRole,
     WebApp,
     monitoring_rules,
@@ -97,8 +97,7 @@
         self.clock = clock or SystemClock()
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
-        self.context = zmq.Context()
-        limit_messages(self.context, settings.memory_mb)
+        self.context = make_context(settings.memory_mb)
         self.context.set(zmq.MAX_SOCKETS, 4 * MAX_LINKS)
         self.stopping = threading.Event()
         self.adoption_lock = threading.Lock()
@@ -157,12 +156,8 @@
             controller = self.dispatcher.admission_controller
             controller.entry_delay = self.entry_delay
         self.budgets = self._make_budgets()
-        self.memory = MemoryAccount.for_process(
-            settings.memory_mb,
-            settings.http.max_connections,
-            self.event_loop.loop.time,
-            self.log,
-            self.metrics,
+        self.memory = make_memory_account(
+            settings, self.event_loop, self.log, self.metrics
         )
         self.app = WebApp(self._rules(), settings.max_body_bytes, self.log)
         self.http = HttpServer(
@@ -173,9 +168,7 @@
             limits=settings.http,
             share=self.memory.shares[self.http_role],
         )
-        self.store_workers: list[
-            SettingsFollower | EvacuationFollower | Registration
-        ] = []
+        self.store_workers: list[StoreWorker] = []
         self.usage = UsageReporter(
             self.clock,
             self.metrics,
--- a/sardinestair/placement/__init__.py
+++ b/sardinestair/placement/__init__.py
@@ -10,11 +10,8 @@
 from sardinestair.placement.objective import MeetObjective
 from sardinestair.placement.policies import (
     LeastExpectedFinish,
-    LeastOutstanding,
     PlacementPolicy,
     PolicyName,
-    PowerOfTwoChoices,
-    RoundRobin,
     WaitingTask,
 )
 from sardinestair.placement.queue import OrderPolicy, ReadyQueue
@@ -24,14 +21,11 @@
     "HealthRegistry",
     "HealthState",
     "LeastExpectedFinish",
-    "LeastOutstanding",
     "MeetObjective",
     "OrderPolicy",
     "PlacementPolicy",
     "PolicyName",
-    "PowerOfTwoChoices",
     "ReadyQueue",
-    "RoundRobin",
     "RunTimeEstimator",
     "SlowdownEstimator",
     "WaitingTask",
--- a/sardinestair/settings/service.py
+++ b/sardinestair/settings/service.py
@@ -23,6 +23,7 @@
 )
 from sardinestair.settings.tree import SettingsTree, check_tree
 from sardinestair.store.port import Snapshot, Store, StoreError, Swap
+from sardinestair.store.worker import StoreWorker
 
 __all__ = ["Applied", "SettingsFollower", "SettingsWriter"]
 
@@ -186,7 +187,7 @@
     return decode_tree(snapshot) if snapshot.items else None
 
 
-class SettingsFollower:
+class SettingsFollower(StoreWorker):
     """Watches the settings tree in the store and reports each change.
 
     Args:
@@ -213,6 +214,7 @@
         watch_duration_s: float = WATCH_DURATION_S,
         on_snapshot: Callable[[Snapshot], Any] = lambda _snapshot: None,
     ):
+        super().__init__()
         self.store = store
         self.on_tree = on_tree
         self.prefix = prefix
@@ -220,22 +222,19 @@
         self.watch_duration_s = watch_duration_s
         self.on_snapshot = on_snapshot
         self.is_watching = False
-        self.stopping = threading.Event()
         self.log = EventLog("settings")
 
-    def run(self) -> None:
-        """Follows changes until `stop` is called."""
-        while not self.stopping.is_set():
-            result = self.refresh()
-            if result.is_error():
-                self.is_watching = False
-                self.stopping.wait(RETRY_DELAY_S)
-                continue
-            self._watch(result.ok + 1)
-
-    def stop(self) -> None:
-        """Makes `run` return within about a second."""
-        self.stopping.set()
+    def run_once(self) -> float:
+        """Reads the tree and watches it; returns the delay after an error.
+
+        A watch ends within about a second of `stop`.
+        """
+        result = self.refresh()
+        if result.is_error():
+            self.is_watching = False
+            return RETRY_DELAY_S
+        self._watch(result.ok + 1)
+        return 0.0
 
     def refresh(self) -> Result[int, StoreError]:
         """Reads the tree and passes it to `on_tree`.
--- a/sardinestair/sidecar/process.py
+++ b/sardinestair/sidecar/process.py
@@ -3,17 +3,16 @@
 import time
 
 import msgspec
-import zmq
 
 from sardinestair.clock import Clock, SystemClock
 from sardinestair.endpoints import select_endpoints
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
-from sardinestair.links.sockets import limit_messages
 from sardinestair.membership import Announcer, choose_entries
 from sardinestair.messages import DECODE_ERRORS, AnnounceReply
 from sardinestair.observability import EventLog, Metrics, UsageReporter
 from sardinestair.observability.usage import read_processor_times
+from sardinestair.process_memory import make_context, make_memory_account
 from sardinestair.settings import SidecarSettings
 from sardinestair.sidecar.api import UpstreamApi
 from sardinestair.sidecar.link_server import LinkServer
@@ -22,7 +21,6 @@
 from sardinestair.upstreams import UpstreamState
 from sardinestair.web import (
     HttpServer,
-    MemoryAccount,
     ServerRole,
     WebApp,
     monitoring_rules,
@@ -65,8 +63,7 @@
         self.clock = clock or SystemClock()
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
-        self.context = zmq.Context()
-        limit_messages(self.context, settings.memory_mb)
+        self.context = make_context(settings.memory_mb)
         self.announcers: dict[str, Announcer] = {}
         self.is_stopping = False
         self.log = EventLog(
@@ -99,12 +96,8 @@
         )
         if settings.advertise is not None:
             self.server.advertised_endpoint = f"tcp://{settings.advertise}"
-        self.memory = MemoryAccount.for_process(
-            settings.memory_mb,
-            settings.http.max_connections,
-            self.event_loop.loop.time,
-            self.log,
-            self.metrics,
+        self.memory = make_memory_account(
+            settings, self.event_loop, self.log, self.metrics
         )
         rules = UpstreamApi(self.server).rules()
         rules += monitoring_rules(self.metrics, self._readiness)
--- a/sardinestair/sidecar/tests/test_allocation.py
+++ b/sardinestair/sidecar/tests/test_allocation.py
@@ -1,7 +1,6 @@
 """Credits and starts stay within the capacity of the upstream."""
 
 import msgspec
-import pytest
 
 from sardinestair.limits.resources import Resources
 from sardinestair.messages import (
@@ -21,11 +20,6 @@
 )
 
 
-@pytest.fixture
-def entry():
-    return FakeEntry()
-
-
 def test_no_credit_while_the_lease_is_about_to_end(entry):
     entry.server.ledger.remove_entry(ENTRY)
     entry.server.ledger.reset_entry(ENTRY)
--- a/sardinestair/sidecar/tests/test_departure.py
+++ b/sardinestair/sidecar/tests/test_departure.py
@@ -9,7 +9,6 @@
 from sardinestair.sidecar.tests.harness import (
     ANNOUNCEMENT,
     ENTRY,
-    FakeEntry,
 )
 from sardinestair.tests.fakes import send_request
 from sardinestair.web import WebApp
@@ -17,11 +16,6 @@
 SLOTS = 16000
 
 
-@pytest.fixture
-def entry():
-    return FakeEntry()
-
-
 @pytest.fixture
 def notified(entry):
     """A list that grows with each announcement sent out of turn."""
--- a/sardinestair/sidecar/tests/test_evacuation.py
+++ b/sardinestair/sidecar/tests/test_evacuation.py
@@ -1,7 +1,5 @@
 """A sidecar of an evacuated zone starts nothing, whatever entries send."""
 
-import pytest
-
 from sardinestair.messages import (
     CreditReturn,
     Demand,
@@ -13,7 +11,6 @@
 )
 from sardinestair.sidecar.tests.harness import (
     ANNOUNCEMENT,
-    FakeEntry,
     ref,
 )
 from sardinestair.upstreams import Announcement
@@ -22,11 +19,6 @@
 RETURNED = EvacuationView(9)
 
 
-@pytest.fixture
-def entry():
-    return FakeEntry()
-
-
 def of_type(messages, kind):
     return [message for message in messages if isinstance(message, kind)]
 
--- a/sardinestair/sidecar/tests/test_session_table.py
+++ b/sardinestair/sidecar/tests/test_session_table.py
@@ -7,17 +7,11 @@
 from sardinestair.sidecar.tests.harness import (
     ENTRY,
     TIMING,
-    FakeEntry,
     ref,
     refused,
 )
 
 
-@pytest.fixture
-def entry():
-    return FakeEntry()
-
-
 def test_fresh_start_is_taken(entry):
     entry.start()
     assert refused(entry.iterate()) == []
--- a/sardinestair/store/evacuations.py
+++ b/sardinestair/store/evacuations.py
@@ -1,7 +1,6 @@
 """Evacuated availability zones in the store, outside the users' platform."""
 
 import datetime
-import threading
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +16,7 @@
     StoreError,
     Swap,
 )
+from sardinestair.store.worker import StoreWorker
 
 __all__ = [
     "EVACUATIONS_PREFIX",
@@ -83,7 +83,7 @@
         return done.map(lambda result: result.succeeded).map_error(_unanswered)
 
 
-class EvacuationFollower:
+class EvacuationFollower(StoreWorker):
     """Reads the evacuated zones periodically.
 
     Args:
@@ -98,21 +98,16 @@
         on_snapshot: Callable[[Snapshot], object],
         interval_s: float = READ_INTERVAL_S,
     ):
+        super().__init__()
         self.store = store
         self.on_snapshot = on_snapshot
         self.interval_s = interval_s
-        self.stopping = threading.Event()
         self.log = EventLog("evacuation")
 
-    def run(self) -> None:
-        """Reads until `stop` is called."""
-        while not self.stopping.is_set():
-            self.refresh()
-            self.stopping.wait(self.interval_s)
-
-    def stop(self) -> None:
-        """Makes `run` return soon."""
-        self.stopping.set()
+    def run_once(self) -> float:
+        """Reads once; returns the time between two reads."""
+        self.refresh()
+        return self.interval_s
 
     def refresh(self) -> None:
         """Reads once; without an answer the last snapshot stays in force."""
--- a/sardinestair/store/registration.py
+++ b/sardinestair/store/registration.py
@@ -1,6 +1,5 @@
 """Registers an entry in the store under a lease and reads all entries."""
 
-import threading
 from collections.abc import Callable
 
 import msgspec
@@ -16,6 +15,7 @@
     StoreError,
     Swap,
 )
+from sardinestair.store.worker import StoreWorker
 
 __all__ = ["EntryRecord", "Registration", "read_entries"]
 
@@ -71,7 +71,7 @@
     return records
 
 
-class Registration:
+class Registration(StoreWorker):
     """Keeps an entry registered.
 
     An expired lease is replaced by a new one. While the store is unavailable,
@@ -94,26 +94,24 @@
         on_records: Callable[[list[EntryRecord]], object],
         interval_s: float = RENEWAL_INTERVAL_S,
     ):
+        super().__init__()
         self.interval_s = interval_s
         self.store = store
         self.record = record
         self.on_records = on_records
         self.lease_id = 0
-        self.stopping = threading.Event()
         self.log = EventLog("registration")
 
-    def run(self) -> None:
-        """Renews the registration until `stop` is called, then ends it."""
-        while not self.stopping.is_set():
-            self.renew()
-            self.stopping.wait(self.interval_s)
+    def run_once(self) -> float:
+        """Renews the registration; returns the time between two renewals."""
+        self.renew()
+        return self.interval_s
+
+    def finish(self) -> None:
+        """Ends the registration."""
         if self.lease_id:
             self.store.revoke_lease(self.lease_id)
 
-    def stop(self) -> None:
-        """Makes `run` end the registration and return."""
-        self.stopping.set()
-
     def renew(self) -> None:
         """Renews the lease or requests a new one, and reads all entries."""
         if self.lease_id:
--- a/sardinestair/upstreams/tests/test_stops.py
+++ b/sardinestair/upstreams/tests/test_stops.py
@@ -111,6 +111,12 @@
             )
             self.calls[job, index] = self.loop.create_task(call)
 
+    def run_tasks(self, job, count):
+        """Starts tasks, and lets all of them run."""
+        self.start(job, count)
+        self.run(0.5)
+        assert len(self.active(job)) == count
+
     def stop(self, job, count, *arguments):
         for index in range(count):
             self.upstream.stop(TaskRef(job, index, 1), *arguments)
@@ -160,9 +166,7 @@
     make_harness, count, stop_s
 ):
     harness = make_harness(stop_s=stop_s)
-    harness.start(LOST, count)
-    harness.run(0.5)
-    assert len(harness.active(LOST)) == count
+    harness.run_tasks(LOST, count)
     harness.stop(LOST, count, b"session over", LEASE_S)
     limit_s = LEASE_S * (1 + MAX_CLOCK_DRIFT) + MAX_STOP_S
     assert harness.time_to_end(LOST) <= limit_s + TOLERANCE_S
@@ -173,8 +177,7 @@
 @pytest.mark.parametrize("count", [250, 930])
 def test_cancelled_runs_end_with_the_lease_at_the_latest(make_harness, count):
     harness = make_harness()
-    harness.start(LOST, count)
-    harness.run(0.5)
+    harness.run_tasks(LOST, count)
     harness.stop(LOST, count)
     limit_s = STOP_LIMIT_S * (1 + MAX_CLOCK_DRIFT) + MAX_STOP_S
     assert harness.time_to_end(LOST) <= limit_s + TOLERANCE_S
@@ -182,8 +185,7 @@
 
 def test_run_whose_stops_are_not_answered_ends_with_the_lease(make_harness):
     harness = make_harness(answers_stops=False)
-    harness.start(LOST, 1)
-    harness.run(0.5)
+    harness.run_tasks(LOST, 1)
     harness.stop(LOST, 1)
     limit_s = STOP_LIMIT_S * (1 + MAX_CLOCK_DRIFT) + MAX_STOP_S
     assert harness.time_to_end(LOST) <= limit_s + TOLERANCE_S
@@ -204,8 +206,7 @@
     make_harness,
 ):
     harness = make_harness(answers_stops=False)
-    harness.start(LOST, 1)
-    harness.run(0.5)
+    harness.run_tasks(LOST, 1)
     harness.stop(LOST, 1)
     harness.run(0.1)
     harness.stop(LOST, 1, b"session over", 0.2)
@@ -235,8 +236,7 @@
 # they are answered: the time-out was as long as a stop may take.
 def test_stop_that_takes_as_long_as_it_may_is_answered(make_harness):
     harness = make_harness(stop_s=MAX_STOP_S)
-    harness.start(LOST, CONNECTIONS)
-    harness.run(0.5)
+    harness.run_tasks(LOST, CONNECTIONS)
     harness.stop(LOST, CONNECTIONS)
     harness.run(0.3)
     assert harness.client.stops_given_up == 0
@@ -251,9 +251,7 @@
     make_harness, count, stop_s
 ):
     harness = make_harness(stop_s=stop_s)
-    harness.start(LOST, count)
-    harness.run(0.5)
-    assert len(harness.active(LOST)) == count
+    harness.run_tasks(LOST, count)
     harness.restart_sidecar()
     limit_s = LEASE_S * (1 + MAX_CLOCK_DRIFT) + MAX_STOP_S
     assert harness.time_to_end(LOST) <= limit_s + TOLERANCE_S
@@ -266,8 +264,7 @@
 
 def test_no_task_starts_under_a_lease_that_is_about_to_end(make_harness):
     harness = make_harness(answers_stops=False)
-    harness.start(LOST, 1)
-    harness.run(0.5)
+    harness.run_tasks(LOST, 1)
     harness.stop(LOST, 1, b"session over", LEASE_S / 3)
     assert harness.upstream.is_lease_ending
     harness.start(KEPT, 1)
