--- a/sardinestair/sidecar/tests/test_link_port.py
+++ b/sardinestair/sidecar/tests/test_link_port.py
@@ -72,4 +72,4 @@
         server.socket.poll(50)
         server.run_once()
     assert server.link_usage.frames_received == 200
-    assert not server.sessions
+    assert not server.sessions.by_entry
--- a/sardinestair/upstreams/tests/test_leased.py
+++ b/sardinestair/upstreams/tests/test_leased.py
@@ -13,16 +13,18 @@
 from sardinestair.observability import Metrics
 from sardinestair.standins.runner import Mode, RunnerModel
 from sardinestair.upstreams.leased import (
-    DEGRADED_PERIOD_S,
-    END_GRACE_S,
-    REPORT_RETRY_DELAY_S,
-    REPORT_ROUND_TRIP_S,
-    REPORT_WAIT_S,
     STALL_TIMEOUT_S,
     STALLED,
     LeasedUpstream,
 )
 from sardinestair.upstreams.orders import RequestError
+from sardinestair.upstreams.report_schedule import (
+    DEGRADED_PERIOD_S,
+    REPORT_RETRY_DELAY_S,
+    REPORT_ROUND_TRIP_S,
+    REPORT_WAIT_S,
+)
+from sardinestair.upstreams.stopper import END_GRACE_S
 
 LEASE_S = 0.45
 REF = TaskRef(JobId(b"j" * 16), 0, 1)
@@ -409,7 +411,7 @@
     harness.wait_for("start")
     harness.clock.advance(0.1)
     end_s = harness.clock.monotonic() + 0.4
-    harness.upstream.before_renewal = lambda: harness.upstream.stop(
+    harness.upstream.lease.before_renewal = lambda: harness.upstream.stop(
         REF, b"session over", 0.4
     )
     harness.renew()
@@ -558,7 +560,9 @@
 def test_end_of_the_wait_for_an_earlier_lease_is_reported_once(harness):
     cleared = []
     later = harness.make_upstream(harness.clock.monotonic())
-    later.on_clear = lambda: cleared.append(harness.clock.monotonic())
+    later.orphans.on_none_left = lambda: cleared.append(
+        harness.clock.monotonic()
+    )
     harness.renew(later)
     assert cleared == []
     harness.clock.advance(1.1 * LEASE_S)
