Tell all entries of a return, also while others want all of the room

An entry takes an upstream for leaving until it gets credits there, and asks for none before; after a return the credits went to the entries that asked, for as long as they asked. The sidecar now repeats each entry's count of granted credits when it accepts tasks again, after an evacuation as well as after a departure.

Found beside it by reading: a grant that was queued but not sent before an evacuation went behind the notice in the same frame and revoked it at the entry; the sidecar refused the starts. It is now sent after the return.

--- a/sardinestair/links/session.py
+++ b/sardinestair/links/session.py
@@ -9,6 +9,7 @@
 from sardinestair.links.fence import FrameFence
 from sardinestair.messages import (
     Grant,
+    Leaving,
     Outcome,
     Resume,
     Resumed,
@@ -67,7 +68,7 @@
             in time, until one has come.
         last_sent_s: When the last frame was sent.
         granted: Credits granted in this epoch, if the entry has not been sent
-            this number; 0 otherwise.
+            this number; None otherwise.
         is_grant_urgent: True if the entry has tasks that wait for them.
         backlog: The entry's waiting work by class, from its last report.
         reporter: Decides when the entry is sent the others' work.
@@ -85,7 +86,7 @@
         self.echo_s = 0.0
         self.is_expired = False
         self.last_sent_s = 0.0
-        self.granted = 0
+        self.granted: int | None = None
         self.is_grant_urgent = False
         self.backlog: list[ClassLoad] = []
         self.reporter = LoadReporter()
@@ -111,7 +112,7 @@
         self.route = route
         self.frames_sent = 0
         self.outbox.clear()
-        self.granted = 0
+        self.granted = None
         self.is_grant_urgent = False
         self.backlog = []
         self.reporter.reset()
@@ -202,6 +203,15 @@
         self.granted = total
         self.is_grant_urgent |= is_urgent
 
+    def leave(self) -> None:
+        """Queues the notice that the upstream accepts no tasks.
+
+        A grant that has not been sent would revoke it; it is sent once tasks
+        are accepted again.
+        """
+        self.granted, self.is_grant_urgent = None, False
+        self.outbox.append(Leaving())
+
     @property
     def has_urgent_messages(self) -> bool:
         """True if a frame is to be sent at once."""
@@ -217,9 +227,9 @@
             load: Report of the other entries' waiting work, if it is due.
         """
         self.frames_sent += 1
-        if self.granted:
+        if self.granted is not None:
             self.outbox.append(Grant(self.granted))
-            self.granted, self.is_grant_urgent = 0, False
+            self.granted, self.is_grant_urgent = None, False
         messages, self.outbox = self.outbox, []
         return SidecarFrame(
             self.sidecar,
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -31,7 +31,6 @@
     Demand,
     EntryFrame,
     EvacuationView,
-    Leaving,
     Outcome,
     Recall,
     Resume,
@@ -197,11 +196,22 @@
         if self.is_evacuated:
             self._close_slots("zone evacuated")
             return
-        for session in self.sessions.values():
-            # Entries place no tasks here until they receive credits.
-            session.is_grant_urgent = True
+        self._notify_return()
         self.wake()
 
+    def _notify_return(self) -> None:
+        """Grants each entry what it had been granted before.
+
+        Entries neither place tasks here nor ask for credits until a grant, and
+        credits may be granted to others for as long as these want them.
+        """
+        if not self.accepts_tasks:
+            return
+        for entry, session in self.sessions.items():
+            holder = self.ledger.holders.get(entry)
+            if holder is not None:
+                session.grant(holder.granted, is_urgent=True)
+
     def report_upstream_lost(self) -> None:
         """Reports that the current caller's upstream stopped answering."""
         if self.caller is not None:
@@ -227,6 +237,7 @@
             upstream=announcement.address,
             slots=self.upstream.slots,
         )
+        self._notify_return()
         self._notify_listeners()
         self.wake()
         return True
@@ -356,7 +367,7 @@
         self.link_usage.connections += 1
         self.ledger.reset_entry(session.entry)
         if not self.accepts_tasks:
-            session.outbox.append(Leaving())
+            session.leave()
 
     def refuse(
         self, ref: TaskRef, session: SidecarSession, reason: bytes
@@ -526,7 +537,7 @@
         self.ledger.slots = 0
         self.log.info("upstream_leaving", reason=reason)
         for session in self.sessions.values():
-            session.outbox.append(Leaving())
+            session.leave()
         self._notify_listeners()
         self.wake()
 
--- a/sardinestair/sidecar/tests/test_evacuation.py
+++ b/sardinestair/sidecar/tests/test_evacuation.py
@@ -1,18 +1,25 @@
 """A sidecar of an evacuated zone starts nothing, whatever entries send."""
 
+import msgspec
 import pytest
 
+from sardinestair.ids import Incarnation
 from sardinestair.messages import (
     CreditReturn,
     Demand,
+    EntryFrame,
     EvacuationView,
     Grant,
     Leaving,
     Outcome,
+    Resume,
+    SidecarFrame,
     TaskState,
 )
 from sardinestair.sidecar.tests.test_session_lease import (
     ANNOUNCEMENT,
+    ENTRY,
+    SIDECAR,
     FakeEntry,
     ref,
 )
@@ -113,3 +120,49 @@
 def test_entries_receive_the_view(entry):
     entry.server.observe_evacuations(EVACUATED)
     assert entry.server.description().evacuations == EVACUATED
+
+
+# Soak seed 52021: while others wanted all of the room, an entry got no credits
+# after the return, took the upstream for leaving, and asked for none either.
+@pytest.mark.parametrize("returns", ["zone", "upstream"])
+def test_entry_without_demand_is_told_of_the_return(entry, returns):
+    server = entry.server
+    other = Incarnation(b"o" * 16)
+    server._handle_frame(
+        b"o", EntryFrame(other, 1, 1, [Resume(SIDECAR, [])], 0.0)
+    )
+    if returns == "zone":
+        server.observe_evacuations(EVACUATED)
+    else:
+        server.leave()
+    entry.iterate()
+    granted = server.ledger.holders[ENTRY].granted
+    entry.send(CreditReturn(granted))
+    demand = Demand(1_000_000, 0.0, 1600)
+    server._handle_frame(b"o", EntryFrame(other, 1, 2, [demand], 0.0))
+    if returns == "zone":
+        server.observe_evacuations(RETURNED)
+    else:
+        server.announce(ANNOUNCEMENT)
+    server._allocate_credits()
+    server._flush()
+    frames = [
+        msgspec.msgpack.decode(data, type=SidecarFrame)
+        for route, data in server.socket.take_sent()
+        if route == b"r"
+    ]
+    messages = [message for frame in frames for message in frame.messages]
+    assert [grant.total for grant in of_type(messages, Grant)] == [granted]
+
+
+def test_grant_that_was_not_sent_does_not_revoke_the_evacuation(entry):
+    granted = entry.server.ledger.holders[ENTRY].granted
+    entry.send(CreditReturn(granted), Demand(1600, 0.0, 1600))
+    entry.server._allocate_credits()
+    entry.server.observe_evacuations(EVACUATED)
+    messages = entry.iterate()
+    assert of_type(messages, Leaving)
+    assert not of_type(messages, Grant)
+    entry.server.observe_evacuations(RETURNED)
+    (grant,) = of_type(entry.iterate(), Grant)
+    assert grant.total > granted
