--- a/sardinestair/sidecar/availability.py
+++ b/sardinestair/sidecar/availability.py
@@ -40,7 +40,8 @@
         on_opened: Called when the upstream has announced another address or
             capacity.
         on_closed: Called when the upstream takes no more tasks.
-        on_returned: Called when the evacuation of its zone has ended.
+        on_returned: Called when the upstream takes tasks again, after an
+            evacuation of its zone or an absence.
         on_changed: Called when its announcement to entries has changed.
     """
 
@@ -105,7 +106,7 @@
         self.metrics.gauge("evacuated", {}, int(self.is_evacuated))
         if self.is_evacuated:
             self._close("zone evacuated")
-        else:
+        elif self.accepts_tasks:
             self.on_returned()
 
     def announce(self, announcement: Announcement) -> bool:
@@ -128,6 +129,8 @@
             upstream=announcement.address,
             slots=self.upstream.slots,
         )
+        if self.accepts_tasks:
+            self.on_returned()
         self.on_changed()
         return True
 
--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -26,7 +26,6 @@
     Announce,
     EntryFrame,
     EvacuationView,
-    Leaving,
     UpstreamStatus,
 )
 from sardinestair.observability import EventLog, LinkUsage, Metrics
@@ -295,12 +294,10 @@
 
     def _handle_closed(self) -> None:
         self.ledger.slots = 0
-        self.sessions.send_to_all(Leaving())
+        self.sessions.send_leaving()
 
     def _handle_returned(self) -> None:
-        for session in self.sessions.by_entry.values():
-            # Entries place no tasks here until they receive credits.
-            session.is_grant_urgent = True
+        self.sessions.send_return()
         self.wake()
 
     def _handle_changed(self) -> None:
--- a/sardinestair/sidecar/session_table.py
+++ b/sardinestair/sidecar/session_table.py
@@ -11,9 +11,7 @@
 from sardinestair.links.timing import LinkTiming
 from sardinestair.messages import (
     EntryFrame,
-    Leaving,
     Resume,
-    SidecarMessage,
 )
 from sardinestair.observability import EventLog, LinkUsage
 from sardinestair.sidecar.availability import UpstreamAvailability
@@ -93,10 +91,21 @@
             session.backlog = frame.backlog
         return session
 
-    def send_to_all(self, message: SidecarMessage) -> None:
-        """Queues a message for each entry."""
+    def send_leaving(self) -> None:
+        """Sends all entries that the upstream accepts no tasks."""
         for session in self.by_entry.values():
-            session.outbox.append(message)
+            session.leave()
+
+    def send_return(self) -> None:
+        """Grants each entry what it had been granted before.
+
+        Entries neither place tasks here nor ask for credits until a grant, and
+        credits may be granted to others for as long as these want them.
+        """
+        for entry, session in self.by_entry.items():
+            holder = self.ledger.holders.get(entry)
+            if holder is not None:
+                session.grant(holder.granted, is_urgent=True)
 
     def is_expired(self, session: SidecarSession) -> bool:
         """Returns True if the session at a leased upstream has expired."""
@@ -183,7 +192,7 @@
         self.link_usage.connections += 1
         self.ledger.reset_entry(session.entry)
         if not self.availability.accepts_tasks:
-            session.outbox.append(Leaving())
+            session.leave()
 
     def _stop_tasks(self, session: SidecarSession) -> None:
         running = session.running()
