Specify evacuations beside drains, other zones and old views

The specification of evacuations covered delayed and stale views, but not a change of another zone meanwhile, an entry that restarts with an old view, dropped history, or an upstream that drains and serves again.

Requests are kept by revision, so that changes of another zone raise the revision. New invariant: no start in a drain. Six mutants are added: dropped history taken as read, view before a restart taken as current, earlier of two requests kept, latest change taken for all zones, return ends a drain, end of a drain ends an evacuation. A store without an answer is a read that doesn't come.

--- a/model/check.py
+++ b/model/check.py
@@ -21,6 +21,8 @@
 
 MAX_STATES = 400_000
 MAX_MUTANT_STATES = 60_000
+# Mutants whose shortest counterexample is longer than that of the others.
+DEEP_MUTANTS = frozenset({EvacuationMutant.EARLIER_REQUEST_STAYS})
 
 
 class Case(msgspec.Struct, frozen=True):
@@ -82,7 +84,8 @@
         The result, with a counterexample to each violated invariant.
     """
     protocol: Protocol = case.make_protocol(case.mutant)
-    max_states = MAX_STATES if case.mutant is None else MAX_MUTANT_STATES
+    is_deep = case.mutant is None or case.mutant in DEEP_MUTANTS
+    max_states = MAX_STATES if is_deep else MAX_MUTANT_STATES
     result = check_safety(protocol, max_states=max_states)
     traces = {
         name: found["counterexample"]
--- a/model/evacuation.py
+++ b/model/evacuation.py
@@ -1,17 +1,20 @@
 """Specification of evacuations: no start in a zone that is evacuated for long.
 
-The operator evacuates a zone and takes it back, up to twice. An entry reads the
-store completely, and the sidecar of the zone reads it in a way that may be
-outdated. Both pass their views to each other in messages that may be delayed
-for any time and arrive in any order. The entry may restart without a view, and
-send starts that arrive at any time.
+The operator evacuates a zone and takes it back, up to twice, also before anyone
+has read of it, and meanwhile evacuates another zone or takes it back. An entry
+reads the store completely, and the sidecar of the zone reads it in a way that
+may be outdated. Both pass their views to each other in messages that may be
+delayed for any time and arrive in any order. The store may be unavailable for
+any time, and the history that the entry follows may be dropped. The entry may
+restart without a view or with that of an earlier read, and send starts that
+arrive at any time. The upstream may drain, and serve again, at any time.
 
 The bound is not counted in ticks. It is long enough for what the invariant
 supposes: since the latest request to evacuate, the sidecar has read the store,
 or has received a view of the entry that was sent after the entry had read it.
 Whatever else happens, before or after that, the sidecar then starts nothing
 until the zone is taken back. Once it has received a view that was read after
-that, it starts tasks again.
+that, it starts tasks again. While the upstream drains it starts nothing either.
 """
 
 import enum
@@ -23,6 +26,8 @@
 __all__ = ["EvacuationMutant", "make_evacuation"]
 
 MAX_REVISION = 4
+# Changes of the other zone among them, which may overlap with both evacuations.
+MAX_OTHER_CHANGES = 1
 
 
 class EvacuationMutant(enum.Enum):
@@ -33,6 +38,12 @@
     ONLY_ENTRIES_REFUSE = "only entries refuse"
     NO_REQUEST_REVISION = "request without a revision"
     REQUESTS_STAY = "newer read ends no evacuation"
+    DROPPED_HISTORY_IS_READ = "dropped history taken as read"
+    OLD_VIEW_IS_CURRENT = "view before a restart taken as current"
+    EARLIER_REQUEST_STAYS = "earlier of two requests kept"
+    LATEST_CHANGE_ONLY = "latest change taken for all zones"
+    RETURN_ENDS_DRAIN = "return ends a drain"
+    SERVING_ENDS_EVACUATION = "end of a drain ends an evacuation"
 
 
 class View(NamedTuple):
@@ -51,7 +62,8 @@
     """State of the system.
 
     Attributes:
-        revision: Revision of the store. The zone is evacuated at odd ones.
+        requests: Revision of the request that evacuates the zone, 0 if there is
+            none, by revision of the store.
         entry: View of the entry.
         sidecar: View of the sidecar.
         to_sidecar: View in a message to the sidecar, or None.
@@ -62,10 +74,13 @@
         is_news_sent: True if the message to the sidecar was sent after the
             entry had read the latest request.
         is_entry_informed: True once the entry has read the latest request.
+        is_draining: True while the upstream drains.
+        is_drain_observed: True while the sidecar refuses starts for it.
         has_started: True once a task has started although the bound was over.
+        has_started_in_drain: True once a task has started in a drain.
     """
 
-    revision: int = 0
+    requests: tuple[int, ...] = (0,)
     entry: View = View()
     sidecar: View = View()
     to_sidecar: View | None = None
@@ -74,7 +89,20 @@
     is_informed: bool = False
     is_news_sent: bool = False
     is_entry_informed: bool = False
+    is_draining: bool = False
+    is_drain_observed: bool = False
     has_started: bool = False
+    has_started_in_drain: bool = False
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store."""
+        return len(self.requests) - 1
+
+    @property
+    def is_evacuated(self) -> bool:
+        """True while the zone is evacuated."""
+        return self.requests[-1] > 0
 
 
 Step = tuple[str, State]
@@ -94,6 +122,9 @@
         transitions=lambda state: list(_steps(State(*state), mutant)),
         invariants={
             "no start after the bound": lambda state: not state["has_started"],
+            "no start in a drain": lambda state: (
+                not state["has_started_in_drain"]
+            ),
             "zone is used again": _is_used_again,
         },
     )
@@ -111,56 +142,93 @@
         latest = max(older.requested_at, requested_at)
         return View(newer.complete_at, latest)
     if older.requested_at > newer.complete_at:
-        requested_at = max(requested_at, older.requested_at)
+        later = max(requested_at, older.requested_at)
+        if mutant is EvacuationMutant.EARLIER_REQUEST_STAYS:
+            later = requested_at or older.requested_at
+        requested_at = later
     return View(newer.complete_at, requested_at)
 
 
 def _is_used_again(state: dict) -> bool:
     """Returns False if a sidecar refuses starts although it was informed."""
     sidecar = View(*state["sidecar"])
-    is_current = sidecar.complete_at == state["revision"]
-    if not is_current or _is_evacuated(state["revision"]):
+    requests = state["requests"]
+    is_current = sidecar.complete_at == len(requests) - 1
+    if not is_current or requests[-1]:
         return True
     return not sidecar.requested_at
 
 
-def _is_evacuated(revision: int) -> bool:
-    return revision % 2 == 1
-
-
-def _requested_at(revision: int) -> int:
-    return revision if _is_evacuated(revision) else 0
+def _read(state: State, revision: int, mutant: EvacuationMutant | None) -> View:
+    """Returns what a complete read at a revision shows."""
+    requested_at = state.requests[revision]
+    if mutant is EvacuationMutant.LATEST_CHANGE_ONLY and revision:
+        has_changed = requested_at != state.requests[revision - 1]
+        requested_at *= has_changed
+    return View(revision, requested_at)
 
 
 def _steps(state: State, mutant: EvacuationMutant | None) -> Iterator[Step]:
     if state.revision < MAX_REVISION:
-        yield (
-            "the operator evacuates or takes back",
-            state._replace(
-                revision=state.revision + 1,
-                is_informed=False,
-                is_news_sent=False,
-                is_entry_informed=False,
-            ),
-        )
+        yield from _operator_steps(state)
     yield from _entry_steps(state, mutant)
     yield from _sidecar_steps(state, mutant)
+    yield from _upstream_steps(state, mutant)
+
+
+def _operator_steps(state: State) -> Iterator[Step]:
+    requests, revision = state.requests, state.revision + 1
+    requested_at = 0 if state.is_evacuated else revision
+    yield (
+        "the operator evacuates or takes back",
+        state._replace(
+            requests=(*requests, requested_at),
+            is_informed=False,
+            is_news_sent=False,
+            is_entry_informed=False,
+        ),
+    )
+    others = sum(
+        requests[number] == requests[number - 1]
+        for number in range(1, revision)
+    )
+    if others < MAX_OTHER_CHANGES:
+        yield (
+            "the operator changes another zone",
+            state._replace(requests=(*requests, requests[-1])),
+        )
 
 
 def _entry_steps(
     state: State, mutant: EvacuationMutant | None
 ) -> Iterator[Step]:
-    read = View(state.revision, _requested_at(state.revision))
+    read = _read(state, state.revision, mutant)
     yield (
         "the entry reads the store",
         state._replace(
             entry=_merge(state.entry, read, mutant), is_entry_informed=True
         ),
     )
+    if mutant is EvacuationMutant.DROPPED_HISTORY_IS_READ:
+        # By the rule it has to read the store before its view is complete.
+        yield (
+            "the history is dropped",
+            state._replace(
+                entry=state.entry._replace(complete_at=state.revision)
+            ),
+        )
     yield (
         "the entry restarts",
         state._replace(entry=View(), is_entry_informed=False),
     )
+    for revision in range(1, state.revision):
+        old = _read(state, revision, mutant)
+        if mutant is EvacuationMutant.OLD_VIEW_IS_CURRENT:
+            old = old._replace(complete_at=state.revision)
+        yield (
+            f"the entry restarts with its view of revision {revision}",
+            state._replace(entry=old, is_entry_informed=False),
+        )
     yield (
         "the entry sends its view",
         state._replace(
@@ -185,11 +253,12 @@
     for revision in range(state.revision + 1):
         # The revision that the store returns may be newer than the items.
         is_complete = mutant is EvacuationMutant.STALE_READ_IS_COMPLETE
-        read = View(state.revision * is_complete, _requested_at(revision))
+        read = _read(state, revision, mutant)._replace(
+            complete_at=state.revision * is_complete
+        )
         yield (
             f"the sidecar reads revision {revision}",
-            state._replace(
-                sidecar=_merge(state.sidecar, read, mutant),
+            _observe(state, read, mutant)._replace(
                 is_informed=state.is_informed or revision == state.revision,
             ),
         )
@@ -197,8 +266,7 @@
     if state.to_sidecar is not None:
         yield (
             "a view reaches the sidecar",
-            state._replace(
-                sidecar=_merge(state.sidecar, state.to_sidecar, mutant),
+            _observe(state, state.to_sidecar, mutant)._replace(
                 is_informed=state.is_informed or state.is_news_sent,
                 to_sidecar=None,
                 is_news_sent=False,
@@ -209,10 +277,49 @@
         yield "the start reaches the sidecar", _start(state, mutant)
 
 
+def _observe(
+    state: State, received: View, mutant: EvacuationMutant | None
+) -> State:
+    """Merges a view into that of the sidecar."""
+    merged = _merge(state.sidecar, received, mutant)
+    has_returned = bool(state.sidecar.requested_at and not merged.requested_at)
+    is_reopened = mutant is EvacuationMutant.RETURN_ENDS_DRAIN and has_returned
+    return state._replace(
+        sidecar=merged,
+        is_drain_observed=state.is_drain_observed and not is_reopened,
+    )
+
+
+def _upstream_steps(
+    state: State, mutant: EvacuationMutant | None
+) -> Iterator[Step]:
+    if not state.is_draining:
+        yield (
+            "the upstream drains",
+            state._replace(is_draining=True, is_drain_observed=True),
+        )
+        return
+    sidecar = state.sidecar
+    if mutant is EvacuationMutant.SERVING_ENDS_EVACUATION:
+        sidecar = sidecar._replace(requested_at=0)
+    yield (
+        "the upstream serves again",
+        state._replace(
+            sidecar=sidecar, is_draining=False, is_drain_observed=False
+        ),
+    )
+
+
 def _start(state: State, mutant: EvacuationMutant | None) -> State:
     received = state._replace(is_start_sent=False)
-    is_refused = state.sidecar.requested_at > 0
-    if is_refused and mutant is not EvacuationMutant.ONLY_ENTRIES_REFUSE:
+    is_refused = (
+        state.sidecar.requested_at > 0
+        and mutant is not EvacuationMutant.ONLY_ENTRIES_REFUSE
+    )
+    if is_refused or state.is_drain_observed:
         return received
-    is_late = _is_evacuated(state.revision) and state.is_informed
-    return received._replace(has_started=state.has_started or is_late)
+    is_late = state.is_evacuated and state.is_informed
+    return received._replace(
+        has_started=state.has_started or is_late,
+        has_started_in_drain=state.has_started_in_drain or state.is_draining,
+    )
