Make load reports without an object for each iteration

LinkServer made a LoadRelay in each iteration, also if no frame was due. It keeps one and resets it; the check for idle sessions stops at the first task.

--- a/sardinestair/sidecar/link_server.py
+++ b/sardinestair/sidecar/link_server.py
@@ -66,6 +66,7 @@
         sessions: The sessions with the entries.
         runs: The running tasks.
         allocator: Grants and recalls credits.
+        load_relay: Makes the load reports for entries.
         policy: The effective settings.
         policy_revision: Their revision, -1 before the first.
         wake: Called when `run_once` has work to do.
@@ -120,6 +121,7 @@
         self.allocator = CreditAllocator(
             self.ledger, self.availability, self.sessions
         )
+        self.load_relay = LoadRelay(self.sessions.by_entry.values())
         self.policy = SidecarPolicy()
         self.policy_revision = -1
         self.wake: Callable[[], None] = lambda: None
@@ -268,19 +270,17 @@
         is_any_due = min(due_s, default=math.inf) <= now_s
         early_s = EARLY_HEARTBEAT_SHARE * self.timing.heartbeat_s
         limit_s = now_s + early_s if is_any_due else now_s
-        relay = LoadRelay(sessions)
+        self.load_relay.reset()
         for session, heartbeat_s in zip(sessions, due_s, strict=True):
             if session.has_urgent_messages or heartbeat_s <= limit_s:
-                self._send_frame(session, relay, now_s)
+                self._send_frame(session, now_s)
                 has_sent = True
         return has_sent
 
-    def _send_frame(
-        self, session: SidecarSession, relay: LoadRelay, now_s: float
-    ) -> None:
+    def _send_frame(self, session: SidecarSession, now_s: float) -> None:
         session.last_sent_s = now_s
         self.link_usage.count_sent(session.has_urgent_messages)
-        load = relay.report_to(session, now_s)
+        load = self.load_relay.report_to(session, now_s)
         data = self.encoder.encode(session.next_frame(now_s, load))
         self.socket.send_multipart([session.route, data])
 
--- a/sardinestair/sidecar/load_relay.py
+++ b/sardinestair/sidecar/load_relay.py
@@ -9,7 +9,7 @@
 
 
 class LoadRelay:
-    """Makes the load reports of the frames that are sent in one iteration.
+    """Makes the load reports for entries, of which a sum is made once.
 
     Args:
         sessions: The sessions with all entries.
@@ -22,6 +22,10 @@
         self.sessions = sessions
         self.total: LoadSum | None = None
 
+    def reset(self) -> None:
+        """Forgets the sum, since the reports may have changed."""
+        self.total = None
+
     def report_to(
         self, session: SidecarSession, now_s: float
     ) -> list[ClassLoad] | None:
--- a/sardinestair/sidecar/session_table.py
+++ b/sardinestair/sidecar/session_table.py
@@ -204,8 +204,10 @@
             caller.stop(ref, b"session over", within_s)
 
     def _check_interval_s(self) -> float:
-        is_idle = all(session.is_idle for session in self.by_entry.values())
-        return IDLE_TICK_S if is_idle else self.timing.tick_s
+        for session in self.by_entry.values():
+            if session.tasks:
+                return self.timing.tick_s
+        return IDLE_TICK_S
 
     def _ends_s(self) -> list[float]:
         """Returns when sessions end on which tasks depend."""
