Rename the load ahead of a new job

limits/ had two classes ClassLoad: waiting work of a class, as links report it, and the load ahead of a new job. The second is LoadAhead. Behaviour unchanged; passed: sardinestair/limits, entry.

--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -13,8 +13,8 @@
 from sardinestair.limits.fair_shares import FairShares
 from sardinestair.limits.feasibility import (
     ArrivalEstimator,
-    ClassLoad,
     GuaranteedShare,
+    LoadAhead,
     spread_retry_s,
     usable_slack_s,
 )
@@ -224,7 +224,7 @@
         return decision
 
     def _admit_waiting(
-        self, applicant: Applicant, room: Room, load: ClassLoad, now_s: float
+        self, applicant: Applicant, room: Room, load: LoadAhead, now_s: float
     ) -> Result[int, Problem]:
         """Decides whether a job is admitted that can't start at once."""
         priority = applicant.priority
@@ -261,11 +261,11 @@
         room: Room,
         now_s: float,
         view: BacklogView | None = None,
-    ) -> ClassLoad:
+    ) -> LoadAhead:
         """Returns the load ahead of a job; arguments as of `admit`."""
         priority = applicant.priority
         backlog_s = view.backlog_s(priority, now_s) if view else None
-        return ClassLoad(
+        return LoadAhead(
             self.queue.tasks_ahead(priority, now_s + applicant.slack_s),
             applicant.tasks,
             room.tasks_per_s,
--- a/sardinestair/limits/feasibility.py
+++ b/sardinestair/limits/feasibility.py
@@ -14,7 +14,7 @@
 
 __all__ = [
     "ArrivalEstimator",
-    "ClassLoad",
+    "LoadAhead",
     "GuaranteedShare",
     "spread_retry_s",
     "usable_slack_s",
@@ -40,7 +40,7 @@
 MAX_RETRY_AFTER_S = 60.0
 
 
-class ClassLoad(msgspec.Struct, frozen=True):
+class LoadAhead(msgspec.Struct, frozen=True):
     """Load ahead of a new job, as seen from its class.
 
     Attributes:
@@ -53,7 +53,7 @@
             least as urgent, in seconds; None if it is not known.
 
     Examples:
-        >>> load = ClassLoad(
+        >>> load = LoadAhead(
         ...     tasks_ahead=10, own_tasks=1, tasks_per_s=50.0,
         ...     more_urgent_per_s=25.0,
         ... )
--- a/sardinestair/limits/tests/test_feasibility.py
+++ b/sardinestair/limits/tests/test_feasibility.py
@@ -6,8 +6,8 @@
 from sardinestair.limits.fair_shares import FairShares
 from sardinestair.limits.feasibility import (
     ArrivalEstimator,
-    ClassLoad,
     GuaranteedShare,
+    LoadAhead,
     spread_retry_s,
 )
 
@@ -15,22 +15,22 @@
 
 
 def test_wait_is_infinite_without_room():
-    assert math.isinf(ClassLoad(0, 1, 0.0).wait_s)
+    assert math.isinf(LoadAhead(0, 1, 0.0).wait_s)
 
 
 def test_arrivals_of_more_urgent_classes_lengthen_the_wait():
-    calm = ClassLoad(20, 1, RATE, more_urgent_per_s=0.0)
-    busy = ClassLoad(20, 1, RATE, more_urgent_per_s=60.0)
+    calm = LoadAhead(20, 1, RATE, more_urgent_per_s=0.0)
+    busy = LoadAhead(20, 1, RATE, more_urgent_per_s=60.0)
     assert busy.wait_s == 2.5 * calm.wait_s
 
 
 def test_wide_job_waits_for_its_own_tasks():
-    assert ClassLoad(0, 31, RATE).wait_s == 0.3
+    assert LoadAhead(0, 31, RATE).wait_s == 0.3
 
 
 def test_backlog_of_all_entries_counts_if_it_is_longer():
-    assert ClassLoad(10, 1, RATE, 0.0, backlog_s=0.5).wait_s == 0.5
-    assert ClassLoad(90, 1, RATE, 0.0, backlog_s=0.5).wait_s == 0.9
+    assert LoadAhead(10, 1, RATE, 0.0, backlog_s=0.5).wait_s == 0.5
+    assert LoadAhead(90, 1, RATE, 0.0, backlog_s=0.5).wait_s == 0.9
 
 
 def test_arrivals_are_forgotten_after_a_burst():
