Count cold upstreams by their share also in class admission

By docs/design/departure.md, entries that predict waits count the share that sidecars of cold upstreams grant. ServiceState.throughput did, but Room (admission by class, added beside it) and EntryLink.rate (load of all entries) counted cold upstreams as warm, so that after a restart of many upstreams jobs were admitted that end late.

Tests: test_room_counts_the_share_that_cold_upstreams_get and test_rate_counts_the_share_that_a_cold_upstream_gets failed before. Passed: sardinestair/links, limits, entry. The predicted waits of the placement policies (LeastExpectedFinish, MeetObjective) still count cold upstreams as warm.

--- a/sardinestair/entry/class_admission.py
+++ b/sardinestair/entry/class_admission.py
@@ -131,7 +131,7 @@
             own_tasks += running / candidate.mean_run_s_
             own_work += running / candidate.slowdown_
             if link.state in (LinkState.UP, LinkState.CONNECTING):
-                slots = candidate.concurrency
+                slots = candidate.warm_share * candidate.concurrency
                 all_tasks += slots / candidate.mean_run_s_
                 all_work += slots / candidate.slowdown_
         return cls(
--- a/sardinestair/entry/tests/test_class_admission.py
+++ b/sardinestair/entry/tests/test_class_admission.py
@@ -150,6 +150,17 @@
     )
 
 
+# Guards against jobs that are admitted and end late after the restart of many
+# upstreams: cold ones get fewer tasks, but were counted as if they were warm.
+def test_room_counts_the_share_that_cold_upstreams_get():
+    links = [FakeLink(slowdown=1.0), FakeLink(slowdown=1.0)]
+    warm = Room.of(links, 1.0)
+    links[0].candidate.warm_share = 0.5
+    room = Room.of(links, 1.0)
+    assert room.throughput == pytest.approx(0.75 * warm.throughput)
+    assert room.tasks_per_s == pytest.approx(0.75 * warm.tasks_per_s)
+
+
 def test_room_of_slow_upstreams_counts_where_the_answer_is_of_use():
     slow, useless = FakeLink(slowdown=3.0), FakeLink(slowdown=9.0)
     useless.candidate.credits = 10
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -297,7 +297,11 @@
     @property
     def rate(self) -> float:
         """Seconds of work that the upstream completes per second."""
-        return self.candidate.concurrency / self.candidate.slowdown_
+        return (
+            self.candidate.warm_share
+            * self.candidate.concurrency
+            / self.candidate.slowdown_
+        )
 
     @property
     def awaits_frames(self) -> bool:
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -157,3 +157,11 @@
     link = leased_link(clock, granted=1500)
     assert link.flush(FakeSocket())
     assert link.account.available == 1500
+
+
+# Guards against jobs that are admitted and end late after the restart of many
+# upstreams: cold ones get fewer tasks, but were counted as if they were warm.
+def test_rate_counts_the_share_that_a_cold_upstream_gets(link):
+    warm = link.rate
+    link.candidate.warm_share = 0.25
+    assert link.rate == pytest.approx(0.25 * warm)
