--- a/sardinestair/platform/tests/test_start.py
+++ b/sardinestair/platform/tests/test_start.py
@@ -9,10 +9,16 @@
 from sardinestair.entry import platform_process, process
 from sardinestair.entry.platform_process import PlatformEntryProcess
 from sardinestair.launch import LaunchContext
+from sardinestair.observability import StartStep
 from sardinestair.platform.tests.standins import StoreServer
 from sardinestair.platform.tests.test_wire import CONFIGURATION
-from sardinestair.settings import EntrySettings
-from sardinestair.settings.process import Address, EntryPlatform
+from sardinestair.settings import EntrySettings, SidecarSettings
+from sardinestair.settings.process import (
+    Address,
+    EntryPlatform,
+    SidecarPlatform,
+)
+from sardinestair.sidecar.platform_process import PlatformSidecarProcess
 
 WAIT_S = 20
 
@@ -102,3 +108,30 @@
     entry.platform.leave_s = 2.5
     entry.stop()
     assert time.slept_s == 2.5 + process.ACCEPT_BACKLOG_DRAIN_S
+
+
+@pytest.mark.parametrize("wait_s", [0.0], indirect=True)
+def test_entry_records_the_steps_of_its_start(entry):
+    entry.started.result(WAIT_S)
+    assert list(entry.start_times.after_s) == [
+        StartStep.LOADED,
+        StartStep.SERVING,
+    ]
+
+
+# Guards against credits that wait for the next periodic check of the links.
+def test_sidecar_serves_its_links_once_no_earlier_run_is_left(store):
+    settings = SidecarSettings(
+        [],
+        Address(http_port=0, link_port=0),
+        "z",
+        platform=SidecarPlatform(store.address, "127.0.0.1:9", "127.0.0.1:0"),
+    )
+    sidecar = PlatformSidecarProcess(settings)
+    woken = []
+    sidecar.server.wake = lambda: woken.append(True)
+    sidecar.runner.on_clear()
+    assert woken == [True]
+    assert StartStep.CLEAR in sidecar.start_times.after_s
+    sidecar.start()
+    sidecar.stop()
