--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -665,10 +665,7 @@
             1 if request.unrepeatable else settings.max_attempts,
             request.need,
             None if objective_s is None else now_s + objective_s,
-            now_s
-            + state.useful_lifetime_s(
-                settings, work.mean_s_, deadline_s, request.deadline_s
-            ),
+            now_s + state.useful_lifetime_s(settings, work.mean_s_, deadline_s),
             settings.priority,
             settings.repeat_interrupted and not request.unrepeatable,
             request.rack if settings.remote_factor > 1 else "",
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -11,13 +11,10 @@
 from sardinestair.jobs import JobRequest
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits import TeamQuota
-from sardinestair.limits.admission import MIN_RETRY_AFTER_S
-from sardinestair.limits.credit_priority import demand_class, priority_of
-from sardinestair.limits.feasibility import spread_retry_s
 from sardinestair.limits.forecast import highest_price
 from sardinestair.limits.money import Micros, slot_cost
 from sardinestair.limits.self_load import EntryDelay
-from sardinestair.outcomes import Problem, ProblemKind, RefusalReason
+from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import ServiceSettings, SettingsTree
 from sardinestair.settings.tree import SettingsCache
 
@@ -200,12 +197,8 @@
         if self.entry_delay is not None:
             load = self.entry_delay.add_to(load)
         useful_s = state.useful_lifetime_s(
-            settings, estimate.mean_s_, deadline_s, request.deadline_s
+            settings, estimate.mean_s_, deadline_s
         )
-        if useful_s <= 0:
-            return Error(_too_late_problem(parsed.job_id, useful_s))
-        # An earlier submission of the job has used up the time until then.
-        is_past_objective = objective_s is not None and useful_s < objective_s
         decision = state.admission().admit(load, tasks, size, useful_s)
         if decision.is_error():
             return Error(decision.error)
@@ -215,18 +208,15 @@
             settings.priority,
             tasks,
             estimate.mean_s_,
-            useful_s if is_past_objective else objective_s or deadline_s,
+            objective_s or deadline_s,
             useful_s,
             request.need,
         )
         admitted = state.admit_by_class(applicant, 1 / self.entry_count, now_s)
         if admitted.is_error():
             return admitted
-        queue_class = admitted.ok
-        if is_past_objective and state.has_classes:
-            queue_class = demand_class(priority_of(queue_class), is_late=True)
         quota = self._check_quota(request.team, tasks)
-        return quota.map(lambda _: queue_class)
+        return quota.map(lambda _: admitted.ok)
 
     def _check_quota(self, team: str, tasks: int) -> Result[None, Problem]:
         limits = self.tree.teams.get(team) if self.tree else None
@@ -263,17 +253,6 @@
     return None
 
 
-def _too_late_problem(job_id: JobId, useful_s: float) -> Problem:
-    return Problem(
-        ProblemKind.OVERLOADED,
-        f"an answer lost its use {-useful_s:.1f} s ago, by the time for which "
-        f"the caller still waits",
-        not_run=True,
-        retry_after_s=spread_retry_s(job_id, MIN_RETRY_AFTER_S),
-        reason=RefusalReason.TOO_LATE,
-    )
-
-
 def _draining_problem() -> Problem:
     return Problem(
         ProblemKind.DRAINING,
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -206,30 +206,19 @@
         return limit_s if limit_s > 0 else None
 
     def useful_lifetime_s(
-        self,
-        settings: ServiceSettings,
-        work_s: float,
-        deadline_s: float,
-        stated_s: float | None = None,
+        self, settings: ServiceSettings, work_s: float, deadline_s: float
     ) -> float:
         """Returns the response time up to which an answer is of use.
 
         Args:
             settings: The settings that apply to the job.
             work_s: Expected run time of its longest task, in seconds.
-            deadline_s: Deadline of the job, in seconds.
-            stated_s: How long the caller still waits, in seconds, if stated.
-
-        Returns:
-            The time in seconds; negative if it has passed already.
+            deadline_s: Deadline set by the caller, in seconds.
         """
         objective_s = self.response_objective_s(settings, work_s)
         if objective_s is None or settings.useful_factor <= 0:
             return deadline_s
-        useful_s = min(deadline_s, settings.useful_factor * objective_s)
-        if stated_s is None or not settings.patience_s:
-            return useful_s
-        return min(useful_s, stated_s - settings.patience_s)
+        return min(deadline_s, settings.useful_factor * objective_s)
 
     def backlog_s(self, share: float) -> float:
         """Returns the predicted time to work off the queue, in seconds.
--- a/sardinestair/outcomes.py
+++ b/sardinestair/outcomes.py
@@ -54,11 +54,10 @@
 
 
 class RefusalReason(enum.Enum):
-    """Why admission refused a job; others are named by their problem."""
+    """Why admission by class refused a job."""
 
     INFEASIBLE = "infeasible"
     FAIR_SHARE = "fair-share"
-    TOO_LATE = "too-late"
 
 
 class Problem(msgspec.Struct, frozen=True):
@@ -70,7 +69,7 @@
         not_run: True only if no task of the request has run or ever will.
         field: The invalid request field, if any.
         retry_after_s: Delay after which a retry may succeed, in seconds.
-        reason: Why admission refused the job; for logs and metrics.
+        reason: Why admission by class refused the job; for logs and metrics.
 
     Examples:
         >>> Problem(ProblemKind.OVERLOADED, "queue full", not_run=True).status
--- a/sardinestair/settings/tree.py
+++ b/sardinestair/settings/tree.py
@@ -97,10 +97,6 @@
             with `urgent_first` it is the class of the jobs.
         useful_factor: An answer is useful until this many times its objective;
             with 0, until the deadline.
-        patience_s: Time for which callers still wait once an answer has lost
-            its use, in seconds. A deadline of a caller that leaves less than
-            the objective beyond it shows that the job was submitted before.
-            0 ignores what callers say of their deadline.
         objective_stretch: Adds this many times the expected run time of a
             task to `objective_s`.
         cold_share: Share of its capacity that an upstream gets when it is
@@ -140,7 +136,6 @@
     max_crashes: int = 2
     priority: int = 0
     useful_factor: float = 0.0
-    patience_s: float = 0.0
     objective_stretch: float = 0.0
     cold_share: float = 1.0
     move_before_departure: bool = False
@@ -175,7 +170,6 @@
     max_crashes: Annotated[int, Meta(ge=1, le=100)] | UnsetType = UNSET
     priority: Annotated[int, Meta(ge=0, le=100)] | UnsetType = UNSET
     useful_factor: Annotated[float, Meta(ge=0, le=1000)] | UnsetType = UNSET
-    patience_s: Annotated[float, Meta(ge=0, le=3600)] | UnsetType = UNSET
     objective_stretch: Annotated[float, Meta(ge=0, le=100)] | UnsetType = UNSET
     cold_share: Annotated[float, Meta(gt=0, le=1)] | UnsetType = UNSET
     move_before_departure: bool | UnsetType = UNSET
