Move the demand of a service into a module of its own

Change: DemandPlanner in entry/demand.py holds targets and declined sidecars, and computes the demand of a link. Behaviour is unchanged; a test names the attributes by their new place.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -10,13 +10,14 @@
 from expression import Error, Ok, Result
 
 from sardinestair.clock import Clock
+from sardinestair.entry.demand import TARGETS_PER_TASK
 from sardinestair.entry.departure import DepartureMonitor
 from sardinestair.entry.gate import AdmissionController
 from sardinestair.entry.job_ends import JobFinalizer
 from sardinestair.entry.overdue import OverdueTaskMonitor
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.run_ends import RunOutcomeHandler
-from sardinestair.entry.service_state import TARGETS_PER_TASK, ServiceState
+from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import (
     Incarnation,
     JobId,
@@ -413,7 +414,7 @@
                         if not link.candidate.is_usable:
                             state.refresh_candidate(link, now_s)
                     # The targets so far have too little free capacity.
-                    state.declined.clear()
+                    state.demand.declined.clear()
                     wanted = TARGETS_PER_TASK * state.queue.waiting_tasks
                     self._add_demand_targets(state, wanted)
                     self.services_to_place.add(state.name)
@@ -522,13 +523,12 @@
         long as placement prefers to wait for another upstream.
         """
         state = self.services[link.candidate.service]
-        state.demand_targets.discard(link.sidecar)
-        state.declined.add(link.sidecar)
+        state.demand.decline(link.sidecar)
 
     def demand_for(self, link: EntryLink) -> Demand:
         """Returns the demand for credits of a link's upstream."""
         state = self.services[link.candidate.service]
-        return state.demand(link, self.clock.monotonic())
+        return state.demand.demand_for(link, self.clock.monotonic())
 
     def backlog_for(self, link: EntryLink) -> list[ClassLoad]:
         """Returns the waiting work of a link's service, for each link."""
@@ -713,9 +713,9 @@
             labels = {"service": state.name}
             self.metrics.count("placements_deferred_total", labels, deferrals)
         if not state.queue.waiting_tasks:
-            state.demand_targets.clear()
+            state.demand.targets.clear()
         wanted = TARGETS_PER_TASK * state.queue.waiting_tasks
-        self._add_demand_targets(state, wanted - len(state.demand_targets))
+        self._add_demand_targets(state, wanted - len(state.demand.targets))
         for sidecar in sidecars_to_wake:
             state.links[sidecar].notify()
 
@@ -724,7 +724,7 @@
         if count <= 0:
             return
         now_s = self.clock.monotonic()
-        for link in state.add_demand_targets(count, now_s):
+        for link in state.demand.add_targets(count, now_s):
             link.notify()
 
     def _refresh_link(self, link: EntryLink) -> None:
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -1,6 +1,5 @@
 """State that an entry keeps for each service."""
 
-import itertools
 from collections.abc import Container, Iterator
 
 from expression import Ok, Result
@@ -10,6 +9,7 @@
     ClassAdmission,
     Room,
 )
+from sardinestair.entry.demand import DemandPlanner
 from sardinestair.entry.lookahead import Lookahead
 from sardinestair.entry.shedding import useless_jobs
 from sardinestair.entry.speeds import UpstreamSpeeds
@@ -18,10 +18,9 @@
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits import AdmissionControl, RetryBudget, ServiceLoad
-from sardinestair.limits.credit_priority import demand_class
 from sardinestair.limits.load_view import LoadView
 from sardinestair.links.entry_link import EntryLink, LinkState
-from sardinestair.messages import Demand, UpstreamStatus
+from sardinestair.messages import UpstreamStatus
 from sardinestair.observability.burn import BurnRecorder
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.placement import (
@@ -33,14 +32,11 @@
     WaitingTask,
     make_policy,
 )
-from sardinestair.placement.objective import MESSAGING_S, remoteness
+from sardinestair.placement.objective import MESSAGING_S
 from sardinestair.settings import ServiceSettings
 
 __all__ = ["ServiceState"]
 
-# Sidecars that receive the demand for one waiting task at first. With more of
-# them free capacity is found sooner, but unused credits must be returned.
-TARGETS_PER_TASK = 1
 # Upstreams announce themselves within two heartbeats of 1.5 s. Until then the
 # throughput is unknown and no wait can be predicted.
 DISCOVERY_GRACE_S = 3.0
@@ -75,9 +71,7 @@
         burn: Counts jobs against the service's objective.
         probation_until_s: Until when an upstream runs a task that may have
             crashed another one, by sidecar.
-        demand_targets: Sidecars that receive the demand of the queued tasks.
-        declined: Sidecars whose credits no task has used since the last
-            periodic check.
+        demand: Decides which sidecars receive the demand of the queued tasks.
         share: This entry's share of the upstreams when all entries have
             demand.
         created_s: When this state was created, on the entry's clock.
@@ -119,9 +113,7 @@
             self.queue, self.crashes, self._must_spare_upstreams
         )
         self.probation_until_s: dict[Incarnation, float] = {}
-        self.demand_targets: set[Incarnation] = set()
-        self.declined: set[Incarnation] = set()
-        self.next_target = 0
+        self.demand = DemandPlanner(self)
         self.evacuated_zones: frozenset[str] = frozenset()
         self.share = 1.0
 
@@ -153,7 +145,7 @@
             return None
         if now_s - self.created_s < DISCOVERY_GRACE_S:
             return None
-        if not all(map(self._is_evacuated, self.links.values())):
+        if not all(map(self.is_evacuated, self.links.values())):
             return None
         return Problem(
             ProblemKind.UNAVAILABLE,
@@ -162,13 +154,14 @@
             retry_after_s=EVACUATION_RETRY_S,
         )
 
-    def _is_evacuated(self, link: EntryLink) -> bool:
+    def is_evacuated(self, link: EntryLink) -> bool:
+        """Returns True if a link's upstream is in an evacuated zone."""
         return link.candidate.zone in self.evacuated_zones
 
     def _links_in_use(self) -> Iterator[EntryLink]:
         """Yields the links outside evacuated zones."""
         for link in self.links.values():
-            if not self._is_evacuated(link):
+            if not self.is_evacuated(link):
                 yield link
 
     def _open_links(self, *states: LinkState) -> Iterator[EntryLink]:
@@ -284,7 +277,7 @@
         candidate.outstanding = len(link.outstanding)
         is_usable = (
             link.state is LinkState.UP
-            and not self._is_evacuated(link)
+            and not self.is_evacuated(link)
             and self.health.allows_start(
                 link.sidecar, candidate.outstanding, now_s
             )
@@ -450,108 +443,7 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
-    def add_demand_targets(
-        self, count: int, now_s: float = 0.0
-    ) -> list[EntryLink]:
-        """Adds sidecars to the demand targets, in turn.
-
-        Args:
-            count: Maximum number of sidecars to add.
-            now_s: The current time, on the entry's clock.
-
-        Returns:
-            Their links.
-        """
-        links = list(self.links.values())
-        skipped = self.demand_targets | self.declined
-        rotated = itertools.chain(
-            links[self.next_target :], links[: self.next_target]
-        )
-        open_links = [
-            link
-            for link in rotated
-            if link.sidecar not in skipped and link.candidate.is_usable
-        ]
-        chosen = self._prefer_in_time(open_links, now_s)[:count]
-        if chosen:
-            self.next_target = (links.index(chosen[-1]) + 1) % len(links)
-            self.demand_targets.update(link.sidecar for link in chosen)
-        return chosen
-
-    def _prefer_in_time(
-        self, links: list[EntryLink], now_s: float
-    ) -> list[EntryLink]:
-        """Moves the upstreams that would make the first job late to the end.
-
-        The others keep their order.
-        """
-        job = self.queue.head()
-        if job is None or not isinstance(self.policy, MeetObjective):
-            return links
-        task = self._waiting_task(job, 0, now_s)
-
-        def is_too_slow(link: EntryLink) -> bool:
-            candidate = link.candidate
-            remote = remoteness(candidate, task.rack, task.remote_factor)
-            return remote * candidate.slowdown_ > task.max_slowdown
-
-        return sorted(links, key=is_too_slow)
-
-    def demand(self, link: EntryLink, now_s: float) -> Demand:
-        """Returns the demand for credits of a link's upstream.
-
-        It is zero if the sidecar is not a demand target, if no queued task
-        would start there, or if the credits held already cover the next one.
-        """
-        if link.sidecar not in self.demand_targets or self._is_evacuated(link):
-            return Demand(0, 0.0)
-        job = self._first_job_for(link, now_s)
-        if job is None:
-            return Demand(0, 0.0)
-        units = link.candidate.units_needed(job.need)
-        if units is None or link.account.available >= units:
-            return Demand(0, 0.0)
-        outstanding = len(link.outstanding)
-        if not self.health.allows_start(link.sidecar, outstanding, now_s):
-            return Demand(0, 0.0)
-        waiting = self.queue.waiting_tasks
-        # Whole tasks: the rest of a grant could only be returned.
-        steps = round(waiting * link.candidate.mean_task_units / units)
-        wanted = max(1, steps) * units
-        return Demand(
-            wanted,
-            job.order_key_s - now_s,
-            units,
-            demand_class(job.queue_class, job.is_late),
-            self._class_units(job, wanted, units),
-        )
-
-    def _class_units(self, job: Job, wanted: int, units: int) -> int:
-        """Returns the credits wanted for tasks of a job's class.
-
-        It is 0 for all of them, if all waiting jobs have the same priority.
-
-        Args:
-            job: The first job that would start at an upstream.
-            wanted: Credits wanted for all waiting tasks.
-            units: Credits that one of its tasks needs.
-        """
-        if self.queue.waiting_by_class.count_priorities() < 2:
-            return 0
-        number = demand_class(job.queue_class, job.is_late)
-        share = self.queue.waiting_by_class.task_share(number)
-        return max(units, round(wanted * share / units) * units)
-
-    def _first_job_for(self, link: EntryLink, now_s: float) -> Job | None:
-        """Returns the first queued job that the policy would start there."""
-        tasks_ahead = self.queue.waiting_tasks - 1
-        for job, _ in self.lookahead.jobs():
-            task = self._waiting_task(job, tasks_ahead, now_s)
-            if task.is_late or self.policy.should_start(link.candidate, task):
-                return job
-        return None
-
-    def _waiting_task(
+    def waiting_task(
         self,
         job: Job,
         tasks_ahead: int,
@@ -575,7 +467,7 @@
     def _must_spare_upstreams(self) -> bool:
         """Returns True if more upstreams are away than may be taken out."""
         away = sum(
-            link.state is LinkState.LEAVING and not self._is_evacuated(link)
+            link.state is LinkState.LEAVING and not self.is_evacuated(link)
             for link in self.links.values()
         )
         return away > self.settings.max_outage_share * len(self.links)
@@ -657,7 +549,7 @@
             return None
         for job, tasks_ahead in self.lookahead.jobs():
             excluded = self._excluded_upstreams(job, now_s)
-            task = self._waiting_task(job, tasks_ahead, now_s, excluded)
+            task = self.waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -305,14 +305,14 @@
     entry = Entry(max_attempts=1)
     state = entry.dispatcher.services["quotes"]
     link = entry.links[A]
-    state.demand_targets = {A, B}
+    state.demand.targets = {A, B}
     handle_message(Recall(1600), link)
-    assert state.demand_targets == {B}
-    assert link not in state.add_demand_targets(2)
+    assert state.demand.targets == {B}
+    assert link not in state.demand.add_targets(2)
     entry.submit(tasks=40)
     entry.dispatcher.run_periodic_checks()
     assert state.queue.waiting_tasks
-    assert not state.declined
+    assert not state.demand.declined
 
 
 # Guards against entries that answer every job with 500 (rule RECOVER) after a
