Keep the share of an entry once

Cause: the share was an argument of admission and shedding and, set at each placement, an attribute of the service's state as well.

Change: EntryShare in limits/share.py, held by the admission controller and read by the state of each service. A new number of entries counts at once, also for demand that is sent before the next placement. Tests name the share by its new place; what they assert is unchanged.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -346,7 +346,7 @@
             self.make_entry(tree, next(zone_cycle)) for _ in range(entries)
         ]
         for dispatcher in self.dispatchers:
-            dispatcher.admission_controller.entry_count = entries
+            dispatcher.admission_controller.share.entry_count = entries
         self.connections: list[_Connection] = []
         self.by_route: dict[bytes, _Connection] = {}
         self.by_dispatcher: dict[int, list[_Connection]] = {}
--- a/sardinestair/emulator/uneven.py
+++ b/sardinestair/emulator/uneven.py
@@ -185,7 +185,7 @@
     fresh_arrivals = {job.arrival_s for job in late[:: ENTRIES + 1]}
     emulation.report.counts = lambda job: job.arrival_s in fresh_arrivals
     fresh = system.make_entry(emulation.tree, ZONES[0])
-    fresh.admission_controller.entry_count = ENTRIES + 1
+    fresh.admission_controller.share.entry_count = ENTRIES + 1
 
     def connect() -> None:
         system.dispatchers.append(fresh)
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -422,9 +422,8 @@
 
     def _shed_useless_jobs(self, state: ServiceState, now_s: float) -> None:
         """Fails queued jobs that would end too late to be of use."""
-        share = 1 / self.admission_controller.entry_count
-        for job in state.useless_jobs(share, now_s):
-            backlog_s = state.backlog_s(share)
+        for job in state.useless_jobs(now_s):
+            backlog_s = state.backlog_s()
             detail = (
                 f"it would end over {job.useful_until_s - job.accepted_s:.1f} "
                 f"s after it came; the backlog is {backlog_s:.1f} s of work"
@@ -576,7 +575,12 @@
             settings = resolve_service(tree, service, self.zone)
             now_s = self.clock.monotonic()
             state = ServiceState(
-                service, settings, now_s, self.crashes, self.zone
+                service,
+                settings,
+                now_s,
+                self.crashes,
+                self.zone,
+                self.admission_controller.share,
             )
             state.set_evacuated_zones(self.evacuations.zones, now_s)
             self.services[service] = state
@@ -679,13 +683,12 @@
         now_s = self.clock.monotonic()
         rate = 0.0
         if state.queue.needs_throughput:
-            rate = state.throughput() / self.admission_controller.entry_count
+            rate = state.throughput() * state.share
         state.queue.add(job, now_s, rate)
         self.services_to_place.add(state.name)
 
     def _place_tasks(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
-        state.share = 1 / self.admission_controller.entry_count
         sidecars_to_wake: set[Incarnation] = set()
         while (placement := state.next_placement(now_s)) is not None:
             job, link = placement
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -14,6 +14,7 @@
 from sardinestair.limits.forecast import highest_price
 from sardinestair.limits.money import Micros, slot_cost
 from sardinestair.limits.self_load import EntryDelay
+from sardinestair.limits.share import EntryShare
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import ServiceSettings, SettingsTree
 from sardinestair.settings.tree import SettingsCache
@@ -39,7 +40,7 @@
     Attributes:
         tree: The settings tree in force, or None if none has been adopted.
         team_quotas: Token buckets of the teams that have a quota.
-        entry_count: Number of entries that share the upstreams and quotas.
+        share: The entry's share of the upstreams and quotas.
         is_draining: True once the entry has begun to stop.
         drain_deadline_s: While draining, jobs expected to end before this
             time are still accepted; None to accept none.
@@ -59,7 +60,7 @@
         self.claim_retention_s = claim_retention_s
         self.tree: SettingsTree | None = None
         self.team_quotas: dict[str, TeamQuota] = {}
-        self.entry_count = 1
+        self.share = EntryShare()
         self.settings_cache = SettingsCache()
         self.is_draining = False
         self.drain_deadline_s: float | None = None
@@ -189,7 +190,6 @@
         load = state.load(
             request.team,
             estimate.mean_s_ * tasks,
-            1 / self.entry_count,
             now_s,
             now_s + (objective_s or deadline_s) - estimate.mean_s_,
             settings.priority,
@@ -212,7 +212,7 @@
             useful_s,
             request.need,
         )
-        admitted = state.admit_by_class(applicant, 1 / self.entry_count, now_s)
+        admitted = state.admit_by_class(applicant, now_s)
         if admitted.is_error():
             return admitted
         quota = self._check_quota(request.team, tasks)
@@ -226,7 +226,7 @@
         if quota is None:
             quota = self.team_quotas[team] = TeamQuota(limits.tasks_per_s)
         quota.tasks_per_s = limits.tasks_per_s
-        share = 1 / self.entry_count
+        share = self.share.value
         return quota.try_acquire(team, tasks, share, self.clock.monotonic())
 
 
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -143,6 +143,6 @@
         self.add_endpoints(reply.entries)
         dispatcher = self.membership.dispatcher
         dispatcher.observe_evacuations(reply.evacuations)
-        dispatcher.admission_controller.entry_count = 1 + len(
+        dispatcher.admission_controller.share.entry_count = 1 + len(
             self.membership.peers.recently_seen(now_s, self.peer_timeout_s)
         )
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -19,6 +19,7 @@
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits import AdmissionControl, RetryBudget, ServiceLoad
 from sardinestair.limits.load_view import LoadView
+from sardinestair.limits.share import EntryShare
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import UpstreamStatus
 from sardinestair.observability.burn import BurnRecorder
@@ -55,6 +56,7 @@
         created_s: The current time, on the entry's clock.
         crashes: Crashes of upstreams, by task.
         zone: The entry's availability zone.
+        entry_share: The entry's share of the upstreams.
 
     Attributes:
         queue: Jobs with tasks that have not started.
@@ -72,8 +74,6 @@
         probation_until_s: Until when an upstream runs a task that may have
             crashed another one, by sidecar.
         demand: Decides which sidecars receive the demand of the queued tasks.
-        share: This entry's share of the upstreams when all entries have
-            demand.
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
@@ -87,6 +87,7 @@
         created_s: float = 0.0,
         crashes: CrashHistory | None = None,
         zone: str = "",
+        entry_share: EntryShare | None = None,
     ):
         self.created_s = created_s
         self.last_available_s = created_s
@@ -115,7 +116,12 @@
         self.probation_until_s: dict[Incarnation, float] = {}
         self.demand = DemandPlanner(self)
         self.evacuated_zones: frozenset[str] = frozenset()
-        self.share = 1.0
+        self.entry_share = entry_share or EntryShare()
+
+    @property
+    def share(self) -> float:
+        """Share of the upstreams when all entries have demand."""
+        return self.entry_share.value
 
     def set_evacuated_zones(self, zones: frozenset[str], now_s: float) -> None:
         """Applies a change of the evacuated zones."""
@@ -216,17 +222,13 @@
             return deadline_s
         return min(deadline_s, settings.useful_factor * objective_s)
 
-    def backlog_s(self, share: float) -> float:
+    def backlog_s(self) -> float:
         """Returns the predicted time to work off the queue, in seconds.
 
         Without throughput it is the time in which upstreams announce
         themselves.
-
-        Args:
-            share: This entry's share of the upstreams when all entries have
-                demand.
         """
-        rate = self.entry_throughput(share)
+        rate = self.entry_throughput()
         return self.queue.waiting_work_s / rate if rate else DISCOVERY_GRACE_S
 
     def meets_objective(self, job: Job, response_s: float) -> bool:
@@ -316,16 +318,11 @@
             for link in self._open_links(*_THROUGHPUT_STATES)
         )
 
-    def entry_throughput(self, share: float) -> float:
+    def entry_throughput(self) -> float:
         """Returns the work done per second for this entry.
 
-        Args:
-            share: This entry's share of the upstreams when all entries have
-                demand.
-
-        Returns:
-            The rate of its running tasks, or its share of the throughput if
-            that is larger.
+        It is the rate of its running tasks, or its share of the throughput if
+        that is larger.
         """
         running = throughput = 0.0
         for link in self.links.values():
@@ -339,13 +336,12 @@
                 throughput += (
                     candidate.warm_share * candidate.concurrency / slowdown
                 )
-        return max(running, share * throughput)
+        return max(running, self.share * throughput)
 
     def load(
         self,
         team: str,
         work_s: float,
-        share: float,
         now_s: float,
         latest_start_s: float | None = None,
         priority: int = 0,
@@ -355,13 +351,11 @@
         Args:
             team: The caller's team.
             work_s: Expected run time of all tasks of the job, in seconds.
-            share: This entry's share of the upstreams when all entries have
-                demand.
             now_s: The current time, on the entry's clock.
             latest_start_s: When the job must start to meet its objective.
             priority: The job's priority.
         """
-        rate = self.entry_throughput(share)
+        rate = self.entry_throughput()
         if rate:
             self.last_available_s = now_s
         ahead_s = work_s + self.queue.work_ahead_s(
@@ -381,14 +375,12 @@
         return self.queue.order is OrderPolicy.URGENT_FIRST
 
     def admit_by_class(
-        self, applicant: Applicant, share: float, now_s: float
+        self, applicant: Applicant, now_s: float
     ) -> Result[int, Problem]:
         """Decides on a job by its class, if the order has classes.
 
         Args:
             applicant: The job.
-            share: This entry's share of the upstreams when all entries have
-                demand.
             now_s: The current time, on the entry's clock.
 
         Returns:
@@ -403,20 +395,18 @@
             return admission.admit_at_once(applicant, now_s)
         if not self.can_predict_wait(now_s):
             return Ok(priority)
-        room = Room.of(self._links_in_use(), share, applicant)
+        room = Room.of(self._links_in_use(), self.share, applicant)
         return admission.admit(applicant, room, now_s, view)
 
-    def useless_jobs(self, share: float, now_s: float) -> list[Job]:
+    def useless_jobs(self, now_s: float) -> list[Job]:
         """Returns the waiting jobs that would end too late to be of use.
 
         Args:
-            share: This entry's share of the upstreams when all entries have
-                demand.
             now_s: The current time, on the entry's clock.
         """
         if not (self.has_classes and self.can_predict_wait(now_s)):
             return self.queue.no_longer_useful(now_s)
-        room = Room.of(self._links_in_use(), share)
+        room = Room.of(self._links_in_use(), self.share)
         return useless_jobs(self.queue, room.tasks_per_s, now_s)
 
     def can_predict_wait(self, now_s: float) -> bool:
--- a/sardinestair/entry/tests/test_service_state.py
+++ b/sardinestair/entry/tests/test_service_state.py
@@ -46,7 +46,7 @@
 
 
 def expected_wait_s(state, now_s):
-    return state.load("team", WORK_S, 1.0, now_s).expected_response_s
+    return state.load("team", WORK_S, now_s).expected_response_s
 
 
 def test_no_wait_is_predicted_before_upstreams_can_announce():
@@ -76,8 +76,8 @@
 # not announced themselves yet.
 def test_nothing_is_shed_by_prediction_before_upstreams_can_announce():
     state = late_jobs_state()
-    assert state.useless_jobs(1.0, CREATED_S + DISCOVERY_GRACE_S / 2) == []
-    assert state.useless_jobs(1.0, CREATED_S + DISCOVERY_GRACE_S) != []
+    assert state.useless_jobs(CREATED_S + DISCOVERY_GRACE_S / 2) == []
+    assert state.useless_jobs(CREATED_S + DISCOVERY_GRACE_S) != []
 
 
 def test_wait_is_infinite_without_upstreams_after_grace_period():
@@ -91,7 +91,7 @@
 def test_reading_the_throughput_keeps_the_share_of_the_entry():
     state = busy_state()
     assert state.share == 1.0
-    state.share = 0.25
+    state.entry_share.entry_count = 4
     assert state.throughput() == 1.0
     assert state.share == 0.25
 
@@ -108,9 +108,9 @@
         ),
         max_size=6,
     ),
-    share=st.floats(0.1, 1.0),
+    entries=st.integers(1, 12),
 )
-def test_rate_of_an_entry_is_its_share_of_the_throughput(links, share):
+def test_rate_of_an_entry_is_its_share_of_the_throughput(links, entries):
     state = ServiceState("quotes", ServiceSettings(), CREATED_S)
     state.evacuated_zones = frozenset({"b"})
     running = 0.0
@@ -125,8 +125,9 @@
         running += outstanding / slowdown
         sidecar = Incarnation(len(state.links).to_bytes(16, "big"))
         state.links[sidecar] = link
-    expected = max(running, share * state.throughput())
-    assert state.entry_throughput(share) == pytest.approx(expected)
+    state.entry_share.entry_count = entries
+    expected = max(running, state.throughput() / entries)
+    assert state.entry_throughput() == pytest.approx(expected)
     is_known = bool(state.throughput())
     state.last_available_s = CREATED_S + 2 * DISCOVERY_GRACE_S
     now_s = CREATED_S + 2 * DISCOVERY_GRACE_S
