Move the avoidance of crashes into a module of its own

Cause: ServiceState decided, between admission and placement, which upstreams a task stays off because of crashes.

Behaviour is unchanged.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -277,7 +277,7 @@
             state = self.services[link.candidate.service]
             state.links.pop(sidecar, None)
             state.speeds.remove(sidecar)
-            state.probation_until_s.pop(sidecar, None)
+            state.crash_avoidance.forget(sidecar)
             state.health.remove(sidecar)
             self.place_waiting()
 
@@ -696,7 +696,7 @@
             index = state.queue.dequeue(job, link.sidecar)
             job.record_start(now_s)
             job.way.record_placement(index, now_s)
-            state.record_placement(job, index, link, now_s)
+            state.crash_avoidance.record_placement(job, index, link, now_s)
             if job.attempts[index] == 1:
                 state.retries.deposit()
             remaining_s = min(job.deadline_s - now_s, state.settings.max_task_s)
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -9,6 +9,7 @@
     ClassAdmission,
     Room,
 )
+from sardinestair.entry.crash_avoidance import CrashAvoidance
 from sardinestair.entry.demand import DemandPlanner
 from sardinestair.entry.lookahead import Lookahead
 from sardinestair.entry.shedding import useless_jobs
@@ -71,8 +72,7 @@
         stragglers: Decides whether single overdue runs are moved.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
-        probation_until_s: Until when an upstream runs a task that may have
-            crashed another one, by sidecar.
+        crash_avoidance: Keeps tasks off upstreams so that few of them crash.
         demand: Decides which sidecars receive the demand of the queued tasks.
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
@@ -110,10 +110,10 @@
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
         self.crashes = CrashHistory() if crashes is None else crashes
+        self.crash_avoidance = CrashAvoidance(self.crashes, self)
         self.lookahead = Lookahead(
-            self.queue, self.crashes, self._must_spare_upstreams
+            self.queue, self.crashes, self.crash_avoidance.must_spare_upstreams
         )
-        self.probation_until_s: dict[Incarnation, float] = {}
         self.demand = DemandPlanner(self)
         self.evacuated_zones: frozenset[str] = frozenset()
         self.entry_share = entry_share or EntryShare()
@@ -454,14 +454,6 @@
             self.settings.remote_factor,
         )
 
-    def _must_spare_upstreams(self) -> bool:
-        """Returns True if more upstreams are away than may be taken out."""
-        away = sum(
-            link.state is LinkState.LEAVING and not self.is_evacuated(link)
-            for link in self.links.values()
-        )
-        return away > self.settings.max_outage_share * len(self.links)
-
     def _placement_run_s(self, job: Job) -> float:
         """Returns the run time that placement assumes, in seconds.
 
@@ -479,49 +471,6 @@
         run_times = self.run_times_.get(kind)
         return run_times.spread_s if run_times else 0.0
 
-    def _excluded_upstreams(self, job: Job, now_s: float) -> set[Incarnation]:
-        """Returns the upstreams to avoid for a job's next task.
-
-        They are those where the job has failed, and those on which its task
-        would hide the cause of another crash. Either are used if no other
-        upstream is usable.
-        """
-        on_probation = self._on_probation(job, now_s)
-        excluded: set[Incarnation] = set()
-        if not (job.failed_upstreams or on_probation):
-            return excluded
-        usable = {
-            sidecar
-            for sidecar, link in self.links.items()
-            if link.candidate.is_usable
-        }
-        for avoided in (job.failed_upstreams, on_probation):
-            if usable - excluded - avoided:
-                excluded |= avoided
-        return excluded
-
-    def _on_probation(self, job: Job, now_s: float) -> set[Incarnation]:
-        """Returns the upstreams that should not get a job's next task yet.
-
-        Of the tasks that may have caused a crash an upstream gets one at a
-        time if possible, so that another crash shows which of them it was.
-        """
-        if not self.crashes.find(job.job_id, job.waiting[0]):
-            return set()
-        return {
-            sidecar
-            for sidecar, until_s in self.probation_until_s.items()
-            if now_s < until_s
-        }
-
-    def record_placement(
-        self, job: Job, index: int, link: EntryLink, now_s: float
-    ) -> None:
-        """Records that a task is about to be started."""
-        crashes = self.crashes.find(job.job_id, index)
-        if crashes is not None:
-            self.probation_until_s[link.sidecar] = now_s + crashes.probation_s
-
     def next_placement(self, now_s: float) -> tuple[Job, EntryLink] | None:
         """Chooses the next job of which to start a task, and the link.
 
@@ -538,7 +487,7 @@
         if not self.policy.has_available():
             return None
         for job, tasks_ahead in self.lookahead.jobs():
-            excluded = self._excluded_upstreams(job, now_s)
+            excluded = self.crash_avoidance.excluded_upstreams(job, now_s)
             task = self.waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
             if candidate is not None:
