Move the acceptance of jobs into a module of its own

Change: JobSubmission in entry/submission.py. Dispatcher.submit delegates to it, service_state is public as JobSubmission uses it. Behaviour is unchanged; tests import the refusals from their new place.

--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -5,12 +5,13 @@
 import msgspec
 from expression import Error, Result
 
-from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, Dispatcher
+from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.entry.forwarding import (
     FORWARDED_HEADER,
     ForwardedReply,
     Forwarder,
 )
+from sardinestair.entry.submission import EARLIER_RUNS_ACTIVE
 from sardinestair.event_loop import EventLoop, wait_for_result
 from sardinestair.ids import (
     JobId,
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -4,10 +4,10 @@
 import itertools
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import zmq
-from expression import Error, Ok, Result
+from expression import Result
 
 from sardinestair.clock import Clock
 from sardinestair.entry.demand import TARGETS_PER_TASK
@@ -18,6 +18,7 @@
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.run_ends import RunOutcomeHandler
 from sardinestair.entry.service_state import ServiceState
+from sardinestair.entry.submission import JobSubmission
 from sardinestair.ids import (
     Incarnation,
     JobId,
@@ -27,13 +28,11 @@
     CrashHistory,
     Job,
     JobRegistry,
-    JobState,
     WithdrawnJobs,
 )
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.admission import MIN_RETRY_AFTER_S
 from sardinestair.limits.budget import JobReservation
-from sardinestair.limits.credit_priority import is_late_class, priority_of
 from sardinestair.limits.feasibility import spread_retry_s
 from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import EntryLink, LinkState
@@ -51,25 +50,9 @@
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.settings.classes import resolve_service
-from sardinestair.store.claims import Claim, ClaimOutcome, ClaimWriter
+from sardinestair.store.claims import ClaimWriter
 
-__all__ = ["EARLIER_RUNS_ACTIVE", "WITHDRAWN", "Dispatcher"]
-
-EARLIER_RUNS_ACTIVE = Problem(
-    ProblemKind.UNAVAILABLE,
-    "earlier runs of the job are still being stopped; this submission did "
-    "not run",
-    not_run=True,
-    retry_after_s=1.0,
-)
-"""Refuses a resubmission while an earlier run of its job may be active."""
-
-WITHDRAWN = Problem(
-    ProblemKind.CANCELLED,
-    "the caller has cancelled the job; this submission did not run",
-    not_run=True,
-)
-"""Refuses a submission of a job that was cancelled before it came."""
+__all__ = ["Dispatcher"]
 
 BUSY_CHECK_INTERVAL_S = 0.02
 IDLE_CHECK_INTERVAL_S = 0.25
@@ -113,6 +96,7 @@
         job_finalizer: Ends jobs and releases what they hold.
         run_outcome_handler: Processes the outcomes of runs.
         overdue_monitor: Detects and moves tasks that take too long.
+        submission: Accepts jobs.
         departures: Moves tasks off upstreams that are about to leave.
         link_usage: Counters of all links.
         ready_links: Links to be served soon.
@@ -151,7 +135,7 @@
         metrics.gauge("evacuated_zones", {}, 0)
         self.claims = claims
         self.deadline_heap: list[tuple[float, int, Job]] = []
-        self.tie_breaker = itertools.count()
+        self.tie_breaker: Iterator[int] = itertools.count()
         self.epoch_counter = itertools.count(1)
         self.services_to_place: set[str] = set()
         self.links_to_refresh: set[EntryLink] = set()
@@ -179,6 +163,7 @@
             self.registry, metrics, self.log
         )
         self.departures = DepartureMonitor(self.registry, metrics, self.log)
+        self.submission = JobSubmission(self)
 
     @property
     def tree(self) -> SettingsTree | None:
@@ -261,7 +246,7 @@
                 self.context,
             )
             self.links[announce.sidecar] = link
-            state = self._service_state(announce.service)
+            state = self.service_state(announce.service)
             state.links[announce.sidecar] = link
             state.observe_warmth(link, announce.status, self.clock.monotonic())
             self._adopt_status(link, announce)
@@ -286,56 +271,12 @@
     def submit(
         self, parsed: ParsedRequest, charge: JobReservation | None = None
     ) -> Result[Job, Problem]:
-        """Accepts a job, or attaches to a known job with the same id.
-
-        Args:
-            parsed: The validated request.
-            charge: Reservation of the team's budget. The caller has to
-                release it unless the returned job holds it.
-
-        Returns:
-            The job, or the problem with which it is refused.
-        """
-        with self.lock:
-            existing = self.registry.find(parsed.job_id)
-            is_withdrawn = parsed.job_id in self.withdrawn
-            if existing is None and is_withdrawn:
-                return Error(WITHDRAWN)
-            can_run_again = existing is not None and (
-                not is_withdrawn and _can_run_again(existing, parsed)
-            )
-            if existing is not None and not can_run_again:
-                existing.waiters += 1
-                return _attach(existing, parsed)
-            if existing is not None and existing.in_flight:
-                return Error(EARLIER_RUNS_ACTIVE)
-            admitted = self.admission_controller.check(
-                parsed, self._service_state
-            )
-            if admitted.is_error():
-                self.record_refusal(parsed, admitted.error)
-                return Error(admitted.error)
-            job = self._create_job(parsed, existing, admitted.ok)
-            job.reservation = charge
-            if not parsed.request.unrepeatable:
-                # It may have run before, here or at another entry.
-                self.run_outcome_handler.fail_if_crashing(job)
-            self.place_waiting()
-            return Ok(job)
+        """Accepts a job; see `JobSubmission.submit`."""
+        return self.submission.submit(parsed, charge)
 
-    def handle_claim_verdict(
-        self, job: Job, verdict: ClaimOutcome, claim: Claim | None
-    ) -> None:
-        """Enqueues or fails an unrepeatable job once its claim is decided."""
-        with self.lock:
-            job.claim = claim
-            if verdict is ClaimOutcome.OWNED:
-                self._enqueue_claimed(job, claim)
-            elif job.is_active:
-                self._fail_unclaimed(job, verdict)
-            if not job.claimed.done():
-                job.claimed.set_result(verdict is ClaimOutcome.OWNED)
-            self.place_waiting()
+    def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
+        """Records a job that was refused."""
+        self.submission.record_refusal(parsed, refusal)
 
     def find(self, job_id: JobId) -> Job | None:
         """Returns a known job, or None."""
@@ -568,7 +509,8 @@
 
     # Internals.
 
-    def _service_state(self, service: str) -> ServiceState:
+    def service_state(self, service: str) -> ServiceState:
+        """Returns the state of a service; creates it on first use."""
         state = self.services.get(service)
         if state is None:
             tree = self.tree or SettingsTree()
@@ -606,87 +548,6 @@
         if candidate.slowdown_ != slowdown:
             self._refresh_link(link)
 
-    def _enqueue_claimed(self, job: Job, claim: Claim | None) -> None:
-        assert self.claims is not None and claim is not None
-        if not job.is_active:
-            # The job ended while the claim was being written: it never ran.
-            self.claims.keep_for_resubmission(job.job_id, claim)
-            return
-        self._enqueue(job)
-
-    def _fail_unclaimed(self, job: Job, verdict: ClaimOutcome) -> None:
-        if verdict is ClaimOutcome.UNAVAILABLE:
-            detail = "the store did not answer, so the job was not claimed"
-            self.job_finalizer.fail(job, ProblemKind.UNAVAILABLE, detail, 1.0)
-            return
-        job.may_have_run = True
-        detail = (
-            "another submission holds the claim; the job may have run and "
-            "will not run again"
-        )
-        self.job_finalizer.fail(job, ProblemKind.LOST, detail)
-        self.registry.remove(job.job_id)
-
-    def _create_job(
-        self, parsed: ParsedRequest, previous: Job | None, queue_class: int
-    ) -> Job:
-        request = parsed.request
-        now_s = self.clock.monotonic()
-        settings = self.admission_controller.effective_settings(request)
-        deadline_s = request.deadline_s or settings.deadline_s
-        state = self._service_state(request.service)
-        work = state.estimate(request.kind, request.declared_task_s)
-        objective_s = state.response_objective_s(settings, work.mean_s_)
-        job = Job(
-            parsed.job_id,
-            request.service,
-            request.team,
-            request.kind,
-            request.payloads,
-            now_s,
-            now_s + deadline_s,
-            work,
-            parsed.digest,
-            1 if request.unrepeatable else settings.max_attempts,
-            request.need,
-            None if objective_s is None else now_s + objective_s,
-            now_s + state.useful_lifetime_s(settings, work.mean_s_, deadline_s),
-            settings.priority,
-            settings.repeat_interrupted and not request.unrepeatable,
-            request.rack if settings.remote_factor > 1 else "",
-        )
-        job.queue_class = priority_of(queue_class)
-        job.is_late = is_late_class(queue_class)
-        if previous is not None:
-            job.attempts = previous.attempts
-            self.registry.remove(job.job_id)
-        self.registry.add(job)
-        heapq.heappush(
-            self.deadline_heap, (job.deadline_s, next(self.tie_breaker), job)
-        )
-        if request.unrepeatable:
-            self._submit_claim(job)
-        else:
-            self._enqueue(job)
-        return job
-
-    def _submit_claim(self, job: Job) -> None:
-        assert self.claims is not None
-
-        def on_verdict(verdict: ClaimOutcome, claim: Claim | None) -> None:
-            self.handle_claim_verdict(job, verdict, claim)
-
-        self.claims.submit(job.job_id, on_verdict)
-
-    def _enqueue(self, job: Job) -> None:
-        state = self._service_state(job.service)
-        now_s = self.clock.monotonic()
-        rate = 0.0
-        if state.queue.needs_throughput:
-            rate = state.throughput() * state.share
-        state.queue.add(job, now_s, rate)
-        self.services_to_place.add(state.name)
-
     def _place_tasks(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
         sidecars_to_wake: set[Incarnation] = set()
@@ -744,31 +605,3 @@
         for link in links:
             state = self.services[link.candidate.service]
             state.refresh_candidate(link, now_s)
-
-    def record_refusal(self, parsed: ParsedRequest, refusal: Problem) -> None:
-        """Records a job that was refused."""
-        request = parsed.request
-        state = self.services.get(request.service)
-        priority = self.admission_controller.priority(request)
-        self.recorder.record_refusal(parsed, refusal, state, priority)
-
-
-def _can_run_again(existing: Job, parsed: ParsedRequest) -> bool:
-    """Returns True if a resubmission starts a new job."""
-    if existing.ended_not_run:
-        return True
-    has_failed = existing.state in (JobState.FAILED, JobState.CANCELLED)
-    return parsed.request.best_effort and has_failed
-
-
-def _attach(existing: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
-    if existing.digest == parsed.digest:
-        return Ok(existing)
-    return Error(
-        Problem(
-            ProblemKind.CONFLICT,
-            "id belongs to a job with other content; this request did not run",
-            not_run=True,
-            field="id",
-        )
-    )
--- a/sardinestair/entry/resubmission.py
+++ b/sardinestair/entry/resubmission.py
@@ -5,7 +5,8 @@
 
 from expression import Error, Result
 
-from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, Dispatcher
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.submission import EARLIER_RUNS_ACTIVE
 from sardinestair.jobs import Job
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.outcomes import Problem, ProblemKind
--- a/sardinestair/entry/tests/test_attempts.py
+++ b/sardinestair/entry/tests/test_attempts.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, WITHDRAWN
 from sardinestair.entry.resubmission import submit_after_earlier_runs
+from sardinestair.entry.submission import EARLIER_RUNS_ACTIVE, WITHDRAWN
 from sardinestair.entry.tests.harness import (
     JOB,
     TIMING,
--- a/sardinestair/entry/tests/test_departure.py
+++ b/sardinestair/entry/tests/test_departure.py
@@ -31,7 +31,7 @@
     times = RunTimeEstimator()
     for _ in range(50):
         times.observe(TASK_RUN_S)
-    entry.dispatcher._service_state("quotes").run_times_["default"] = times
+    entry.dispatcher.service_state("quotes").run_times_["default"] = times
     entry.job = entry.submit().ok
     return entry
 
@@ -174,7 +174,7 @@
     entry = Entry(max_attempts=1)
     tree = "set: {cold_share: 0.5}\nservices: {quotes: {}}"
     entry.dispatcher.configure(parse_tree(tree).ok)
-    state = entry.dispatcher._service_state("quotes")
+    state = entry.dispatcher.service_state("quotes")
     warm = state.throughput()
     for cold_s, expected in ((4.0, 0.75), (2.0, 0.875), (0.0, 1.0)):
         announce = msgspec.structs.replace(
--- a/sardinestair/entry/tests/test_evacuation.py
+++ b/sardinestair/entry/tests/test_evacuation.py
@@ -53,7 +53,7 @@
 
 
 def test_room_shrinks_at_once(entry):
-    state = entry.dispatcher._service_state("quotes")
+    state = entry.dispatcher.service_state("quotes")
     throughput, slots = state.throughput(), state.slots
     entry.dispatcher.observe_evacuations(B_EVACUATED)
     assert state.throughput() == pytest.approx(throughput / 2)
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -4,12 +4,13 @@
 
 import msgspec
 
-from sardinestair.entry.dispatcher import WITHDRAWN, Dispatcher
+from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.entry.resubmission import (
     CALLER_LEFT,
     submit_after_earlier_runs,
 )
 from sardinestair.entry.routing import find_route
+from sardinestair.entry.submission import WITHDRAWN
 from sardinestair.event_loop import EventLoop, wait_for_result
 from sardinestair.ids import JobId
 from sardinestair.jobs import Job, JobRequest, JobState
--- a/sardinestair/platform/tests/test_callers.py
+++ b/sardinestair/platform/tests/test_callers.py
@@ -6,7 +6,8 @@
 
 from sardinestair.clock import ManualClock
 from sardinestair.entry import resubmission
-from sardinestair.entry.dispatcher import EARLIER_RUNS_ACTIVE, Dispatcher
+from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.submission import EARLIER_RUNS_ACTIVE
 from sardinestair.event_loop import EventLoop
 from sardinestair.ids import new_incarnation
 from sardinestair.observability import EventLog, Metrics
