--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -1,6 +1,5 @@
 """State that an entry keeps for each service."""
 
-import itertools
 from collections.abc import Container, Iterator
 
 from expression import Ok, Result
@@ -10,6 +9,8 @@
     ClassAdmission,
     Room,
 )
+from sardinestair.entry.crash_avoidance import CrashAvoidance
+from sardinestair.entry.demand import DemandPlanner
 from sardinestair.entry.lookahead import Lookahead
 from sardinestair.entry.shedding import useless_jobs
 from sardinestair.entry.speeds import UpstreamSpeeds
@@ -18,10 +19,10 @@
 from sardinestair.jobs import CrashHistory, Job
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits import AdmissionControl, RetryBudget, ServiceLoad
-from sardinestair.limits.credit_priority import demand_class
 from sardinestair.limits.load_view import LoadView
+from sardinestair.limits.share import EntryShare
 from sardinestair.links.entry_link import EntryLink, LinkState
-from sardinestair.messages import Demand, UpstreamStatus
+from sardinestair.messages import UpstreamStatus
 from sardinestair.observability.burn import BurnRecorder
 from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.placement import (
@@ -33,14 +34,11 @@
     WaitingTask,
     make_policy,
 )
-from sardinestair.placement.objective import MESSAGING_S, remoteness
+from sardinestair.placement.objective import MESSAGING_S
 from sardinestair.settings import ServiceSettings
 
 __all__ = ["ServiceState"]
 
-# Sidecars that receive the demand for one waiting task at first. With more of
-# them free capacity is found sooner, but unused credits must be returned.
-TARGETS_PER_TASK = 1
 # Upstreams announce themselves within two heartbeats of 1.5 s. Until then the
 # throughput is unknown and no wait can be predicted.
 DISCOVERY_GRACE_S = 3.0
@@ -59,6 +57,7 @@
         created_s: The current time, on the entry's clock.
         crashes: Crashes of upstreams, by task.
         zone: The entry's availability zone.
+        entry_share: The entry's share of the upstreams.
 
     Attributes:
         queue: Jobs with tasks that have not started.
@@ -73,13 +72,8 @@
         stragglers: Decides whether single overdue runs are moved.
         health: Health of the upstreams; unhealthy ones get no work.
         burn: Counts jobs against the service's objective.
-        probation_until_s: Until when an upstream runs a task that may have
-            crashed another one, by sidecar.
-        demand_targets: Sidecars that receive the demand of the queued tasks.
-        declined: Sidecars whose credits no task has used since the last
-            periodic check.
-        share: This entry's share of the upstreams when all entries have
-            demand.
+        crash_avoidance: Keeps tasks off upstreams so that few of them crash.
+        demand: Decides which sidecars receive the demand of the queued tasks.
         created_s: When this state was created, on the entry's clock.
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
@@ -93,6 +87,7 @@
         created_s: float = 0.0,
         crashes: CrashHistory | None = None,
         zone: str = "",
+        entry_share: EntryShare | None = None,
     ):
         self.created_s = created_s
         self.last_available_s = created_s
@@ -115,15 +110,18 @@
         self.health = HealthRegistry(settings.max_outage_share)
         self.burn = BurnRecorder()
         self.crashes = CrashHistory() if crashes is None else crashes
+        self.crash_avoidance = CrashAvoidance(self.crashes, self)
         self.lookahead = Lookahead(
-            self.queue, self.crashes, self._must_spare_upstreams
+            self.queue, self.crashes, self.crash_avoidance.must_spare_upstreams
         )
-        self.probation_until_s: dict[Incarnation, float] = {}
-        self.demand_targets: set[Incarnation] = set()
-        self.declined: set[Incarnation] = set()
-        self.next_target = 0
+        self.demand = DemandPlanner(self)
         self.evacuated_zones: frozenset[str] = frozenset()
-        self.share = 1.0
+        self.entry_share = entry_share or EntryShare()
+
+    @property
+    def share(self) -> float:
+        """Share of the upstreams when all entries have demand."""
+        return self.entry_share.value
 
     def set_evacuated_zones(self, zones: frozenset[str], now_s: float) -> None:
         """Applies a change of the evacuated zones."""
@@ -153,7 +151,7 @@
             return None
         if now_s - self.created_s < DISCOVERY_GRACE_S:
             return None
-        if not all(map(self._is_evacuated, self.links.values())):
+        if not all(map(self.is_evacuated, self.links.values())):
             return None
         return Problem(
             ProblemKind.UNAVAILABLE,
@@ -162,13 +160,14 @@
             retry_after_s=EVACUATION_RETRY_S,
         )
 
-    def _is_evacuated(self, link: EntryLink) -> bool:
+    def is_evacuated(self, link: EntryLink) -> bool:
+        """Returns True if a link's upstream is in an evacuated zone."""
         return link.candidate.zone in self.evacuated_zones
 
     def _links_in_use(self) -> Iterator[EntryLink]:
         """Yields the links outside evacuated zones."""
         for link in self.links.values():
-            if not self._is_evacuated(link):
+            if not self.is_evacuated(link):
                 yield link
 
     def _open_links(self, *states: LinkState) -> Iterator[EntryLink]:
@@ -223,17 +222,13 @@
             return deadline_s
         return min(deadline_s, settings.useful_factor * objective_s)
 
-    def backlog_s(self, share: float) -> float:
+    def backlog_s(self) -> float:
         """Returns the predicted time to work off the queue, in seconds.
 
         Without throughput it is the time in which upstreams announce
         themselves.
-
-        Args:
-            share: This entry's share of the upstreams when all entries have
-                demand.
         """
-        rate = self.entry_throughput(share)
+        rate = self.entry_throughput()
         return self.queue.waiting_work_s / rate if rate else DISCOVERY_GRACE_S
 
     def meets_objective(self, job: Job, response_s: float) -> bool:
@@ -284,7 +279,7 @@
         candidate.outstanding = len(link.outstanding)
         is_usable = (
             link.state is LinkState.UP
-            and not self._is_evacuated(link)
+            and not self.is_evacuated(link)
             and self.health.allows_start(
                 link.sidecar, candidate.outstanding, now_s
             )
@@ -323,16 +318,11 @@
             for link in self._open_links(*_THROUGHPUT_STATES)
         )
 
-    def entry_throughput(self, share: float) -> float:
+    def entry_throughput(self) -> float:
         """Returns the work done per second for this entry.
 
-        Args:
-            share: This entry's share of the upstreams when all entries have
-                demand.
-
-        Returns:
-            The rate of its running tasks, or its share of the throughput if
-            that is larger.
+        It is the rate of its running tasks, or its share of the throughput if
+        that is larger.
         """
         running = throughput = 0.0
         for link in self.links.values():
@@ -346,13 +336,12 @@
                 throughput += (
                     candidate.warm_share * candidate.concurrency / slowdown
                 )
-        return max(running, share * throughput)
+        return max(running, self.share * throughput)
 
     def load(
         self,
         team: str,
         work_s: float,
-        share: float,
         now_s: float,
         latest_start_s: float | None = None,
         priority: int = 0,
@@ -362,13 +351,11 @@
         Args:
             team: The caller's team.
             work_s: Expected run time of all tasks of the job, in seconds.
-            share: This entry's share of the upstreams when all entries have
-                demand.
             now_s: The current time, on the entry's clock.
             latest_start_s: When the job must start to meet its objective.
             priority: The job's priority.
         """
-        rate = self.entry_throughput(share)
+        rate = self.entry_throughput()
         if rate:
             self.last_available_s = now_s
         ahead_s = work_s + self.queue.work_ahead_s(
@@ -388,14 +375,12 @@
         return self.queue.order is OrderPolicy.URGENT_FIRST
 
     def admit_by_class(
-        self, applicant: Applicant, share: float, now_s: float
+        self, applicant: Applicant, now_s: float
     ) -> Result[int, Problem]:
         """Decides on a job by its class, if the order has classes.
 
         Args:
             applicant: The job.
-            share: This entry's share of the upstreams when all entries have
-                demand.
             now_s: The current time, on the entry's clock.
 
         Returns:
@@ -410,20 +395,18 @@
             return admission.admit_at_once(applicant, now_s)
         if not self.can_predict_wait(now_s):
             return Ok(priority)
-        room = Room.of(self._links_in_use(), share, applicant)
+        room = Room.of(self._links_in_use(), self.share, applicant)
         return admission.admit(applicant, room, now_s, view)
 
-    def useless_jobs(self, share: float, now_s: float) -> list[Job]:
+    def useless_jobs(self, now_s: float) -> list[Job]:
         """Returns the waiting jobs that would end too late to be of use.
 
         Args:
-            share: This entry's share of the upstreams when all entries have
-                demand.
             now_s: The current time, on the entry's clock.
         """
         if not (self.has_classes and self.can_predict_wait(now_s)):
             return self.queue.no_longer_useful(now_s)
-        room = Room.of(self._links_in_use(), share)
+        room = Room.of(self._links_in_use(), self.share)
         return useless_jobs(self.queue, room.tasks_per_s, now_s)
 
     def can_predict_wait(self, now_s: float) -> bool:
@@ -450,108 +433,7 @@
             self.settings.max_queued_tasks, self.settings.max_queued_bytes
         )
 
-    def add_demand_targets(
-        self, count: int, now_s: float = 0.0
-    ) -> list[EntryLink]:
-        """Adds sidecars to the demand targets, in turn.
-
-        Args:
-            count: Maximum number of sidecars to add.
-            now_s: The current time, on the entry's clock.
-
-        Returns:
-            Their links.
-        """
-        links = list(self.links.values())
-        skipped = self.demand_targets | self.declined
-        rotated = itertools.chain(
-            links[self.next_target :], links[: self.next_target]
-        )
-        open_links = [
-            link
-            for link in rotated
-            if link.sidecar not in skipped and link.candidate.is_usable
-        ]
-        chosen = self._prefer_in_time(open_links, now_s)[:count]
-        if chosen:
-            self.next_target = (links.index(chosen[-1]) + 1) % len(links)
-            self.demand_targets.update(link.sidecar for link in chosen)
-        return chosen
-
-    def _prefer_in_time(
-        self, links: list[EntryLink], now_s: float
-    ) -> list[EntryLink]:
-        """Moves the upstreams that would make the first job late to the end.
-
-        The others keep their order.
-        """
-        job = self.queue.head()
-        if job is None or not isinstance(self.policy, MeetObjective):
-            return links
-        task = self._waiting_task(job, 0, now_s)
-
-        def is_too_slow(link: EntryLink) -> bool:
-            candidate = link.candidate
-            remote = remoteness(candidate, task.rack, task.remote_factor)
-            return remote * candidate.slowdown_ > task.max_slowdown
-
-        return sorted(links, key=is_too_slow)
-
-    def demand(self, link: EntryLink, now_s: float) -> Demand:
-        """Returns the demand for credits of a link's upstream.
-
-        It is zero if the sidecar is not a demand target, if no queued task
-        would start there, or if the credits held already cover the next one.
-        """
-        if link.sidecar not in self.demand_targets or self._is_evacuated(link):
-            return Demand(0, 0.0)
-        job = self._first_job_for(link, now_s)
-        if job is None:
-            return Demand(0, 0.0)
-        units = link.candidate.units_needed(job.need)
-        if units is None or link.account.available >= units:
-            return Demand(0, 0.0)
-        outstanding = len(link.outstanding)
-        if not self.health.allows_start(link.sidecar, outstanding, now_s):
-            return Demand(0, 0.0)
-        waiting = self.queue.waiting_tasks
-        # Whole tasks: the rest of a grant could only be returned.
-        steps = round(waiting * link.candidate.mean_task_units / units)
-        wanted = max(1, steps) * units
-        return Demand(
-            wanted,
-            job.order_key_s - now_s,
-            units,
-            demand_class(job.queue_class, job.is_late),
-            self._class_units(job, wanted, units),
-        )
-
-    def _class_units(self, job: Job, wanted: int, units: int) -> int:
-        """Returns the credits wanted for tasks of a job's class.
-
-        It is 0 for all of them, if all waiting jobs have the same priority.
-
-        Args:
-            job: The first job that would start at an upstream.
-            wanted: Credits wanted for all waiting tasks.
-            units: Credits that one of its tasks needs.
-        """
-        if self.queue.waiting_by_class.count_priorities() < 2:
-            return 0
-        number = demand_class(job.queue_class, job.is_late)
-        share = self.queue.waiting_by_class.task_share(number)
-        return max(units, round(wanted * share / units) * units)
-
-    def _first_job_for(self, link: EntryLink, now_s: float) -> Job | None:
-        """Returns the first queued job that the policy would start there."""
-        tasks_ahead = self.queue.waiting_tasks - 1
-        for job, _ in self.lookahead.jobs():
-            task = self._waiting_task(job, tasks_ahead, now_s)
-            if task.is_late or self.policy.should_start(link.candidate, task):
-                return job
-        return None
-
-    def _waiting_task(
+    def waiting_task(
         self,
         job: Job,
         tasks_ahead: int,
@@ -572,14 +454,6 @@
             self.settings.remote_factor,
         )
 
-    def _must_spare_upstreams(self) -> bool:
-        """Returns True if more upstreams are away than may be taken out."""
-        away = sum(
-            link.state is LinkState.LEAVING and not self._is_evacuated(link)
-            for link in self.links.values()
-        )
-        return away > self.settings.max_outage_share * len(self.links)
-
     def _placement_run_s(self, job: Job) -> float:
         """Returns the run time that placement assumes, in seconds.
 
@@ -597,49 +471,6 @@
         run_times = self.run_times_.get(kind)
         return run_times.spread_s if run_times else 0.0
 
-    def _excluded_upstreams(self, job: Job, now_s: float) -> set[Incarnation]:
-        """Returns the upstreams to avoid for a job's next task.
-
-        They are those where the job has failed, and those on which its task
-        would hide the cause of another crash. Either are used if no other
-        upstream is usable.
-        """
-        on_probation = self._on_probation(job, now_s)
-        excluded: set[Incarnation] = set()
-        if not (job.failed_upstreams or on_probation):
-            return excluded
-        usable = {
-            sidecar
-            for sidecar, link in self.links.items()
-            if link.candidate.is_usable
-        }
-        for avoided in (job.failed_upstreams, on_probation):
-            if usable - excluded - avoided:
-                excluded |= avoided
-        return excluded
-
-    def _on_probation(self, job: Job, now_s: float) -> set[Incarnation]:
-        """Returns the upstreams that should not get a job's next task yet.
-
-        Of the tasks that may have caused a crash an upstream gets one at a
-        time if possible, so that another crash shows which of them it was.
-        """
-        if not self.crashes.find(job.job_id, job.waiting[0]):
-            return set()
-        return {
-            sidecar
-            for sidecar, until_s in self.probation_until_s.items()
-            if now_s < until_s
-        }
-
-    def record_placement(
-        self, job: Job, index: int, link: EntryLink, now_s: float
-    ) -> None:
-        """Records that a task is about to be started."""
-        crashes = self.crashes.find(job.job_id, index)
-        if crashes is not None:
-            self.probation_until_s[link.sidecar] = now_s + crashes.probation_s
-
     def next_placement(self, now_s: float) -> tuple[Job, EntryLink] | None:
         """Chooses the next job of which to start a task, and the link.
 
@@ -656,8 +487,8 @@
         if not self.policy.has_available():
             return None
         for job, tasks_ahead in self.lookahead.jobs():
-            excluded = self._excluded_upstreams(job, now_s)
-            task = self._waiting_task(job, tasks_ahead, now_s, excluded)
+            excluded = self.crash_avoidance.excluded_upstreams(job, now_s)
+            task = self.waiting_task(job, tasks_ahead, now_s, excluded)
             candidate = self.policy.select(task)
             if candidate is not None:
                 return job, self.links[candidate.sidecar]
--- a/sardinestair/sidecar/allocation.py
+++ b/sardinestair/sidecar/allocation.py
@@ -37,6 +37,7 @@
         """Adopts the settings that concern credits."""
         self.ledger.read_ahead = policy.read_ahead
         self.ledger.recall_delay_s = policy.recall_delay_s
+        self.ledger.idle_grant_delay_s = policy.idle_grant_delay_s
         self.cold_share = policy.cold_share
 
     def allocate(self, now_s: float) -> None:
