Refuse what only a slow entry would make late

An entry that lacks processor time took all jobs whose answer it expected to be of some use. In the new pattern unlike processors (0.387 to 2.15 cores, equal shares of the jobs) two entries of six that can't keep up hold credits that they use late, and the jobs of all six wait for these. With count_own_delay an entry now refuses, as not run, a job that its own delay would cost more than a quarter of its slack; the caller comes to another entry. A slow callback has no effect after 0.5 s.

Two set-ups of the patterns that repeated each other are one.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -27,14 +27,14 @@
 from sardinestair.links.timing import STOP_LIMIT_S, LinkTiming
 from sardinestair.messages import EntryFrame, TaskRef, TaskState
 from sardinestair.observability import Metrics
-from sardinestair.outcomes import ProblemKind
+from sardinestair.outcomes import Problem, ProblemKind
 from sardinestair.settings import SettingsTree
 from sardinestair.sidecar.link_server import LinkServer
 from sardinestair.upstreams import Announcement
 from sardinestair.upstreams.caller import CallResult, ResultCallback
 from sardinestair.upstreams.leased import STALL_TIMEOUT_S, STALLED
 
-__all__ = ["EmulatedSystem", "Fault", "UpstreamModel"]
+__all__ = ["Connection", "EmulatedSystem", "Fault", "UpstreamModel"]
 
 SERVICE = "quotes"
 TIMING = LinkTiming(0.15, 0.45, lost_s=1.3, session_s=0.75, lease_s=0.45)
@@ -281,10 +281,17 @@
         return CallResult(state, body, False, run_s)
 
 
-class _Connection:
+class Connection:
     """Connects an entry's link to a sidecar's link server."""
 
-    def __init__(self, link: EntryLink, server: LinkServer, route: bytes):
+    def __init__(
+        self,
+        entry: Dispatcher,
+        link: EntryLink,
+        server: LinkServer,
+        route: bytes,
+    ):
+        self.entry = entry
         self.link = link
         self.server = server
         self.route = route
@@ -341,9 +348,9 @@
         ]
         for dispatcher in self.dispatchers:
             dispatcher.admission_controller.entry_count = entries
-        self.connections: list[_Connection] = []
-        self.by_route: dict[bytes, _Connection] = {}
-        self.by_dispatcher: dict[int, list[_Connection]] = {}
+        self.connections: list[Connection] = []
+        self.by_route: dict[bytes, Connection] = {}
+        self.by_dispatcher: dict[int, list[Connection]] = {}
         for dispatcher in self.dispatchers:
             self.connect(dispatcher)
         self.pending: list[tuple[EmulatedJob, Job]] = []
@@ -366,7 +373,7 @@
 
     def submit_to(self, dispatcher: Dispatcher, job: EmulatedJob) -> None:
         """Schedules the arrival of a job at an entry."""
-        self.schedule(job.arrival_s, self._make_arrival(dispatcher, job))
+        self.schedule(job.arrival_s, self.make_arrival(dispatcher, job))
 
     def run(self, duration_s: float) -> Report:
         """Runs the emulation until this time after its start."""
@@ -436,7 +443,7 @@
             link = dispatcher.handle_announcement(server.description())
             assert link is not None
             route = next(self.sequence).to_bytes(4, "big")
-            connection = _Connection(link, server, route)
+            connection = Connection(dispatcher, link, server, route)
             link.open_epoch(connection.socket)
             self.connections.append(connection)
             self.by_route[route] = connection
@@ -444,9 +451,11 @@
     def _make_id(self) -> Incarnation:
         return Incarnation(next(self.sequence).to_bytes(16, "big"))
 
-    def _make_arrival(
+    def make_arrival(
         self, dispatcher: Dispatcher, emulated: EmulatedJob
     ) -> Callable[[], None]:
+        """Returns the event that brings a job to an entry."""
+
         def arrive() -> None:
             sign = -1 if emulated.always_fails else 1
             request = JobRequest(
@@ -476,20 +485,33 @@
             parsed = ParsedRequest(job_id, request, b"")
             submitted = dispatcher.submit(parsed)
             if submitted.is_error():
-                self.report.record(emulated, JobOutcome.REFUSED, 0.0)
-                self.report.refused_at_once += 1
-                if self._has_room_for(emulated):
-                    self.report.refused_with_free_room += 1
+                self.refuse(dispatcher, emulated, submitted.error)
                 return
             job = submitted.ok
             job.done.add_done_callback(
-                lambda _done: self._record(emulated, job)
+                lambda _done: self.record(dispatcher, emulated, job)
             )
 
         return arrive
 
-    def _record(self, emulated: EmulatedJob, job: Job) -> None:
-        response_s = self.clock.monotonic() - job.accepted_s
+    def refuse(
+        self, _dispatcher: Dispatcher, emulated: EmulatedJob, _problem: Problem
+    ) -> None:
+        """Records a job that is refused on arrival."""
+        self.report.record(emulated, JobOutcome.REFUSED, 0.0)
+        self.report.refused_at_once += 1
+        if self._has_room_for(emulated):
+            self.report.refused_with_free_room += 1
+
+    def response_s(self, _emulated: EmulatedJob, job: Job) -> float:
+        """Returns the time since a job was submitted, in seconds."""
+        return self.clock.monotonic() - job.accepted_s
+
+    def record(
+        self, _dispatcher: Dispatcher, emulated: EmulatedJob, job: Job
+    ) -> None:
+        """Records the answer to a job."""
+        response_s = self.response_s(emulated, job)
         answer = job.done.result()
         outcome = JobOutcome.IN_TIME
         if answer.is_error():
@@ -560,11 +582,17 @@
             link.flush(connection.socket)
             for data in connection.socket.take_sent():
                 frame = msgspec.msgpack.decode(data, type=EntryFrame)
-                connection.server._handle_frame(connection.route, frame)
-                self.ready_servers.add(connection.server)
+                self.deliver_to_sidecar(connection, frame)
                 has_delivered = True
         return has_delivered
 
+    def deliver_to_sidecar(
+        self, connection: Connection, frame: EntryFrame
+    ) -> None:
+        """Delivers a frame of an entry."""
+        connection.server._handle_frame(connection.route, frame)
+        self.ready_servers.add(connection.server)
+
     def _deliver_to_entries(self) -> bool:
         has_delivered = False
         for server in self.servers:
@@ -575,11 +603,14 @@
             server._flush()
             socket: Any = server.socket
             for route, data in socket.take_sent():
-                connection = self.by_route[route]
-                connection.socket.inbox.append(data)
-                connection.link.receive(connection.socket)
-                connection.link.owner.place_waiting()
-                # A link that has received frames is served, as by `LinkLoop`.
-                connection.link.notify()
+                self.deliver_to_entry(self.by_route[route], data)
                 has_delivered = True
         return has_delivered
+
+    def deliver_to_entry(self, connection: Connection, data: bytes) -> None:
+        """Delivers a frame of a sidecar."""
+        connection.socket.inbox.append(data)
+        connection.link.receive(connection.socket)
+        connection.entry.place_waiting()
+        # A link that has received frames is served, as by `LinkLoop`.
+        connection.link.notify()
--- a/sardinestair/emulator/tests/test_uneven.py
+++ b/sardinestair/emulator/tests/test_uneven.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from sardinestair.emulator.uneven import POLICIES, run_uneven
+from sardinestair.emulator.uneven import policies_for, run_uneven
 
 MIN_IN_TIME = 0.98
 # Part of the jobs of the hot rack: those that come while it is full.
@@ -27,7 +27,9 @@
 
 @functools.cache
 def results(pattern):
-    return {policy: run_uneven(pattern, policy) for policy in POLICIES}
+    return {
+        policy: run_uneven(pattern, policy) for policy in policies_for(pattern)
+    }
 
 
 @pytest.mark.parametrize(
@@ -67,3 +69,14 @@
     found = results(pattern)
     limit = MAX_FRAMES_RATIO * found[TODAY].frames_per_task
     assert found[OBJECTIVE].frames_per_task <= limit
+
+
+# Without the refusals, two entries of six that can't keep up hold credits that
+# they use late, and the jobs of all entries wait for these.
+@pytest.mark.parametrize("other", ["least_outstanding", TODAY, OBJECTIVE])
+def test_entries_that_can_not_keep_up_leave_their_jobs_to_others(other):
+    found = results("unlike processors")
+    own_delay, compared = found["own_delay"], found[other]
+    assert own_delay.in_time > compared.in_time
+    assert own_delay.stretch_p50 < compared.stretch_p50
+    assert own_delay.stretch_p99 < compared.stretch_p99
--- a/sardinestair/emulator/uneven.py
+++ b/sardinestair/emulator/uneven.py
@@ -7,7 +7,7 @@
 import math
 import random
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -17,11 +17,12 @@
     SLOW_SPEED,
     make_tree,
 )
+from sardinestair.emulator.processors import MessageCosts, TimedSystem
 from sardinestair.emulator.report import JobOutcome, Report
-from sardinestair.emulator.system import EmulatedSystem, UpstreamModel
+from sardinestair.emulator.system import UpstreamModel
 from sardinestair.emulator.workload import BUYBACK, EmulatedJob, Workload
 
-__all__ = ["PATTERNS", "POLICIES", "Result", "run_uneven"]
+__all__ = ["PATTERNS", "POLICIES", "Result", "policies_for", "run_uneven"]
 
 ENTRIES = 6
 UPSTREAMS = 18
@@ -41,11 +42,23 @@
 # One job in so many names the first rack.
 HOT_RACK_EVERY = 3
 ENTRY_SHARES = (6, 3, 1, 1, 1, 1)
+# Of each entry, in cores; the ends are from the users' specification.
+CORES = (0.387, 0.6, 0.9, 1.3, 1.7, 2.15)
+# With these all entries together need about 0.6 of their processors.
+COSTS = MessageCosts(0.006, 0.004, 0.0004, 0.0006)
+# Set by a policy beside the settings of the services.
+COUNT_OWN_DELAY = "count_own_delay"
+TIMED_PATTERN = "unlike processors"
 
 POLICIES: dict[str, dict[str, Any]] = {
     "least_outstanding": {"policy": "least_outstanding"},
     "least_expected_finish": {},
     "meet_objective": {"policy": "meet_objective", "shared_speeds": True},
+    "own_delay": {
+        "policy": "meet_objective",
+        "shared_speeds": True,
+        COUNT_OWN_DELAY: True,
+    },
 }
 """Settings of the policies that are compared, by name."""
 
@@ -111,8 +124,11 @@
     def __init__(
         self, models: list[UpstreamModel], defaults: dict[str, Any], seed: int
     ):
-        self.tree = make_tree(defaults)
-        self.system = EmulatedSystem(ENTRIES, models, self.tree, ZONES)
+        self.counts_delay = COUNT_OWN_DELAY in defaults
+        self.tree = make_tree(
+            {k: v for k, v in defaults.items() if k != COUNT_OWN_DELAY}
+        )
+        self.system = TimedSystem(ENTRIES, models, self.tree, ZONES)
         self.report = _StretchReport()
         self.system.report = self.report
         room = sum(
@@ -213,20 +229,29 @@
 def _run_zone_swing(defaults: dict[str, Any], seed: int) -> Result:
     """Emulates demand that swings by zone, with shifted phases."""
     emulation = _Emulation(_unlike_models(4), defaults, seed)
+
+    def weights(arrival_s: float) -> list[float]:
+        turns = arrival_s / ZONE_PERIOD_S
+        return [
+            1 + ZONE_SWING * math.sin(2 * math.pi * (turns + n / len(ZONES)))
+            for n in range(ENTRIES)
+        ]
+
+    _submit_by_share(emulation, seed, weights)
+    return emulation.run()
+
+
+def _submit_by_share(
+    emulation: _Emulation,
+    seed: int,
+    weights: Callable[[float], Sequence[float]],
+) -> None:
+    """Submits each job to an entry that is drawn by its share then."""
     draw = random.Random(seed)
     dispatchers = emulation.system.dispatchers
     for job in emulation.jobs:
-        weights = [
-            1
-            + ZONE_SWING
-            * math.sin(
-                2 * math.pi * (job.arrival_s / ZONE_PERIOD_S + n / len(ZONES))
-            )
-            for n in range(ENTRIES)
-        ]
-        [entry] = draw.choices(dispatchers, weights)
+        [entry] = draw.choices(dispatchers, weights(job.arrival_s))
         emulation.system.submit_to(entry, job)
-    return emulation.run()
 
 
 def _run_hot_rack(defaults: dict[str, Any], seed: int) -> Result:
@@ -251,11 +276,18 @@
 def _run_unlike_entries(defaults: dict[str, Any], seed: int) -> Result:
     """Emulates entries that get unlike shares of the jobs."""
     emulation = _Emulation(_unlike_models(4), defaults, seed)
-    draw = random.Random(seed)
-    dispatchers = emulation.system.dispatchers
-    for job in emulation.jobs:
-        [entry] = draw.choices(dispatchers, ENTRY_SHARES)
-        emulation.system.submit_to(entry, job)
+    _submit_by_share(emulation, seed, lambda _arrival_s: ENTRY_SHARES)
+    return emulation.run()
+
+
+def _run_unlike_processors(defaults: dict[str, Any], seed: int) -> Result:
+    """Emulates entries of unlike processors that get equal shares of the jobs.
+
+    The smallest can't do what comes to it; all together can.
+    """
+    emulation = _Emulation(_unlike_models(4), defaults, seed)
+    emulation.system.limit_processors(CORES, COSTS, emulation.counts_delay)
+    _submit_by_share(emulation, seed, lambda _arrival_s: [1.0] * ENTRIES)
     return emulation.run()
 
 
@@ -266,9 +298,19 @@
     "zones in antiphase": _run_zone_swing,
     "hot rack": _run_hot_rack,
     "unlike entries": _run_unlike_entries,
+    TIMED_PATTERN: _run_unlike_processors,
 }
 
 
+def policies_for(pattern: str) -> list[str]:
+    """Returns the names of the policies that differ on a pattern."""
+    return [
+        name
+        for name, settings in POLICIES.items()
+        if pattern == TIMED_PATTERN or COUNT_OWN_DELAY not in settings
+    ]
+
+
 def run_uneven(pattern: str, policy: str, seed: int = 1) -> Result:
     """Emulates one pattern.
 
@@ -284,7 +326,7 @@
     """Prints a line for each pattern and policy."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
     for pattern in PATTERNS:
-        for policy in POLICIES:
+        for policy in policies_for(pattern):
             result = run_uneven(pattern, policy, seed)
             print(
                 f"{pattern:20} {policy:22} in_time={result.in_time:.3f} "
--- a/sardinestair/entry/gate.py
+++ b/sardinestair/entry/gate.py
@@ -195,6 +195,10 @@
             settings.priority,
         )
         if self.entry_delay is not None:
+            slack_s = (objective_s or deadline_s) - estimate.mean_s_
+            checked = self.entry_delay.check(slack_s)
+            if checked.is_error():
+                return Error(checked.error)
             load = self.entry_delay.add_to(load)
         useful_s = state.useful_lifetime_s(
             settings, estimate.mean_s_, deadline_s
--- a/sardinestair/limits/tests/test_self_load.py
+++ b/sardinestair/limits/tests/test_self_load.py
@@ -3,7 +3,8 @@
 import pytest
 
 from sardinestair.limits import AdmissionControl, ServiceLoad
-from sardinestair.limits.self_load import PASSES, EntryDelay
+from sardinestair.limits.self_load import PASSES, RECENT_S, EntryDelay
+from sardinestair.outcomes import ProblemKind
 
 TICK_S = 0.05
 IDLE = ServiceLoad(0, 0, 0.2)
@@ -59,3 +60,27 @@
     found = delay.add_to(IDLE)
     assert found.expected_response_s == pytest.approx(expected_s, rel=0.01)
     assert (found.queued_tasks, found.queued_bytes) == (0, 0)
+
+
+# Pattern: unlike processors. Elsewhere the job can be in time.
+def test_job_that_only_this_entry_would_make_late_is_refused():
+    delay = EntryDelay()
+    assert delay.check(0.4).is_ok()
+    observe(delay, 0.1, 4.0)
+    problem = delay.check(0.4).error
+    assert (problem.kind, problem.not_run) == (ProblemKind.OVERLOADED, True)
+    assert delay.check(4.0).is_ok()
+
+
+def test_job_that_can_not_be_in_time_anywhere_is_not_refused_for_that():
+    delay = EntryDelay()
+    observe(delay, 0.1, 4.0)
+    assert delay.check(-0.1).is_ok()
+
+
+def test_entry_that_has_caught_up_after_a_slow_callback_refuses_nothing():
+    delay = EntryDelay()
+    end_s = observe(delay, 0.0, 2.0)
+    delay.observe(1.0, end_s)
+    observe(delay, 0.0, RECENT_S + TICK_S, end_s + TICK_S)
+    assert delay.check(0.01).is_ok()
