Leave evacuated zones out of the load that entries share

The load of all entries (shared_backlog) was divided by the throughput of all links, also those of evacuated zones, which stay open: with half of the upstreams evacuated, the predicted wait was half of what it is. And each entry reported its part of the work to sidecars of evacuated zones too.

The view reads the links outside evacuated zones only, and reports are divided by these; sidecars of evacuated zones get an empty report. Without evacuated zones nothing changes.

Tests: test_backlog_is_worked_off_by_the_other_zones and test_backlog_is_reported_to_the_other_zones failed before.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -532,8 +532,7 @@
 
     def backlog_for(self, link: EntryLink) -> list[ClassLoad]:
         """Returns the waiting work of a link's service, for each link."""
-        state = self.services[link.candidate.service]
-        return state.queue.waiting_by_class.per_link(len(state.links))
+        return self.services[link.candidate.service].backlog_for(link)
 
     def unwanted_tasks(self, link: EntryLink) -> list[TaskRef]:
         """Returns the outstanding runs of a link whose jobs have ended."""
--- a/sardinestair/entry/service_state.py
+++ b/sardinestair/entry/service_state.py
@@ -19,7 +19,7 @@
 from sardinestair.jobs.work import JobRunTimeEstimator
 from sardinestair.limits import AdmissionControl, RetryBudget, ServiceLoad
 from sardinestair.limits.credit_priority import demand_class
-from sardinestair.limits.load_view import LoadView
+from sardinestair.limits.load_view import ClassLoad, LoadView
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import Demand, UpstreamStatus
 from sardinestair.observability.burn import BurnRecorder
@@ -84,6 +84,8 @@
         last_available_s: When admission last saw any throughput, on the
             entry's clock.
         evacuated_zones: Availability zones whose upstreams get no tasks.
+        counted_links: Number of links when those in use were last counted.
+        links_in_use: Number of links outside evacuated zones at that time.
     """
 
     def __init__(
@@ -120,12 +122,15 @@
         self.declined: set[Incarnation] = set()
         self.next_target = 0
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.counted_links = 0
+        self.links_in_use = 0
         self.share = 1.0
 
     def set_evacuated_zones(self, zones: frozenset[str], now_s: float) -> None:
         """Applies a change of the evacuated zones."""
         changed = self.evacuated_zones ^ zones
         self.evacuated_zones = zones
+        self.counted_links = 0
         for link in self.links.values():
             if link.candidate.zone in changed:
                 self.refresh_candidate(link, now_s)
@@ -295,9 +300,29 @@
 
     def _serving_links(self) -> Iterator[EntryLink]:
         """Yields the links that accept work."""
-        for link in self.links.values():
-            if link.state in (LinkState.UP, LinkState.CONNECTING):
-                yield link
+        return self._open_links(LinkState.UP, LinkState.CONNECTING)
+
+    def backlog_for(self, link: EntryLink) -> list[ClassLoad]:
+        """Returns the waiting work to report to a sidecar, by class.
+
+        It is divided by the links outside evacuated zones.
+        """
+        if self._is_evacuated(link):
+            return []
+        return self.queue.waiting_by_class.per_link(self._count_links_in_use())
+
+    def _count_links_in_use(self) -> int:
+        """Returns the number of links outside evacuated zones.
+
+        While zones are evacuated they are counted anew only if the number of
+        all links has changed, since each report needs the number.
+        """
+        if not self.evacuated_zones:
+            return len(self.links)
+        if self.counted_links != len(self.links):
+            self.counted_links = len(self.links)
+            self.links_in_use = sum(1 for _ in self._links_in_use())
+        return self.links_in_use
 
     @property
     def slots(self) -> int:
@@ -317,7 +342,7 @@
             link.candidate.warm_share
             * link.candidate.concurrency
             / link.candidate.slowdown_
-            for link in self._open_links(LinkState.UP, LinkState.CONNECTING)
+            for link in self._serving_links()
         )
 
     def entry_throughput(self, share: float) -> float:
--- a/sardinestair/entry/tests/test_evacuation.py
+++ b/sardinestair/entry/tests/test_evacuation.py
@@ -9,6 +9,7 @@
 from sardinestair.entry.tests.test_gossip import gossip_with
 from sardinestair.ids import new_job_id
 from sardinestair.jobs.request import ParsedRequest
+from sardinestair.limits.load_view import ClassLoad
 from sardinestair.links.entry_link import LinkState
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.messages import (
@@ -61,6 +62,33 @@
     assert entry.dispatcher.has_available_upstreams()
 
 
+# Guards against jobs that are admitted and end late during an evacuation: the
+# work of all entries was counted as if the evacuated upstreams did a part.
+def test_backlog_is_worked_off_by_the_other_zones(entry):
+    state = entry.dispatcher._service_state("quotes")
+    now_s = entry.clock.monotonic()
+    for link in state.links.values():
+        link.load.observe([], now_s)
+    state.queue.waiting_by_class.add(0, tasks=4, work_s=8.0)
+    before_s = state.load_view.backlog_s(0, now_s)
+    entry.dispatcher.observe_evacuations(B_EVACUATED)
+    after_s = state.load_view.backlog_s(0, now_s + 0.1)
+    assert after_s == pytest.approx(2 * before_s)
+
+
+# Guards against work that no other entry counts, as it was reported to sidecars
+# of an evacuated zone, whose reports are not read.
+def test_backlog_is_reported_to_the_other_zones(entry):
+    state = entry.dispatcher._service_state("quotes")
+    state.queue.waiting_by_class.add(0, tasks=4, work_s=8.0)
+    entry.dispatcher.observe_evacuations(B_EVACUATED)
+    reports = {
+        sidecar: entry.dispatcher.backlog_for(link)
+        for sidecar, link in state.links.items()
+    }
+    assert reports == {A: [ClassLoad(0, 8.0)], B: []}
+
+
 def test_return_admits_tasks_again(entry):
     entry.dispatcher.observe_evacuations(B_EVACUATED)
     entry.dispatcher.observe_evacuations(RETURNED)
