Use the field's words in comments of messages and links

Comments and doc comments said that programs ask, know and tell. model/claims.py had a constant that nothing used. Comments only, and the name of no test or value changes.

--- a/faults/tests/test_relay.py
+++ b/faults/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""The relay forwards, delays, drops and resets as each fault asks."""
+"""The relay forwards, delays, drops and resets as each fault requires."""
 
 import socket
 from concurrent.futures import ThreadPoolExecutor
--- a/model/claims.py
+++ b/model/claims.py
@@ -15,7 +15,6 @@
 
 ENTRIES = (0, 1)
 MAX_SUBMISSIONS = 3
-NOBODY = -1
 
 
 class ClaimMutant(enum.Enum):
@@ -119,7 +118,7 @@
 def _is_recoverable(state: dict, mutant: ClaimMutant | None) -> bool:
     """True unless a live entry forgot the nonce of its claim in the store.
 
-    Such a claim blocks every later submission, as nobody can use it again.
+    Such a claim blocks every later submission, as no entry can use it again.
     """
     store = state["store"]
     if store is None or not state["reported_not_run"]:
--- a/sardinestair/async_transfer.py
+++ b/sardinestair/async_transfer.py
@@ -301,7 +301,7 @@
         self.ends_with_connection = True
 
     def on_header(self, name: bytes, _value: bytes) -> None:
-        """Looks for fields that tell where the response ends."""
+        """Looks for fields that determine where the response ends."""
         if name.lower() in _LENGTH_FIELDS:
             self.ends_with_connection = False
 
--- a/sardinestair/cli/ctl_jobs.py
+++ b/sardinestair/cli/ctl_jobs.py
@@ -150,7 +150,7 @@
 
 
 class UpstreamsCommand(CtlCommand):
-    """Shows the upstreams that an entry knows of."""
+    """Shows the upstreams known to an entry."""
 
     name = "upstreams"
     description = "Shows upstreams with their state, credits and speed."
--- a/sardinestair/entry/admin.py
+++ b/sardinestair/entry/admin.py
@@ -176,7 +176,7 @@
         return json_response(self.dispatcher.recorder.dropped.since(start))
 
     async def upstreams(self, _request: Request) -> Response:
-        """Returns the upstreams that this entry knows."""
+        """Returns the upstreams known to this entry."""
         with self.dispatcher.lock:
             rows = [
                 {
--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -208,7 +208,7 @@
     async def _forward_resubmission(
         self, request: Request, parsed: ParsedRequest, body: bytes
     ) -> Response | None:
-        """Forwards a resubmission to the entry that knows the job, if any."""
+        """Forwards a resubmission to the entry that has the job, if any."""
         if (
             parsed.request.id is None
             or parsed.request.unrepeatable
--- a/sardinestair/entry/forwarding.py
+++ b/sardinestair/entry/forwarding.py
@@ -40,7 +40,7 @@
     async def find_owner(
         self, job_id: JobId, peers: Sequence[Peer]
     ) -> Peer | None:
-        """Returns the first peer that knows a job, or None.
+        """Returns the first peer that has a job, or None.
 
         Args:
             job_id: The job's id.
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -53,7 +53,7 @@
 __all__ = ["EntryProcess"]
 
 DRAIN_POLL_INTERVAL_S = 0.02
-# Callers and balancers that don't know of the drain yet get a refusal that says
+# Callers and balancers that have not noticed the drain get a refusal that says
 # so, rather than a refused connection.
 DRAIN_GRACE_S = 1.0
 ACCEPT_BACKLOG_DRAIN_S = 0.2
--- a/sardinestair/links/entry_link.py
+++ b/sardinestair/links/entry_link.py
@@ -320,7 +320,7 @@
         return True
 
     def open_epoch(self, socket: zmq.Socket) -> None:
-        """Connects, and asks for the outstanding tasks in a new epoch."""
+        """Connects, and resumes the outstanding tasks in a new epoch."""
         socket.set(zmq.SNDHWM, 0)
         socket.set(zmq.RCVHWM, 0)
         # A reconnect by the library could lose frames undetected.
--- a/sardinestair/links/sockets.py
+++ b/sardinestair/links/sockets.py
@@ -63,5 +63,5 @@
 
 def receive(socket: zmq.Socket) -> list[bytes] | None:
     """Returns the parts of the next message, or None if there is none."""
-    # An exception of the library for "no message" takes longer than to ask.
+    # An exception of the library for "no message" takes longer than a check.
     return socket.recv_multipart(_NOBLOCK) if has_message(socket) else None
--- a/sardinestair/links/tests/test_entry_link.py
+++ b/sardinestair/links/tests/test_entry_link.py
@@ -1,6 +1,6 @@
 """When an entry treats tasks as lost, and which credits it returns.
 
-After a pause, an entry finds that no frame has arrived for long. It must ask
+After a pause, an entry finds that no frame has arrived for long. It must query
 the sidecar before it treats the tasks there as lost.
 """
 
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -80,7 +80,7 @@
 
 
 class Resume(msgspec.Struct, array_like=True, tag="R"):
-    """Opens an epoch and asks for the state of tasks.
+    """Opens an epoch and requests the state of tasks.
 
     Attributes:
         sidecar: The incarnation of the sidecar that the entry expects.
@@ -92,18 +92,18 @@
 
 
 class Start(msgspec.Struct, array_like=True, tag="S"):
-    """Asks the sidecar to start a task, which spends credits.
+    """Requests the start of a task, which spends credits.
 
     Attributes:
         task: The attempt.
         remaining_s: Time left until the job's deadline, in seconds.
         payload: The request body for the upstream.
         need: The resources that the task needs, or None if not declared.
-        units: The credits that the entry has spent on it; 0 if it doesn't say.
+        units: The credits that the entry has spent on it; 0 if not specified.
         kind: The kind of its job.
         priority: Priority of its job; 0 goes before 1.
         expected_s: Its expected run time on a typical upstream, in seconds; 0
-            if the entry doesn't say.
+            if not specified.
     """
 
     task: TaskRef
@@ -215,7 +215,7 @@
 
 
 class Recall(msgspec.Struct, array_like=True, tag="b"):
-    """Asks for the return of unused credits.
+    """Requests the return of unused credits.
 
     The entry always replies with a `CreditReturn`.
 
@@ -400,7 +400,7 @@
     Attributes:
         entry: The replying entry's incarnation.
         http_address: Base URL of its HTTP API.
-        entries: Membership endpoints of all entries that it knows.
+        entries: Membership endpoints of all entries known to it.
         settings_revision: Revision of the settings tree that it has applied.
         settings: The tree as JSON, or empty if the other entry is up to date.
         evacuations: The evacuated zones.
@@ -419,7 +419,7 @@
 
     Attributes:
         entry: The replying entry's incarnation.
-        entries: Membership endpoints of all entries that it knows.
+        entries: Membership endpoints of all entries known to it.
         settings_revision: Revision of `settings`.
         settings: The sidecar's effective settings as JSON, or empty if it
             is up to date.
--- a/sardinestair/platform/tests/test_callers.py
+++ b/sardinestair/platform/tests/test_callers.py
@@ -128,8 +128,8 @@
     assert not dispatcher.registry.jobs
 
 
-# Guards against a job of nobody: its client left while it waited for earlier
-# runs to end, and the job was then accepted.
+# Guards against a job without a caller: its client left while it waited for
+# earlier runs to end, and the job was then accepted.
 def test_client_that_leaves_during_earlier_runs_is_not_accepted(
     dispatcher, connection, post, monkeypatch
 ):
--- a/sardinestair/sidecar/tests/test_allocation.py
+++ b/sardinestair/sidecar/tests/test_allocation.py
@@ -115,7 +115,7 @@
 
 
 # Guards against accounts of entry and sidecar that drift apart: the entry
-# spends credits by the capacity that it knows, which may be an earlier one.
+# spends credits by the capacity announced to it, which may be an earlier one.
 def test_start_spends_the_credits_that_the_entry_has_spent(entry):
     holder = entry.server.ledger.holders[ENTRY]
     need = Resources(1600, 32768, 0)
--- a/sardinestair/tests/test_async_transfer.py
+++ b/sardinestair/tests/test_async_transfer.py
@@ -1,4 +1,4 @@
-"""Requests in the event loop are sent at most once; failures are told apart."""
+"""Requests in the event loop are sent at most once; failures are distinct."""
 
 import asyncio
 import socket
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -3,7 +3,7 @@
 All of it runs in one event loop: a coroutine that renews the lease and fetches
 the ends of runs, and for each task one that sends its start and waits for its
 end. If a start gets no answer, the run may or may not have begun; only a later
-report of the upstream can tell, and the run is stopped meanwhile.
+report of the upstream can show it, and the run is stopped meanwhile.
 """
 
 import asyncio
