--- a/sardinestair/web/tests/test_hostile.py
+++ b/sardinestair/web/tests/test_hostile.py
@@ -155,6 +155,43 @@
     wait_until_released(server)
 
 
+@pytest.mark.parametrize("kind", ["one byte short", "large chunks"])
+def test_crowd_from_many_addresses_is_bounded(server, kind):
+    """Eviction by address alone would find nobody who holds much."""
+    crowd = []
+    for number in range(CROWD):
+        source = (f"127.0.0.{2 + number}", 0)
+        caller = socket.create_connection(
+            ("127.0.0.1", server.port), TIMEOUT_S, source
+        )
+        crowd.append(caller)
+        send_what_is_taken(caller, KINDS[kind]("/jobs"))
+    start_s = time.monotonic()
+    assert submit_job(server) == b"200"
+    assert time.monotonic() - start_s < 1.0
+    assert server.share.peak_bytes <= BUDGET_BYTES + MAX_READ_BYTES
+    for caller in crowd:
+        caller.close()
+    wait_until_released(server)
+
+
+def test_crowd_that_connects_again_after_each_refusal_is_bounded(server):
+    refused = 0
+    for _ in range(5):
+        crowd = [connect(server) for _ in range(CROWD)]
+        for caller in crowd:
+            caller.sendall(post("/jobs", 1 << 30))
+        for caller in crowd:
+            refused += caller.recv(65536).startswith(b"HTTP/1.1 413 ")
+            caller.close()
+        start_s = time.monotonic()
+        assert submit_job(server) == b"200"
+        assert time.monotonic() - start_s < 1.0
+    assert refused == 5 * CROWD
+    assert server.share.peak_bytes <= BUDGET_BYTES
+    wait_until_released(server)
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 def test_half_a_body_is_released_when_its_caller_leaves(server, is_reset):
     crowd = [connect(server) for _ in range(CROWD)]
