Move the links of announced sidecars into a module of their own

Cause: Dispatcher opened, updated and removed links beside accepting and placing jobs.

Change: LinkMembership in entry/link_membership.py; Dispatcher delegates with its lock held. Behaviour is unchanged.

--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from sardinestair.entry.departure import DepartureMonitor
 from sardinestair.entry.gate import AdmissionController
 from sardinestair.entry.job_ends import JobFinalizer
+from sardinestair.entry.link_membership import LinkMembership
 from sardinestair.entry.overdue import OverdueTaskMonitor
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.run_ends import RunOutcomeHandler
@@ -97,6 +98,7 @@
         run_outcome_handler: Processes the outcomes of runs.
         overdue_monitor: Detects and moves tasks that take too long.
         submission: Accepts jobs.
+        link_membership: Opens, updates and removes links.
         departures: Moves tasks off upstreams that are about to leave.
         link_usage: Counters of all links.
         ready_links: Links to be served soon.
@@ -164,6 +166,7 @@
         )
         self.departures = DepartureMonitor(self.registry, metrics, self.log)
         self.submission = JobSubmission(self)
+        self.link_membership = LinkMembership(self)
 
     @property
     def tree(self) -> SettingsTree | None:
@@ -210,61 +213,16 @@
             )
 
     def handle_announcement(self, announce: Announce) -> EntryLink | None:
-        """Opens, updates or removes the link to an announced sidecar.
-
-        Args:
-            announce: The sidecar's announcement.
-
-        Returns:
-            A new link that the caller must add to the `LinkLoop`, or None if
-            no link was opened.
-        """
+        """Opens, updates or removes a link; see `LinkMembership`."""
         with self.lock:
-            link = self.links.get(announce.sidecar)
             if self.is_closed:
                 return None
-            is_leaving = announce.leaving or not announce.service
-            if link is not None and link.state is not LinkState.CLOSED:
-                state = self.services[link.candidate.service]
-                now_s = self.clock.monotonic()
-                self.departures.observe(state, link, announce, now_s)
-                state.observe_warmth(link, announce.status, now_s)
-                if is_leaving and not link.outstanding:
-                    self.remove_sidecar(announce.sidecar)
-                else:
-                    self._update_slots(link, announce)
-                    self._adopt_status(link, announce)
-                return None
-            if is_leaving:
-                return None
-            link = EntryLink(
-                self,
-                self.incarnation,
-                announce,
-                self.timing,
-                self.clock,
-                self.context,
-            )
-            self.links[announce.sidecar] = link
-            state = self.service_state(announce.service)
-            state.links[announce.sidecar] = link
-            state.observe_warmth(link, announce.status, self.clock.monotonic())
-            self._adopt_status(link, announce)
-            return link
+            return self.link_membership.handle_announcement(announce)
 
     def remove_sidecar(self, sidecar: Incarnation) -> None:
         """Removes a sidecar and closes the link to it."""
         with self.lock:
-            link = self.links.pop(sidecar, None)
-            if link is None:
-                return
-            link.close()
-            state = self.services[link.candidate.service]
-            state.links.pop(sidecar, None)
-            state.speeds.remove(sidecar)
-            state.crash_avoidance.forget(sidecar)
-            state.health.remove(sidecar)
-            self.place_waiting()
+            self.link_membership.remove_sidecar(sidecar)
 
     # Callers.
 
@@ -431,7 +389,7 @@
 
     def on_task_finished(self, link: EntryLink, outcome: Outcome) -> None:
         """Handles the outcome of a run."""
-        self._refresh_link(link)
+        self.on_link_changed(link)
         self.departures.handle_outcome(link, outcome)
         self.run_outcome_handler.handle_outcome(link, outcome)
 
@@ -441,21 +399,17 @@
 
     def on_tasks_refused(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Requeues tasks that were refused without running."""
-        self._refresh_link(link)
+        self.on_link_changed(link)
         self.count_wasted("start_refused", len(refs))
         self.departures.handle_not_run(refs)
         self.run_outcome_handler.handle_not_run(link, refs)
 
     def on_tasks_lost(self, link: EntryLink, refs: list[TaskRef]) -> None:
         """Fails or retries tasks whose outcome will never be known."""
-        self._refresh_link(link)
+        self.on_link_changed(link)
         self.departures.handle_lost(link, refs)
         self.run_outcome_handler.handle_lost(link, refs)
 
-    def on_link_changed(self, link: EntryLink) -> None:
-        """Refreshes placement after a change of a link's credits or state."""
-        self._refresh_link(link)
-
     def on_credits_unused(self, link: EntryLink) -> None:
         """Sends a sidecar no more demand until the next periodic check.
 
@@ -528,26 +482,6 @@
             self.services[service] = state
         return state
 
-    def _update_slots(self, link: EntryLink, announce: Announce) -> None:
-        candidate = link.candidate
-        offered = (announce.slots, announce.capacity)
-        if offered != (candidate.slots, candidate.capacity):
-            candidate.resize(*offered)
-            self._refresh_link(link)
-
-    def _adopt_status(self, link: EntryLink, announce: Announce) -> None:
-        candidate = link.candidate
-        slowdown = candidate.slowdown_
-        state = self.services[candidate.service]
-        rack = announce.status.rack if announce.status else ""
-        if rack != candidate.rack:
-            state.policy.remove(candidate)
-            candidate.rack = rack
-            self._refresh_link(link)
-        state.speeds.adopt(candidate, announce.status)
-        if candidate.slowdown_ != slowdown:
-            self._refresh_link(link)
-
     def _place_tasks(self, state: ServiceState) -> None:
         now_s = self.clock.monotonic()
         sidecars_to_wake: set[Incarnation] = set()
@@ -591,7 +525,7 @@
         for link in state.demand.add_targets(count, now_s):
             link.notify()
 
-    def _refresh_link(self, link: EntryLink) -> None:
+    def on_link_changed(self, link: EntryLink) -> None:
         """Updates a link's candidate before tasks are placed next.
 
         Several messages of a frame lead to one update.
