Eject upstreams that fail a large part of their jobs

A success cleared all failures of an upstream, so one that failed half of its tasks while its health was good was avoided only after three failed jobs in a row. Failures that all upstreams share eject none.

--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -72,6 +72,7 @@
         cpu_millis: CPU capacity, in thousandths of a core.
         fault: Fault injected into it.
         unanswered_share: Share of the starts that get no reply.
+        failing_share: Share of the runs that fail at once.
         long_share: Share of the runs that take `LONG_RUN_FACTOR` times their
             usual time.
         rack: Its rack.
@@ -81,6 +82,7 @@
     cpu_millis: int = 16000
     fault: Fault = Fault.NONE
     unanswered_share: float = 0.0
+    failing_share: float = 0.0
     long_share: float = 0.0
     rack: str = ""
 
@@ -254,6 +256,10 @@
             del self.runs[ref]
             run.on_result(run.result)
 
+    def _is_failing(self) -> bool:
+        share = self.model.failing_share
+        return share > 0 and self.random.random() < share
+
     def _plan_result(
         self, payload: bytes, timeout_s: float, factor: float
     ) -> CallResult:
@@ -274,7 +280,11 @@
             state, run_s = TaskState.NOT_RUN, UNANSWERED_START_S
         elif self.model.fault is Fault.STALLED:
             state, body, run_s = TaskState.INTERRUPTED, STALLED, STALL_TIMEOUT_S
-        elif self.model.fault is Fault.FAILING or work_s < 0:
+        elif (
+            self.model.fault is Fault.FAILING
+            or work_s < 0
+            or self._is_failing()
+        ):
             state, body, run_s = TaskState.FAILED, b"failed", 0.01
         if state not in (TaskState.DONE, TaskState.NOT_RUN):
             self.system.report.wasted_run_s += run_s
--- a/sardinestair/placement/health.py
+++ b/sardinestair/placement/health.py
@@ -3,11 +3,15 @@
 A failed task can be the fault of the upstream or of the job. A kind of job
 that has failed on several upstreams without a success in between is considered
 broken, and its failures do not count against upstreams. Otherwise, an upstream
-that fails several jobs in a row is ejected: it receives no tasks for a time.
-After that it receives a single trial task, since each trial can fail a job.
+that fails several jobs in a row, or a large part of its jobs and far more than
+the others, is ejected: it receives no tasks for a time. After that it receives
+a single trial task, since each trial can fail a job.
 """
 
 import enum
+from collections import deque
+
+import msgspec
 
 from sardinestair.ids import Incarnation, JobId
 
@@ -17,6 +21,11 @@
 UNPROVEN_EJECTION_THRESHOLD = 2
 PROVEN_EJECTION_THRESHOLD = 3
 BROKEN_KIND_MIN_UPSTREAMS = 2
+# Latest results of an upstream that are kept. It is ejected if this share of
+# them failed, and this many times the share of the other upstreams.
+RESULTS = 10
+MAX_FAILED_SHARE = 0.4
+MIN_FAILED_RATIO = 3.0
 FIRST_EJECTION_S = 5.0
 MAX_EJECTION_S = 300.0
 
@@ -35,12 +44,27 @@
     TRIAL = "trial"
 
 
+class TaskResult(msgspec.Struct, frozen=True):
+    """The result of a task.
+
+    Attributes:
+        job_id: Its job.
+        kind: Kind of the job.
+        succeeded: True if the task was answered.
+    """
+
+    job_id: JobId
+    kind: str
+    succeeded: bool
+
+
 class UpstreamHealth:
     """Health of one upstream, learned from the results of its tasks.
 
     Attributes:
         state_: Current state.
         failed_jobs_: Jobs that failed since the last success, with their kind.
+        results_: Its latest results.
         ejections_: Number of ejections since it was last `PROVEN`.
         ejected_until_s_: End of the latest ejection, on the entry's clock.
     """
@@ -48,6 +72,7 @@
     def __init__(self) -> None:
         self.state_ = HealthState.UNPROVEN
         self.failed_jobs_: dict[JobId, str] = {}
+        self.results_: deque[TaskResult] = deque(maxlen=RESULTS)
         self.ejections_ = 0
         self.ejected_until_s_ = 0.0
 
@@ -85,6 +110,13 @@
         self.ejections_ += 1
         self.ejected_until_s_ = now_s + min(ejection_s, MAX_EJECTION_S)
         self.failed_jobs_.clear()
+        self.results_.clear()
+
+    @property
+    def failures(self) -> int:
+        """Number of jobs that failed among the latest results."""
+        failed = (r.job_id for r in self.results_ if not r.succeeded)
+        return len(set(failed))
 
     @property
     def ejection_threshold(self) -> int:
@@ -156,6 +188,7 @@
             True if this result ejected the upstream.
         """
         health = self._health_of(sidecar)
+        health.results_.append(TaskResult(job_id, kind, succeeded))
         if succeeded:
             health.record_success()
             self.failed_on_.pop(kind, None)
@@ -165,7 +198,8 @@
             self._clear_failures(kind)
             return False
         health.failed_jobs_[job_id] = kind
-        if len(health.failed_jobs_) < health.ejection_threshold:
+        is_failing = len(health.failed_jobs_) >= health.ejection_threshold
+        if not (is_failing or self._fails_far_more(health)):
             return False
         return self._try_eject(health, now_s)
 
@@ -204,6 +238,21 @@
             health.failed_jobs_ = {
                 job: k for job, k in health.failed_jobs_.items() if k != kind
             }
+            health.results_ = deque(
+                (r for r in health.results_ if r.succeeded or r.kind != kind),
+                RESULTS,
+            )
+
+    def _fails_far_more(self, health: UpstreamHealth) -> bool:
+        """Returns True if an upstream fails far more jobs than the others."""
+        failures = health.failures
+        if failures < MAX_FAILED_SHARE * RESULTS:
+            return False
+        others = [h for h in self.upstreams_.values() if h is not health]
+        results = sum(len(other.results_) for other in others)
+        failed = sum(other.failures for other in others)
+        share = failures / RESULTS
+        return share * results >= MIN_FAILED_RATIO * failed
 
     def _try_eject(self, health: UpstreamHealth, now_s: float) -> bool:
         limit = self.max_ejected_share * len(self.upstreams_)
--- a/sardinestair/placement/tests/test_health.py
+++ b/sardinestair/placement/tests/test_health.py
@@ -6,6 +6,7 @@
 from sardinestair.placement.health import (
     FIRST_EJECTION_S,
     MAX_UNPROVEN_OUTSTANDING,
+    RESULTS,
     HealthRegistry,
     HealthState,
 )
@@ -91,3 +92,33 @@
     assert registry.allows_start(bad, 0, trial_s)
     registry.record_result(bad, job(4), "usual", True, trial_s)
     assert registry.allows_start(bad, 7, trial_s)
+
+
+def test_upstream_that_fails_every_other_task_is_ejected(registry):
+    bad = SIDECARS[0]
+    for number in range(100, 100 + RESULTS):
+        succeeded = number % 2 == 0
+        if registry.record_result(bad, job(number), "usual", succeeded, 1.0):
+            break
+        for sidecar in SIDECARS[1:]:
+            registry.record_result(sidecar, job(number), "usual", True, 1.0)
+    assert registry.upstreams_[bad].state_ is HealthState.EJECTED
+
+
+def test_failures_that_all_upstreams_share_eject_none(registry):
+    count = len(SIDECARS)
+    for number in range(50 * count):
+        turn, index = divmod(number, count)
+        succeeded = (turn + index) % 2 == 0
+        assert not registry.record_result(
+            SIDECARS[index], job(number), "usual", succeeded, 1.0
+        )
+
+
+def test_repeated_failures_of_one_job_count_once(registry):
+    for number in range(RESULTS):
+        failed = job(5000)
+        assert not registry.record_result(
+            SIDECARS[0], failed, "usual", False, 1.0
+        )
+        registry.record_result(SIDECARS[0], job(number), "usual", True, 1.0)
