Keep the ports of systems under test apart

Ten sidecars on ports 26796 to 26805 that aren't of that system had announced themselves to its entries: another process on the machine tested a system, and both took ports from ranges that begin at a function of their process id and overlap. A process now claims a block of ports by a socket that it keeps.

--- a/faults/system.py
+++ b/faults/system.py
@@ -1,5 +1,6 @@
 """Starts and stops the processes of a small system on loopback."""
 
+import functools
 import itertools
 import os
 import random
@@ -9,6 +10,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 
 import msgspec
 import yaml
@@ -32,19 +34,43 @@
 
 # Below the ephemeral port range, so that no outgoing connection takes a port
 # between its choice and its use.
-_PORTS = itertools.count(20_000 + os.getpid() * 97 % 9_000)
+PORTS = range(20_000, 32_400)
+BLOCK_PORTS = 400
+
+
+@functools.cache
+def _claim_ports() -> tuple[socket.socket, Iterator[int]]:
+    """Claims ports that no other process with a system uses meanwhile.
+
+    Otherwise the sidecars of one system could announce themselves to another.
+
+    Returns:
+        The socket that keeps the claim, and the ports.
+    """
+    blocks = list(PORTS[::BLOCK_PORTS])
+    first = os.getpid() % len(blocks)
+    for block in blocks[first:] + blocks[:first]:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", block))
+        except OSError:
+            guard.close()
+            continue
+        return guard, itertools.cycle(range(block + 1, block + BLOCK_PORTS))
+    raise AssertionError("all blocks of ports are in use")
 
 
 def free_port() -> int:
-    """Returns a TCP port that is not in use, a different one at each call."""
-    for port in _PORTS:
+    """Returns a TCP port that is not in use, not the same one for long."""
+    _, ports = _claim_ports()
+    for port in itertools.islice(ports, BLOCK_PORTS):
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
             return port
-    raise AssertionError("unreachable: ports are counted without end")
+    raise AssertionError("all claimed ports are in use")
 
 
 class Program:
