--- a/sardinestair/emulator/tests/test_load_view.py
+++ b/sardinestair/emulator/tests/test_load_view.py
@@ -30,7 +30,7 @@
     system.submit(warm_up)
     for _ in range(LARGE_JOBS):
         job = EmulatedJob(BUYBACK[1], 0.0, [1.8] * 16, 1600, 1.8, 9.0)
-        arrive = system._make_arrival(system.dispatchers[0], job)
+        arrive = system.make_arrival(system.dispatchers[0], job)
         system.schedule(BURST_S, arrive)
     return system
 
