--- a/faults/random_faults.py
+++ b/faults/random_faults.py
@@ -22,7 +22,7 @@
 REQUEST_TIMEOUT_S = 5.0
 REQUEST_INTERVAL_S = 0.1
 # Callers for each upstream that come at once; together with the usual ones they
-# ask for more than there is room for.
+# need more than there is room for.
 CROWD_PER_UPSTREAM = 8
 
 KINDS_OF_JOB = ("urgent", "usual", "batch")
@@ -169,7 +169,7 @@
 
 
 def leave_at_short_notice(context: FaultContext, rng: random.Random) -> None:
-    """Takes an upstream away after its notice, whatever runs there."""
+    """Ends an upstream after its notice, whatever runs there."""
     indices = context.reserve("host", 1)
     for index in indices:
         upstream = context.system.upstreams[index]
@@ -182,7 +182,7 @@
 
 
 def send_crowd(context: FaultContext, rng: random.Random) -> None:
-    """Asks for more than there is room for, in all classes."""
+    """Submits more than there is room for, in all classes."""
     count = CROWD_PER_UPSTREAM * len(context.system.upstreams)
     crowd = Callers(context.system, count, rng.randrange(1 << 32), KINDS_OF_JOB)
     context.crowds.append(crowd)
--- a/sardinestair/emulator/processors.py
+++ b/sardinestair/emulator/processors.py
@@ -82,7 +82,7 @@
     """An emulated system whose entries take time for requests and messages.
 
     A caller that is refused submits the job to another entry, after the time
-    that it is told.
+    that the refusal names.
 
     Attributes:
         processors: That of each entry; without one, an entry takes no time.
--- a/sardinestair/emulator/system.py
+++ b/sardinestair/emulator/system.py
@@ -366,7 +366,6 @@
             dispatcher.admission_controller.share.entry_count = entries
         self.connections: list[Connection] = []
         self.by_route: dict[bytes, Connection] = {}
-        self.by_dispatcher: dict[int, list[Connection]] = {}
         for dispatcher in self.dispatchers:
             self.connect(dispatcher)
         self.pending: list[tuple[EmulatedJob, Job]] = []
--- a/sardinestair/entry/crash_avoidance.py
+++ b/sardinestair/entry/crash_avoidance.py
@@ -48,14 +48,14 @@
         self.probation_until_s.pop(sidecar, None)
 
     def must_spare_upstreams(self) -> bool:
-        """Returns True if more upstreams are away than may be taken out."""
-        away = sum(
+        """Returns True if more upstreams are gone than may be taken out."""
+        gone = sum(
             link.state is LinkState.LEAVING
             and not self.state.is_evacuated(link)
             for link in self.state.links.values()
         )
         limit = self.state.settings.max_outage_share * len(self.state.links)
-        return away > limit
+        return gone > limit
 
     def excluded_upstreams(self, job: Job, now_s: float) -> set[Incarnation]:
         """Returns the upstreams to avoid for a job's next task.
--- a/sardinestair/entry/lookahead.py
+++ b/sardinestair/entry/lookahead.py
@@ -33,12 +33,12 @@
 
     Jobs of one kind have similar run times and needs: if the first few can't be
     placed, further ones can't either. The choice is kept until the queue
-    changes, because each upstream that gets room asks for it.
+    changes, because it is needed for each upstream that gets room.
 
     Args:
         queue: The waiting jobs.
         crashes: Crashes of upstreams, by task.
-        must_spare: Returns True if more upstreams are away than may be taken
+        must_spare: Returns True if more upstreams are gone than may be taken
             out for failing. A task that may have caused a crash waits then, so
             that the others are spared.
 
@@ -93,7 +93,7 @@
     def _must_wait(self, job: Job) -> bool:
         """Returns True if a job's next task might crash one upstream too many.
 
-        A task that may have caused a crash waits while too many are away.
+        A task that may have caused a crash waits while too many are gone.
         """
         if not self.crashes.find(job.job_id, job.waiting[0]):
             return False
--- a/sardinestair/entry/platform_process.py
+++ b/sardinestair/entry/platform_process.py
@@ -54,7 +54,7 @@
         configured: Set once a configuration has been adopted.
         client_server: Serves the clients.
         readiness_server: Serves the balancer's readiness checks.
-        is_leaving: True once the entry has been told to stop.
+        is_leaving: True once the entry has been requested to stop.
     """
 
     # Callers have a server of their own.
--- a/sardinestair/entry/tests/test_evacuation.py
+++ b/sardinestair/entry/tests/test_evacuation.py
@@ -65,7 +65,7 @@
 # Guards against jobs that are admitted and end late during an evacuation: the
 # work of all entries was counted as if the evacuated upstreams did a part.
 def test_backlog_is_worked_off_by_the_other_zones(entry):
-    state = entry.dispatcher._service_state("quotes")
+    state = entry.dispatcher.service_state("quotes")
     now_s = entry.clock.monotonic()
     for link in state.links.values():
         link.load.observe([], now_s)
@@ -79,7 +79,7 @@
 # Guards against work that no other entry counts, as it was reported to sidecars
 # of an evacuated zone, whose reports are not read.
 def test_backlog_is_reported_to_the_other_zones(entry):
-    state = entry.dispatcher._service_state("quotes")
+    state = entry.dispatcher.service_state("quotes")
     state.queue.waiting_by_class.add(0, tasks=4, work_s=8.0)
     entry.dispatcher.observe_evacuations(B_EVACUATED)
     reports = {
--- a/sardinestair/membership/peers.py
+++ b/sardinestair/membership/peers.py
@@ -1,4 +1,4 @@
-"""Directory of the entries that a process knows."""
+"""Directory of the other entries of the system."""
 
 import msgspec
 
@@ -9,7 +9,7 @@
 
 
 class Peer(msgspec.Struct):
-    """An entry as another process knows it.
+    """What a process has learned of an entry.
 
     Attributes:
         endpoint: Its membership endpoint, host:port.
--- a/sardinestair/membership/roster.py
+++ b/sardinestair/membership/roster.py
@@ -1,4 +1,4 @@
-"""The sidecars that an entry knows, with the expiry of announcements."""
+"""The announced sidecars, with the expiry of their announcements."""
 
 from sardinestair.ids import Incarnation
 from sardinestair.messages import Announce
