--- a/sardinestair/platform/tests/test_start.py
+++ b/sardinestair/platform/tests/test_start.py
@@ -130,7 +130,7 @@
     sidecar = PlatformSidecarProcess(settings)
     woken = []
     sidecar.server.wake = lambda: woken.append(True)
-    sidecar.runner.on_clear()
+    sidecar.runner.orphans.on_none_left()
     assert woken == [True]
     assert StartStep.CLEAR in sidecar.start_times.after_s
     sidecar.start()
