--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -12,7 +12,10 @@
     ForwardedReply,
     Forwarder,
 )
-from sardinestair.entry.submission import EARLIER_RUNS_ACTIVE
+from sardinestair.entry.submission import (
+    EARLIER_RUNS_ACTIVE,
+    OWNED_ELSEWHERE,
+)
 from sardinestair.event_loop import EventLoop, wait_for_result
 from sardinestair.ids import (
     JobId,
@@ -46,6 +49,8 @@
 # No caller resubmits after a lost answer sooner than this, so a younger id is
 # not looked up at other entries.
 MIN_RESUBMISSION_AGE_S = 0.25
+# A job may change its owner while it is forwarded.
+MAX_TAKEOVERS = 5
 # Decoding a larger body may hold the event loop for over 5 ms, if it has very
 # many short fields.
 MAX_INLINE_BYTES = 64 << 10
@@ -102,7 +107,9 @@
         forwarded = await self._forward_resubmission(request, parsed.ok, body)
         if forwarded is not None:
             return forwarded
-        submitted = await self._reserve_and_submit(parsed.ok)
+        submitted = await self._submit_as_owner(request, parsed.ok, body)
+        if isinstance(submitted, Response):
+            return submitted
         if submitted.is_error():
             if submitted.error is EARLIER_RUNS_ACTIVE:
                 with self.dispatcher.lock:
@@ -124,6 +131,48 @@
             return response
         return await self._wait_for_answer(job)
 
+    async def _submit_as_owner(
+        self, request: Request, parsed: ParsedRequest, body: bytes
+    ) -> Result[Job, Problem] | Response:
+        """Submits a job once this entry owns it.
+
+        A job that has not ended without success at another entry is forwarded
+        to it.
+        """
+        takeover = self.dispatcher.takeover
+        await takeover.catch_up()
+        for _ in range(MAX_TAKEOVERS):
+            submitted = await self._reserve_and_submit(parsed)
+            is_elsewhere = (
+                submitted.is_error() and submitted.error is OWNED_ELSEWHERE
+            )
+            if not is_elsewhere or FORWARDED_HEADER in request.headers:
+                return submitted
+            settled = await takeover.settle(parsed, lambda: False, True)
+            if settled.is_error():
+                return Error(settled.error)
+            if settled.ok is None:
+                continue
+            reply = await self._forward_to(settled.ok.owner, body)
+            if reply is not None:
+                return _relayed_response(reply)
+        return Error(OWNED_ELSEWHERE)
+
+    async def _forward_to(
+        self, endpoint: str, body: bytes
+    ) -> ForwardedReply | None:
+        """Forwards a submission to the entry with a membership endpoint."""
+        for peer in self.peers():
+            if peer.endpoint == endpoint:
+                return await self.forwarder.forward(
+                    "POST",
+                    peer.http_address,
+                    "/v1/jobs",
+                    body,
+                    FORWARD_TIMEOUT_S,
+                )
+        return None
+
     async def _reserve_and_submit(
         self, parsed: ParsedRequest
     ) -> Result[Job, Problem]:
@@ -221,6 +270,7 @@
             or parsed.request.unrepeatable
             or FORWARDED_HEADER in request.headers
             or self.dispatcher.find(parsed.job_id) is not None
+            or self.dispatcher.directory.find(parsed.job_id) is not None
         ):
             return None
         now_s = self.dispatcher.clock.now().timestamp()
--- a/sardinestair/entry/dispatcher.py
+++ b/sardinestair/entry/dispatcher.py
@@ -20,6 +20,7 @@
 from sardinestair.entry.run_ends import RunOutcomeHandler
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.entry.submission import JobSubmission
+from sardinestair.entry.takeover import JobTakeover
 from sardinestair.ids import (
     Incarnation,
     JobId,
@@ -28,6 +29,7 @@
 from sardinestair.jobs import (
     CrashHistory,
     Job,
+    JobDirectory,
     JobRegistry,
     WithdrawnJobs,
 )
@@ -45,6 +47,7 @@
     Demand,
     EvacuationView,
     Outcome,
+    OwnershipBatch,
     TaskRef,
 )
 from sardinestair.observability import (
@@ -93,6 +96,9 @@
         crashes: Crashes of upstreams, by task.
         withdrawn: Jobs that callers have cancelled, here or at other entries.
         on_withdrawn: Called when a caller has cancelled a job here.
+        directory: The owners of the jobs submitted lately, here or elsewhere.
+        takeover: Makes this entry the owner of a job, if it may be.
+        attached: Jobs that callers at other entries alone wait for.
         evacuations: The evacuated availability zones.
         deadline_heap: Deadlines of accepted jobs, as a heap.
         services_to_place: Services whose queue or upstreams have changed
@@ -140,6 +146,8 @@
         self.crashes = CrashHistory(retention_s)
         self.withdrawn = WithdrawnJobs(retention_s)
         self.on_withdrawn: Callable[[], None] = lambda: None
+        self.directory = JobDirectory(retention_s, self.timing.lost_s)
+        self.attached: list[Job] = []
         self.evacuations = EvacuationRegister()
         metrics.gauge("evacuated_zones", {}, 0)
         self.claims = claims
@@ -161,6 +169,7 @@
             self.registry,
             self.recorder,
             claims,
+            self.directory,
         )
         self.run_outcome_handler = RunOutcomeHandler(
             self.job_finalizer, metrics, self.log, self.crashes
@@ -174,6 +183,7 @@
         )
         self.departures = DepartureMonitor(self.registry, metrics, self.log)
         self.submission = JobSubmission(self)
+        self.takeover = JobTakeover(self)
         self.link_membership = LinkMembership(self)
 
     @property
@@ -294,7 +304,23 @@
         with self.lock:
             job.waiters -= 1
             if job.waiters <= 0:
-                self._cancel_if_active(job)
+                self._cancel_unless_attached(job, self.clock.monotonic())
+
+    def _cancel_unless_attached(self, job: Job, now_s: float) -> None:
+        """Cancels a job for which no caller of another entry waits."""
+        if now_s < job.attached_until_s:
+            self.attached.append(job)
+        else:
+            self._cancel_if_active(job)
+
+    def observe_owners(self, batch: OwnershipBatch) -> None:
+        """Merges records of another entry, and ends jobs that it has got."""
+        with self.lock:
+            lost = self.directory.observe(batch, self.clock.monotonic())
+            for job in filter(None, map(self.registry.find, lost)):
+                detail = "another entry has become the owner of the job"
+                self.job_finalizer.fail(job, ProblemKind.LOST, detail)
+            self.place_waiting()
 
     def run_periodic_checks(self) -> None:
         """Fails expired jobs and checks the queues; called by the timer."""
@@ -307,6 +333,10 @@
                     self.job_finalizer.fail(job, ProblemKind.DEADLINE, detail)
             self.registry.evict(now_s)
             self.crashes.evict(now_s)
+            attached, self.attached = self.attached, []
+            for job in attached:
+                if job.is_active and job.waiters <= 0:
+                    self._cancel_unless_attached(job, now_s)
             is_overdue_check_due = now_s >= self.next_overdue_check_s
             if is_overdue_check_due:
                 self.next_overdue_check_s = now_s + OVERDUE_CHECK_INTERVAL_S
--- a/sardinestair/entry/gossip.py
+++ b/sardinestair/entry/gossip.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sardinestair.entry.membership_server import MembershipServer
+from sardinestair.ids import Incarnation
 from sardinestair.membership import Announcer
 from sardinestair.messages import DECODE_ERRORS, PeerHello, PeerReply
 from sardinestair.observability import EventLog
@@ -39,6 +40,8 @@
 
     Attributes:
         announcers: Announcer of each peer, by the peer's endpoint.
+        observe_reply: Called with each reply: the peer's endpoint and
+            incarnation, and the number of own records that it has received.
     """
 
     def __init__(
@@ -51,6 +54,9 @@
         self.start_announcer = start_announcer
         self.adopt = adopt
         self.announcers: dict[str, Announcer[PeerReply]] = {}
+        self.observe_reply: Callable[[str, Incarnation, int], None] = (
+            lambda _endpoint, _incarnation, _received: None
+        )
         self.stopping = False
         self.log = EventLog("gossip")
 
@@ -123,6 +129,7 @@
                 dispatcher.clock.monotonic(), 2 * self.interval_s
             ),
             dispatcher.evacuations.view,
+            True,
         )
 
     def _adopt(self, reply: PeerReply) -> None:
@@ -138,6 +145,7 @@
         self.membership.peers.observe(
             endpoint, reply.http_address, reply.entry, now_s
         )
+        self.observe_reply(endpoint, reply.entry, reply.owned_received)
         if reply.settings:
             self._adopt(reply)
         self.add_endpoints(reply.entries)
--- a/sardinestair/entry/job_ends.py
+++ b/sardinestair/entry/job_ends.py
@@ -6,7 +6,7 @@
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.service_state import ServiceState
 from sardinestair.ids import Incarnation
-from sardinestair.jobs import Job, JobRegistry
+from sardinestair.jobs import Job, JobDirectory, JobRegistry, JobState
 from sardinestair.links.entry_link import EntryLink, LinkState
 from sardinestair.messages import TaskRef
 from sardinestair.outcomes import Problem, ProblemKind
@@ -25,6 +25,7 @@
         registry: The known jobs.
         recorder: Records metrics and log lines about ended jobs.
         claims: Writes claims for unrepeatable jobs; None without a store.
+        directory: The owners of jobs.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         registry: JobRegistry,
         recorder: JobRecorder,
         claims: ClaimWriter | None,
+        directory: JobDirectory,
     ):
         self.clock = clock
         self.services = services
@@ -42,6 +44,7 @@
         self.registry = registry
         self.recorder = recorder
         self.claims = claims
+        self.directory = directory
 
     def fail(
         self,
@@ -74,6 +77,9 @@
         self._cancel_in_flight(job)
         now_s = self.clock.monotonic()
         self.registry.mark_ended(job, now_s)
+        if job.state is JobState.COMPLETE:
+            is_awaited = now_s < job.attached_until_s
+            self.directory.complete_own(job.job_id, now_s, is_awaited)
         self.recorder.record_end(job, state, now_s)
 
     def _cancel_in_flight(self, job: Job) -> None:
--- a/sardinestair/entry/membership_server.py
+++ b/sardinestair/entry/membership_server.py
@@ -8,15 +8,17 @@
 
 from sardinestair.endpoints import check_endpoint
 from sardinestair.entry.dispatcher import Dispatcher
+from sardinestair.entry.ownership_exchange import OwnershipExchange
 from sardinestair.event_loop import LoopHandle
 from sardinestair.ids import Incarnation
 from sardinestair.links.entry_link import EntryLink
 from sardinestair.links.sockets import has_message, limit_peers, receive
-from sardinestair.membership import PeerDirectory, Roster
+from sardinestair.membership import PauseMonitor, PeerDirectory, Roster
 from sardinestair.messages import (
     DECODE_ERRORS,
     Announce,
     AnnounceReply,
+    OwnershipUpdate,
     PeerHello,
     PeerReply,
 )
@@ -54,7 +56,9 @@
     Attributes:
         http_address: Base URL of the entry's HTTP API.
         settings_revision: Revision of the settings tree in force.
+        pauses: Notices that messages may not have been read.
         handle: Calls `run_once` when there is work; None before `start`.
+        exchange: Exchanges the owners of jobs; None before it is assembled.
     """
 
     def __init__(
@@ -73,13 +77,19 @@
         self.start_link = start_link
         self.settings_revision = 0
         self.last_check_s = dispatcher.clock.monotonic()
+        self.pauses = PauseMonitor(self.last_check_s)
         self.handle: LoopHandle | None = None
+        self.exchange: OwnershipExchange | None = None
         self.socket = context.socket(zmq.ROUTER)
         limit_peers(self.socket, MAX_MESSAGE_BYTES, MAX_QUEUED_MESSAGES)
         self.socket.bind(endpoint)
         self.endpoint = self.socket.get(zmq.LAST_ENDPOINT).decode()
-        self.decoder = msgspec.msgpack.Decoder(Announce | PeerHello)
+        self.decoder = msgspec.msgpack.Decoder(
+            Announce | PeerHello | OwnershipUpdate
+        )
         self.peers.own_endpoint = self.endpoint.removeprefix("tcp://")
+        dispatcher.directory.own_endpoint = self.peers.own_endpoint
+        dispatcher.takeover.is_current = self.is_current
         self.log = EventLog("membership")
 
     def start(self, handle: LoopHandle) -> None:
@@ -89,6 +99,7 @@
             handle: Calls `run_once`.
         """
         self.handle = handle
+        self.pauses = PauseMonitor(self.dispatcher.clock.monotonic())
         handle.add(int(self.socket.get(zmq.FD)))
         handle.wake()
 
@@ -106,10 +117,15 @@
         else:
             self._wake()
         now_s = self.dispatcher.clock.monotonic()
+        self.pauses.observe_read(now_s)
         if now_s >= self.last_check_s + CHECK_INTERVAL_S:
             self._remove_expired_sidecars(now_s)
         return self.last_check_s + CHECK_INTERVAL_S - now_s
 
+    def is_current(self) -> bool:
+        """Returns False if messages may be waiting that were sent long ago."""
+        return self.pauses.is_current(self.dispatcher.clock.monotonic())
+
     def close(self) -> None:
         """Closes the socket."""
         self.socket.close(linger=0)
@@ -127,14 +143,20 @@
             self.log.warning("announce_undecodable", reason=str(error))
             return
         reply = self._answer(message)
-        self.socket.send_multipart([route, msgspec.msgpack.encode(reply)])
+        if reply is not None:
+            self.socket.send_multipart([route, msgspec.msgpack.encode(reply)])
         if has_message(self.socket):
             self._wake()
 
     @singledispatchmethod
-    def _answer(self, message) -> AnnounceReply | PeerReply:
+    def _answer(self, message) -> AnnounceReply | PeerReply | None:
         raise AssertionError(f"unexpected message {message!r}")
 
+    @_answer.register
+    def _(self, update: OwnershipUpdate) -> None:
+        if self.exchange is not None:
+            self.exchange.handle_update(update)
+
     @_answer.register
     def _(self, hello: PeerHello) -> PeerReply:
         now_s = self.dispatcher.clock.monotonic()
@@ -144,6 +166,10 @@
         )
         self.dispatcher.handle_withdrawn(hello.withdrawn)
         self.dispatcher.observe_evacuations(hello.evacuations)
+        received = -1
+        if self.exchange is not None and hello.shares_owners:
+            self.exchange.add_peer(hello.endpoint, hello.entry)
+            received = self.exchange.received_from(hello.endpoint, hello.entry)
         settings = b""
         if hello.settings_revision < self.settings_revision:
             settings = msgspec.json.encode(self.dispatcher.tree)
@@ -154,6 +180,7 @@
             self.settings_revision,
             settings,
             self.dispatcher.evacuations.view,
+            received,
         )
 
     @_answer.register
--- a/sardinestair/entry/process.py
+++ b/sardinestair/entry/process.py
@@ -14,6 +14,7 @@
 from sardinestair.entry.evacuations import EvacuationApi
 from sardinestair.entry.gossip import Gossip
 from sardinestair.entry.membership_server import MembershipServer
+from sardinestair.entry.ownership_exchange import OwnershipExchange
 from sardinestair.event_loop import EventLoop, LoopTask
 from sardinestair.ids import format_incarnation, new_incarnation
 from sardinestair.limits.budget import TeamBudgets
@@ -84,6 +85,7 @@
         dispatcher: Owns all jobs.
         membership: Receives the announcements of sidecars and entries.
         gossip: Exchanges settings and endpoints with other entries.
+        exchange: Exchanges the owners of jobs with other entries.
         http: Serves callers and operators.
         http_role: Whose part of the memory budget `http` uses.
         memory: Account of the memory that HTTP connections hold.
@@ -165,6 +167,18 @@
             self.adopt,
         )
         self.dispatcher.on_withdrawn = self.gossip.share_withdrawn
+        self.exchange = OwnershipExchange(
+            self.dispatcher, self.gossip.announcers, self.peers
+        )
+        self.gossip.observe_reply = self.exchange.observe_reply
+        self.exchange.connect = lambda endpoint: self.gossip.add_endpoints(
+            [endpoint]
+        )
+        self.membership.exchange = self.exchange
+        self.exchange_task = self._make_task(
+            self.exchange.run_once, "ownership"
+        )
+        self.exchange.wake = self.exchange_task.wake
         self.entry_delay = EntryDelay()
         self.event_loop.on_delay = self._observe_delay
         if settings.count_own_delay:
@@ -235,6 +249,7 @@
 
     def _stop_tasks(self) -> None:
         self.gossip.stop()
+        self.exchange_task.stop()
         self.timer_task.stop()
         self.membership_task.stop()
         self.membership.close()
--- a/sardinestair/entry/submission.py
+++ b/sardinestair/entry/submission.py
@@ -13,7 +13,8 @@
 from sardinestair.entry.recorder import JobRecorder
 from sardinestair.entry.run_ends import RunOutcomeHandler
 from sardinestair.entry.service_state import ServiceState
-from sardinestair.jobs import Job, JobRegistry, JobState, WithdrawnJobs
+from sardinestair.ids import JobId
+from sardinestair.jobs import Job, JobDirectory, JobRegistry, WithdrawnJobs
 from sardinestair.jobs.request import ParsedRequest
 from sardinestair.limits.budget import JobReservation
 from sardinestair.limits.credit_priority import is_late_class, priority_of
@@ -22,6 +23,7 @@
 
 __all__ = [
     "EARLIER_RUNS_ACTIVE",
+    "OWNED_ELSEWHERE",
     "WITHDRAWN",
     "JobSubmission",
     "SubmissionOwner",
@@ -36,6 +38,14 @@
 )
 """Refuses a resubmission while an earlier run of its job may be active."""
 
+OWNED_ELSEWHERE = Problem(
+    ProblemKind.UNAVAILABLE,
+    "another entry owns the job; this submission did not run",
+    not_run=True,
+    retry_after_s=1.0,
+)
+"""Refuses a submission until the entry has become the owner of the job."""
+
 WITHDRAWN = Problem(
     ProblemKind.CANCELLED,
     "the caller has cancelled the job; this submission did not run",
@@ -54,6 +64,7 @@
         services: State of each service, by name.
         registry: The known jobs.
         withdrawn: Jobs that callers have cancelled.
+        directory: The owners of jobs.
         claims: Writes claims for unrepeatable jobs; None without a store.
         deadline_heap: Deadlines of accepted jobs, as a heap.
         tie_breaker: Numbers that tell equal deadlines apart.
@@ -70,6 +81,7 @@
     services: dict[str, ServiceState]
     registry: JobRegistry
     withdrawn: WithdrawnJobs
+    directory: JobDirectory
     claims: ClaimWriter | None
     deadline_heap: list[tuple[float, int, Job]]
     tie_breaker: Iterator[int]
@@ -114,8 +126,13 @@
             is_withdrawn = parsed.job_id in self.owner.withdrawn
             if existing is None and is_withdrawn:
                 return Error(WITHDRAWN)
+            if parsed.is_resubmittable and not is_withdrawn:
+                refusal = self._check_ownership(parsed.job_id, existing)
+                if refusal is not None:
+                    return Error(refusal)
             can_run_again = existing is not None and (
-                not is_withdrawn and _can_run_again(existing, parsed)
+                not is_withdrawn
+                and existing.can_run_again(parsed.request.best_effort)
             )
             if existing is not None and not can_run_again:
                 existing.waiters += 1
@@ -136,6 +153,21 @@
             self.owner.place_waiting()
             return Ok(job)
 
+    def _check_ownership(
+        self, job_id: JobId, existing: Job | None
+    ) -> Problem | None:
+        """Returns the problem of a job that may not run here now."""
+        owner = self.owner
+        record = owner.directory.find(job_id)
+        if record is None:
+            return None
+        is_own = record.owner == owner.directory.own_endpoint
+        if not is_own or (record.is_complete and existing is None):
+            return OWNED_ELSEWHERE
+        if owner.clock.monotonic() < record.not_before_s:
+            return EARLIER_RUNS_ACTIVE
+        return None
+
     def handle_claim_verdict(
         self, job: Job, verdict: ClaimOutcome, claim: Claim | None
     ) -> None:
@@ -206,6 +238,8 @@
             job.attempts = previous.attempts
             self.owner.registry.remove(job.job_id)
         self.owner.registry.add(job)
+        if parsed.is_resubmittable:
+            self._record_owner(job.job_id, now_s, previous is not None)
         heapq.heappush(
             self.owner.deadline_heap,
             (job.deadline_s, next(self.owner.tie_breaker), job),
@@ -216,6 +250,15 @@
             self._enqueue(job)
         return job
 
+    def _record_owner(
+        self, job_id: JobId, now_s: float, is_repeated: bool
+    ) -> None:
+        """Records that this entry runs a job, anew if it is repeated."""
+        directory = self.owner.directory
+        known = directory.find(job_id)
+        generation = known.generation if known is not None else 0
+        directory.add_own(job_id, now_s, generation + is_repeated)
+
     def _submit_claim(self, job: Job) -> None:
         assert self.owner.claims is not None
 
@@ -241,14 +284,6 @@
         self.owner.recorder.record_refusal(parsed, refusal, state, priority)
 
 
-def _can_run_again(existing: Job, parsed: ParsedRequest) -> bool:
-    """Returns True if a resubmission starts a new job."""
-    if existing.ended_not_run:
-        return True
-    has_failed = existing.state in (JobState.FAILED, JobState.CANCELLED)
-    return parsed.request.best_effort and has_failed
-
-
 def _attach(existing: Job, parsed: ParsedRequest) -> Result[Job, Problem]:
     if existing.digest == parsed.digest:
         return Ok(existing)
--- a/sardinestair/entry/tests/harness.py
+++ b/sardinestair/entry/tests/harness.py
@@ -28,8 +28,8 @@
 
 
 class Entry:
-    def __init__(self, max_attempts, repeat_interrupted=False):
-        self.clock = ManualClock()
+    def __init__(self, max_attempts, repeat_interrupted=False, clock=None):
+        self.clock = clock or ManualClock()
         self.dispatcher = Dispatcher(
             new_incarnation(), "z", self.clock, Metrics(), FakeContext(), TIMING
         )
--- a/sardinestair/ids.py
+++ b/sardinestair/ids.py
@@ -16,7 +16,9 @@
     "job_id_time_s",
     "new_incarnation",
     "new_job_id",
+    "pack_job_id",
     "parse_job_id",
+    "unpack_job_id",
 ]
 
 INCARNATION_BYTES = 16
@@ -113,6 +115,28 @@
     return str(uuid.UUID(bytes=job_id))
 
 
+def pack_job_id(job_id: JobId) -> bytes:
+    r"""Returns a job id in as few bytes as it needs, for messages.
+
+    Examples:
+        >>> len(pack_job_id(JobId(bytes(8) + b"\x01" * 8)))
+        8
+    """
+    if any(job_id[:SHORT_ID_BYTES]):
+        return job_id
+    return job_id[SHORT_ID_BYTES:]
+
+
+def unpack_job_id(packed: bytes) -> JobId:
+    """Returns the job id of its form in messages.
+
+    Examples:
+        >>> unpack_job_id(pack_job_id(JobId(bytes(16)))) == bytes(16)
+        True
+    """
+    return JobId(packed.rjust(2 * SHORT_ID_BYTES, b"\0"))
+
+
 def job_id_time_s(job_id: JobId) -> float:
     """Returns the creation time in a job id, in seconds since the Unix epoch.
 
--- a/sardinestair/jobs/__init__.py
+++ b/sardinestair/jobs/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinestair.jobs.crashes import CrashHistory
 from sardinestair.jobs.job import Answer, Job, JobState
+from sardinestair.jobs.ownership import JobDirectory
 from sardinestair.jobs.registry import JobRegistry
 from sardinestair.jobs.request import JobRequest, parse_request
 from sardinestair.jobs.withdrawn import WithdrawnJobs
@@ -10,6 +11,7 @@
     "Answer",
     "CrashHistory",
     "Job",
+    "JobDirectory",
     "JobRegistry",
     "JobRequest",
     "JobState",
--- a/sardinestair/jobs/job.py
+++ b/sardinestair/jobs/job.py
@@ -105,6 +105,8 @@
         first_start_s: Time at which the first task was sent, or None.
         last_start_s: Time at which the latest task was sent, or None.
         way: Where the time of its runs went.
+        attached_until_s: Time until which a caller at another entry waits for
+            the answer.
         failed_upstreams: Sidecars of the upstreams on which a task has
             failed or stalled.
 
@@ -166,6 +168,7 @@
         self.in_flight: dict[int, Incarnation] = {}
         self.attempts = [0] * self.task_count
         self.waiters = 1
+        self.attached_until_s = 0.0
         self.failures = [0] * self.task_count
         self.failed_upstreams: set[Incarnation] = set()
         self.answers: list[TaskAnswer | None] = [None] * self.task_count
@@ -305,6 +308,17 @@
         answer = self.done.result()
         return answer.is_error() and answer.error.not_run
 
+    def can_run_again(self, may_repeat: bool) -> bool:
+        """Returns True if a resubmission starts the job anew.
+
+        Args:
+            may_repeat: True if it may be repeated after a failure.
+        """
+        if self.ended_not_run:
+            return True
+        has_failed = self.state in (JobState.FAILED, JobState.CANCELLED)
+        return may_repeat and has_failed
+
     def _finish(self, state: JobState, answer: Answer) -> None:
         if not self.is_active:
             return
--- a/sardinestair/jobs/request.py
+++ b/sardinestair/jobs/request.py
@@ -90,11 +90,14 @@
         job_id: The id given by the caller, or a generated one.
         request: The request.
         digest: Hash of the request body.
+        is_resubmittable: True if its caller knows the id, and may submit it
+            again at any entry.
     """
 
     job_id: JobId
     request: JobRequest
     digest: bytes
+    is_resubmittable: bool = True
 
 
 _DECODER = msgspec.json.Decoder(JobRequest)
@@ -127,7 +130,9 @@
         job_id = parse_job_id(request.id) if request.id else new_job_id()
     except ValueError as error:
         return Error(_invalid_request(f"{error} - at `$.id`"))
-    return Ok(ParsedRequest(job_id, request, request_digest(body)))
+    is_resubmittable = request.id is not None and not request.unrepeatable
+    digest = request_digest(body)
+    return Ok(ParsedRequest(job_id, request, digest, is_resubmittable))
 
 
 def request_digest(body: bytes) -> bytes:
--- a/sardinestair/membership/announcer.py
+++ b/sardinestair/membership/announcer.py
@@ -9,7 +9,12 @@
 from sardinestair.clock import Clock
 from sardinestair.event_loop import LoopTask
 from sardinestair.links.sockets import has_message, receive
-from sardinestair.messages import DECODE_ERRORS, Announce, PeerHello
+from sardinestair.messages import (
+    DECODE_ERRORS,
+    Announce,
+    OwnershipUpdate,
+    PeerHello,
+)
 from sardinestair.observability import EventLog
 
 __all__ = ["Announcer"]
@@ -87,6 +92,22 @@
             if self.task is not None:
                 self.task.wake()
 
+    def send(self, message: OwnershipUpdate) -> bool:
+        """Sends a message that has no reply.
+
+        Returns:
+            False if it can't be sent now.
+        """
+        if self.socket is None:
+            return False
+        try:
+            self.socket.send(msgspec.msgpack.encode(message), zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        if has_message(self.socket) and self.task is not None:
+            self.task.wake()
+        return True
+
     def stop(self) -> None:
         """Ends the announcements; a sidecar announces that it leaves."""
         if self.socket is not None:
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -32,6 +32,11 @@
     "KindSlowdown",
     "Leaving",
     "Outcome",
+    "OwnershipAsk",
+    "OwnershipBatch",
+    "OwnershipState",
+    "OwnershipUpdate",
+    "OwnershipVerdict",
     "PeerHello",
     "PeerReply",
     "Recall",
@@ -374,6 +379,108 @@
     evacuations: EvacuationView = EvacuationView()
 
 
+class OwnershipBatch(msgspec.Struct, array_like=True, frozen=True):
+    """The jobs that an entry owns, in a message to another entry.
+
+    Attributes:
+        owner: Membership endpoint of the owner.
+        ids: Ids of the jobs, packed.
+        states: For each the number of times that it has changed its owner,
+            plus 128 if it is complete.
+        first: Position of the first one in the sender's log, or -1 if the
+            sender is not the owner.
+        base: Position of the earliest one that is left in the sender's log.
+    """
+
+    owner: str
+    ids: list[bytes]
+    states: bytes
+    first: int = -1
+    base: int = 0
+
+    def __post_init__(self) -> None:
+        """Checks the lengths.
+
+        Raises:
+            ValueError: If ids and states differ in number.
+        """
+        if len(self.ids) != len(self.states):
+            raise ValueError("ids and states must be of the same number")
+
+
+class OwnershipState(enum.Enum):
+    """What an entry replies when another one asks for the ownership of a job.
+
+    GRANTED: the other entry is the owner now. ACTIVE: the job runs, or runs of
+    it are being stopped. MOVED: a third entry is the owner. UNKNOWN: the entry
+    has no record of the job, and must not decide.
+    """
+
+    GRANTED = "granted"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    MOVED = "moved"
+    UNKNOWN = "unknown"
+
+
+class OwnershipAsk(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for the ownership of a job that was submitted again.
+
+    Attributes:
+        number: Number of the question, which the verdict repeats.
+        job: Id of the job, packed.
+        generation: Generation of the asking entry's record.
+        unreachable: Endpoints of owners that did not reply.
+        is_arbiter: True if the asked entry decides in place of these.
+        may_repeat: True if the job may run again after it has failed.
+        needs_answer: True if knowing that the job is complete is not enough.
+    """
+
+    number: int
+    job: bytes
+    generation: int
+    unreachable: list[str]
+    is_arbiter: bool
+    may_repeat: bool
+    needs_answer: bool
+
+
+class OwnershipVerdict(msgspec.Struct, array_like=True, frozen=True):
+    """Answers an `OwnershipAsk`.
+
+    Attributes:
+        number: Number of the question.
+        state: The verdict.
+        owner: Endpoint of the owner if it is known.
+        generation: Generation of the ownership.
+    """
+
+    number: int
+    state: OwnershipState
+    owner: str = ""
+    generation: int = 0
+
+
+class OwnershipUpdate(msgspec.Struct, array_like=True, tag="O"):
+    """Records, questions and verdicts about owners of jobs; has no reply.
+
+    Attributes:
+        endpoint: Membership endpoint of the sender.
+        entry: The sender's incarnation.
+        batches: Records.
+        asks: Questions.
+        verdicts: Answers to questions of the recipient.
+    """
+
+    endpoint: str
+    entry: Incarnation
+    batches: list[OwnershipBatch] = []
+    asks: list[OwnershipAsk] = []
+    verdicts: list[OwnershipVerdict] = []
+
+
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
     """Announces an entry to another entry.
 
@@ -384,6 +491,8 @@
         settings_revision: Revision of the settings tree that it has applied.
         withdrawn: Jobs that its callers have cancelled lately.
         evacuations: The evacuated zones.
+        shares_owners: True if it takes part in exchanging the owners of jobs;
+            entries of earlier versions don't.
     """
 
     entry: Incarnation
@@ -392,6 +501,7 @@
     settings_revision: int
     withdrawn: list[JobId] = []
     evacuations: EvacuationView = EvacuationView()
+    shares_owners: bool = False
 
 
 class PeerReply(msgspec.Struct, array_like=True):
@@ -404,6 +514,8 @@
         settings_revision: Revision of the settings tree that it has applied.
         settings: The tree as JSON, or empty if the other entry is up to date.
         evacuations: The evacuated zones.
+        owned_received: Number of records of jobs that it has received from
+            the other entry, or -1 from entries of earlier versions.
     """
 
     entry: Incarnation
@@ -412,6 +524,7 @@
     settings_revision: int
     settings: bytes
     evacuations: EvacuationView = EvacuationView()
+    owned_received: int = -1
 
 
 class AnnounceReply(msgspec.Struct, array_like=True):
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -6,12 +6,10 @@
 
 from sardinestair.decoding import limit_objects
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.entry.resubmission import (
-    CALLER_LEFT,
-    submit_after_earlier_runs,
-)
+from sardinestair.entry.resubmission import submit_after_earlier_runs
 from sardinestair.entry.routing import find_route
 from sardinestair.entry.submission import WITHDRAWN
+from sardinestair.entry.takeover import CALLER_LEFT, ElsewhereJob
 from sardinestair.event_loop import EventLoop, wait_for_result
 from sardinestair.ids import JobId
 from sardinestair.jobs import Job, JobRequest, JobState
@@ -178,6 +176,8 @@
                     {"state": _STATE_NAMES[JobState.CANCELLED]}
                 )
             return self._problem_response(accepted.error)
+        if isinstance(accepted.ok, ElsewhereJob):
+            return json_response({"state": _STATE_NAMES[accepted.ok.state]})
         return await self._wait_for_job(request, accepted.ok)
 
     async def _wait_for_job(self, request: Request, job: Job) -> Response:
