Apply heartbeats only of the incarnation that the runner has reported

Cause: heartbeats were ordered by the start that they state themselves, so that the runner's own came as late from then on.

Change: the runner's reports, which only it can answer, name its incarnation. A heartbeat of another one is kept until a report confirms it; one of another sender with the same start is ignored.

Evidence: 12 cases of test_heartbeats.py fail with the file before.

--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -1,5 +1,7 @@
 """HTTP API for the heartbeats of the runner on the same machine."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from sardinestair.messages import DECODE_ERRORS
@@ -21,22 +23,36 @@
     """Request handlers with which a runner registers and deregisters.
 
     Heartbeats are ordered by the start of the runner's incarnation and the
-    sequence number within it, so that delayed ones can be ignored.
+    sequence number within it, so that delayed ones can be ignored. Anybody may
+    send one, but only the runner answers at the configured address. So one of
+    another incarnation than the runner has reported there is kept until a
+    report confirms it.
 
     Args:
         server: Link server of the sidecar.
         ttl_s: How long a heartbeat remains valid, in seconds.
+        reported_born: Returns the incarnation in the runner's latest report; 0
+            if it is unknown.
 
     Attributes:
+        unconfirmed: The latest heartbeat of an incarnation that has not been
+            reported, with the id of its sender; None if there is none.
         latest_id: Incarnation and sequence number of the latest heartbeat.
         latest_runner: Id of the runner that sent it.
         left_born: Incarnation of the runner that has deregistered last; 0 if
             it is unknown.
     """
 
-    def __init__(self, server: LinkServer, ttl_s: float):
+    def __init__(
+        self,
+        server: LinkServer,
+        ttl_s: float,
+        reported_born: Callable[[], int] = lambda: 0,
+    ):
         self.server = server
         self.ttl_s = ttl_s
+        self.reported_born = reported_born
+        self.unconfirmed: tuple[str, Heartbeat] | None = None
         self.latest_id = (0, -1)
         self.latest_runner = ""
         self.left_born = 0
@@ -61,23 +77,16 @@
                 "heartbeat_unreadable", runner=runner, reason=str(error)
             )
             return json_response({}, 400)
-        commands = {
-            READY: lambda: self.server.announce(
-                self._to_announcement(heartbeat)
-            ),
-            DRAINING: lambda: self.server.leave(_leaves_in_s(heartbeat)),
-        }
-        command = commands.get(heartbeat.state)
-        if command is None:
+        try:
+            command = self._command(heartbeat)
+        except KeyError:
             self.log.warning(
                 "heartbeat_unknown_state",
                 runner=runner,
                 state=heartbeat.state,
             )
             return json_response({}, 400)
-        heartbeat_id = (heartbeat.born, heartbeat.sequence)
-        has_left = 0 < heartbeat.born <= self.left_born
-        if heartbeat_id <= self.latest_id or has_left:
+        if self._is_late(heartbeat, runner):
             self.log.info(
                 "heartbeat_late",
                 runner=runner,
@@ -86,11 +95,62 @@
                 latest_born_ms=self.latest_id[0],
                 latest_sequence=self.latest_id[1],
             )
-            return json_response({})
-        self.latest_id, self.latest_runner = heartbeat_id, runner
-        command()
+        elif self._is_confirmed(heartbeat):
+            self.latest_id = (heartbeat.born, heartbeat.sequence)
+            self.latest_runner = runner
+            command()
+        else:
+            self.log.info(
+                "heartbeat_unconfirmed",
+                runner=runner,
+                born_ms=heartbeat.born,
+                reported_born_ms=self.reported_born(),
+            )
+            self.unconfirmed = (runner, heartbeat)
         return json_response({})
 
+    def handle_reported(self, born: int) -> None:
+        """Applies a kept heartbeat of the incarnation that is now reported."""
+        if self.unconfirmed is None:
+            return
+        runner, heartbeat = self.unconfirmed
+        if heartbeat.born == born:
+            self.unconfirmed = None
+            if not self._is_late(heartbeat, runner):
+                self.latest_id = (heartbeat.born, heartbeat.sequence)
+                self.latest_runner = runner
+                self._command(heartbeat)()
+
+    def _command(self, heartbeat: Heartbeat) -> Callable[[], object]:
+        """Returns what applies a heartbeat.
+
+        Raises:
+            KeyError: If its state is unknown.
+        """
+        return {
+            READY: lambda: self.server.announce(
+                self._to_announcement(heartbeat)
+            ),
+            DRAINING: lambda: self.server.leave(_leaves_in_s(heartbeat)),
+        }[heartbeat.state]
+
+    def _is_late(self, heartbeat: Heartbeat, runner: str) -> bool:
+        """Returns True for one that is delayed, or of another writer."""
+        reported = self.reported_born()
+        if 0 < heartbeat.born <= max(reported - 1, self.left_born):
+            return True
+        latest_born, latest_sequence = self.latest_id
+        if heartbeat.born == latest_born:
+            is_other = bool(heartbeat.born) and runner != self.latest_runner
+            return is_other or heartbeat.sequence <= latest_sequence
+        # Until the first report, one of another writer may have been applied.
+        is_reported = bool(reported) and heartbeat.born == reported
+        return heartbeat.born < latest_born and not is_reported
+
+    def _is_confirmed(self, heartbeat: Heartbeat) -> bool:
+        reported = self.reported_born()
+        return not (reported and heartbeat.born) or heartbeat.born == reported
+
     async def deregister(self, _request: Request, runner: str) -> Response:
         """Deregisters the runner, which gets no new tasks.
 
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -37,9 +37,25 @@
     return FakeLinkServer()
 
 
+class FakeReports:
+    """Incarnation that the runner at the configured address reports."""
+
+    def __init__(self):
+        self.born = 0
+
+
+@pytest.fixture
+def reports():
+    return FakeReports()
+
+
+@pytest.fixture
+def api(server, reports):
+    return HeartbeatApi(server, ttl_s=6.0, reported_born=lambda: reports.born)
+
+
 @pytest.fixture
-def app(server):
-    api = HeartbeatApi(server, ttl_s=6.0)
+def app(api):
     return WebApp(api.rules(), 1 << 20, EventLog("test"))
 
 
@@ -199,3 +215,76 @@
     send_heartbeat(app, "i-2", born=2000, sequence=1)
     assert send_request(app, "POST", "/instances/i-1/deregister").status == 200
     assert server.leave_count == 0
+
+
+# Guards against jobs that are refused for good: a well-formed heartbeat of
+# another writer with a later start replaced the runner, whose own were late.
+@pytest.mark.parametrize("sender", ["i-1", "i-other"])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": 9000, "service": "not-named"},
+        {"born": 999999999999999},
+        {"born": 9000, "state": "draining"},
+        {"born": 1500, "sequence": 0, "address": "10.9.9.9:1"},
+    ],
+)
+def test_heartbeat_of_an_unreported_incarnation_is_not_applied(
+    app, server, reports, sender, changes
+):
+    reports.born = 1000
+    send_heartbeat(app, born=1000, sequence=1)
+    assert send_heartbeat(app, sender, **changes) == 200
+    assert len(server.announced) == 1
+    assert server.leave_count == 0
+    assert send_heartbeat(app, born=1000, sequence=2) == 200
+    assert len(server.announced) == 2
+
+
+def test_heartbeat_of_another_writer_before_the_first_report(
+    app, server, reports
+):
+    send_heartbeat(app, "i-other", born=999999999999999)
+    reports.born = 1000
+    assert send_heartbeat(app, born=1000, sequence=1) == 200
+    assert len(server.announced) == 2
+    send_heartbeat(app, born=1000, sequence=2, state="draining")
+    assert server.leave_count == 1
+
+
+def test_heartbeat_of_another_sender_with_the_same_start_is_ignored(
+    app, server, reports
+):
+    reports.born = 1000
+    send_heartbeat(app, born=1000, sequence=1)
+    changes = {"born": 1000, "sequence": 50, "state": "draining"}
+    assert send_heartbeat(app, "i-other", **changes) == 200
+    assert server.leave_count == 0
+    send_heartbeat(app, born=1000, sequence=2)
+    assert len(server.announced) == 2
+
+
+def test_new_incarnation_is_announced_once_it_is_reported(
+    api, app, server, reports
+):
+    reports.born = 1000
+    send_heartbeat(app, born=1000, sequence=9)
+    send_heartbeat(app, born=2000, sequence=1, service="other")
+    assert len(server.announced) == 1
+    reports.born = 2000
+    api.handle_reported(2000)
+    assert server.announced[1].service == "other"
+    send_heartbeat(app, born=1000, sequence=10)
+    assert len(server.announced) == 2
+    send_heartbeat(app, born=2000, sequence=2)
+    assert len(server.announced) == 3
+
+
+def test_unconfirmed_heartbeat_of_a_third_incarnation_is_not_applied(
+    api, app, server, reports
+):
+    reports.born = 1000
+    send_heartbeat(app, born=3000, sequence=1)
+    reports.born = 2000
+    api.handle_reported(2000)
+    assert server.announced == []
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -74,7 +74,12 @@
         self.runner.lease.before_renewal = self.server.sessions.stop_expired
         self.runner.orphans.on_none_left = self._handle_clear
         self.server.availability.make_caller = self._make_caller
-        api = HeartbeatApi(self.server, self.platform.heartbeat_ttl_s)
+        api = HeartbeatApi(
+            self.server,
+            self.platform.heartbeat_ttl_s,
+            lambda: self.runner.incarnation_ms,
+        )
+        self.runner.on_incarnation = api.handle_reported
         host, port = split_address(self.platform.heartbeat_address)
         self.heartbeats = HttpServer(
             host,
--- a/sardinestair/upstreams/leased.py
+++ b/sardinestair/upstreams/leased.py
@@ -68,6 +68,7 @@
         stopper: Stops runs.
         is_lost: True from an expiry of the lease until the next report.
         incarnation_ms: The upstream's incarnation as of the last report.
+        on_incarnation: Called with a new one.
         acknowledged: Sequence number of the last end received.
         is_refusing: True if no process has listened at the upstream's address
             since the last report.
@@ -102,6 +103,7 @@
         self.incarnation_ms = 0
         self.acknowledged = 0
         self.is_refusing = False
+        self.on_incarnation: Callable[[int], None] = lambda _incarnation: None
         self.stopping = asyncio.Event()
 
     @property
@@ -368,6 +370,7 @@
         self.incarnation_ms = incarnation_ms
         self.acknowledged = 0
         self.lease.restart()
+        self.on_incarnation(incarnation_ms)
 
     def _handle_ends(self, report: RunReport, known: dict[RunId, Run]) -> None:
         for end in report.ends:
