Bound the generations in messages, and test odd records of other writers

A generation beyond one byte in a message of another entry could not be sent on and would have ended the process. test_odd_records_of_owners_end_nobody sends such values.

--- a/sardinestair/entry/takeover.py
+++ b/sardinestair/entry/takeover.py
@@ -27,6 +27,7 @@
 from sardinestair.links.timing import LinkTiming
 from sardinestair.membership import choose_entries
 from sardinestair.messages import (
+    MAX_GENERATION,
     OwnershipAsk,
     OwnershipBatch,
     OwnershipState,
@@ -164,12 +165,11 @@
         directory = self.holder.directory
         record = directory.find(job_id)
         is_known = record is not None and record.owner == asking
-        if asking == directory.own_endpoint:
-            generation += 1
-        elif not is_known:
-            generation += 1
-            now_s = self.holder.clock.monotonic()
-            directory.grant(job_id, asking, generation, now_s)
+        if not is_known:
+            generation = min(generation + 1, MAX_GENERATION)
+            if asking != directory.own_endpoint:
+                now_s = self.holder.clock.monotonic()
+                directory.grant(job_id, asking, generation, now_s)
         return OwnershipVerdict(
             ask.number, OwnershipState.GRANTED, asking, generation
         )
--- a/sardinestair/jobs/ownership.py
+++ b/sardinestair/jobs/ownership.py
@@ -6,13 +6,12 @@
 import msgspec
 
 from sardinestair.ids import JobId, pack_job_id, unpack_job_id
-from sardinestair.messages import OwnershipBatch
+from sardinestair.messages import MAX_GENERATION, OwnershipBatch
 
 __all__ = ["JobDirectory", "OwnershipRecord"]
 
 MAX_KEPT = 100_000
 _COMPLETE = 0x80
-_MAX_GENERATION = 0x7F
 
 
 class OwnershipRecord(msgspec.Struct):
@@ -126,7 +125,7 @@
             known.position = -1
         record = OwnershipRecord(
             self.own_endpoint,
-            min(generation, _MAX_GENERATION),
+            min(generation, MAX_GENERATION),
             False,
             now_s,
             not_before_s,
@@ -177,7 +176,7 @@
             job_id = unpack_job_id(packed)
             record = OwnershipRecord(
                 batch.owner,
-                state & _MAX_GENERATION,
+                state & MAX_GENERATION,
                 bool(state & _COMPLETE),
                 now_s,
             )
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -8,9 +8,10 @@
 """
 
 import enum
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
+from msgspec import Meta
 
 from sardinestair.ids import Incarnation, JobId
 from sardinestair.limits.load_view import ClassLoad
@@ -18,6 +19,7 @@
 
 __all__ = [
     "DECODE_ERRORS",
+    "MAX_GENERATION",
     "Acknowledge",
     "Announce",
     "AnnounceReply",
@@ -52,6 +54,11 @@
 ]
 
 
+MAX_GENERATION = 127
+"""Highest generation of the ownership of a job, which has 7 bits."""
+
+Generation: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_GENERATION)]
+
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 """What a decoder raises for invalid data; the last one if values are nested too
 deeply."""
@@ -440,7 +447,7 @@
 
     number: int
     job: bytes
-    generation: int
+    generation: Generation
     unreachable: list[str]
     is_arbiter: bool
     may_repeat: bool
@@ -460,7 +467,7 @@
     number: int
     state: OwnershipState
     owner: str = ""
-    generation: int = 0
+    generation: Generation = 0
 
 
 class OwnershipUpdate(msgspec.Struct, array_like=True, tag="O"):
--- a/sardinestair/tests/test_endpoints.py
+++ b/sardinestair/tests/test_endpoints.py
@@ -10,6 +10,7 @@
 from sardinestair.endpoints import is_endpoint
 from sardinestair.entry.dispatcher import Dispatcher
 from sardinestair.entry.membership_server import MembershipServer
+from sardinestair.entry.ownership_exchange import OwnershipExchange
 from sardinestair.ids import new_incarnation
 from sardinestair.membership import PeerDirectory, Roster
 from sardinestair.messages import Announce
@@ -61,6 +62,35 @@
     assert _decode_records(items) == [good]
 
 
+ODD_RECORD = b'{"entry":"e1","endpoint":"10.0.0.1:1","http_address":%s}'
+
+
+# Guards against processes that end themselves, or no longer follow the list of
+# entries, as long as the store holds an odd record of another writer.
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[" * 200_000,
+        b'{"x":' * 200_000,
+        ODD_RECORD % (b"[" * 200_000),
+        ODD_RECORD % (b"9" * 5_000),
+        ODD_RECORD % b"1e400",
+        ODD_RECORD[:-1] % b'"","x":' + b"9" * 5_000 + b"}",
+        ODD_RECORD.replace(b':1"', b':99999999999999999999"') % b'""',
+        b"9" * 5_000,
+    ],
+)
+def test_odd_record_is_skipped(value):
+    good = EntryRecord("e2", VALID[0], "")
+    items = [
+        KeyValue("entries/e1", value, 1),
+        KeyValue("entries/e2", msgspec.json.encode(good), 2),
+    ]
+    assert good in _decode_records(items)
+
+
 @pytest.mark.parametrize("endpoint", INVALID)
 def test_invalid_endpoint_of_a_peer_is_not_learned(endpoint):
     peers = PeerDirectory("127.0.0.1:1")
@@ -86,6 +116,28 @@
     assert len(server.socket.take_sent()) == 1
 
 
+# Guards against an entry that ends itself for a message of another version.
+@pytest.mark.parametrize(
+    ("ids", "states"),
+    [([b"j" * 8], b""), ([], b"\0"), ([b""], b"\xff"), ([b"j" * 99], b"\0")],
+)
+def test_odd_records_of_owners_end_nobody(ids, states):
+    dispatcher = Dispatcher(
+        new_incarnation(), "z", ManualClock(), Metrics(), FakeContext()
+    )
+    peers = PeerDirectory("")
+    server = MembershipServer(
+        "tcp://127.0.0.1:*", dispatcher, Roster(), peers, print, FakeContext()
+    )
+    server.exchange = OwnershipExchange(dispatcher, {}, peers)
+    batch = ["10.0.0.1:1", ids, states, 7, 3]
+    ask = [1, b"j", -5, ["x"], True, True, True]
+    update = ["O", "no endpoint", b"e", [batch], [ask], [[1, "granted"]]]
+    server._handle(b"r", msgspec.msgpack.encode(update))
+    server.exchange.run_once()
+    assert server.socket.take_sent() == []
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
     st.text(max_size=30)
