--- a/sardinestair/web/connection.py
+++ b/sardinestair/web/connection.py
@@ -177,6 +177,9 @@
         assert self.transport is not None
         if self.held_bytes or self.transport.get_write_buffer_size():
             self._charge()
+        if self.is_reading_paused and self.has_left():
+            # The loop reports no end of a connection that it doesn't read.
+            self._report_disconnect()
         blocked_s = self.write_blocked_s
         limit_s = self.server.limits.response_timeout_s
         if blocked_s is not None and now_s - blocked_s > limit_s:
--- a/sardinestair/web/tests/test_connection.py
+++ b/sardinestair/web/tests/test_connection.py
@@ -9,9 +9,14 @@
 
 from sardinestair.observability import EventLog
 from sardinestair.web import HttpServer, Response, WebApp
+from sardinestair.web import server as server_module
 
 TIMEOUT_S = 20
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
+# Together more than an entry reads before it answers the first one.
+REQUESTS_AHEAD = 2000
+# Closing a socket with this option resets its connection.
+RESET = b"\1\0\0\0\0\0\0\0"
 
 
 class Handler:
@@ -85,14 +90,36 @@
 def test_disconnect_is_reported_once(server, handler, call, is_reset):
     caller = call(1)
     if is_reset:
-        linger = b"\1\0\0\0\0\0\0\0"
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     caller.close()
     wait_until(lambda: handler.left)
     settle(server)
     assert handler.left == ["1"]
 
 
+# Guards against two runs of a task at the same time (rule TWICE): the entry
+# didn't notice the reset of a connection with many requests sent ahead.
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_disconnect_behind_requests_sent_ahead_is_reported(
+    server, handler, call, is_reset, monkeypatch
+):
+    monkeypatch.setattr(server_module, "TIME_CHECK_INTERVAL_S", 0.05)
+    caller, other = call(1), call(2)
+    for connection in (caller, other):
+        connection.sendall(REQUEST % 3 * REQUESTS_AHEAD)
+    wait_until(
+        lambda: all(c.is_reading_paused for c in handler.connections.values())
+    )
+    assert handler.left == []
+    if is_reset:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    caller.close()
+    wait_until(lambda: handler.left)
+    settle(server)
+    assert handler.left == ["1"]
+    other.close()
+
+
 def test_only_the_caller_that_left_is_reported(server, handler, call):
     """A later caller may get the descriptor of an earlier one."""
     callers = [call(number) for number in range(10)]
