--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -35,6 +35,7 @@
             if it is unknown.
 
     Attributes:
+        on_runner: Called with the id of the runner whose heartbeat is applied.
         unconfirmed: The latest heartbeat of an incarnation that has not been
             reported, with the id of its sender; None if there is none.
         latest_id: Incarnation and sequence number of the latest heartbeat.
@@ -52,6 +53,7 @@
         self.server = server
         self.ttl_s = ttl_s
         self.reported_born = reported_born
+        self.on_runner: Callable[[str], None] = lambda _runner: None
         self.unconfirmed: tuple[str, Heartbeat] | None = None
         self.latest_id = (0, -1)
         self.latest_runner = ""
@@ -96,9 +98,7 @@
                 latest_sequence=self.latest_id[1],
             )
         elif self._is_confirmed(heartbeat):
-            self.latest_id = (heartbeat.born, heartbeat.sequence)
-            self.latest_runner = runner
-            command()
+            self._apply(heartbeat, runner, command)
         else:
             self.log.info(
                 "heartbeat_unconfirmed",
@@ -117,9 +117,15 @@
         if heartbeat.born == born:
             self.unconfirmed = None
             if not self._is_late(heartbeat, runner):
-                self.latest_id = (heartbeat.born, heartbeat.sequence)
-                self.latest_runner = runner
-                self._command(heartbeat)()
+                self._apply(heartbeat, runner, self._command(heartbeat))
+
+    def _apply(
+        self, heartbeat: Heartbeat, runner: str, command: Callable[[], object]
+    ) -> None:
+        self.latest_id = (heartbeat.born, heartbeat.sequence)
+        self.latest_runner = runner
+        self.on_runner(runner)
+        command()
 
     def _command(self, heartbeat: Heartbeat) -> Callable[[], object]:
         """Returns what applies a heartbeat.
--- a/sardinestair/platform/orders.py
+++ b/sardinestair/platform/orders.py
@@ -35,6 +35,7 @@
 
 MS_PER_S = 1000
 JSON_HEADERS = "Content-Type: application/json\r\n"
+INSTANCE_HEADER = "X-Expect-Instance"
 
 # Requests are idempotent, so one that fails on a connection closed by the
 # runner can be repeated at little more than the cost of a new connection.
@@ -83,6 +84,11 @@
 
     Args:
         address: Address at which the runner accepts requests, host:port.
+
+    Attributes:
+        instance: Id of the runner that starts are meant for, or empty if it is
+            unknown. A start that is delayed until another one listens at the
+            address is refused there.
     """
 
     def __init__(self, address: str):
@@ -99,6 +105,7 @@
         self.stop_limit = ConnectionLimit(
             MAX_ORDER_CONNECTIONS, MAX_STOP_CONNECTIONS
         )
+        self.instance = ""
         self.report_decoder = msgspec.json.Decoder(ReportReply)
         self.log = EventLog("runner")
 
@@ -131,6 +138,7 @@
             "/run-start",
             start,
             timeout_s,
+            self._instance_header(),
             may_send=may_send,
         )
         if result.is_error():
@@ -189,6 +197,13 @@
         self.report_transfer.close()
         self.order_transfers.close()
 
+    def _instance_header(self) -> str:
+        # The id comes from a path, and may contain any character.
+        is_token = self.instance.isascii() and self.instance.isprintable()
+        if not (self.instance and is_token):
+            return ""
+        return f"{INSTANCE_HEADER}: {self.instance}\r\n"
+
     def _decode_refusal(self, body: bytes) -> Refusal:
         try:
             reason = msgspec.json.decode(body, type=RefusalReply).reason
@@ -203,6 +218,7 @@
     path: str,
     body: msgspec.Struct,
     timeout_s: float,
+    headers: str = "",
     **options: Any,
 ) -> Result[Reply, RequestError]:
     reply = await perform(
@@ -210,7 +226,7 @@
         path,
         msgspec.json.encode(body),
         timeout_s,
-        JSON_HEADERS,
+        JSON_HEADERS + headers,
         **options,
     )
     if isinstance(reply, Reply):
--- a/sardinestair/platform/tests/standins.py
+++ b/sardinestair/platform/tests/standins.py
@@ -38,6 +38,7 @@
         self.lock = threading.Lock()
         self.requests: list[tuple[str, dict]] = []
         self.status = 200
+        self.name = "i-1"
         rules = [
             ("/run-start", ["POST"], self.start_run),
             ("/run-stop", ["POST"], self.stop_run),
@@ -52,6 +53,8 @@
 
     def start_run(self, request: Request) -> Response:
         body = self._record_request(request)
+        if request.headers.get("X-Expect-Instance") not in ("", self.name):
+            return json_response({}, 421)
         if self.status != 200:
             return json_response(self._clock_body(), self.status)
         payload = body["spec"].encode()
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -288,3 +288,17 @@
     reports.born = 2000
     api.handle_reported(2000)
     assert server.announced == []
+
+
+def test_starts_are_meant_for_the_runner_whose_heartbeat_is_applied(
+    api, app, reports
+):
+    runners = []
+    api.on_runner = runners.append
+    reports.born = 1000
+    send_heartbeat(app, born=1000, sequence=1)
+    send_heartbeat(app, "i-2", born=2000, sequence=1)
+    assert runners == ["i-1"]
+    reports.born = 2000
+    api.handle_reported(2000)
+    assert runners == ["i-1", "i-2"]
--- a/sardinestair/platform/tests/test_orders.py
+++ b/sardinestair/platform/tests/test_orders.py
@@ -74,6 +74,25 @@
     assert isinstance(body["until_ms"], int)
 
 
+# Guards against two runs of a task at the same time (rule TWICE): a start that
+# was held up on its way reached the runner's next incarnation.
+def test_start_for_an_earlier_runner_is_refused_by_the_next_one(server, client):
+    client.client.instance = "i-1"
+    run = client.run_id(REF)
+    server.name = "i-2"
+    refused = client.start(run, SPEC, until_s(server), 1.0).ok
+    assert refused.refusal is Refusal.OTHER_INCARNATION
+    client.client.instance = "i-2"
+    assert client.start(run, SPEC, until_s(server), 1.0).ok.refusal is None
+
+
+@pytest.mark.parametrize("instance", ["i-1\r\nX-A: b", "i-\u0661", "\0"])
+def test_id_that_fits_no_header_is_not_sent(server, client, instance):
+    client.client.instance = instance
+    run = client.run_id(REF)
+    assert client.start(run, SPEC, until_s(server), 1.0).ok.refusal is None
+
+
 def test_end_is_reported_until_acknowledged(server, client):
     run = client.run_id(REF)
     client.start(run, SPEC, until_s(server), 1.0)
--- a/sardinestair/sidecar/platform_process.py
+++ b/sardinestair/sidecar/platform_process.py
@@ -80,6 +80,7 @@
             lambda: self.runner.incarnation_ms,
         )
         self.runner.on_incarnation = api.handle_reported
+        api.on_runner = self._handle_runner
         host, port = split_address(self.platform.heartbeat_address)
         self.heartbeats = HttpServer(
             host,
@@ -119,6 +120,10 @@
             "longest_order_wait_s": pool.take_longest_wait_s()
         }
 
+    def _handle_runner(self, runner: str) -> None:
+        """Names the runner that starts are meant for."""
+        self.run_client.instance = runner
+
     def _handle_clear(self) -> None:
         """Grants credits now that no run of an earlier sidecar is left."""
         self.start_times.reach(StartStep.CLEAR)
