--- a/sardinestair/entry/api.py
+++ b/sardinestair/entry/api.py
@@ -218,6 +218,7 @@
         if isinstance(found, Response):
             return found
         self.dispatcher.cancel(found.job_id)
+        await self.dispatcher.takeover.withdraw(found.job_id)
         if found.state is JobState.CANCELLED:
             body = {"id": _format_id(found), "state": found.state.value}
             return json_response(body)
--- a/sardinestair/entry/ownership_exchange.py
+++ b/sardinestair/entry/ownership_exchange.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.ids import Incarnation
+from sardinestair.ids import Incarnation, unpack_job_id
 from sardinestair.membership import Announcer, PeerDirectory
 from sardinestair.messages import (
     OwnershipAsk,
@@ -30,8 +30,9 @@
 # entries may be lost.
 DISTURBED_S = 5.0
 DISTURBED_DIVISOR = 5.0
-# Below the maximum size of a message between entries, 64 KiB.
-MAX_RECORDS = 2000
+# Two batches and cancelled jobs are below the maximum size of a message between
+# entries, 64 KiB.
+MAX_RECORDS = 1000
 ASK_TIMEOUT_S = 0.3
 # An entry that has not replied is not asked again within this time.
 RETRY_AFTER_S = 0.5
@@ -49,6 +50,7 @@
         batches: Records of other entries.
         asks: Questions.
         verdicts: Answers to questions.
+        withdrawn: Jobs that their callers have cancelled.
     """
 
     def __init__(self, incarnation: Incarnation):
@@ -57,11 +59,14 @@
         self.batches: list[OwnershipBatch] = []
         self.asks: list[OwnershipAsk] = []
         self.verdicts: list[OwnershipVerdict] = []
+        self.withdrawn: list[bytes] = []
 
     @property
     def is_empty(self) -> bool:
         """True if nothing but own records may be due."""
-        return not (self.batches or self.asks or self.verdicts)
+        return not (
+            self.batches or self.asks or self.verdicts or self.withdrawn
+        )
 
 
 class OwnershipExchange:
@@ -195,6 +200,10 @@
                 if batch.first <= count:
                     count = max(count, batch.first + len(batch.ids))
                 self.received[sender] = (update.entry, count)
+        if update.withdrawn:
+            self.dispatcher.handle_withdrawn(
+                [unpack_job_id(packed) for packed in update.withdrawn]
+            )
         self.retry_s.pop(sender, None)
         for verdict in update.verdicts:
             self._resolve(verdict.number, verdict)
@@ -279,12 +288,14 @@
             batches,
             outbox.asks,
             outbox.verdicts,
+            outbox.withdrawn[:MAX_RECORDS],
         )
         if not announcer.send(update):
             return
         outbox.position = records.first + len(records.ids)
         outbox.asks, outbox.verdicts = [], []
-        if outbox.batches or outbox.position < self.directory.end:
+        del outbox.withdrawn[:MAX_RECORDS]
+        if not outbox.is_empty or outbox.position < self.directory.end:
             self.notify(is_urgent=True)
 
 
--- a/sardinestair/entry/takeover.py
+++ b/sardinestair/entry/takeover.py
@@ -105,6 +105,9 @@
     withdrawn: WithdrawnJobs
     directory: JobDirectory
 
+    def handle_withdrawn(self, job_ids: list[JobId]) -> None:
+        """Cancels jobs that callers of another entry have cancelled."""
+
 
 class JobArbiter:
     """Decides whether another entry may become the owner of a job.
@@ -125,6 +128,8 @@
         """
         holder, job_id = self.holder, unpack_job_id(ask.job)
         with holder.lock:
+            if ask.withdraws:
+                holder.handle_withdrawn([job_id])
             if job_id in holder.withdrawn:
                 return OwnershipVerdict(ask.number, OwnershipState.CANCELLED)
             record = holder.directory.find(job_id)
@@ -297,6 +302,29 @@
             else:
                 return self._end(verdict.owner, _STATES[verdict.state])
 
+    async def withdraw(self, job_id: JobId) -> None:
+        """Tells other entries that the caller of a job has cancelled it.
+
+        Returns once its owner has ended it, and a further entry remembers it in
+        case that this one is lost; or once they have not replied in time.
+        """
+        own = self.holder.directory.own_endpoint
+        record = self.holder.directory.find(job_id)
+        others = self.entries()
+        if record is not None:
+            ranked = choose_entries(
+                Incarnation(job_id),
+                [e for e in others if e != record.owner],
+                1,
+            )
+            others = [record.owner, *ranked]
+        ask = OwnershipAsk(
+            0, pack_job_id(job_id), 0, [], False, False, False, True
+        )
+        await asyncio.gather(
+            *(self.ask(entry, ask) for entry in others if entry != own)
+        )
+
     async def _ask_next(
         self,
         parsed: ParsedRequest,
--- a/sardinestair/entry/tests/cluster.py
+++ b/sardinestair/entry/tests/cluster.py
@@ -8,8 +8,10 @@
 from sardinestair.clock import ManualClock
 from sardinestair.entry.ownership_exchange import OwnershipExchange
 from sardinestair.entry.resubmission import submit_after_earlier_runs
+from sardinestair.entry.submission import WITHDRAWN
 from sardinestair.entry.takeover import ElsewhereJob
 from sardinestair.entry.tests.harness import TIMING, Entry
+from sardinestair.jobs import JobState
 from sardinestair.jobs.request import JobRequest, ParsedRequest, TaskRequest
 from sardinestair.limits.resources import Resources
 from sardinestair.links.entry_link import handle_message
@@ -203,6 +205,8 @@
             self._respond(self.job.state)
         elif accepted.is_ok():
             self._respond(accepted.ok.state)
+        elif accepted.error is WITHDRAWN:
+            self._respond(JobState.CANCELLED)
         else:
             self._respond(accepted.error)
 
@@ -244,6 +248,20 @@
         task_s = self.task_s.setdefault(job_id, task_s)
         return Caller(self.nodes[index], job_id, task_s, tasks)
 
+    def cancel(self, index, job_id):
+        """Cancels a job at an entry; returns the time of the response."""
+        dispatcher, done = self.nodes[index].dispatcher, []
+
+        async def cancel():
+            dispatcher.cancel(job_id)
+            await dispatcher.takeover.withdraw(job_id)
+            done.append(self.now_s)
+
+        self.nodes[index].loop.create_task(cancel())
+        while not done:
+            self.run(TICK_S)
+        return done[0]
+
     def kill(self, index):
         self.nodes[index].stopped_s = self.now_s
 
--- a/sardinestair/entry/tests/test_ownership.py
+++ b/sardinestair/entry/tests/test_ownership.py
@@ -214,6 +214,25 @@
     assert not cluster.overlaps()
 
 
+# Guards against a cancelled job that runs on (rule UNASKED): the entry that has
+# acknowledged the request to cancel it is lost, or stands still, right after.
+@pytest.mark.parametrize("is_frozen", [True, False])
+def test_cancelled_job_ends_although_its_entry_is_lost(cluster, is_frozen):
+    first = cluster.submit(0, JOB)
+    cluster.run(0.1)
+    cluster.cancel(1, JOB)
+    assert first.job.state is JobState.CANCELLED
+    if is_frozen:
+        cluster.freeze(1, 3.5)
+    else:
+        cluster.kill(1)
+    cluster.run(2.0)
+    late = cluster.submit(2, JOB)
+    cluster.run(1.0)
+    assert late.response is JobState.CANCELLED
+    assert run_count(cluster) == 1
+
+
 def test_withdrawn_job_is_not_taken_over(cluster):
     cluster.submit(0, JOB)
     cluster.run(0.5)
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -443,6 +443,7 @@
         is_arbiter: True if the asked entry decides in place of these.
         may_repeat: True if the job may run again after it has failed.
         needs_answer: True if knowing that the job is complete is not enough.
+        withdraws: True if it is no question: the job's caller has cancelled it.
     """
 
     number: int
@@ -452,6 +453,7 @@
     is_arbiter: bool
     may_repeat: bool
     needs_answer: bool
+    withdraws: bool = False
 
 
 class OwnershipVerdict(msgspec.Struct, array_like=True, frozen=True):
@@ -479,6 +481,7 @@
         batches: Records.
         asks: Questions.
         verdicts: Answers to questions of the recipient.
+        withdrawn: Jobs that their callers have cancelled, packed.
     """
 
     endpoint: str
@@ -486,6 +489,7 @@
     batches: list[OwnershipBatch] = []
     asks: list[OwnershipAsk] = []
     verdicts: list[OwnershipVerdict] = []
+    withdrawn: list[bytes] = []
 
 
 class PeerHello(msgspec.Struct, array_like=True, tag="P"):
--- a/sardinestair/platform/callers.py
+++ b/sardinestair/platform/callers.py
@@ -139,6 +139,7 @@
         self, _request: Request, _route: RouteNode, job_id: JobId
     ) -> Response:
         job = self.dispatcher.cancel(job_id)
+        await self.dispatcher.takeover.withdraw(job_id)
         if job is None:
             return json_response({}, 410)
         return json_response({"state": _state_name(job)})
