--- a/sardinestair/entry/ownership_exchange.py
+++ b/sardinestair/entry/ownership_exchange.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sardinestair.entry.dispatcher import Dispatcher
-from sardinestair.ids import Incarnation, unpack_job_id
+from sardinestair.ids import Incarnation, pack_job_id, unpack_job_id
 from sardinestair.membership import Announcer, PeerDirectory
 from sardinestair.messages import (
     OwnershipAsk,
@@ -162,6 +162,8 @@
             self.disturbed_until_s = now_s + DISTURBED_S
             outbox = self.outboxes[endpoint] = _Outbox(incarnation)
             outbox.batches = self._records_of_absent(endpoint)
+            withdrawn = self.dispatcher.withdrawn.added_s
+            outbox.withdrawn = [pack_job_id(job_id) for job_id in withdrawn]
             if endpoint not in self.announcers:
                 self.connect(endpoint)
             self.notify(is_urgent=True)
--- a/sardinestair/entry/tests/test_ownership.py
+++ b/sardinestair/entry/tests/test_ownership.py
@@ -233,6 +233,24 @@
     assert run_count(cluster) == 1
 
 
+# Guards against a cancelled job that runs again (rule UNASKED): a duplicate of
+# it comes to an entry that was restarted after it had cancelled the job.
+@pytest.mark.parametrize("delay_s", [0.0, 2.0])
+def test_restarted_entry_runs_no_cancelled_job(cluster, delay_s):
+    cluster.submit(0, JOB)
+    cluster.run(INTERVAL_S)
+    cluster.cancel(0, JOB)
+    cluster.run(delay_s)
+    cluster.kill(0)
+    cluster.run(1.0)
+    cluster.restart(0)
+    cluster.run(0.1)
+    late = cluster.submit(0, JOB)
+    cluster.run(3.0)
+    assert late.response is JobState.CANCELLED
+    assert run_count(cluster) == 1
+
+
 def test_withdrawn_job_is_not_taken_over(cluster):
     cluster.submit(0, JOB)
     cluster.run(0.5)
