Bound messages about owners of jobs, and forget entries that have gone

Seen by reading: questions and verdicts were not counted toward the maximum size of a message, beyond which the connection is closed; an entry that was replaced at another address stayed in the list that sets the interval.

Change: 100 questions and verdicts and 800 records a message; what is kept for an entry goes with its announcer. test_ownership_exchange.py: 3,000 jobs of each kind fit messages below 64 KiB, and jobs of an interval share one.

--- a/sardinestair/entry/ownership_exchange.py
+++ b/sardinestair/entry/ownership_exchange.py
@@ -30,9 +30,10 @@
 # entries may be lost.
 DISTURBED_S = 5.0
 DISTURBED_DIVISOR = 5.0
-# Two batches and cancelled jobs are below the maximum size of a message between
-# entries, 64 KiB.
-MAX_RECORDS = 1000
+# A message with two batches, cancelled jobs, questions and verdicts stays below
+# the maximum size of one between entries, 64 KiB.
+MAX_RECORDS = 800
+MAX_ASKS = 100
 ASK_TIMEOUT_S = 0.3
 # An entry that has not replied is not asked again within this time.
 RETRY_AFTER_S = 0.5
@@ -150,8 +151,12 @@
         if now_s < self.due_s:
             return self.due_s - now_s
         self.due_s = None
-        for endpoint, outbox in self.outboxes.items():
-            self._send(endpoint, outbox)
+        for endpoint, outbox in list(self.outboxes.items()):
+            if endpoint in self.announcers:
+                self._send(endpoint, outbox)
+            else:
+                # The entry has not been seen for long.
+                del self.outboxes[endpoint]
         return IDLE_DELAY_S if self.due_s is None else 0.0
 
     def add_peer(self, endpoint: str, incarnation: Incarnation) -> None:
@@ -277,25 +282,25 @@
         return present
 
     def _send(self, endpoint: str, outbox: _Outbox) -> None:
-        announcer = self.announcers.get(endpoint)
         records = self.directory.own_since(outbox.position, MAX_RECORDS)
-        if announcer is None or (outbox.is_empty and not records.ids):
+        if outbox.is_empty and not records.ids:
             return
         batches = [records] if records.ids else []
-        if outbox.batches:
-            batches.append(outbox.batches.pop())
+        batches += outbox.batches[:1]
         update = OwnershipUpdate(
             self.directory.own_endpoint,
             self.dispatcher.incarnation,
             batches,
-            outbox.asks,
-            outbox.verdicts,
+            outbox.asks[:MAX_ASKS],
+            outbox.verdicts[:MAX_ASKS],
             outbox.withdrawn[:MAX_RECORDS],
         )
-        if not announcer.send(update):
+        if not self.announcers[endpoint].send(update):
             return
         outbox.position = records.first + len(records.ids)
-        outbox.asks, outbox.verdicts = [], []
+        del outbox.batches[:1]
+        del outbox.asks[:MAX_ASKS]
+        del outbox.verdicts[:MAX_ASKS]
         del outbox.withdrawn[:MAX_RECORDS]
         if not outbox.is_empty or outbox.position < self.directory.end:
             self.notify(is_urgent=True)
