--- a/sardinestair/entry/ownership_exchange.py
+++ b/sardinestair/entry/ownership_exchange.py
@@ -11,10 +11,10 @@
 from sardinestair.ids import Incarnation, pack_job_id, unpack_job_id
 from sardinestair.membership import Announcer, PeerDirectory
 from sardinestair.messages import (
-    OwnershipAsk,
     OwnershipBatch,
+    OwnershipReply,
+    OwnershipRequest,
     OwnershipUpdate,
-    OwnershipVerdict,
     PeerReply,
 )
 from sardinestair.observability import EventLog
@@ -30,12 +30,12 @@
 # entries may be lost.
 DISTURBED_S = 5.0
 DISTURBED_DIVISOR = 5.0
-# A message with two batches, cancelled jobs, questions and verdicts stays below
+# A message with two batches, cancelled jobs, requests and replies stays below
 # the maximum size of one between entries, 64 KiB.
 MAX_RECORDS = 800
-MAX_ASKS = 100
-ASK_TIMEOUT_S = 0.3
-# An entry that has not replied is not asked again within this time.
+MAX_REQUESTS = 100
+REPLY_TIMEOUT_S = 0.3
+# An entry that has not replied gets no further request within this time.
 RETRY_AFTER_S = 0.5
 # More than an interval of its messages, so that one that is late counts.
 SILENCE_MARGIN_S = 0.2
@@ -49,8 +49,8 @@
         incarnation: Incarnation of the entry.
         position: Position in the own log from which records are to be sent.
         batches: Records of other entries.
-        asks: Questions.
-        verdicts: Answers to questions.
+        requests: Requests for the ownership of jobs.
+        replies: Replies to its requests.
         withdrawn: Jobs that their callers have cancelled.
     """
 
@@ -58,20 +58,20 @@
         self.incarnation = incarnation
         self.position = 0
         self.batches: list[OwnershipBatch] = []
-        self.asks: list[OwnershipAsk] = []
-        self.verdicts: list[OwnershipVerdict] = []
+        self.requests: list[OwnershipRequest] = []
+        self.replies: list[OwnershipReply] = []
         self.withdrawn: list[bytes] = []
 
     @property
     def is_empty(self) -> bool:
         """True if nothing but own records may be due."""
         return not (
-            self.batches or self.asks or self.verdicts or self.withdrawn
+            self.batches or self.requests or self.replies or self.withdrawn
         )
 
 
 class OwnershipExchange:
-    """Sends own records to all other entries, and questions and verdicts.
+    """Sends own records to all other entries, and requests and replies.
 
     Its methods are called in one thread, that of the event loop. Records are
     sent again if a reply to a `PeerHello` shows that they were lost. An entry
@@ -87,8 +87,8 @@
         outboxes: What is to be sent, by the endpoint of an entry that has
             shown that it takes part.
         received: Incarnation and number of records received, by sender.
-        questions: Futures of the verdicts, by the number of the question.
-        retry_s: Time from which an entry that did not reply is asked again.
+        pending: Futures of the replies, by the number of the request.
+        retry_s: Time from which a silent entry gets requests again.
         due_s: When records are due to be sent, or None if there are none.
         disturbed_until_s: Time until which records are sent sooner.
         wake: Makes `run_once` be called soon.
@@ -107,7 +107,7 @@
         self.directory = dispatcher.directory
         self.outboxes: dict[str, _Outbox] = {}
         self.received: dict[str, tuple[Incarnation, int]] = {}
-        self.questions: dict[int, asyncio.Future[OwnershipVerdict | None]] = {}
+        self.pending: dict[int, asyncio.Future[OwnershipReply | None]] = {}
         self.numbers = itertools.count(1)
         self.retry_s: defaultdict[str, float] = defaultdict(float)
         self.due_s: float | None = None
@@ -116,7 +116,7 @@
         self.connect: Callable[[str], None] = lambda _endpoint: None
         self.log = EventLog("ownership")
         self.directory.on_added = self.notify
-        dispatcher.takeover.ask = self.ask
+        dispatcher.takeover.send_request = self.send_request
         dispatcher.takeover.entries = lambda: list(peers.peers)
 
     @property
@@ -212,21 +212,23 @@
                 [unpack_job_id(packed) for packed in update.withdrawn]
             )
         self.retry_s.pop(sender, None)
-        for verdict in update.verdicts:
-            self._resolve(verdict.number, verdict)
+        for reply in update.replies:
+            self._resolve(reply.number, reply)
         outbox = self.outboxes.get(sender)
-        if outbox is not None and update.asks:
+        if outbox is not None and update.requests:
             decide = self.dispatcher.takeover.arbiter.decide
-            outbox.verdicts += [decide(ask, sender) for ask in update.asks]
+            outbox.replies += [
+                decide(request, sender) for request in update.requests
+            ]
             self.notify(is_urgent=True)
 
-    async def ask(
-        self, endpoint: str, ask: OwnershipAsk
-    ) -> OwnershipVerdict | None:
-        """Asks another entry.
+    async def send_request(
+        self, endpoint: str, request: OwnershipRequest
+    ) -> OwnershipReply | None:
+        """Sends a request to another entry.
 
         Returns:
-            The verdict, or None if the entry does not reply.
+            The reply, or None if the entry does not reply.
         """
         outbox = self.outboxes.get(endpoint)
         now_s = self.dispatcher.clock.monotonic()
@@ -234,15 +236,15 @@
             return None
         number = next(self.numbers)
         loop = asyncio.get_running_loop()
-        verdict = self.questions[number] = loop.create_future()
-        outbox.asks.append(msgspec.structs.replace(ask, number=number))
+        reply = self.pending[number] = loop.create_future()
+        outbox.requests.append(msgspec.structs.replace(request, number=number))
         self.notify(is_urgent=True)
-        timer = loop.call_later(ASK_TIMEOUT_S, self._resolve, number, None)
+        timer = loop.call_later(REPLY_TIMEOUT_S, self._resolve, number, None)
         try:
-            result = await verdict
+            result = await reply
         finally:
             timer.cancel()
-            self.questions.pop(number, None)
+            self.pending.pop(number, None)
         if result is None:
             self.retry_s[endpoint] = (
                 self.dispatcher.clock.monotonic() + RETRY_AFTER_S
@@ -250,10 +252,10 @@
             self.log.info("owner_silent", entry_endpoint=endpoint)
         return result
 
-    def _resolve(self, number: int, verdict: OwnershipVerdict | None) -> None:
-        question = self.questions.get(number)
-        if question is not None and not question.done():
-            question.set_result(verdict)
+    def _resolve(self, number: int, reply: OwnershipReply | None) -> None:
+        future = self.pending.get(number)
+        if future is not None and not future.done():
+            future.set_result(reply)
 
     def _records_of_absent(self, endpoint: str) -> list[OwnershipBatch]:
         """Returns records that their owners can't send to an entry.
@@ -291,16 +293,16 @@
             self.directory.own_endpoint,
             self.dispatcher.incarnation,
             batches,
-            outbox.asks[:MAX_ASKS],
-            outbox.verdicts[:MAX_ASKS],
+            outbox.requests[:MAX_REQUESTS],
+            outbox.replies[:MAX_REQUESTS],
             outbox.withdrawn[:MAX_RECORDS],
         )
         if not self.announcers[endpoint].send(update):
             return
         outbox.position = records.first + len(records.ids)
         del outbox.batches[:1]
-        del outbox.asks[:MAX_ASKS]
-        del outbox.verdicts[:MAX_ASKS]
+        del outbox.requests[:MAX_REQUESTS]
+        del outbox.replies[:MAX_REQUESTS]
         del outbox.withdrawn[:MAX_RECORDS]
         if not outbox.is_empty or outbox.position < self.directory.end:
             self.notify(is_urgent=True)
--- a/sardinestair/entry/takeover.py
+++ b/sardinestair/entry/takeover.py
@@ -28,10 +28,10 @@
 from sardinestair.membership import choose_entries
 from sardinestair.messages import (
     MAX_GENERATION,
-    OwnershipAsk,
     OwnershipBatch,
+    OwnershipReply,
+    OwnershipRequest,
     OwnershipState,
-    OwnershipVerdict,
 )
 from sardinestair.observability import EventLog, Metrics
 from sardinestair.outcomes import Problem, ProblemKind
@@ -39,9 +39,9 @@
 __all__ = ["ATTACH_S", "ElsewhereJob", "JobArbiter", "JobTakeover"]
 
 # Time for which a caller at another entry keeps a job active, from the latest
-# question on.
+# request on.
 ATTACH_S = 0.5
-ASK_INTERVAL_S = 0.2
+REQUEST_INTERVAL_S = 0.2
 POLL_INTERVAL_S = 0.01
 # A process that has started or stood still receives what others have sent.
 CATCH_UP_INTERVAL_S = 0.02
@@ -61,7 +61,9 @@
     not_run=False,
 )
 
-Ask = Callable[[str, OwnershipAsk], Awaitable[OwnershipVerdict | None]]
+SendRequest = Callable[
+    [str, OwnershipRequest], Awaitable[OwnershipReply | None]
+]
 
 _STATES = {
     OwnershipState.ACTIVE: JobState.ACTIVE,
@@ -119,68 +121,78 @@
     def __init__(self, holder: OwnershipHolder):
         self.holder = holder
 
-    def decide(self, ask: OwnershipAsk, asking: str) -> OwnershipVerdict:
-        """Answers a question, and notes the new owner if it is granted.
+    def decide(
+        self, request: OwnershipRequest, requester: str
+    ) -> OwnershipReply:
+        """Answers a request, and notes the new owner if it is granted.
 
         Args:
-            ask: The question.
-            asking: Membership endpoint of the asking entry.
+            request: The request.
+            requester: Membership endpoint of the entry that sent it.
         """
-        holder, job_id = self.holder, unpack_job_id(ask.job)
+        holder, job_id = self.holder, unpack_job_id(request.job)
         with holder.lock:
-            if ask.withdraws:
+            if request.withdraws:
                 holder.handle_withdrawn([job_id])
             if job_id in holder.withdrawn:
-                return OwnershipVerdict(ask.number, OwnershipState.CANCELLED)
+                return OwnershipReply(request.number, OwnershipState.CANCELLED)
             record = holder.directory.find(job_id)
-            if record is None or record.owner in ask.unreachable:
-                return self._decide_for_absent(ask, asking, job_id, record)
-            is_granted = record.owner == asking or (
+            if record is None or record.owner in request.unreachable:
+                return self._decide_for_absent(
+                    request, requester, job_id, record
+                )
+            is_granted = record.owner == requester or (
                 record.owner == holder.directory.own_endpoint
-                and self._may_release(ask, job_id, record)
+                and self._may_release(request, job_id, record)
             )
             if not is_granted:
-                state = self._state(ask, job_id, record)
-                return OwnershipVerdict(
-                    ask.number, state, record.owner, record.generation
+                state = self._state(request, job_id, record)
+                return OwnershipReply(
+                    request.number, state, record.owner, record.generation
                 )
-            return self._grant(ask, asking, job_id, record.generation)
+            return self._grant(request, requester, job_id, record.generation)
 
     def _decide_for_absent(
         self,
-        ask: OwnershipAsk,
-        asking: str,
+        request: OwnershipRequest,
+        requester: str,
         job_id: JobId,
         record: OwnershipRecord | None,
-    ) -> OwnershipVerdict:
+    ) -> OwnershipReply:
         """Decides on a job whose owner does not reply, or is not known."""
         is_complete = record is not None and record.is_complete
-        if record is not None and is_complete and not ask.needs_answer:
-            return OwnershipVerdict(
-                ask.number, OwnershipState.COMPLETE, record.owner
+        if record is not None and is_complete and not request.needs_answer:
+            return OwnershipReply(
+                request.number, OwnershipState.COMPLETE, record.owner
             )
-        if not ask.is_arbiter:
-            return OwnershipVerdict(ask.number, OwnershipState.UNKNOWN)
+        if not request.is_arbiter:
+            return OwnershipReply(request.number, OwnershipState.UNKNOWN)
         known = -1 if record is None else record.generation
-        return self._grant(ask, asking, job_id, max(known, ask.generation))
+        return self._grant(
+            request, requester, job_id, max(known, request.generation)
+        )
 
     def _grant(
-        self, ask: OwnershipAsk, asking: str, job_id: JobId, generation: int
-    ) -> OwnershipVerdict:
+        self,
+        request: OwnershipRequest,
+        requester: str,
+        job_id: JobId,
+        generation: int,
+    ) -> OwnershipReply:
         directory = self.holder.directory
         record = directory.find(job_id)
-        is_known = record is not None and record.owner == asking
+        is_known = record is not None and record.owner == requester
         if not is_known:
             generation = min(generation + 1, MAX_GENERATION)
-            if asking != directory.own_endpoint:
+            if requester != directory.own_endpoint:
                 now_s = self.holder.clock.monotonic()
-                directory.grant(job_id, asking, generation, now_s)
-        return OwnershipVerdict(
-            ask.number, OwnershipState.GRANTED, asking, generation
+                directory.grant(job_id, requester, generation, now_s)
+        return OwnershipReply(
+            request.number, OwnershipState.GRANTED, requester, generation
         )
 
     def _may_release(
-        self, ask: OwnershipAsk, job_id: JobId, record: OwnershipRecord
+        self, request: OwnershipRequest, job_id: JobId, record: OwnershipRecord
     ) -> bool:
         """Returns True if the job may run again, and no run is left here."""
         holder = self.holder
@@ -188,11 +200,11 @@
             return False
         job = holder.registry.find(job_id)
         if job is None:
-            return not record.is_complete or ask.needs_answer
-        return job.can_run_again(ask.may_repeat) and not job.in_flight
+            return not record.is_complete or request.needs_answer
+        return job.can_run_again(request.may_repeat) and not job.in_flight
 
     def _state(
-        self, ask: OwnershipAsk, job_id: JobId, record: OwnershipRecord
+        self, request: OwnershipRequest, job_id: JobId, record: OwnershipRecord
     ) -> OwnershipState:
         holder = self.holder
         if record.is_complete:
@@ -200,7 +212,7 @@
         if record.owner != holder.directory.own_endpoint:
             return OwnershipState.MOVED
         job = holder.registry.find(job_id)
-        if job is None or job.can_run_again(ask.may_repeat):
+        if job is None or job.can_run_again(request.may_repeat):
             return OwnershipState.ACTIVE
         if job.is_active:
             job.attached_until_s = holder.clock.monotonic() + ATTACH_S
@@ -214,7 +226,7 @@
         unreachable: Endpoints that did not reply, or did not know the job.
         was_active: True if an owner has said that the job was active.
         may_still_run: True if runs of a lost owner may be active.
-        arbiter: The entry that was asked in place of the owner, or empty.
+        arbiter: The entry that decides in place of the owner, or empty.
     """
 
     unreachable: list[str] = []
@@ -230,8 +242,9 @@
         holder: The entry; its lock is taken.
 
     Attributes:
-        arbiter: Decides what this entry is asked, also by itself.
-        ask: Asks the entry at an endpoint; returns None if it does not reply.
+        arbiter: Decides on requests to this entry, also on its own.
+        send_request: Sends a request to the entry at an endpoint; returns None
+            if it does not reply.
         entries: Returns the endpoints of all known entries.
         is_current: Returns False if the process has started or stood still,
             and may not have received what others have sent.
@@ -240,7 +253,7 @@
     def __init__(self, holder: OwnershipHolder):
         self.holder = holder
         self.arbiter = JobArbiter(holder)
-        self.ask: Ask = _ask_nobody
+        self.send_request: SendRequest = _get_no_reply
         self.entries: Callable[[], list[str]] = list
         self.is_current: Callable[[], bool] = lambda: True
         self.log = EventLog("takeover")
@@ -288,22 +301,22 @@
             if record.owner == self.holder.directory.own_endpoint:
                 self._own(parsed.job_id, record.generation + 1, walk)
                 return Ok(None)
-            verdict = await self._ask_next(parsed, record, walk, needs_answer)
-            if verdict is None or verdict.state is OwnershipState.UNKNOWN:
+            reply = await self._request_next(parsed, record, walk, needs_answer)
+            if reply is None or reply.state is OwnershipState.UNKNOWN:
                 self._skip(record, walk)
-            elif verdict.state is OwnershipState.MOVED:
-                self._follow(parsed.job_id, record, verdict, walk)
-            elif verdict.state is OwnershipState.GRANTED:
-                self._own(parsed.job_id, verdict.generation, walk)
+            elif reply.state is OwnershipState.MOVED:
+                self._follow(parsed.job_id, record, reply, walk)
+            elif reply.state is OwnershipState.GRANTED:
+                self._own(parsed.job_id, reply.generation, walk)
                 return Ok(None)
-            elif verdict.state is OwnershipState.ACTIVE and not needs_answer:
+            elif reply.state is OwnershipState.ACTIVE and not needs_answer:
                 walk.was_active = True
                 await self._wait(parsed.job_id, has_left)
             else:
-                return self._end(verdict.owner, _STATES[verdict.state])
+                return self._end(reply.owner, _STATES[reply.state])
 
     async def withdraw(self, job_id: JobId) -> None:
-        """Tells other entries that the caller of a job has cancelled it.
+        """Informs other entries that the caller of a job has cancelled it.
 
         Returns once its owner has ended it, and a further entry remembers it in
         case that this one is lost; or once they have not replied in time.
@@ -318,27 +331,31 @@
                 1,
             )
             others = [record.owner, *ranked]
-        ask = OwnershipAsk(
+        request = OwnershipRequest(
             0, pack_job_id(job_id), 0, [], False, False, False, True
         )
         await asyncio.gather(
-            *(self.ask(entry, ask) for entry in others if entry != own)
+            *(
+                self.send_request(entry, request)
+                for entry in others
+                if entry != own
+            )
         )
 
-    async def _ask_next(
+    async def _request_next(
         self,
         parsed: ParsedRequest,
         record: OwnershipRecord,
         walk: _Walk,
         needs_answer: bool,
-    ) -> OwnershipVerdict | None:
-        """Asks the owner, or the entry that decides in its place."""
+    ) -> OwnershipReply | None:
+        """Sends a request to the owner, or to the entry in its place."""
         own = self.holder.directory.own_endpoint
         walk.arbiter = ""
         if record.owner in walk.unreachable:
             walk.arbiter = self._choose_arbiter(parsed.job_id, walk)
         target = walk.arbiter or record.owner
-        ask = OwnershipAsk(
+        request = OwnershipRequest(
             0,
             pack_job_id(parsed.job_id),
             record.generation,
@@ -348,8 +365,8 @@
             needs_answer,
         )
         if target == own:
-            return self.arbiter.decide(ask, own)
-        return await self.ask(target, ask)
+            return self.arbiter.decide(request, own)
+        return await self.send_request(target, request)
 
     def _choose_arbiter(self, job_id: JobId, walk: _Walk) -> str:
         """Returns the entry that decides; all choose the same one."""
@@ -368,12 +385,12 @@
         self,
         job_id: JobId,
         record: OwnershipRecord,
-        verdict: OwnershipVerdict,
+        reply: OwnershipReply,
         walk: _Walk,
     ) -> None:
         directory = self.holder.directory
         batch = OwnershipBatch(
-            verdict.owner, [pack_job_id(job_id)], bytes([verdict.generation])
+            reply.owner, [pack_job_id(job_id)], bytes([reply.generation])
         )
         with self.holder.lock:
             directory.observe(batch, self.holder.clock.monotonic())
@@ -398,9 +415,9 @@
         )
 
     async def _wait(self, job_id: JobId, has_left: Callable[[], bool]) -> None:
-        """Waits until the job is complete elsewhere, or to be asked again."""
+        """Waits until the job is complete elsewhere, or a request is due."""
         clock, directory = self.holder.clock, self.holder.directory
-        until_s = clock.monotonic() + ASK_INTERVAL_S
+        until_s = clock.monotonic() + REQUEST_INTERVAL_S
         while clock.monotonic() < until_s and not has_left():
             record = directory.find(job_id)
             if record is None or record.is_complete:
@@ -415,7 +432,7 @@
         return Ok(ElsewhereJob(owner, state))
 
 
-async def _ask_nobody(
-    _endpoint: str, _ask: OwnershipAsk
-) -> OwnershipVerdict | None:
+async def _get_no_reply(
+    _endpoint: str, _request: OwnershipRequest
+) -> OwnershipReply | None:
     return None
--- a/sardinestair/entry/tests/test_ownership_exchange.py
+++ b/sardinestair/entry/tests/test_ownership_exchange.py
@@ -13,8 +13,8 @@
 from sardinestair.ids import Incarnation, JobId, new_incarnation
 from sardinestair.membership import PeerDirectory
 from sardinestair.messages import (
-    OwnershipAsk,
     OwnershipBatch,
+    OwnershipRequest,
     OwnershipUpdate,
 )
 from sardinestair.observability import Metrics
@@ -72,11 +72,11 @@
     exchange.directory.observe(batch, 0.0)
     exchange.dispatcher.withdrawn.add(job_ids(b"c"), 0.0)
     exchange.add_peer(OTHER, Incarnation(b"o" * 16))
-    asks = [
-        OwnershipAsk(n, b"a" * 16, 1, [GONE] * 3, True, True, True)
+    requests = [
+        OwnershipRequest(n, b"a" * 16, 1, [GONE] * 3, True, True, True)
         for n in range(JOBS)
     ]
-    update = OwnershipUpdate(OTHER, Incarnation(b"o" * 16), [], asks)
+    update = OwnershipUpdate(OTHER, Incarnation(b"o" * 16), [], requests)
     exchange.handle_update(update)
     updates = send_all(exchange)
     sizes = map(len, exchange.announcers[OTHER].sent)
@@ -85,7 +85,7 @@
     assert sorted(ids) == sorted(job_ids(b"a") + job_ids(b"b"))
     withdrawn = [job_id for u in updates for job_id in u.withdrawn]
     assert withdrawn == job_ids(b"c")
-    assert len([v for u in updates for v in u.verdicts]) == JOBS
+    assert len([v for u in updates for v in u.replies]) == JOBS
 
 
 def test_what_can_not_be_sent_is_kept(exchange):
@@ -126,5 +126,5 @@
     exchange.notify(is_urgent=True)
     exchange.run_once()
     assert exchange.outboxes == {}
-    ask = OwnershipAsk(0, b"a", 0, [], False, True, False)
-    assert asyncio.run(exchange.ask(OTHER, ask)) is None
+    request = OwnershipRequest(0, b"a", 0, [], False, True, False)
+    assert asyncio.run(exchange.send_request(OTHER, request)) is None
--- a/sardinestair/membership/pauses.py
+++ b/sardinestair/membership/pauses.py
@@ -9,7 +9,7 @@
 
 
 class PauseMonitor:
-    """Tells whether messages of other processes are read as they come.
+    """Determines whether messages of other processes are read as they come.
 
     They aren't when the process has just started, or was paused.
 
--- a/sardinestair/messages.py
+++ b/sardinestair/messages.py
@@ -34,11 +34,11 @@
     "KindSlowdown",
     "Leaving",
     "Outcome",
-    "OwnershipAsk",
+    "OwnershipRequest",
     "OwnershipBatch",
     "OwnershipState",
     "OwnershipUpdate",
-    "OwnershipVerdict",
+    "OwnershipReply",
     "PeerHello",
     "PeerReply",
     "Recall",
@@ -416,7 +416,7 @@
 
 
 class OwnershipState(enum.Enum):
-    """What an entry replies when another one asks for the ownership of a job.
+    """What an entry replies to a request for the ownership of a job.
 
     GRANTED: the other entry is the owner now. ACTIVE: the job runs, or runs of
     it are being stopped. MOVED: a third entry is the owner. UNKNOWN: the entry
@@ -432,18 +432,18 @@
     UNKNOWN = "unknown"
 
 
-class OwnershipAsk(msgspec.Struct, array_like=True, frozen=True):
-    """Asks for the ownership of a job that was submitted again.
+class OwnershipRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Requests the ownership of a job that was submitted again.
 
     Attributes:
-        number: Number of the question, which the verdict repeats.
+        number: Number of the request, which the reply repeats.
         job: Id of the job, packed.
-        generation: Generation of the asking entry's record.
+        generation: Generation of the sender's record.
         unreachable: Endpoints of owners that did not reply.
-        is_arbiter: True if the asked entry decides in place of these.
+        is_arbiter: True if the recipient decides in place of these.
         may_repeat: True if the job may run again after it has failed.
         needs_answer: True if knowing that the job is complete is not enough.
-        withdraws: True if it is no question: the job's caller has cancelled it.
+        withdraws: True if the job is only to be cancelled, for its caller.
     """
 
     number: int
@@ -456,12 +456,12 @@
     withdraws: bool = False
 
 
-class OwnershipVerdict(msgspec.Struct, array_like=True, frozen=True):
-    """Answers an `OwnershipAsk`.
+class OwnershipReply(msgspec.Struct, array_like=True, frozen=True):
+    """Answers an `OwnershipRequest`.
 
     Attributes:
-        number: Number of the question.
-        state: The verdict.
+        number: Number of the request.
+        state: What the entry has decided.
         owner: Endpoint of the owner if it is known.
         generation: Generation of the ownership.
     """
@@ -473,22 +473,22 @@
 
 
 class OwnershipUpdate(msgspec.Struct, array_like=True, tag="O"):
-    """Records, questions and verdicts about owners of jobs; has no reply.
+    """Records, requests and replies about owners of jobs.
 
     Attributes:
         endpoint: Membership endpoint of the sender.
         entry: The sender's incarnation.
         batches: Records.
-        asks: Questions.
-        verdicts: Answers to questions of the recipient.
+        requests: Requests for the ownership of jobs.
+        replies: Replies to requests of the recipient.
         withdrawn: Jobs that their callers have cancelled, packed.
     """
 
     endpoint: str
     entry: Incarnation
     batches: list[OwnershipBatch] = []
-    asks: list[OwnershipAsk] = []
-    verdicts: list[OwnershipVerdict] = []
+    requests: list[OwnershipRequest] = []
+    replies: list[OwnershipReply] = []
     withdrawn: list[bytes] = []
 
 
--- a/sardinestair/tests/test_endpoints.py
+++ b/sardinestair/tests/test_endpoints.py
@@ -131,8 +131,8 @@
     )
     server.exchange = OwnershipExchange(dispatcher, {}, peers)
     batch = ["10.0.0.1:1", ids, states, 7, 3]
-    ask = [1, b"j", -5, ["x"], True, True, True]
-    update = ["O", "no endpoint", b"e", [batch], [ask], [[1, "granted"]]]
+    request = [1, b"j", -5, ["x"], True, True, True]
+    update = ["O", "no endpoint", b"e", [batch], [request], [[1, "granted"]]]
     server._handle(b"r", msgspec.msgpack.encode(update))
     server.exchange.run_once()
     assert server.socket.take_sent() == []
