Wait for the runs of a lost owner whichever submission takes the job over

Seen by reading, and shown by two tests: of two submissions at an entry, the first attached to the job's owner, which was then lost; the second one took the job over and ran it beside the runs of the owner that had not lapsed yet (up to 1.2 s). And a deregistration under the id of another writer, whose heartbeat came before the first report, ended the runner's service for good.

Cause: that the owner had run the job was known to the first submission only, and a job that this entry owned already was taken over once more. The second: deregistrations weren't compared with the reported incarnation.

Change: the record of a job remembers when its owner last ran it; a job that is owned and not complete is only submitted. Four cases of test_submissions_at_the_next_owner_wait_for_the_runs_of_a_lost_one and test_deregistration_of_another_writer_is_ignored failed before.

--- a/sardinestair/entry/takeover.py
+++ b/sardinestair/entry/takeover.py
@@ -224,13 +224,11 @@
 
     Attributes:
         unreachable: Endpoints that did not reply, or did not know the job.
-        was_active: True if an owner has said that the job was active.
         may_still_run: True if runs of a lost owner may be active.
         arbiter: The entry that decides in place of the owner, or empty.
     """
 
     unreachable: list[str] = []
-    was_active: bool = False
     may_still_run: bool = False
     arbiter: str = ""
 
@@ -299,7 +297,9 @@
             if record.is_complete and not needs_answer:
                 return self._end(record.owner, JobState.COMPLETE)
             if record.owner == self.holder.directory.own_endpoint:
-                self._own(parsed.job_id, record.generation + 1, walk)
+                if record.is_complete:
+                    # Its answers are not kept any more.
+                    self._own(parsed.job_id, record.generation + 1, walk)
                 return Ok(None)
             reply = await self._request_next(parsed, record, walk, needs_answer)
             if reply is None or reply.state is OwnershipState.UNKNOWN:
@@ -310,7 +310,7 @@
                 self._own(parsed.job_id, reply.generation, walk)
                 return Ok(None)
             elif reply.state is OwnershipState.ACTIVE and not needs_answer:
-                walk.was_active = True
+                record.active_s = clock.monotonic()
                 await self._wait(parsed.job_id, has_left)
             else:
                 return self._end(reply.owner, _STATES[reply.state])
@@ -379,7 +379,9 @@
         if not walk.arbiter:
             # The first owner's runs have ended: no caller submits again
             # sooner. Later owners got the job at any time.
-            walk.may_still_run |= walk.was_active or record.generation > 0
+            silent_s = self.holder.clock.monotonic() - record.active_s
+            was_active = silent_s < self.holder.timing.lost_s
+            walk.may_still_run |= was_active or record.generation > 0
 
     def _follow(
         self,
--- a/sardinestair/entry/tests/test_ownership.py
+++ b/sardinestair/entry/tests/test_ownership.py
@@ -132,6 +132,24 @@
     assert not cluster.overlaps()
 
 
+# Guards against a second submission at the next owner that doesn't wait until
+# the runs of a lost owner have ended.
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.25, 0.35])
+def test_submissions_at_the_next_owner_wait_for_the_runs_of_a_lost_one(
+    cluster, delay_s
+):
+    cluster.submit(0, JOB, 3.0)
+    cluster.run(INTERVAL_S)
+    callers = [cluster.submit(1, JOB)]
+    cluster.run(0.1)
+    cluster.kill(0)
+    cluster.run(delay_s)
+    callers.append(cluster.submit(1, JOB))
+    cluster.run(6.0)
+    assert [caller.response for caller in callers] == [JobState.COMPLETE] * 2
+    assert not cluster.overlaps()
+
+
 @pytest.mark.parametrize("freeze_s", [0.2, 0.5, 1.0, 2.0, 3.5])
 def test_entry_that_stands_still_does_not_run_a_job_beside_another(
     cluster, freeze_s
--- a/sardinestair/jobs/ownership.py
+++ b/sardinestair/jobs/ownership.py
@@ -1,5 +1,6 @@
 """Which entry owns each job, as far as this entry has been informed."""
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 
@@ -25,6 +26,7 @@
         added_s: When the record was added or last changed, in seconds.
         not_before_s: Time until which runs of an earlier owner may be active.
         position: Position in the own log; -1 for jobs of other entries.
+        active_s: When the owner has last replied that the job was active.
     """
 
     owner: str
@@ -33,6 +35,7 @@
     added_s: float = 0.0
     not_before_s: float = 0.0
     position: int = -1
+    active_s: float = -math.inf
 
     def holds_against(self, other: "OwnershipRecord") -> bool:
         """Returns True if this record replaces another one of the same job.
--- a/sardinestair/platform/heartbeats.py
+++ b/sardinestair/platform/heartbeats.py
@@ -160,9 +160,12 @@
     async def deregister(self, _request: Request, runner: str) -> Response:
         """Deregisters the runner, which gets no new tasks.
 
-        A late request of an earlier runner has no effect.
+        A late request of an earlier runner has no effect, nor one of another
+        writer whose heartbeat came before the first report.
         """
-        if self.latest_runner not in ("", runner):
+        latest_born, reported = self.latest_id[0], self.reported_born()
+        is_foreign = bool(latest_born and reported) and latest_born > reported
+        if is_foreign or self.latest_runner not in ("", runner):
             self.log.info(
                 "deregister_late", runner=runner, latest=self.latest_runner
             )
--- a/sardinestair/platform/tests/test_heartbeats.py
+++ b/sardinestair/platform/tests/test_heartbeats.py
@@ -252,6 +252,16 @@
     assert server.leave_count == 1
 
 
+def test_deregistration_of_another_writer_is_ignored(app, server, reports):
+    send_heartbeat(app, "i-other", born=999999999999999)
+    reports.born = 1000
+    path = "/instances/i-other/deregister"
+    assert send_request(app, "POST", path).status == 200
+    assert server.leave_count == 0
+    send_heartbeat(app, born=1000, sequence=1)
+    assert len(server.announced) == 2
+
+
 def test_heartbeat_of_another_sender_with_the_same_start_is_ignored(
     app, server, reports
 ):
