--- /dev/null
+++ b/review/harness_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the review's scripts; standard library only."""
